--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the command line."""
--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry point of the command line."""
--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/cli/main.py
@@ -0,0 +1,26 @@
+"""Entry point of ``lagoonbend``."""
+
+import sys
+
+from cleo.application import Application
+
+from lagoonbend_cli import __version__
+from lagoonbend_cli._internal.commands import document_check
+from lagoonbend_cli._internal.commands.config_check import ConfigCheckCommand
+from lagoonbend_cli._internal.commands.dump_command import DumpCommand
+from lagoonbend_cli._internal.commands.status_command import StatusCommand
+
+COMMANDS = (
+    ConfigCheckCommand,
+    document_check.DocumentCheckCommand,
+    DumpCommand,
+    StatusCommand,
+)
+
+
+def main() -> None:
+    """Parse the command line and hand over to a command."""
+    application = Application('lagoonbend', __version__)
+    for command in COMMANDS:
+        application.add(command())
+    sys.exit(application.run())
--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands, one class each."""
--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/commands/status_command.py
@@ -0,0 +1,38 @@
+"""``lagoonbend status``."""
+
+from cleo.helpers import argument
+from rich.console import Console
+
+from lagoonbend.exceptions import NetworkError
+from lagoonbend_cli._internal.commands.base import EXIT_FAILURE
+from lagoonbend_cli._internal.commands.base import EXIT_OK
+from lagoonbend_cli._internal.commands.base import LagoonbendCommand
+from lagoonbend_cli._internal.network.operator_client import fetch_dump
+from lagoonbend_cli._internal.utils.tables import print_status
+from lagoonbend_cli._internal.utils.tables import summarize
+
+
+class StatusCommand(LagoonbendCommand):
+    """Sums up many instances."""
+
+    name = 'status'
+    description = 'Print a line for each instance.'
+    arguments = [
+        argument(
+            'address', "ip:port of their operators' listeners.", multiple=True
+        )
+    ]
+
+    def execute_command(self) -> int:
+        """Print the lines; fail if an instance did not answer."""
+        rows = []
+        failures = []
+        for address in self.argument('address'):
+            try:
+                rows.append(summarize(fetch_dump(address)))
+            except NetworkError as error:
+                failures.append(str(error))
+        print_status(Console(), rows)
+        for failure in failures:
+            self.line_error(failure)
+        return EXIT_FAILURE if failures else EXIT_OK
--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the operators' listeners."""
--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the commands."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, demo and experiments for developers of lagoonbend."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/__main__.py
@@ -0,0 +1,37 @@
+"""``python -m lagoonbend_devkit``: the demonstration, or a stand-in.
+
+``demo`` runs the demonstration; ``platform PORT``, ``service PORT``,
+``engine-old PORT`` and ``engine-new PORT`` run a stand-in.
+"""
+
+import sys
+
+from lagoonbend_devkit._internal.demo.demo import run_demo
+from lagoonbend_devkit._internal.standins.engine import build_engine
+from lagoonbend_devkit._internal.standins.engine_core import EngineSpeed
+from lagoonbend_devkit._internal.standins.platform import build_platform
+from lagoonbend_devkit._internal.standins.service import build_service
+from lagoonbend_devkit._internal.standins.standin_server import serve_standin
+
+SPEEDS = {
+    'engine-old': EngineSpeed(40, 128, 32),
+    'engine-new': EngineSpeed(10, 256, 128),
+}
+
+
+def main(arguments: list[str]) -> int:
+    """Do what the command line says; return the exit code."""
+    if arguments == ['demo']:
+        return run_demo()
+    kind, port = arguments[0], int(arguments[1])
+    if kind == 'platform':
+        app = build_platform()
+    elif kind == 'service':
+        app = build_service()
+    else:
+        app = build_engine(SPEEDS[kind])
+    serve_standin(app, port)
+    return 0
+
+
+sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the developers' tools."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that make demo runs."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Runs a small fleet of real processes on loopback."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/http.py
@@ -0,0 +1,65 @@
+"""Plain HTTP exchanges with processes of the fleet."""
+
+from typing import NamedTuple
+
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPParseError
+
+from lagoonbend_devkit._internal.fleet.ports import LOOPBACK
+
+CONNECT_TIMEOUT_S = 5.0
+
+
+class Answer(NamedTuple):
+    """What a process answered.
+
+    :param status: HTTP status code; 0 if no whole answer came.
+    :param headers: headers with lower-case names.
+    :param body: whole body, or what came of it.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def verdict(self) -> str:
+        """The verdict of an instance; '' if it gave none."""
+        return self.headers.get('lagoonbend-verdict', '')
+
+
+NO_ANSWER = Answer(0, {}, b'')
+
+
+def exchange(
+    port: int,
+    method: str,
+    path: str,
+    *,
+    body: bytes = b'',
+    headers: dict[str, str] | None = None,
+    timeout_s: float = 30.0,
+) -> Answer:
+    """Send one request on a connection of its own.
+
+    An exchange that fails gives an answer with status 0.
+    """
+    client = HTTPClient(
+        LOOPBACK,
+        port,
+        connection_timeout=CONNECT_TIMEOUT_S,
+        network_timeout=timeout_s,
+    )
+    response = None
+    content = b''
+    try:
+        response = client.request(method, path, body=body, headers=headers)
+        content = bytes(response.read())
+    except (OSError, HTTPParseError):
+        return NO_ANSWER
+    finally:
+        client.close()
+    fields = {name.lower(): str(value) for name, value in response.items()}
+    if not response.message_complete:
+        return Answer(0, fields, content)
+    return Answer(int(response.status_code), fields, content)
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/local_fleet.py
@@ -0,0 +1,232 @@
+"""A small fleet of real processes on loopback."""
+
+import pathlib
+import tempfile
+from types import TracebackType
+
+import gevent
+import msgspec
+
+from lagoonbend.configuration import PartEntry
+from lagoonbend_devkit._internal.fleet.http import Answer
+from lagoonbend_devkit._internal.fleet.http import exchange
+from lagoonbend_devkit._internal.fleet.instance_spec import InstanceSpec
+from lagoonbend_devkit._internal.fleet.ports import find_free_ports
+from lagoonbend_devkit._internal.fleet.process import FleetProcess
+from lagoonbend_devkit._internal.fleet.sample_part import build_document
+from lagoonbend_devkit._internal.fleet.sample_part import build_part
+from lagoonbend_devkit._internal.fleet.sample_part import CALLER_KEY
+from lagoonbend_devkit._internal.fleet.sample_part import PARTNER
+
+DOMAINS = ('lake-north', 'lake-south')
+MODELS = ['assistant', 'drafter']
+START_TIMEOUT_S = 30.0
+POLL_S = 0.05
+
+
+class LocalFleet:
+    """Platform, targets and instances in two failure domains.
+
+    Use it as a context manager: all processes end with the block.
+
+    :param instances_per_domain: entry instances in each domain.
+    :param repeat_window_ms: repeat window of bare keys.
+    """
+
+    def __init__(
+        self, instances_per_domain: int = 2, repeat_window_ms: int = 1_000
+    ) -> None:
+        self._temporary = tempfile.TemporaryDirectory(prefix='lagoonbend-')
+        self._directory = pathlib.Path(self._temporary.name)
+        self.processes: dict[str, FleetProcess] = {}
+        names = [
+            (f'{domain}-{number}', domain)
+            for domain in DOMAINS
+            for number in range(1, instances_per_domain + 1)
+        ]
+        ports = find_free_ports(1 + 2 * len(DOMAINS) + 3 * len(names))
+        self.platform_port = ports.pop()
+        self.target_ports = {
+            f'{kind}-{domain}': ports.pop()
+            for domain in DOMAINS
+            for kind in ('engine', 'service')
+        }
+        self.instances = {
+            name: InstanceSpec(
+                name,
+                PARTNER,
+                domain,
+                ports.pop(),
+                ports.pop(),
+                ports.pop(),
+                self.platform_port,
+                repeat_window_ms,
+            )
+            for name, domain in names
+        }
+        self.leaving: set[str] = set()
+        self.fleet_revision = 0
+
+    def __enter__(self) -> 'LocalFleet':
+        try:
+            self._start_all()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End all processes of the fleet."""
+        for process in self.processes.values():
+            process.kill()
+        self._temporary.cleanup()
+
+    def start_instance(self, name: str) -> None:
+        """Start an instance with empty memory."""
+        spec = self.instances[name]
+        path = self._directory / f'{name}.ini'
+        path.write_text(spec.write_settings(), encoding='utf-8')
+        arguments = ['-m', 'lagoonbend_entry', 'run', '--settings', str(path)]
+        self._start(name, arguments)
+
+    def start_target(self, name: str) -> None:
+        """Start a target with an empty record."""
+        kind = 'service' if name.startswith('service') else 'engine-new'
+        port = str(self.target_ports[name])
+        self._start(name, ['-m', 'lagoonbend_devkit', kind, port])
+
+    def publish_part(self, part: PartEntry) -> None:
+        """Publish a document as the operators would."""
+        body = msgspec.json.encode(build_document(part))
+        self._put(self.platform_port, '/v1/values/document', body)
+
+    def publish_fleet(self) -> None:
+        """Publish the list of instances and targets."""
+        self.fleet_revision += 1
+        entry = {
+            'revision': self.fleet_revision,
+            'instances': [
+                {
+                    'instance': spec.name,
+                    'ip': '127.0.0.1',
+                    'port': spec.peer_port,
+                    'failure_domain': spec.failure_domain,
+                    'leaving': spec.name in self.leaving,
+                }
+                for spec in self.instances.values()
+            ],
+            'targets': [
+                {
+                    'target': name,
+                    'kind': name.partition('-')[0],
+                    'ip': '127.0.0.1',
+                    'port': port,
+                    'failure_domain': name.partition('-')[2],
+                    'models': MODELS,
+                    'leaving': name in self.leaving,
+                }
+                for name, port in self.target_ports.items()
+            ],
+        }
+        body = msgspec.json.encode(entry)
+        self._put(self.platform_port, '/v1/fleet', body)
+
+    def set_faults(self, port: int, **faults: int) -> None:
+        """Put exactly these faults into force at a stand-in."""
+        body = msgspec.json.encode(faults)
+        self._put(port, '/control/faults', body)
+
+    def call(
+        self,
+        instance: str,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b'',
+        key: str | None = None,
+        timeout_s: float = 30.0,
+    ) -> Answer:
+        """Send one call to an instance."""
+        headers = {
+            'Authorization': f'Bearer {CALLER_KEY}',
+            'Content-Type': 'application/json',
+        }
+        if key is not None:
+            headers['Idempotency-Key'] = key
+        port = self.instances[instance].caller_port
+        return exchange(
+            port,
+            method,
+            path,
+            body=body,
+            headers=headers,
+            timeout_s=timeout_s,
+        )
+
+    def take_ticket(self, instance: str) -> str:
+        """Return a ticket of an instance."""
+        answer = self.call(instance, 'POST', '/lagoonbend/v1/tickets')
+        ticket: str = msgspec.json.decode(answer.body)['ticket']
+        return ticket
+
+    def read_executions(self) -> list[str]:
+        """Return what all targets have executed."""
+        return [
+            text
+            for port in self.target_ports.values()
+            for text in self.read_json(port, '/control/executions')
+        ]
+
+    def read_json(self, port: int, path: str) -> list[str]:
+        """Return the JSON value at a path; empty if nothing answers."""
+        answer = exchange(port, 'GET', path, timeout_s=2.0)
+        if answer.status != 200:
+            return []
+        value: list[str] = msgspec.json.decode(answer.body)
+        return value
+
+    def wait_ready(self, names: list[str]) -> None:
+        """Wait until these instances are ready."""
+        for name in names:
+            port = self.instances[name].operator_port
+            self._wait_answer(name, port, '/ready')
+
+    def _start_all(self) -> None:
+        port = str(self.platform_port)
+        self._start('platform', ['-m', 'lagoonbend_devkit', 'platform', port])
+        for name in self.target_ports:
+            self.start_target(name)
+        self._wait_answer('platform', self.platform_port, '/control/calls')
+        for name, target_port in self.target_ports.items():
+            self._wait_answer(name, target_port, '/control/executions')
+        seats = [spec.peer_address for spec in self.instances.values()]
+        self.publish_part(build_part(1, seats))
+        self.publish_fleet()
+        for name in self.instances:
+            self.start_instance(name)
+        self.wait_ready(list(self.instances))
+
+    def _start(self, name: str, arguments: list[str]) -> None:
+        process = FleetProcess(name, arguments, self._directory)
+        self.processes[name] = process
+
+    def _put(self, port: int, path: str, body: bytes) -> None:
+        answer = exchange(port, 'PUT', path, body=body)
+        if answer.status != 200:
+            raise RuntimeError(f'PUT {path}: status {answer.status}')
+
+    def _wait_answer(self, name: str, port: int, path: str) -> None:
+        with gevent.Timeout(START_TIMEOUT_S, RuntimeError(f'{name} is down')):
+            while exchange(port, 'GET', path, timeout_s=1.0).status != 200:
+                if not self.processes[name].is_running:
+                    log = self.processes[name].log_path.read_text()
+                    raise RuntimeError(f'{name} ended: {log[-2000:]}')
+                gevent.sleep(POLL_S)
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for engines, services and the platform."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/engine.py
@@ -0,0 +1,167 @@
+"""Stand-in for a model engine with continuous batching."""
+
+from collections.abc import Iterator
+from typing import NotRequired
+from typing import TypedDict
+
+import falcon
+import gevent
+import gevent.queue
+import msgspec
+
+from lagoonbend_devkit._internal.standins.engine_core import EngineCore
+from lagoonbend_devkit._internal.standins.engine_core import EngineJob
+from lagoonbend_devkit._internal.standins.engine_core import EngineSpeed
+from lagoonbend_devkit._internal.standins.standin_server import Faults
+from lagoonbend_devkit._internal.standins.standin_server import FaultsResource
+
+MILLISECONDS_PER_SECOND = 1000
+DEFAULT_OUTPUT_TOKENS = 16
+
+
+class ChatRequest(TypedDict):
+    """A chat completion as the stand-in reads it."""
+
+    model: str
+    messages: list[dict[str, str]]
+    stream: NotRequired[bool]
+    max_tokens: NotRequired[int]
+
+
+class ChatResource:
+    """``POST /v1/chat/completions``.
+
+    The tokens carry a hash of the prompt, so that a caller can tell its own
+    answer. Fault ``cut_after`` ends a stream after that many tokens without
+    its end marker.
+
+    :param core: jobs of the engine.
+    :param faults: faults of the stand-in.
+    :param executions: prompts that were started.
+    """
+
+    def __init__(
+        self, core: EngineCore, faults: Faults, executions: list[str]
+    ) -> None:
+        self._core = core
+        self._faults = faults
+        self._executions = executions
+
+    def on_post(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Start a completion."""
+        body = request.bounded_stream.read()
+        chat = msgspec.json.decode(body, type=ChatRequest)
+        prompt = '\n'.join(message['content'] for message in chat['messages'])
+        self._executions.append(prompt)
+        tokens: gevent.queue.Queue = gevent.queue.Queue()
+        output = chat.get('max_tokens', DEFAULT_OUTPUT_TOKENS)
+        job = EngineJob(prompt, output, tokens.put)
+        self._core.add(job)
+        attempt = request.get_header('Lagoonbend-Attempt')
+        if attempt:
+            response.set_header('Lagoonbend-Attempt', attempt)
+        if chat.get('stream'):
+            response.content_type = 'text/event-stream'
+            response.stream = self._stream(job, tokens)
+            return
+        text = ' '.join(iter(tokens.get, None))
+        response.data = msgspec.json.encode(
+            {
+                'object': 'chat.completion',
+                'choices': [
+                    {
+                        'index': 0,
+                        'message': {'role': 'assistant', 'content': text},
+                        'finish_reason': 'stop',
+                    }
+                ],
+            }
+        )
+
+    def _stream(
+        self, job: EngineJob, tokens: gevent.queue.Queue
+    ) -> Iterator[bytes]:
+        sent = 0
+        try:
+            for token in iter(tokens.get, None):
+                yield _write_event(token)
+                sent += 1
+                if sent == self._faults['cut_after']:
+                    return
+            yield b'data: [DONE]\n\n'
+        finally:
+            job.cancelled = not job.is_done
+
+
+class LoadResource:
+    """``GET /load``: jobs and waiting tokens, as old as ``lag_ms`` says.
+
+    :param core: jobs of the engine.
+    :param faults: faults of the stand-in.
+    """
+
+    def __init__(self, core: EngineCore, faults: Faults) -> None:
+        self._core = core
+        self._faults = faults
+
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Answer with the load."""
+        response.data = msgspec.json.encode(
+            {
+                'running': self._core.running,
+                'waiting_tokens': self._core.waiting_tokens,
+                'prefilled_tokens': self._core.prefilled_tokens,
+                'wasted_tokens': self._core.wasted_tokens,
+            }
+        )
+        self._faults.sleep('lag_ms')
+
+
+class PromptsResource:
+    """``GET /control/executions``: prompts started, in order.
+
+    :param executions: record of the engine.
+    """
+
+    def __init__(self, executions: list[str]) -> None:
+        self._executions = executions
+
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Answer with the record."""
+        response.data = msgspec.json.encode(self._executions)
+
+
+def build_engine(speed: EngineSpeed) -> falcon.App:
+    """Return the application of an engine's stand-in and start it."""
+    faults = Faults()
+    core = EngineCore(speed)
+    executions: list[str] = []
+    gevent.spawn(_run_steps, core, speed, faults)
+    app = falcon.App()
+    chat = ChatResource(core, faults, executions)
+    app.add_route('/v1/chat/completions', chat)
+    app.add_route('/load', LoadResource(core, faults))
+    app.add_route('/control/executions', PromptsResource(executions))
+    app.add_route('/control/faults', FaultsResource(faults))
+    return app
+
+
+def _run_steps(core: EngineCore, speed: EngineSpeed, faults: Faults) -> None:
+    while True:
+        step_ms = speed.step_ms * max(1, faults['slowdown'])
+        gevent.sleep(step_ms / MILLISECONDS_PER_SECOND)
+        core.step()
+
+
+def _write_event(token: str) -> bytes:
+    chunk = {
+        'object': 'chat.completion.chunk',
+        'choices': [{'index': 0, 'delta': {'content': token + ' '}}],
+    }
+    return b'data: ' + msgspec.json.encode(chunk) + b'\n\n'
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/fleet.py
@@ -0,0 +1,7 @@
+"""A small fleet of real processes, for tests and demonstrations."""
+
+from lagoonbend_devkit._internal.fleet.http import Answer
+from lagoonbend_devkit._internal.fleet.http import exchange
+from lagoonbend_devkit._internal.fleet.local_fleet import LocalFleet
+
+__all__ = ['Answer', 'LocalFleet', 'exchange']
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry point of the daemon."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the daemon, one class each."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small immutable values of the daemon."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Listeners and clients."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' side."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/operators/operator_app.py
@@ -0,0 +1,76 @@
+"""The operators' WSGI application."""
+
+from collections.abc import Callable
+
+import falcon
+
+from lagoonbend_entry._internal.models.dump import Dump
+from lagoonbend_entry._internal.utils.metrics import Metrics
+
+PROMETHEUS_MEDIA_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+
+class DumpResource:
+    """``GET /dump``: the state of the instance as JSON.
+
+    :param build_dump: returns the state.
+    """
+
+    def __init__(self, build_dump: Callable[[], Dump]) -> None:
+        self._build_dump = build_dump
+
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Answer with the state."""
+        response.media = self._build_dump()
+
+
+class MetricsResource:
+    """``GET /metrics``: counters in the text form of Prometheus.
+
+    :param metrics: counters.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Answer with all counters."""
+        response.content_type = PROMETHEUS_MEDIA_TYPE
+        response.data = self._metrics.render()
+
+
+class HealthResource:
+    """``GET /ready`` and ``GET /live``: 200 or 503.
+
+    :param is_healthy: returns the answer.
+    """
+
+    def __init__(self, is_healthy: Callable[[], bool]) -> None:
+        self._is_healthy = is_healthy
+
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Answer with a status and a word."""
+        healthy = self._is_healthy()
+        response.status = 200 if healthy else 503
+        response.content_type = 'text/plain'
+        response.text = 'yes\n' if healthy else 'no\n'
+
+
+def build_operator_app(
+    build_dump: Callable[[], Dump],
+    metrics: Metrics,
+    is_ready: Callable[[], bool],
+) -> falcon.App:
+    """Return the application that serves operators."""
+    app = falcon.App()
+    app.add_route('/dump', DumpResource(build_dump))
+    app.add_route('/metrics', MetricsResource(metrics))
+    app.add_route('/ready', HealthResource(is_ready))
+    app.add_route('/live', HealthResource(lambda: True))
+    return app
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Server and client between instances."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_client.py
@@ -0,0 +1,173 @@
+"""Client of other instances."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeVar
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError
+from grpclib.exceptions import StreamTerminatedError
+
+from lagoonbend.exceptions import PeerError
+from lagoonbend.models import ClaimReply
+from lagoonbend.models import ClaimRequest
+from lagoonbend.models import RecordedAnswer
+from lagoonbend_entry._internal.models.digest import Digest
+from lagoonbend_entry._internal.network.link_gate import LinkGate
+from lagoonbend_entry._internal.network.peers import peer_messages
+from lagoonbend_entry._internal.network.peers.generated import peer_grpc
+from lagoonbend_entry._internal.network.peers.generated import peer_pb2
+from lagoonbend_entry._internal.network.peers.peer_loop import PeerLoop
+
+Result = TypeVar('Result')
+MILLISECONDS_PER_SECOND = 1000
+FAILURES = (TimeoutError, OSError, GRPCError, StreamTerminatedError)
+
+
+class PeerClient:
+    """Asks other instances, one channel an address.
+
+    :param loop: loop that runs the channels.
+    :param gate: links that tests cut.
+    :param timeout_ms: time for one call.
+    """
+
+    def __init__(
+        self, loop: PeerLoop, gate: LinkGate, *, timeout_ms: int
+    ) -> None:
+        self._loop = loop
+        self._gate = gate
+        self._timeout_s = timeout_ms / MILLISECONDS_PER_SECOND
+        self._stubs: dict[str, peer_grpc.PeerStub] = {}
+        self._channels: dict[str, Channel] = {}
+
+    def fetch_nonce(self, address: str) -> str:
+        """Return a nonce of the instance at ``address``.
+
+        :raises PeerError: if it gives none in time.
+        """
+
+        async def call(stub: peer_grpc.PeerStub) -> str:
+            message = peer_pb2.NonceRequest()
+            reply = await stub.Nonce(message, timeout=self._timeout_s)
+            return reply.nonce
+
+        return self._ask(address, call)
+
+    def claim(self, address: str, request: ClaimRequest) -> ClaimReply:
+        """Ask the instance at ``address`` to decide a claim.
+
+        :raises PeerError: if it gives no answer in time.
+        """
+
+        async def call(stub: peer_grpc.PeerStub) -> ClaimReply:
+            message = peer_messages.write_claim_request(request)
+            reply = await stub.Claim(message, timeout=self._timeout_s)
+            return peer_messages.read_claim_reply(reply)
+
+        return self._ask(address, call)
+
+    def release(
+        self, address: str, customer: str, key: str, attempt: str
+    ) -> bool:
+        """Give a claim back.
+
+        :raises PeerError: if the instance does not answer in time.
+        """
+
+        async def call(stub: peer_grpc.PeerStub) -> bool:
+            message = peer_pb2.ReleaseRequest(
+                customer=customer, key=key, attempt=attempt
+            )
+            reply = await stub.Release(message, timeout=self._timeout_s)
+            return reply.released
+
+        return self._ask(address, call)
+
+    def finish(
+        self,
+        address: str,
+        customer: str,
+        key: str,
+        attempt: str,
+        answer: RecordedAnswer | None,
+    ) -> bool:
+        """Tell the holder of a key that its request has run.
+
+        :raises PeerError: if the instance does not answer in time.
+        """
+
+        async def call(stub: peer_grpc.PeerStub) -> bool:
+            message = peer_pb2.FinishRequest(
+                customer=customer, key=key, attempt=attempt
+            )
+            if answer is not None:
+                message.answer.CopyFrom(peer_messages.write_answer(answer))
+            reply = await stub.Finish(message, timeout=self._timeout_s)
+            return reply.finished
+
+        return self._ask(address, call)
+
+    def exchange(self, address: str, digest: Digest) -> Digest:
+        """Exchange digests with the instance at ``address``.
+
+        :raises PeerError: if it does not answer in time.
+        """
+
+        async def call(stub: peer_grpc.PeerStub) -> Digest:
+            message = peer_messages.write_digest(digest)
+            reply = await stub.Exchange(message, timeout=self._timeout_s)
+            return peer_messages.read_digest(reply)
+
+        return self._ask(address, call)
+
+    def fetch_part(self, address: str, partner: str) -> bytes:
+        """Return the document with a partner's part.
+
+        :raises PeerError: if the instance does not answer in time.
+        """
+
+        async def call(stub: peer_grpc.PeerStub) -> bytes:
+            message = peer_pb2.FetchPartRequest(partner=partner)
+            reply = await stub.FetchPart(message, timeout=self._timeout_s)
+            return reply.document
+
+        return self._ask(address, call)
+
+    def _ask(
+        self,
+        address: str,
+        call: Callable[[peer_grpc.PeerStub], Awaitable[Result]],
+    ) -> Result:
+        self._gate.check(address)
+        result = self._loop.ask(self._run(address, call))
+        self._gate.check(address)
+        return result
+
+    async def _run(
+        self,
+        address: str,
+        call: Callable[[peer_grpc.PeerStub], Awaitable[Result]],
+    ) -> Result:
+        try:
+            return await call(self._find_stub(address))
+        except (
+            TimeoutError,
+            OSError,
+            GRPCError,
+            StreamTerminatedError,
+        ) as error:
+            raise PeerError(
+                f'no answer: {type(error).__name__}',
+                context=f'peer {address}',
+                hint='check that the instance runs and can be reached',
+            ) from error
+
+    def _find_stub(self, address: str) -> peer_grpc.PeerStub:
+        stub = self._stubs.get(address)
+        if stub is None:
+            ip, _, port = address.rpartition(':')
+            self._channels[address] = Channel(ip, int(port))
+            stub = peer_grpc.PeerStub(self._channels[address])
+            self._stubs[address] = stub
+        return stub
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_service.py
@@ -0,0 +1,140 @@
+"""Server between instances."""
+
+from typing import Protocol
+
+from grpclib.server import Stream
+
+from lagoonbend.claims import ClaimLedger
+from lagoonbend.claims import TicketMint
+from lagoonbend.exceptions import TicketError
+from lagoonbend.models import ClaimDecision
+from lagoonbend.models import ClaimReply
+from lagoonbend.models import ClaimRequest
+from lagoonbend.models import Verdict
+from lagoonbend_entry._internal.models.digest import Digest
+from lagoonbend_entry._internal.network.peers import peer_messages
+from lagoonbend_entry._internal.network.peers.generated import peer_grpc
+from lagoonbend_entry._internal.network.peers.generated import peer_pb2
+from lagoonbend_entry._internal.network.peers.peer_loop import PeerLoop
+
+
+class DigestBook(Protocol):
+    """Keeps what peers have told."""
+
+    def exchange(self, digest: Digest) -> Digest:
+        """Note a peer's digest and return one's own."""
+
+    def fetch_part(self, partner: str) -> bytes:
+        """Return the document with a partner's part; empty if unknown."""
+
+
+class PeerService(peer_grpc.PeerBase):
+    """Answers peers; every decision is made in the thread of the hub.
+
+    :param loop: loop that runs this service.
+    :param ledger: claims that this instance holds.
+    :param mint: issuer of nonces.
+    :param digests: what peers have told.
+    """
+
+    def __init__(
+        self,
+        loop: PeerLoop,
+        ledger: ClaimLedger,
+        mint: TicketMint,
+        digests: DigestBook,
+    ) -> None:
+        self._loop = loop
+        self._ledger = ledger
+        self._mint = mint
+        self._digests = digests
+
+    async def Claim(  # noqa: N802
+        self,
+        stream: Stream[peer_pb2.ClaimRequest, peer_pb2.ClaimReply],
+    ) -> None:
+        """Decide a claim."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        request = peer_messages.read_claim_request(message)
+        reply = await self._loop.run_in_hub(
+            lambda: decide_claim(self._ledger, request)
+        )
+        await stream.send_message(peer_messages.write_claim_reply(reply))
+
+    async def Release(  # noqa: N802
+        self,
+        stream: Stream[peer_pb2.ReleaseRequest, peer_pb2.ReleaseReply],
+    ) -> None:
+        """Take a claim back."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        released = await self._loop.run_in_hub(
+            lambda: self._ledger.release(
+                message.customer, message.key, message.attempt
+            )
+        )
+        await stream.send_message(peer_pb2.ReleaseReply(released=released))
+
+    async def Finish(  # noqa: N802
+        self,
+        stream: Stream[peer_pb2.FinishRequest, peer_pb2.FinishReply],
+    ) -> None:
+        """Record the end of a request."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        answer = None
+        if message.HasField('answer'):
+            answer = peer_messages.read_answer(message.answer)
+        finished = await self._loop.run_in_hub(
+            lambda: self._ledger.finish(
+                message.customer, message.key, message.attempt, answer
+            )
+        )
+        await stream.send_message(peer_pb2.FinishReply(finished=finished))
+
+    async def Nonce(  # noqa: N802
+        self,
+        stream: Stream[peer_pb2.NonceRequest, peer_pb2.NonceReply],
+    ) -> None:
+        """Issue a nonce."""
+        await stream.recv_message()
+        nonce = await self._loop.run_in_hub(self._mint.issue_nonce)
+        await stream.send_message(peer_pb2.NonceReply(nonce=nonce))
+
+    async def Exchange(  # noqa: N802
+        self, stream: Stream[peer_pb2.Digest, peer_pb2.Digest]
+    ) -> None:
+        """Exchange digests."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        digest = peer_messages.read_digest(message)
+        own = await self._loop.run_in_hub(
+            lambda: self._digests.exchange(digest)
+        )
+        await stream.send_message(peer_messages.write_digest(own))
+
+    async def FetchPart(  # noqa: N802
+        self,
+        stream: Stream[peer_pb2.FetchPartRequest, peer_pb2.FetchPartReply],
+    ) -> None:
+        """Hand out a part of the document."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        document = await self._loop.run_in_hub(
+            lambda: self._digests.fetch_part(message.partner)
+        )
+        await stream.send_message(peer_pb2.FetchPartReply(document=document))
+
+
+def decide_claim(ledger: ClaimLedger, request: ClaimRequest) -> ClaimReply:
+    """Decide a claim; a ticket that is not ours is unknown to us."""
+    try:
+        return ledger.claim(request)
+    except TicketError:
+        return ClaimReply(ClaimDecision.UNKNOWN, Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Client of the platform's service."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Client of targets."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/targets/target_response.py
@@ -0,0 +1,78 @@
+"""The answer of a target, as it comes."""
+
+from collections.abc import Iterator
+
+import gevent.socket
+from geventhttpclient.response import HTTPParseError
+from geventhttpclient.response import HTTPSocketPoolResponse
+
+from lagoonbend.exceptions import DispatchError
+from lagoonbend.models import Verdict
+
+LINE_END = b'\n'
+
+
+class TargetResponse:
+    """Status, headers and body of one dispatch.
+
+    :param response: the library's response.
+    :param context: target and attempt, for errors.
+    """
+
+    def __init__(self, response: HTTPSocketPoolResponse, context: str) -> None:
+        self._response = response
+        self._context = context
+        self.status = int(response.status_code)
+
+    def get_header(self, name: str) -> str:
+        """Return a header; '' if it is missing or repeated."""
+        value = self._response.get(name)
+        return value if isinstance(value, str) else ''
+
+    @property
+    def is_delimited(self) -> bool:
+        """True if the end of the body can be told from a broken link."""
+        if self.get_header('transfer-encoding').lower() == 'chunked':
+            return True
+        return self._response.content_length is not None
+
+    def read_whole(self, limit_bytes: int) -> bytes:
+        """Return the whole body.
+
+        :raises DispatchError: if it is cut short or larger than the limit.
+        """
+        try:
+            body = bytes(self._response.read(limit_bytes + 1))
+        except (gevent.socket.error, HTTPParseError) as error:
+            raise self._incomplete(str(error)) from error
+        if len(body) > limit_bytes:
+            self.abort()
+            raise self._incomplete(f'answer above {limit_bytes} bytes')
+        if not self._response.message_complete or not self.is_delimited:
+            raise self._incomplete('connection closed before its end')
+        return body
+
+    def read_lines(self) -> Iterator[bytes]:
+        """Yield lines with their end as they come.
+
+        :raises DispatchError: if the connection breaks.
+        """
+        while True:
+            try:
+                line = self._response.readline(LINE_END)
+            except (gevent.socket.error, HTTPParseError) as error:
+                raise self._incomplete(str(error)) from error
+            if not line:
+                return
+            yield line
+
+    def abort(self) -> None:
+        """Close the connection; the target sees that nobody listens."""
+        self._response.release()
+
+    def _incomplete(self, reason: str) -> DispatchError:
+        return DispatchError(
+            f'incomplete answer: {reason}',
+            verdict=Verdict.MAY_HAVE_RUN,
+            context=self._context,
+        )
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request through an instance."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_reader.py
@@ -0,0 +1,155 @@
+"""Reads a caller's request."""
+
+import itertools
+from typing import NamedTuple
+
+import falcon
+import gevent
+import msgspec
+
+from lagoonbend.clock import Clock
+from lagoonbend.models import Call
+from lagoonbend.models import RefusalCode
+from lagoonbend_entry._internal.models.chat_body import ChatBody
+from lagoonbend_entry._internal.serving import refusals
+from lagoonbend_entry._internal.serving.rulebook import Rulebook
+
+CHAT_PATH = '/v1/chat/completions'
+KEY_HEADER = 'Idempotency-Key'
+DEADLINE_HEADER = 'Lagoonbend-Deadline-Ms'
+KEY_LIMIT_CHARACTERS = 200
+MILLISECONDS_PER_SECOND = 1000
+
+
+class ChatFields(NamedTuple):
+    """What a chat body says to the scheduler.
+
+    :param model: model asked for; empty for a plain service.
+    :param streaming: True if the caller wants events as they come.
+    """
+
+    model: str = ''
+    streaming: bool = False
+
+
+class CallReader:
+    """Turns HTTP requests into calls.
+
+    :param instance: name of the instance.
+    :param incarnation: incarnation of the instance.
+    :param clock: clock of the instance.
+    :param rulebook: rules in force.
+    :param body_limit_bytes: greatest size of a body.
+    :param body_timeout_ms: time for the whole body to arrive.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: str,
+        clock: Clock,
+        rulebook: Rulebook,
+        *,
+        body_limit_bytes: int,
+        body_timeout_ms: int,
+    ) -> None:
+        self._prefix = f'{instance}-{incarnation}'
+        self._numbers = itertools.count(1)
+        self._clock = clock
+        self._rulebook = rulebook
+        self._body_limit_bytes = body_limit_bytes
+        self._body_timeout_s = body_timeout_ms / MILLISECONDS_PER_SECOND
+
+    def read(self, request: falcon.Request) -> Call:
+        """Return the call in a request.
+
+        :raises RefusedError: if it is not acceptable.
+        """
+        received_ms = self._clock.now_ms()
+        authorization = request.get_header('Authorization') or ''
+        customer = self._rulebook.authenticate(authorization)['name']
+        body = self._read_body(request)
+        fields = _read_chat(request.path, body)
+        request_class = self._rulebook.classify(
+            customer, request.method, request.path, fields.model
+        )
+        deadline_ms = _read_deadline(request, request_class.deadline_ms)
+        return Call(
+            f'{self._prefix}-{next(self._numbers)}',
+            customer,
+            request.method,
+            request.relative_uri,
+            request.content_type or '',
+            body,
+            fields.model,
+            fields.streaming,
+            _read_key(request),
+            request_class,
+            received_ms,
+            received_ms + deadline_ms,
+        )
+
+    def _read_body(self, request: falcon.Request) -> bytes:
+        length = request.content_length or 0
+        if length > self._body_limit_bytes:
+            raise self._too_large()
+        limit = self._body_limit_bytes + 1
+        try:
+            with gevent.Timeout(self._body_timeout_s):
+                body: bytes = request.stream.read(limit)
+        except gevent.Timeout as error:
+            raise refusals.refuse(
+                408,
+                RefusalCode.BODY_TOO_SLOW,
+                'The body did not arrive in time.',
+            ) from error
+        except (OSError, ValueError) as error:
+            raise refusals.refuse_malformed(
+                'The body could not be read.'
+            ) from error
+        if len(body) > self._body_limit_bytes:
+            raise self._too_large()
+        if len(body) < length:
+            raise refusals.refuse_malformed('The body is truncated.')
+        return body
+
+    def _too_large(self) -> Exception:
+        return refusals.refuse(
+            413,
+            RefusalCode.BODY_TOO_LARGE,
+            f'The body is larger than {self._body_limit_bytes} bytes.',
+        )
+
+
+def _read_chat(path: str, body: bytes) -> ChatFields:
+    if path != CHAT_PATH:
+        return ChatFields()
+    try:
+        chat = msgspec.json.decode(body, type=ChatBody)
+    except msgspec.MsgspecError as error:
+        raise refusals.refuse_malformed(
+            f'The body is no chat completion: {error}.'
+        ) from error
+    return ChatFields(chat['model'], chat.get('stream', False))
+
+
+def _read_key(request: falcon.Request) -> str | None:
+    key: str | None = request.get_header(KEY_HEADER)
+    if key is None:
+        return None
+    if not 0 < len(key) <= KEY_LIMIT_CHARACTERS:
+        raise refusals.refuse_malformed(
+            f'{KEY_HEADER} has 1 to {KEY_LIMIT_CHARACTERS} characters.'
+        )
+    return key
+
+
+def _read_deadline(request: falcon.Request, limit_ms: int) -> int:
+    text = request.get_header(DEADLINE_HEADER)
+    if text is None:
+        return limit_ms
+    if not (text.isascii() and text.isdecimal()):
+        raise refusals.refuse_malformed(
+            f'{DEADLINE_HEADER} is whole milliseconds from now.'
+        )
+    return min(int(text), limit_ms)
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/parts.py
@@ -0,0 +1,83 @@
+"""The decision parts of an instance, wired together."""
+
+import random
+import secrets
+
+from lagoonbend.claims import ClaimLedger
+from lagoonbend.claims import PauseDetector
+from lagoonbend.claims import SeatOwnership
+from lagoonbend.claims import TicketMint
+from lagoonbend.clock import Clock
+from lagoonbend.configuration import PartStore
+from lagoonbend.invariants import Invariants
+from lagoonbend.membership import FleetView
+from lagoonbend.queueing import TierQueue
+from lagoonbend.routing import TargetTable
+from lagoonbend_entry._internal.serving.waiting_call import WaitingCall
+from lagoonbend_entry._internal.settings.settings import Settings
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+from lagoonbend_entry._internal.utils.metrics import Metrics
+
+INCARNATION_BYTES = 6
+
+
+class Parts:
+    """Decision parts over one clock, without any socket.
+
+    :param settings: settings of the instance.
+    :param clock: clock of the instance.
+    :param metrics: counters.
+    """
+
+    def __init__(
+        self, settings: Settings, clock: Clock, metrics: Metrics
+    ) -> None:
+        claims = settings.claims
+        self.incarnation = secrets.token_hex(INCARNATION_BYTES)
+        self.address = f'{settings.peers.address}:{settings.peers.port}'
+        self._metrics = metrics
+        self.invariants = Invariants(report=self._report_violation)
+        self.mint = TicketMint(settings.instance.name, self.incarnation, clock)
+        self.ownership = SeatOwnership(
+            self.address,
+            clock,
+            repeat_window_ms=claims.repeat_window_ms,
+            confirm_ms=claims.confirm_ms,
+        )
+        self.ledger = ClaimLedger(
+            clock,
+            self.mint,
+            self.ownership,
+            ticket_life_ms=claims.ticket_life_ms,
+            repeat_window_ms=claims.repeat_window_ms,
+            nonce_life_ms=claims.nonce_life_ms,
+            invariants=self.invariants,
+        )
+        self.pauses = PauseDetector(
+            clock,
+            pause_ms=claims.pause_ms,
+            settle_ms=claims.settle_ms,
+        )
+        self.store = PartStore(settings.instance.partner, self.invariants)
+        self.fleet = FleetView(clock)
+        self.table = TargetTable(
+            clock,
+            policy=settings.serving.policy,
+            rng=random.Random(),
+            outstanding_limit=settings.serving.outstanding_limit,
+        )
+        self.queue: TierQueue[WaitingCall] = TierQueue(
+            settings.serving.queue_capacity, self.invariants
+        )
+
+    @classmethod
+    def from_config(
+        cls, settings: Settings, clock: Clock, metrics: Metrics
+    ) -> 'Parts':
+        """Return the parts that the settings ask for."""
+        return cls(settings, clock, metrics)
+
+    def _report_violation(self, name: str, context: str) -> None:
+        self._metrics.violations.inc({'name': name})
+        log_event(Event.INVARIANT_BROKEN, name=name, context=context)
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/platform_watcher.py
@@ -0,0 +1,65 @@
+"""Follows a value of the platform."""
+
+from collections.abc import Callable
+
+import gevent
+
+from lagoonbend.exceptions import PlatformError
+from lagoonbend_entry._internal.network.platform import platform_reader
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class PlatformWatcher:
+    """Watches one value and hands on each change, for ever.
+
+    :param name: name of the value, for logs.
+    :param reader: client of the platform.
+    :param apply: takes a changed value.
+    :param confirm: called when the platform says that nothing changed.
+    :param retry_ms: pause after a failed call.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        reader: platform_reader.PlatformReader,
+        apply: Callable[[bytes], None],
+        confirm: Callable[[], None],
+        *,
+        retry_ms: int,
+    ) -> None:
+        self._name = name
+        self._reader = reader
+        self._apply = apply
+        self._confirm = confirm
+        self._retry_s = retry_ms / MILLISECONDS_PER_SECOND
+        self._version = ''
+        self.failures = 0
+
+    def run(self) -> None:
+        """Watch until the greenlet is killed."""
+        while True:
+            try:
+                self._step()
+            except PlatformError as error:
+                self._note_failure(error)
+                gevent.sleep(self._retry_s)
+
+    def _step(self) -> None:
+        reading = self._reader.watch(self._version)
+        if self.failures:
+            log_event(Event.PLATFORM_BACK, value=self._name)
+            self.failures = 0
+        if reading is None:
+            self._confirm()
+            return
+        self._version = reading.version
+        self._apply(reading.body)
+
+    def _note_failure(self, error: PlatformError) -> None:
+        if not self.failures:
+            log_event(Event.PLATFORM_LOST, value=self._name, reason=str(error))
+        self.failures += 1
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/rulebook.py
@@ -0,0 +1,90 @@
+"""Authenticates callers and classifies their requests."""
+
+import hashlib
+
+from lagoonbend.configuration import CustomerEntry
+from lagoonbend.configuration import Part
+from lagoonbend.configuration import PartStore
+from lagoonbend.configuration import RuleEntry
+from lagoonbend.models import RefusalCode
+from lagoonbend.models import RequestClass
+from lagoonbend_entry._internal.serving import refusals
+
+BEARER = 'Bearer '
+
+
+class Rulebook:
+    """Applies the part in force to requests.
+
+    :param store: holder of the part.
+    """
+
+    def __init__(self, store: PartStore) -> None:
+        self._store = store
+
+    def authenticate(self, authorization: str) -> CustomerEntry:
+        """Return the customer that a bearer key names.
+
+        :raises RefusedError: if there is no such customer.
+        """
+        part = self._require_part()
+        key = authorization.removeprefix(BEARER).encode()
+        digest = hashlib.sha256(key).hexdigest()
+        customer = part.customers.get(digest)
+        if customer is None or not authorization.startswith(BEARER):
+            raise refusals.refuse(
+                401,
+                RefusalCode.UNAUTHENTICATED,
+                'The bearer key names no customer.',
+            )
+        return customer
+
+    def classify(
+        self, customer: str, method: str, path: str, model: str
+    ) -> RequestClass:
+        """Return the class that the first matching rule gives.
+
+        :raises RefusedError: if no rule matches.
+        """
+        part = self._require_part()
+        for rule in part.rules:
+            if _matches(rule, customer, method, path, model):
+                return _build_class(part, rule)
+        raise refusals.refuse(
+            404, RefusalCode.NO_RULE, f'No rule covers {method} {path}.'
+        )
+
+    def _require_part(self) -> Part:
+        part = self._store.current
+        if part is None:
+            raise refusals.refuse(
+                503,
+                RefusalCode.NOT_CONFIGURED,
+                'This instance has no configuration yet.',
+                retry_after_ms=refusals.SOON_MS,
+            )
+        return part
+
+
+def _matches(
+    rule: RuleEntry, customer: str, method: str, path: str, model: str
+) -> bool:
+    return (
+        path.startswith(rule['path'])
+        and rule.get('method', method) == method
+        and rule.get('model', model) == model
+        and rule.get('customer', customer) == customer
+    )
+
+
+def _build_class(part: Part, rule: RuleEntry) -> RequestClass:
+    tier = part.tiers[rule['tier']]
+    return RequestClass(
+        rule['name'],
+        tier['name'],
+        tier['rank'],
+        rule['kind'],
+        rule['idempotent'],
+        rule.get('key_required', False),
+        tier['deadline_ms'],
+    )
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of an instance, read from INI."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/field_kind.py
@@ -0,0 +1,73 @@
+"""Kinds of settings, told by the name of the key."""
+
+from collections.abc import Callable
+import ipaddress
+import re
+from typing import NamedTuple
+
+NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9_.-]{0,62}')
+GREATEST_PORT = 65_535
+
+
+class FieldKind(NamedTuple):
+    """How the value of a key is read.
+
+    :param expected: what is expected, for an error message.
+    :param parse: returns the value; raises ValueError.
+    """
+
+    expected: str
+    parse: Callable[[str], str | int]
+
+
+def find_kind(key: str) -> FieldKind:
+    """Return the kind of a key by its name or unit suffix."""
+    for suffix, kind in KINDS.items():
+        if key == suffix or key.endswith('_' + suffix):
+            return kind
+    return NAME
+
+
+def _parse_ip(text: str) -> str:
+    return str(ipaddress.ip_address(text))
+
+
+def _parse_port(text: str) -> int:
+    port = _parse_whole(text)
+    if not 0 < port <= GREATEST_PORT:
+        raise ValueError(text)
+    return port
+
+
+def _parse_whole(text: str) -> int:
+    if not text.isascii() or not text.isdecimal():
+        raise ValueError(text)
+    return int(text)
+
+
+def _parse_positive(text: str) -> int:
+    number = _parse_whole(text)
+    if number == 0:
+        raise ValueError(text)
+    return number
+
+
+def _parse_name(text: str) -> str:
+    if not NAME_PATTERN.fullmatch(text):
+        raise ValueError(text)
+    return text
+
+
+NAME = FieldKind('a name of letters, digits, ".", "_" and "-"', _parse_name)
+KINDS = {
+    'address': FieldKind('an IP number such as 127.0.0.1', _parse_ip),
+    'port': FieldKind('a TCP port from 1 to 65535', _parse_port),
+    'ms': FieldKind(
+        'whole milliseconds without a unit, such as 500', _parse_whole
+    ),
+    'bytes': FieldKind(
+        'whole bytes without a unit, such as 65536', _parse_positive
+    ),
+    'capacity': FieldKind('a whole number above 0', _parse_positive),
+    'limit': FieldKind('a whole number above 0', _parse_positive),
+}
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
@@ -0,0 +1,120 @@
+"""Reads and checks a settings file."""
+
+import configparser
+import difflib
+import pathlib
+import typing
+
+from lagoonbend.exceptions import SettingsError
+from lagoonbend.routing import POLICIES
+from lagoonbend_entry._internal.settings.field_kind import find_kind
+from lagoonbend_entry._internal.settings.settings import Settings
+
+
+def read_settings(path: pathlib.Path) -> Settings:
+    """Read settings from an INI file.
+
+    :raises SettingsError: on the first fault, with file, section and key.
+    """
+    parser = _parse_file(path)
+    sections = typing.get_type_hints(Settings)
+    for section in parser.sections():
+        if section not in sections:
+            raise _fault(
+                path,
+                section,
+                None,
+                'unknown section',
+                _suggest(section, sections),
+            )
+    values: dict[str, typing.Any] = {
+        section: _read_section(path, parser, section, cls)
+        for section, cls in sections.items()
+    }
+    return Settings(**values)
+
+
+def _parse_file(path: pathlib.Path) -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        text = path.read_text(encoding='utf-8')
+        parser.read_string(text, source=str(path))
+    except OSError as error:
+        raise SettingsError(
+            str(error.strerror),
+            context=str(path),
+            hint='expected a readable INI file',
+        ) from error
+    except (configparser.Error, UnicodeDecodeError) as error:
+        raise SettingsError(
+            ' '.join(str(error).split()),
+            context=str(path),
+            hint='expected "key = value" under a [section]',
+        ) from error
+    return parser
+
+
+def _read_section(
+    path: pathlib.Path,
+    parser: configparser.ConfigParser,
+    section: str,
+    cls: type,
+) -> tuple[object, ...]:
+    fields = list(typing.get_type_hints(cls))
+    given = dict(parser[section]) if section in parser else {}
+    for key in given:
+        if key not in fields:
+            hint = _suggest(key, fields)
+            raise _fault(path, section, key, 'unknown key', hint)
+    values = {
+        key: _parse_value(path, section, key, text)
+        for key, text in given.items()
+    }
+    defaults: dict[str, object] = getattr(cls, '_field_defaults', {})
+    for key in fields:
+        if key not in values and key not in defaults:
+            expected = f'expected {find_kind(key).expected}'
+            raise _fault(path, section, key, 'missing key', expected)
+    section_values: tuple[object, ...] = cls(**values)
+    return section_values
+
+
+def _parse_value(
+    path: pathlib.Path, section: str, key: str, text: str
+) -> str | int:
+    kind = find_kind(key)
+    try:
+        value = kind.parse(text)
+    except ValueError as error:
+        raise _fault(
+            path,
+            section,
+            key,
+            f'found {text!r}',
+            f'expected {kind.expected}',
+        ) from error
+    if key == 'policy' and value not in POLICIES:
+        names = ', '.join(sorted(POLICIES))
+        raise _fault(
+            path, section, key, f'found {text!r}', f'expected one of {names}'
+        )
+    return value
+
+
+def _fault(
+    path: pathlib.Path,
+    section: str,
+    key: str | None,
+    message: str,
+    hint: str,
+) -> SettingsError:
+    where = f'{path}: [{section}]' + (f' {key}' if key else '')
+    return SettingsError(message, context=where, hint=hint)
+
+
+def _suggest(name: str, known: typing.Iterable[str]) -> str:
+    names = sorted(known)
+    stem = name.rsplit('_', 1)[0]
+    near = [item for item in names if item.rsplit('_', 1)[0] == stem]
+    near = near or difflib.get_close_matches(name, names, n=1)
+    return 'expected ' + (near[0] if near else ', '.join(names))
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and helpers."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -0,0 +1,58 @@
+"""Catalogue of numbered log events."""
+
+import enum
+
+
+class Event(enum.Enum):
+    """A log event: number, severity and meaning."""
+
+    STARTED = ('LB0001', 'info', 'The instance listens.')
+    DRAIN_BEGUN = ('LB0002', 'info', 'Readiness is off; requests finish.')
+    DRAIN_ENDED = ('LB0003', 'info', 'The instance exits.')
+    PAUSE_NOTICED = ('LB0004', 'warning', 'The process stood still.')
+    LISTENER_FAILED = ('LB0005', 'error', 'A listener could not be opened.')
+    HANDLER_FAILED = (
+        'LB0006',
+        'error',
+        'A request ended in an unexpected error.',
+    )
+    INVARIANT_BROKEN = (
+        'LB0100',
+        'error',
+        'A property that must always hold was found broken.',
+    )
+    REQUEST_REFUSED = ('LB0200', 'info', 'A request got a refusal.')
+    REQUEST_ANSWERED = ('LB0201', 'info', 'A request got its answer.')
+    REQUEST_LEFT = ('LB0202', 'info', 'A caller left before its answer.')
+    DISPATCH_FAILED = ('LB0300', 'warning', 'A dispatch failed.')
+    ANSWER_INCOMPLETE = (
+        'LB0301',
+        'warning',
+        'A target ended an answer before its end marker.',
+    )
+    CLAIM_UNREACHABLE = (
+        'LB0400',
+        'warning',
+        'The holder of a key could not be asked.',
+    )
+    FINISH_LOST = (
+        'LB0401',
+        'warning',
+        'The holder of a key could not be told of its end.',
+    )
+    PLATFORM_LOST = ('LB0500', 'warning', 'The platform does not answer.')
+    PLATFORM_BACK = ('LB0501', 'info', 'The platform answers again.')
+    FLEET_APPLIED = ('LB0502', 'info', 'A new list is in force.')
+    FLEET_REJECTED = ('LB0506', 'error', 'A list could not be read.')
+    PART_APPLIED = ('LB0503', 'info', 'A new configuration is in force.')
+    PART_REJECTED = ('LB0504', 'error', 'A document failed validation.')
+    PART_CONFLICT = (
+        'LB0505',
+        'error',
+        'Two documents carry the same revision.',
+    )
+
+    def __init__(self, number: str, severity: str, meaning: str) -> None:
+        self.number = number
+        self.severity = severity
+        self.meaning = meaning
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of the public modules of lagoonbend."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once dispatch by claims held in memory."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/claims/claim_ledger.py
@@ -0,0 +1,203 @@
+"""Grants each key to one attempt."""
+
+from collections.abc import Iterator
+
+from lagoonbend._internal.claims.claim_entry import ClaimEntry
+from lagoonbend._internal.claims.claim_entry import ClaimState
+from lagoonbend._internal.claims.seat_ownership import Ownership
+from lagoonbend._internal.claims.seat_ownership import SeatOwnership
+from lagoonbend._internal.claims.ticket import is_ticket
+from lagoonbend._internal.claims.ticket import parse_ticket
+from lagoonbend._internal.claims.ticket import Ticket
+from lagoonbend._internal.claims.ticket_mint import TicketMint
+from lagoonbend._internal.models.claim_decision import ClaimDecision
+from lagoonbend._internal.models.claim_reply import ClaimReply
+from lagoonbend._internal.models.claim_request import ClaimRequest
+from lagoonbend._internal.models.recorded_answer import RecordedAnswer
+from lagoonbend._internal.models.verdict import Verdict
+from lagoonbend._internal.utils.clock import Clock
+from lagoonbend._internal.utils.invariants import Invariants
+
+UNKNOWN = ClaimReply(ClaimDecision.UNKNOWN, Verdict.MAY_HAVE_RUN)
+NOT_OWNER = ClaimReply(ClaimDecision.NOT_OWNER, Verdict.MAY_HAVE_RUN)
+GRANTED = ClaimReply(ClaimDecision.GRANTED, Verdict.NOT_RUN)
+
+
+class ClaimLedger:
+    """Memory of the keys whose home or owner this instance is.
+
+    A grant is the permission for one attempt to dispatch once. It is given
+    again only to the same attempt, or after that attempt has released it.
+
+    :param clock: clock of this instance.
+    :param mint: issuer of this instance's tickets.
+    :param ownership: ownership of bare keys.
+    :param ticket_life_ms: how long after its birth a ticket is granted.
+    :param repeat_window_ms: how long a bare key is remembered at least.
+    :param nonce_life_ms: greatest age of the nonce of a bare key.
+    :param invariants: checks that must always hold.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        mint: TicketMint,
+        ownership: SeatOwnership,
+        *,
+        ticket_life_ms: int,
+        repeat_window_ms: int,
+        nonce_life_ms: int,
+        invariants: Invariants,
+    ) -> None:
+        self._clock = clock
+        self._mint = mint
+        self._ownership = ownership
+        self._ticket_life_ms = ticket_life_ms
+        self._repeat_window_ms = repeat_window_ms
+        self._nonce_life_ms = nonce_life_ms
+        self._invariants = invariants
+        self._entries: dict[tuple[str, str], ClaimEntry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def entries(self) -> Iterator[tuple[str, ClaimEntry]]:
+        """Yield customers and their entries, for a dump."""
+        for (customer, _), entry in self._entries.items():
+            yield customer, entry
+
+    def claim(self, request: ClaimRequest) -> ClaimReply:
+        """Decide whether an attempt may dispatch.
+
+        :raises TicketError: if the ticket is malformed or another's.
+        """
+        if is_ticket(request.key):
+            return self._claim_ticket(request, parse_ticket(request.key))
+        return self._claim_bare_key(request)
+
+    def release(self, customer: str, key: str, attempt: str) -> bool:
+        """Give back the claim of an attempt that has not dispatched.
+
+        The attempt must never dispatch afterwards.
+
+        :returns: True if the attempt held the claim.
+        """
+        entry = self._entries.get((customer, key))
+        if entry is None or not entry.is_held_by(attempt):
+            return False
+        entry.release()
+        return True
+
+    def finish(
+        self,
+        customer: str,
+        key: str,
+        attempt: str,
+        answer: RecordedAnswer | None,
+    ) -> bool:
+        """Record that the request of an attempt ran to its end.
+
+        :returns: True if the attempt held the claim.
+        """
+        entry = self._entries.get((customer, key))
+        if entry is None:
+            return False
+        self._invariants.check(
+            entry.attempt == attempt,
+            'finish_only_by_holder',
+            f'attempt {attempt} finished the claim of {entry.attempt}',
+        )
+        if not entry.is_held_by(attempt):
+            return False
+        entry.finish(answer)
+        return True
+
+    def expire(self) -> int:
+        """Forget keys whose time is over; return how many."""
+        now_ms = self._clock.now_ms()
+        over = [
+            name
+            for name, entry in self._entries.items()
+            if entry.forget_ms <= now_ms
+        ]
+        for name in over:
+            del self._entries[name]
+        return len(over)
+
+    def _claim_ticket(
+        self, request: ClaimRequest, ticket: Ticket
+    ) -> ClaimReply:
+        if not self._mint.is_home_of(ticket):
+            return UNKNOWN
+        self._mint.check(ticket, request.customer)
+        entry = self._entries.get((request.customer, request.key))
+        age_ms = self._clock.now_ms() - ticket.born_ms
+        if age_ms < self._ticket_life_ms:
+            forget_ms = ticket.born_ms + 2 * self._ticket_life_ms
+            return self._grant(request, entry, forget_ms)
+        if entry is not None:
+            return self._tell(entry, request)
+        if age_ms < 2 * self._ticket_life_ms:
+            return ClaimReply(ClaimDecision.EXPIRED, Verdict.NOT_RUN)
+        return ClaimReply(ClaimDecision.EXPIRED, Verdict.MAY_HAVE_RUN)
+
+    def _claim_bare_key(self, request: ClaimRequest) -> ClaimReply:
+        entry = self._entries.get((request.customer, request.key))
+        ownership = self._ownership.judge(request.key)
+        if ownership is not Ownership.OWNED:
+            if entry is not None:
+                return self._tell_former(entry, request)
+            if ownership is Ownership.NOT_OWNER:
+                return NOT_OWNER
+            return UNKNOWN
+        age_ms = self._mint.measure_nonce_age_ms(request.nonce)
+        if age_ms is None or age_ms >= self._nonce_life_ms:
+            if entry is not None:
+                return self._tell(entry, request)
+            return UNKNOWN
+        forget_ms = (
+            self._clock.now_ms() + self._repeat_window_ms + self._nonce_life_ms
+        )
+        return self._grant(request, entry, forget_ms)
+
+    def _grant(
+        self,
+        request: ClaimRequest,
+        entry: ClaimEntry | None,
+        forget_ms: int,
+    ) -> ClaimReply:
+        if entry is None:
+            self._entries[request.customer, request.key] = ClaimEntry(
+                request.attempt, request.fingerprint, forget_ms
+            )
+            return GRANTED
+        if entry.fingerprint != request.fingerprint:
+            return self._tell(entry, request)
+        if entry.is_held_by(request.attempt):
+            return GRANTED
+        if entry.state is not ClaimState.RELEASED:
+            return self._tell(entry, request)
+        if request.attempt in entry.dead_attempts:
+            return ClaimReply(ClaimDecision.EXPIRED, Verdict.NOT_RUN)
+        entry.regrant(request.attempt, forget_ms)
+        return GRANTED
+
+    def _tell_former(
+        self, entry: ClaimEntry, request: ClaimRequest
+    ) -> ClaimReply:
+        reply = self._tell(entry, request)
+        if reply.verdict is Verdict.NOT_RUN:
+            # The present owner may have granted the key since.
+            return UNKNOWN
+        return reply
+
+    def _tell(self, entry: ClaimEntry, request: ClaimRequest) -> ClaimReply:
+        if entry.fingerprint != request.fingerprint:
+            return ClaimReply(ClaimDecision.MISMATCH, Verdict.MAY_HAVE_RUN)
+        if entry.state is ClaimState.FINISHED:
+            return ClaimReply(
+                ClaimDecision.FINISHED, Verdict.RAN, entry.answer
+            )
+        if entry.state is ClaimState.RELEASED:
+            return ClaimReply(ClaimDecision.EXPIRED, Verdict.NOT_RUN)
+        return ClaimReply(ClaimDecision.IN_PROGRESS, Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/claims/seat_ownership.py
@@ -0,0 +1,110 @@
+"""Ownership of bare keys."""
+
+import enum
+
+from lagoonbend._internal.models.seat_plan import SeatPlan
+from lagoonbend._internal.utils.clock import Clock
+from lagoonbend._internal.utils.rendezvous import choose_by_rendezvous
+
+
+class Ownership(enum.Enum):
+    """Whether this instance may accept a bare key now."""
+
+    OWNED = 'owned'
+    NOT_OWNER = 'not_owner'
+    QUARANTINED = 'quarantined'
+    UNCONFIRMED = 'unconfirmed'
+
+
+class SeatOwnership:
+    """Decides whether this instance may accept a bare key.
+
+    Three rules keep two processes from accepting the same key within the
+    repeat window:
+
+    - An instance that started less than ``quarantine_ms`` ago accepts none:
+      the process that held its address before may have accepted them.
+    - A key that moved with the plan's epoch is accepted only while the
+      former owner was heard, less than ``confirm_ms`` ago, to have left the
+      epoch before, and for ``quarantine_ms`` without a gap.
+    - The epoch never goes back.
+
+    :param address: peer address of this instance, as ``ip:port``.
+    :param clock: clock of this instance.
+    :param repeat_window_ms: how long a caller may repeat a key after its
+        first send.
+    :param confirm_ms: greatest age of the word of a former owner.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        *,
+        repeat_window_ms: int,
+        confirm_ms: int,
+    ) -> None:
+        self._address = address
+        self._clock = clock
+        self._confirm_ms = confirm_ms
+        self._quarantine_ms = repeat_window_ms + confirm_ms
+        self._started_ms = clock.now_ms()
+        self._plan: SeatPlan | None = None
+        self._confirmed_since_ms: dict[str, int] = {}
+        self._confirmed_last_ms: dict[str, int] = {}
+
+    @property
+    def epoch(self) -> int:
+        """Epoch in force; 0 before any plan."""
+        return self._plan.epoch if self._plan else 0
+
+    @property
+    def quarantined_until_ms(self) -> int:
+        """When the quarantine after the start ends."""
+        return self._started_ms + self._quarantine_ms
+
+    def apply(self, plan: SeatPlan) -> None:
+        """Put a plan into force unless its epoch is not newer."""
+        if plan.epoch <= self.epoch:
+            return
+        self._plan = plan
+        self._confirmed_since_ms.clear()
+        self._confirmed_last_ms.clear()
+
+    def hear(self, address: str, epoch: int) -> None:
+        """Note that the process at ``address`` is in ``epoch``."""
+        now_ms = self._clock.now_ms()
+        if epoch < self.epoch:
+            self._confirmed_since_ms.pop(address, None)
+            self._confirmed_last_ms.pop(address, None)
+            return
+        if not self._is_confirmed(address, now_ms):
+            self._confirmed_since_ms[address] = now_ms
+        self._confirmed_last_ms[address] = now_ms
+
+    def find_owner(self, key: str) -> str | None:
+        """Return the address that owns ``key``; None without a plan."""
+        if self._plan is None:
+            return None
+        return choose_by_rendezvous(self._plan.seats, key)
+
+    def judge(self, key: str) -> Ownership:
+        """Return whether this instance may accept ``key`` now."""
+        if self._plan is None or self.find_owner(key) != self._address:
+            return Ownership.NOT_OWNER
+        now_ms = self._clock.now_ms()
+        if now_ms < self.quarantined_until_ms:
+            return Ownership.QUARANTINED
+        former = choose_by_rendezvous(self._plan.previous, key)
+        if former is None or former == self._address:
+            return Ownership.OWNED
+        if not self._is_confirmed(former, now_ms):
+            return Ownership.UNCONFIRMED
+        since_ms = self._confirmed_since_ms[former]
+        if now_ms < since_ms + self._quarantine_ms:
+            return Ownership.QUARANTINED
+        return Ownership.OWNED
+
+    def _is_confirmed(self, address: str, now_ms: int) -> bool:
+        last_ms = self._confirmed_last_ms.get(address)
+        return last_ms is not None and now_ms - last_ms < self._confirm_ms
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Documents, their revisions and their order."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/configuration/document.py
@@ -0,0 +1,71 @@
+"""The form of the configuration document."""
+
+from typing import NotRequired
+from typing import TypedDict
+
+
+class CustomerEntry(TypedDict):
+    """A customer.
+
+    ``key_sha256`` is the hex digest of the bearer key; the key itself never
+    stands in a document. ``rate_per_s`` and ``burst`` limit its requests.
+    """
+
+    name: str
+    key_sha256: str
+    rate_per_s: NotRequired[float]
+    burst: NotRequired[int]
+
+
+class TierEntry(TypedDict):
+    """A tier of importance; rank 0 is the most urgent."""
+
+    name: str
+    rank: int
+    deadline_ms: int
+
+
+class RuleEntry(TypedDict):
+    """A rule; the first that matches a request classifies it.
+
+    ``path`` is a prefix; ``method``, ``model`` and ``customer`` match any
+    value when they are absent. ``kind`` is ``engine`` or ``service``.
+    """
+
+    name: str
+    path: str
+    tier: str
+    kind: str
+    idempotent: bool
+    method: NotRequired[str]
+    model: NotRequired[str]
+    customer: NotRequired[str]
+    key_required: NotRequired[bool]
+
+
+class SeatsEntry(TypedDict):
+    """Addresses that own bare keys; see ``SeatPlan``."""
+
+    epoch: int
+    seats: list[str]
+    previous: list[str]
+
+
+class PartEntry(TypedDict):
+    """The part of the document that one partner owns.
+
+    ``parent`` is the digest of the part that the operators started from.
+    """
+
+    revision: int
+    parent: str
+    customers: list[CustomerEntry]
+    tiers: list[TierEntry]
+    rules: list[RuleEntry]
+    seats: NotRequired[SeatsEntry]
+
+
+class DocumentEntry(TypedDict):
+    """The whole document: one part a partner."""
+
+    parts: dict[str, PartEntry]
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Aged facts about instances and targets."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Small immutable values that the parts exchange."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/models/call.py
@@ -0,0 +1,36 @@
+"""A caller's request."""
+
+from typing import NamedTuple
+
+from lagoonbend._internal.models.request_class import RequestClass
+
+
+class Call(NamedTuple):
+    """A request that was authenticated and classified.
+
+    :param attempt: identity of this attempt, unique over all instances.
+    :param customer: name of the customer.
+    :param method: HTTP method.
+    :param path: path and query.
+    :param content_type: media type of the body.
+    :param body: whole body in bytes.
+    :param model: model asked for; empty for a plain service.
+    :param streaming: True if the caller wants server-sent events.
+    :param key: idempotency key or ticket; None if there is none.
+    :param request_class: what the rules say of it.
+    :param received_ms: when it was read, on this instance's clock.
+    :param deadline_ms: when the answer loses its worth, on the same clock.
+    """
+
+    attempt: str
+    customer: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    model: str
+    streaming: bool
+    key: str | None
+    request_class: RequestClass
+    received_ms: int
+    deadline_ms: int
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/models/peer.py
@@ -0,0 +1,25 @@
+"""An instance as its peers know it."""
+
+from typing import NamedTuple
+
+
+class Peer(NamedTuple):
+    """An instance that the platform lists.
+
+    :param instance: name of the instance.
+    :param ip: IP number of its peer listener.
+    :param port: TCP port of its peer listener.
+    :param failure_domain: domain it stands in.
+    :param leaving: True once the platform lists it as leaving.
+    """
+
+    instance: str
+    ip: str
+    port: int
+    failure_domain: str
+    leaving: bool = False
+
+    @property
+    def address(self) -> str:
+        """Address of the peer listener as ``ip:port``."""
+        return f'{self.ip}:{self.port}'
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Waiting requests, admission and shedding."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/queueing/tier_queue.py
@@ -0,0 +1,100 @@
+"""Waiting requests in order of tier and deadline."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+from typing import Generic
+from typing import NamedTuple
+from typing import TypeVar
+
+from sortedcontainers import SortedKeyList
+
+from lagoonbend._internal.queueing.waiter import Waiter
+from lagoonbend._internal.utils.invariants import Invariants
+
+Item = TypeVar('Item')
+
+
+class Offer(NamedTuple, Generic[Item]):
+    """What became of an offered request.
+
+    :param accepted: the waiter, if the request waits now.
+    :param displaced: a less urgent waiter that lost its place.
+    """
+
+    accepted: Waiter[Item] | None
+    displaced: Waiter[Item] | None
+
+
+class TierQueue(Generic[Item]):
+    """A bounded queue in which urgent requests displace others.
+
+    When the queue is full, the least urgent request leaves: the newcomer
+    itself, or the last waiter of the lowest tier. No request is shed while
+    one of a lower tier is kept.
+
+    :param capacity: greatest number of waiting requests.
+    :param invariants: checks that must always hold.
+    """
+
+    def __init__(self, capacity: int, invariants: Invariants) -> None:
+        self._capacity = capacity
+        self._invariants = invariants
+        self._sequence = 0
+        self._waiters: SortedKeyList = SortedKeyList(
+            key=lambda waiter: waiter.order
+        )
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def __iter__(self) -> Iterator[Waiter[Item]]:
+        return iter(self._waiters)
+
+    def offer(self, item: Item, rank: int, deadline_ms: int) -> Offer[Item]:
+        """Add a request, displacing a less urgent one if needed."""
+        self._sequence += 1
+        waiter = Waiter(rank, deadline_ms, self._sequence, item)
+        if len(self._waiters) < self._capacity:
+            self._waiters.add(waiter)
+            return Offer(waiter, None)
+        last = self._waiters[-1] if self._waiters else None
+        if last is None or last.rank <= rank:
+            self._check_shed(waiter)
+            return Offer(None, None)
+        self._waiters.remove(last)
+        self._waiters.add(waiter)
+        self._check_shed(last)
+        return Offer(waiter, last)
+
+    def take(self, is_runnable: Callable[[Item], bool]) -> Waiter[Item] | None:
+        """Remove and return the most urgent waiter that can run now."""
+        for waiter in self._waiters:
+            if is_runnable(waiter.item):
+                self._waiters.remove(waiter)
+                return waiter
+        return None
+
+    def remove(self, waiter: Waiter[Item]) -> bool:
+        """Remove a waiter; return False if it had left already."""
+        try:
+            self._waiters.remove(waiter)
+        except ValueError:
+            return False
+        return True
+
+    def expire(self, now_ms: int) -> list[Waiter[Item]]:
+        """Remove and return the waiters whose deadline has passed."""
+        late = [
+            waiter for waiter in self._waiters if waiter.deadline_ms <= now_ms
+        ]
+        for waiter in late:
+            self._waiters.remove(waiter)
+        return late
+
+    def _check_shed(self, shed: Waiter[Item]) -> None:
+        kept_rank = self._waiters[-1].rank if self._waiters else shed.rank
+        self._invariants.check(
+            kept_rank <= shed.rank,
+            'no_shed_while_lower_tier_kept',
+            f'shed rank {shed.rank}, kept rank {kept_rank}',
+        )
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target on stale and sparse load."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/policy.py
@@ -0,0 +1,37 @@
+"""Registry of policies that choose a target."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import random
+from typing import Protocol
+
+from lagoonbend._internal.routing.target_state import TargetState
+from lagoonbend._internal.routing.work_estimate import WorkEstimate
+
+
+class Policy(Protocol):
+    """Chooses one of several targets that can serve a request."""
+
+    def choose(
+        self,
+        candidates: Sequence[TargetState],
+        work: WorkEstimate,
+        now_ms: int,
+    ) -> TargetState:
+        """Return one of the candidates, of which there is at least one."""
+
+
+PolicyFactory = Callable[[random.Random], Policy]
+POLICIES: dict[str, PolicyFactory] = {}
+
+
+def register_policy(
+    name: str,
+) -> Callable[[type[Policy]], type[Policy]]:
+    """Register a policy class under ``name``."""
+
+    def decorate(cls: type[Policy]) -> type[Policy]:
+        POLICIES[name] = cls
+        return cls
+
+    return decorate
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, hashing and invariants."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/claims.py
@@ -0,0 +1,21 @@
+"""At-most-once dispatch by claims held in memory."""
+
+from lagoonbend._internal.claims.claim_ledger import ClaimLedger
+from lagoonbend._internal.claims.pause_detector import PauseDetector
+from lagoonbend._internal.claims.seat_ownership import Ownership
+from lagoonbend._internal.claims.seat_ownership import SeatOwnership
+from lagoonbend._internal.claims.ticket import is_ticket
+from lagoonbend._internal.claims.ticket import parse_ticket
+from lagoonbend._internal.claims.ticket import Ticket
+from lagoonbend._internal.claims.ticket_mint import TicketMint
+
+__all__ = [
+    'ClaimLedger',
+    'Ownership',
+    'PauseDetector',
+    'SeatOwnership',
+    'Ticket',
+    'TicketMint',
+    'is_ticket',
+    'parse_ticket',
+]
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/configuration.py
@@ -0,0 +1,23 @@
+"""Documents, their revisions and their order."""
+
+from lagoonbend._internal.configuration.document import CustomerEntry
+from lagoonbend._internal.configuration.document import DocumentEntry
+from lagoonbend._internal.configuration.document import PartEntry
+from lagoonbend._internal.configuration.document import RuleEntry
+from lagoonbend._internal.configuration.document import TierEntry
+from lagoonbend._internal.configuration.part import compute_digest
+from lagoonbend._internal.configuration.part import parse_document
+from lagoonbend._internal.configuration.part import Part
+from lagoonbend._internal.configuration.part_store import PartStore
+
+__all__ = [
+    'CustomerEntry',
+    'DocumentEntry',
+    'Part',
+    'PartEntry',
+    'PartStore',
+    'RuleEntry',
+    'TierEntry',
+    'compute_digest',
+    'parse_document',
+]
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/membership.py
@@ -0,0 +1,8 @@
+"""Aged facts about instances and targets."""
+
+from lagoonbend._internal.membership.fleet_view import FleetView
+from lagoonbend._internal.models.fleet_list import FleetList
+from lagoonbend._internal.models.peer import Peer
+from lagoonbend._internal.models.target import Target
+
+__all__ = ['FleetList', 'FleetView', 'Peer', 'Target']
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of lagoonbend."""
--- /dev/null
+++ b/tests/functional/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes on loopback."""
--- /dev/null
+++ b/tests/functional/test_whole_path.py
@@ -0,0 +1,103 @@
+"""A caller's request served end to end by separate processes."""
+
+import signal
+import unittest
+
+import gevent
+import msgspec
+
+from lagoonbend_devkit.fleet import exchange
+from lagoonbend_devkit.fleet import LocalFleet
+from tests.lib.chat import write_chat
+
+REPEAT_WINDOW_MS = 1_000
+QUARANTINE_S = 2.5
+
+
+class WholePathTest(unittest.TestCase):
+    """One fleet for all tests of the class."""
+
+    fleet: LocalFleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Start a fleet."""
+        cls.fleet = LocalFleet(repeat_window_ms=REPEAT_WINDOW_MS)
+        cls.addClassCleanup(cls.fleet.close)
+        cls.fleet.__enter__()
+        gevent.sleep(QUARANTINE_S)
+
+    def test_stream_ends_with_marker_at_each_instance(self) -> None:
+        """Each instance relays a whole stream."""
+        for name in self.fleet.instances:
+            answer = self.fleet.call(
+                name,
+                'POST',
+                '/v1/chat/completions',
+                body=write_chat(f'question to {name}'),
+            )
+            self.assertEqual(200, answer.status)
+            self.assertEqual(6, answer.body.count(b'data: '))
+            self.assertTrue(answer.body.endswith(b'data: [DONE]\n\n'))
+
+    def test_ticket_runs_once_through_any_instance(self) -> None:
+        """Repeats of a ticket get the recorded answer."""
+        ticket = self.fleet.take_ticket('lake-north-1')
+        answers = [
+            self.fleet.call(
+                name, 'POST', '/bookings', body=b'ticket', key=ticket
+            )
+            for name in self.fleet.instances
+        ]
+        self.assertEqual({200}, {answer.status for answer in answers})
+        self.assertEqual(1, len({answer.body for answer in answers}))
+        self.assertEqual(1, self.fleet.read_executions().count('ticket'))
+
+    def test_bare_key_runs_once_through_any_instance(self) -> None:
+        """Repeats of a bare key get the recorded answer."""
+        answers = [
+            self.fleet.call(
+                name, 'POST', '/bookings', body=b'bare', key='key-1'
+            )
+            for name in self.fleet.instances
+        ]
+        self.assertEqual({200}, {answer.status for answer in answers})
+        self.assertEqual(1, self.fleet.read_executions().count('bare'))
+
+    def test_call_without_key_is_refused_with_ticket(self) -> None:
+        """A refusal for want of a key offers one and was not run."""
+        answer = self.fleet.call(
+            'lake-south-1', 'POST', '/bookings', body=b'keyless'
+        )
+        problem = msgspec.json.decode(answer.body)
+        self.assertEqual(428, answer.status)
+        self.assertEqual('not_run', problem['verdict'])
+        self.assertIn('lagoonbend-next-ticket', answer.headers)
+        self.assertNotIn('keyless', self.fleet.read_executions())
+
+    def test_unknown_customer_is_refused(self) -> None:
+        """A wrong bearer key gets a problem document."""
+        port = self.fleet.instances['lake-north-1'].caller_port
+        answer = exchange(port, 'GET', '/maps/1')
+        self.assertEqual(401, answer.status)
+        self.assertIn(b'"code":"unauthenticated"', answer.body)
+
+    def test_drain_cuts_no_stream(self) -> None:
+        """SIGTERM lets a stream end and the process exit with 0."""
+        body = write_chat('long question', max_tokens=100)
+        stream = gevent.spawn(
+            self.fleet.call,
+            'lake-south-2',
+            'POST',
+            '/v1/chat/completions',
+            body=body,
+        )
+        gevent.sleep(0.3)
+        self.fleet.processes['lake-south-2'].send(signal.SIGTERM)
+        answer = stream.get(timeout=20)
+        self.assertTrue(answer.body.endswith(b'data: [DONE]\n\n'))
+        code = self.fleet.processes['lake-south-2'].wait()
+        self.assertEqual(0, code)
+        self.fleet.start_instance('lake-south-2')
+        self.fleet.wait_ready(['lake-south-2'])
+        gevent.sleep(QUARANTINE_S)
--- /dev/null
+++ b/tests/lib/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers of the tests."""
--- /dev/null
+++ b/tests/unit/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of single parts on a paused clock."""
