Prove at-most-once dispatch over a fault matrix and seeded runs

Cause: the claim rules were written from an argument; nothing had tried to break them.

Found by reading: a former owner that restarts from a stale document; seats now carry all former epochs, and a former owner's word is dated by the question, not by the answer.

Ruled out: moving bare keys by the platform's list, whose lag has no readable bound.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/instance_spec.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/instance_spec.py
@@ -11,7 +11,7 @@
 [callers]
 address = 127.0.0.1
 port = {caller_port}
-body_timeout_ms = 2000
+body_timeout_ms = 500
 
 [operators]
 address = 127.0.0.1
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/sample_part.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/sample_part.py
@@ -54,7 +54,7 @@
                 'idempotent': False,
             },
         ],
-        'seats': {'epoch': 1, 'seats': seats, 'previous': seats},
+        'seats': {'epoch': 1, 'seats': seats, 'former': []},
     }
 
 
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded worlds that interleave faults with the real decision code."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/virtual_caller.py
@@ -0,0 +1,20 @@
+"""A caller with one non-idempotent request."""
+
+from lagoonbend.models import Verdict
+
+
+class VirtualCaller:
+    """Sends one request, and repeats it with the same key.
+
+    :param key: ticket or bare key.
+    :param is_ticket: True if the key is a ticket.
+    :param first_sent_ms: when it was first sent, on the world's clock.
+    """
+
+    def __init__(self, key: str, is_ticket: bool, first_sent_ms: int) -> None:
+        self.key = key
+        self.is_ticket = is_ticket
+        self.first_sent_ms = first_sent_ms
+        self.sends = 0
+        self.executions = 0
+        self.verdicts: list[Verdict] = []
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
@@ -121,6 +121,7 @@
             parts.mint,
             parts.invariants,
             self._metrics,
+            receipt_life_ms=settings.claims.nonce_life_ms,
         )
 
     def _build_watching(self) -> None:
@@ -137,6 +138,7 @@
         self._applier = PartApplier(parts.store, parts.ownership, self._book)
         self._exchange = PeerExchange(
             settings.instance.name,
+            self._clock,
             parts.fleet,
             self._peers,
             self._book,
@@ -182,10 +184,11 @@
             parts.incarnation,
             self._clock,
             self._rulebook,
+            parts.pauses,
             body_limit_bytes=callers.body_limit_bytes,
             body_timeout_ms=callers.body_timeout_ms,
         )
-        sink = CallSink(reader, self._server, parts.pauses, self._metrics)
+        sink = CallSink(reader, self._server, self._metrics)
         tickets = ticket_resource.TicketResource(self._rulebook, self._server)
         self._caller_server = tracked_handler.TrackedServer(
             _listen(callers.address, callers.port),
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/callers/call_sink.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/callers/call_sink.py
@@ -2,14 +2,10 @@
 
 import falcon
 
-from lagoonbend.attempts import refusals
-from lagoonbend.claims import is_ticket
-from lagoonbend.claims import PauseDetector
 from lagoonbend.exceptions import RefusedError
 from lagoonbend.models import Call
 from lagoonbend.models import Refusal
 from lagoonbend_entry._internal.network.callers import problem_response
-from lagoonbend_entry._internal.network.callers import tracked_handler
 from lagoonbend_entry._internal.serving.call_reader import CallReader
 from lagoonbend_entry._internal.serving.call_server import CallServer
 from lagoonbend_entry._internal.utils.event import Event
@@ -24,7 +20,6 @@
 
     :param reader: turns requests into calls.
     :param server: serves calls.
-    :param pauses: tells which requests may have waited in a pause.
     :param metrics: counters.
     """
 
@@ -32,12 +27,10 @@
         self,
         reader: CallReader,
         server: CallServer,
-        pauses: PauseDetector,
         metrics: Metrics,
     ) -> None:
         self._reader = reader
         self._server = server
-        self._pauses = pauses
         self._metrics = metrics
 
     def __call__(
@@ -47,7 +40,6 @@
         call = None
         try:
             call = self._reader.read(request)
-            self._check_age(request, call)
             self._offer_ticket(response, call)
             served = self._server.serve(call)
         except RefusedError as error:
@@ -56,13 +48,6 @@
         else:
             problem_response.write_served(response, served)
 
-    def _check_age(self, request: falcon.Request, call: Call) -> None:
-        if call.key is None or is_ticket(call.key):
-            return
-        connected_ms = request.env[tracked_handler.CONNECTED_KEY]
-        if not self._pauses.is_age_known(connected_ms):
-            raise refusals.refuse_age_unknown()
-
     def _offer_ticket(self, response: falcon.Response, call: Call) -> None:
         if call.request_class.idempotent:
             return
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/callers/tracked_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/callers/tracked_handler.py
@@ -6,10 +6,10 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend_entry._internal.serving import event_stream
+from lagoonbend_entry._internal.serving.call_reader import CONNECTED_KEY
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 
-CONNECTED_KEY = 'lagoonbend.connected_ms'
 SOCKET_KEY = 'lagoonbend.socket'
 TIMEOUT_RESPONSE = (
     b'HTTP/1.1 408 Request Timeout\r\n'
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_reader.py
@@ -8,12 +8,14 @@
 import msgspec
 
 from lagoonbend.attempts import refusals
+from lagoonbend.claims import PauseDetector
 from lagoonbend.clock import Clock
 from lagoonbend.models import Call
 from lagoonbend.models import RefusalCode
 from lagoonbend_entry._internal.models.chat_body import ChatBody
 from lagoonbend_entry._internal.serving.rulebook import Rulebook
 
+CONNECTED_KEY = 'lagoonbend.connected_ms'
 CHAT_PATH = '/v1/chat/completions'
 KEY_HEADER = 'Idempotency-Key'
 DEADLINE_HEADER = 'Lagoonbend-Deadline-Ms'
@@ -39,6 +41,7 @@
     :param incarnation: incarnation of the instance.
     :param clock: clock of the instance.
     :param rulebook: rules in force.
+    :param pauses: tells which requests may have waited in a pause.
     :param body_limit_bytes: greatest size of a body.
     :param body_timeout_ms: time for the whole body to arrive.
     """
@@ -49,6 +52,7 @@
         incarnation: str,
         clock: Clock,
         rulebook: Rulebook,
+        pauses: PauseDetector,
         *,
         body_limit_bytes: int,
         body_timeout_ms: int,
@@ -57,6 +61,7 @@
         self._numbers = itertools.count(1)
         self._clock = clock
         self._rulebook = rulebook
+        self._pauses = pauses
         self._body_limit_bytes = body_limit_bytes
         self._body_timeout_s = body_timeout_ms / MILLISECONDS_PER_SECOND
 
@@ -86,6 +91,7 @@
             _read_key(request),
             request_class,
             received_ms,
+            self._pauses.is_age_known(request.env[CONNECTED_KEY]),
             received_ms + deadline_ms,
         )
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_server.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_server.py
@@ -47,6 +47,7 @@
     :param mint: issuer of tickets.
     :param invariants: checks that must always hold.
     :param metrics: counters.
+    :param receipt_life_ms: greatest age of a bare key at its claim.
     """
 
     def __init__(
@@ -59,6 +60,8 @@
         mint: TicketMint,
         invariants: Invariants,
         metrics: Metrics,
+        *,
+        receipt_life_ms: int,
     ) -> None:
         self._clock = clock
         self._directory = directory
@@ -68,6 +71,7 @@
         self._mint = mint
         self._invariants = invariants
         self._metrics = metrics
+        self._receipt_life_ms = receipt_life_ms
         self._budget = RetryBudget()
         self.attempts: dict[str, AttemptPath] = {}
 
@@ -86,6 +90,7 @@
             self._directory,
             self._budget,
             self._invariants,
+            receipt_life_ms=self._receipt_life_ms,
         )
         work = estimate_work(call)
         self.attempts[call.attempt] = path
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/parts.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/parts.py
@@ -4,6 +4,7 @@
 import secrets
 
 from lagoonbend.claims import ClaimLedger
+from lagoonbend.claims import KeyWindow
 from lagoonbend.claims import PauseDetector
 from lagoonbend.claims import SeatOwnership
 from lagoonbend.claims import TicketMint
@@ -20,6 +21,8 @@
 from lagoonbend_entry._internal.utils.metrics import Metrics
 
 INCARNATION_BYTES = 6
+# The head and the body of a request have a timeout each.
+ARRIVAL_PHASES = 2
 
 
 class Parts:
@@ -39,10 +42,15 @@
         self._metrics = metrics
         self.invariants = Invariants(report=self._report_violation)
         self.mint = TicketMint(settings.instance.name, self.incarnation, clock)
+        window = KeyWindow(
+            claims.repeat_window_ms,
+            ARRIVAL_PHASES * settings.callers.body_timeout_ms,
+            claims.nonce_life_ms,
+        )
         self.ownership = SeatOwnership(
             self.address,
             clock,
-            repeat_window_ms=claims.repeat_window_ms,
+            window=window,
             confirm_ms=claims.confirm_ms,
         )
         self.ledger = ClaimLedger(
@@ -50,8 +58,7 @@
             self.mint,
             self.ownership,
             ticket_life_ms=claims.ticket_life_ms,
-            repeat_window_ms=claims.repeat_window_ms,
-            nonce_life_ms=claims.nonce_life_ms,
+            window=window,
             invariants=self.invariants,
         )
         self.pauses = PauseDetector(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_book.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_book.py
@@ -63,15 +63,18 @@
         )
 
     def exchange(self, digest: Digest) -> Digest:
-        """Note a peer's digest and return one's own."""
-        self.hear(digest)
+        """Note what a peer tells when it asks; return one's own digest."""
+        self._note(digest)
         return self.write_digest()
 
-    def hear(self, digest: Digest) -> None:
-        """Note a peer's digest."""
-        self.heard[digest.instance] = Heard(digest, self._clock.now_ms())
+    def hear(self, digest: Digest, asked_ms: int) -> None:
+        """Note a peer's answer to a question asked at ``asked_ms``."""
+        self._note(digest)
         if digest.partner == self._store.partner:
-            self._ownership.hear(digest.address, digest.seat_epoch)
+            self._ownership.hear(digest.address, digest.seat_epoch, asked_ms)
+
+    def _note(self, digest: Digest) -> None:
+        self.heard[digest.instance] = Heard(digest, self._clock.now_ms())
 
     def keep_document(self, document: bytes) -> None:
         """Keep the document in force, for peers that fetch it."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_exchange.py
@@ -2,6 +2,7 @@
 
 import gevent
 
+from lagoonbend.clock import Clock
 from lagoonbend.exceptions import PeerError
 from lagoonbend.membership import FleetView
 from lagoonbend_entry._internal.network.peers.peer_client import PeerClient
@@ -15,6 +16,7 @@
     """Asks each peer in turn, and fetches what a peer has newer.
 
     :param instance: name of this instance.
+    :param clock: clock of this instance.
     :param fleet: list of instances.
     :param peers: client of other instances.
     :param book: what peers have told.
@@ -25,6 +27,7 @@
     def __init__(
         self,
         instance: str,
+        clock: Clock,
         fleet: FleetView,
         peers: PeerClient,
         book: PeerBook,
@@ -33,6 +36,7 @@
         heartbeat_ms: int,
     ) -> None:
         self._instance = instance
+        self._clock = clock
         self._fleet = fleet
         self._peers = peers
         self._book = book
@@ -54,11 +58,12 @@
             gevent.sleep(self._heartbeat_s)
 
     def _exchange(self, address: str) -> None:
+        asked_ms = self._clock.now_ms()
         try:
             digest = self._peers.exchange(address, self._book.write_digest())
         except PeerError:
             return
-        self._book.hear(digest)
+        self._book.hear(digest, asked_ms)
 
     def _fetch_newer(self) -> None:
         address = self._book.find_newer()
--- a/packages/lagoonbend/src/lagoonbend/_internal/attempts/attempt_path.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/attempts/attempt_path.py
@@ -51,6 +51,8 @@
     :param directory: finds holders of keys.
     :param budget: bounds retries.
     :param invariants: checks that must always hold.
+    :param receipt_life_ms: greatest time from the receipt of a bare key to
+        the arrival of its owner's nonce.
     """
 
     def __init__(
@@ -60,6 +62,8 @@
         directory: HolderDirectory,
         budget: RetryBudget,
         invariants: Invariants,
+        *,
+        receipt_life_ms: int,
     ) -> None:
         self.call = call
         self.verdict = Verdict.NOT_RUN
@@ -69,6 +73,7 @@
         self._directory = directory
         self._budget = budget
         self._invariants = invariants
+        self._receipt_life_ms = receipt_life_ms
 
     @property
     def dispatch(self) -> str:
@@ -111,7 +116,9 @@
         nonce = ''
         try:
             if not is_ticket(key):
+                self._check_age()
                 nonce = yield FetchNonce(holder)
+                self._check_age()
             request = ClaimRequest(
                 call.customer, key, call.attempt, fingerprint(call), nonce
             )
@@ -121,6 +128,11 @@
             raise refusals.refuse_unreachable_owner() from error
         return reply, permit
 
+    def _check_age(self) -> None:
+        age_ms = self._clock.now_ms() - self.call.received_ms
+        if not self.call.age_known or age_ms >= self._receipt_life_ms:
+            raise refusals.refuse_age_unknown()
+
     def _send_claim(
         self, holder: str | None, request: ClaimRequest
     ) -> Generator[Step, Any, ClaimReply]:
--- a/packages/lagoonbend/src/lagoonbend/_internal/claims/claim_ledger.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/claims/claim_ledger.py
@@ -4,6 +4,7 @@
 
 from lagoonbend._internal.claims.claim_entry import ClaimEntry
 from lagoonbend._internal.claims.claim_entry import ClaimState
+from lagoonbend._internal.claims.key_window import KeyWindow
 from lagoonbend._internal.claims.seat_ownership import Ownership
 from lagoonbend._internal.claims.seat_ownership import SeatOwnership
 from lagoonbend._internal.claims.ticket import is_ticket
@@ -33,8 +34,7 @@
     :param mint: issuer of this instance's tickets.
     :param ownership: ownership of bare keys.
     :param ticket_life_ms: how long after its birth a ticket is granted.
-    :param repeat_window_ms: how long a bare key is remembered at least.
-    :param nonce_life_ms: greatest age of the nonce of a bare key.
+    :param window: how long bare keys are repeated and remembered.
     :param invariants: checks that must always hold.
     """
 
@@ -45,16 +45,14 @@
         ownership: SeatOwnership,
         *,
         ticket_life_ms: int,
-        repeat_window_ms: int,
-        nonce_life_ms: int,
+        window: KeyWindow,
         invariants: Invariants,
     ) -> None:
         self._clock = clock
         self._mint = mint
         self._ownership = ownership
         self._ticket_life_ms = ticket_life_ms
-        self._repeat_window_ms = repeat_window_ms
-        self._nonce_life_ms = nonce_life_ms
+        self._window = window
         self._invariants = invariants
         self._entries: dict[tuple[str, str], ClaimEntry] = {}
 
@@ -151,13 +149,11 @@
                 return NOT_OWNER
             return UNKNOWN
         age_ms = self._mint.measure_nonce_age_ms(request.nonce)
-        if age_ms is None or age_ms >= self._nonce_life_ms:
+        if age_ms is None or age_ms >= self._window.nonce_life_ms:
             if entry is not None:
                 return self._tell(entry, request)
             return UNKNOWN
-        forget_ms = (
-            self._clock.now_ms() + self._repeat_window_ms + self._nonce_life_ms
-        )
+        forget_ms = self._clock.now_ms() + self._window.memory_ms
         return self._grant(request, entry, forget_ms)
 
     def _grant(
--- a/packages/lagoonbend/src/lagoonbend/_internal/claims/seat_ownership.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/claims/seat_ownership.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from lagoonbend._internal.claims.key_window import KeyWindow
 from lagoonbend._internal.models.seat_plan import SeatPlan
 from lagoonbend._internal.utils.clock import Clock
 from lagoonbend._internal.utils.rendezvous import choose_by_rendezvous
@@ -19,20 +20,20 @@
 class SeatOwnership:
     """Decides whether this instance may accept a bare key.
 
-    Three rules keep two processes from accepting the same key within the
+    These rules keep two processes from accepting the same key within the
     repeat window:
 
     - An instance that started less than ``quarantine_ms`` ago accepts none:
       the process that held its address before may have accepted them.
-    - A key that moved with the plan's epoch is accepted only while the
-      former owner was heard, less than ``confirm_ms`` ago, to have left the
-      epoch before, and for ``quarantine_ms`` without a gap.
+    - A key that another address owned in a former epoch is accepted only
+      while that address says, in answer to a question asked less than
+      ``confirm_ms`` ago, that it has left the epoch, and has said so for
+      ``quarantine_ms`` without a gap.
     - The epoch never goes back.
 
     :param address: peer address of this instance, as ``ip:port``.
     :param clock: clock of this instance.
-    :param repeat_window_ms: how long a caller may repeat a key after its
-        first send.
+    :param window: how long keys are repeated and remembered.
     :param confirm_ms: greatest age of the word of a former owner.
     """
 
@@ -41,13 +42,13 @@
         address: str,
         clock: Clock,
         *,
-        repeat_window_ms: int,
+        window: KeyWindow,
         confirm_ms: int,
     ) -> None:
         self._address = address
         self._clock = clock
         self._confirm_ms = confirm_ms
-        self._quarantine_ms = repeat_window_ms + confirm_ms
+        self._quarantine_ms = window.memory_ms + confirm_ms
         self._started_ms = clock.now_ms()
         self._plan: SeatPlan | None = None
         self._confirmed_since_ms: dict[str, int] = {}
@@ -71,16 +72,20 @@
         self._confirmed_since_ms.clear()
         self._confirmed_last_ms.clear()
 
-    def hear(self, address: str, epoch: int) -> None:
-        """Note that the process at ``address`` is in ``epoch``."""
-        now_ms = self._clock.now_ms()
+    def hear(self, address: str, epoch: int, asked_ms: int) -> None:
+        """Note the answer of the process at ``address``.
+
+        :param epoch: epoch that it is in.
+        :param asked_ms: when it was asked, on this instance's clock; the
+            answer itself may have been on its way for any time.
+        """
         if epoch < self.epoch:
             self._confirmed_since_ms.pop(address, None)
             self._confirmed_last_ms.pop(address, None)
             return
-        if not self._is_confirmed(address, now_ms):
-            self._confirmed_since_ms[address] = now_ms
-        self._confirmed_last_ms[address] = now_ms
+        if not self._is_confirmed(address, asked_ms):
+            self._confirmed_since_ms[address] = asked_ms
+        self._confirmed_last_ms[address] = asked_ms
 
     def find_owner(self, key: str) -> str | None:
         """Return the address that owns ``key``; None without a plan."""
@@ -95,14 +100,15 @@
         now_ms = self._clock.now_ms()
         if now_ms < self.quarantined_until_ms:
             return Ownership.QUARANTINED
-        former = choose_by_rendezvous(self._plan.previous, key)
-        if former is None or former == self._address:
-            return Ownership.OWNED
-        if not self._is_confirmed(former, now_ms):
-            return Ownership.UNCONFIRMED
-        since_ms = self._confirmed_since_ms[former]
-        if now_ms < since_ms + self._quarantine_ms:
-            return Ownership.QUARANTINED
+        for seats in self._plan.former:
+            former = choose_by_rendezvous(seats, key)
+            if former is None or former == self._address:
+                continue
+            if not self._is_confirmed(former, now_ms):
+                return Ownership.UNCONFIRMED
+            since_ms = self._confirmed_since_ms[former]
+            if now_ms < since_ms + self._quarantine_ms:
+                return Ownership.QUARANTINED
         return Ownership.OWNED
 
     def _is_confirmed(self, address: str, now_ms: int) -> bool:
--- a/packages/lagoonbend/src/lagoonbend/_internal/configuration/document.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/configuration/document.py
@@ -48,7 +48,7 @@
 
     epoch: int
     seats: list[str]
-    previous: list[str]
+    former: list[list[str]]
 
 
 class PartEntry(TypedDict):
--- a/packages/lagoonbend/src/lagoonbend/_internal/configuration/part.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/configuration/part.py
@@ -14,7 +14,7 @@
 from lagoonbend._internal.models.seat_plan import SeatPlan
 
 KINDS = ('engine', 'service')
-NO_SEATS = SeatPlan(0, (), ())
+NO_SEATS = SeatPlan(0, ())
 
 
 class Part(NamedTuple):
@@ -60,7 +60,7 @@
             SeatPlan(
                 seats['epoch'],
                 tuple(seats['seats']),
-                tuple(seats['previous']),
+                tuple(tuple(item) for item in seats['former']),
             )
             if seats
             else NO_SEATS,
--- a/packages/lagoonbend/src/lagoonbend/_internal/models/call.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/models/call.py
@@ -19,6 +19,7 @@
     :param key: idempotency key or ticket; None if there is none.
     :param request_class: what the rules say of it.
     :param received_ms: when it was read, on this instance's clock.
+    :param age_known: False if it may have waited in a paused instance.
     :param deadline_ms: when the answer loses its worth, on the same clock.
     """
 
@@ -33,4 +34,5 @@
     key: str | None
     request_class: RequestClass
     received_ms: int
+    age_known: bool
     deadline_ms: int
--- a/packages/lagoonbend/src/lagoonbend/_internal/models/seat_plan.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/models/seat_plan.py
@@ -11,11 +11,10 @@
 
     :param epoch: grows with each change of the plan.
     :param seats: peer addresses, as ``ip:port``, that own keys now.
-    :param previous: addresses that owned keys in the epoch before; equal
-        to ``seats`` once the operators have seen the epoch in force
-        everywhere.
+    :param former: the seats of earlier epochs, as long as some process may
+        still start from a document of that epoch.
     """
 
     epoch: int
     seats: tuple[str, ...]
-    previous: tuple[str, ...]
+    former: tuple[tuple[str, ...], ...] = ()
--- a/packages/lagoonbend/src/lagoonbend/claims.py
+++ b/packages/lagoonbend/src/lagoonbend/claims.py
@@ -2,6 +2,7 @@
 
 from lagoonbend._internal.claims.claim_ledger import ClaimLedger
 from lagoonbend._internal.claims.holder_directory import HolderDirectory
+from lagoonbend._internal.claims.key_window import KeyWindow
 from lagoonbend._internal.claims.pause_detector import PauseDetector
 from lagoonbend._internal.claims.seat_ownership import Ownership
 from lagoonbend._internal.claims.seat_ownership import SeatOwnership
@@ -13,6 +14,7 @@
 __all__ = [
     'ClaimLedger',
     'HolderDirectory',
+    'KeyWindow',
     'Ownership',
     'PauseDetector',
     'SeatOwnership',
--- /dev/null
+++ b/tests/functional/test_single_request.py
@@ -0,0 +1,79 @@
+"""One dispatch is one request on the wire."""
+
+import unittest
+
+from geventhttpclient import HTTPClient
+from geventhttpclient.response import HTTPConnectionClosed
+
+from lagoonbend.exceptions import DispatchError
+from lagoonbend.models import Target
+from lagoonbend.models import Verdict
+from lagoonbend_entry._internal.network.targets import target_client
+from tests.lib.calls import build_call
+from tests.lib.resetting_service import ResettingService
+
+METHODS = ('GET', 'HEAD', 'PUT', 'DELETE', 'OPTIONS', 'POST', 'PATCH')
+
+
+class SingleRequestTest(unittest.TestCase):
+    """A service that executes and then drops the connection."""
+
+    def test_library_alone_repeats_by_itself(self) -> None:
+        """The naive way: a reused connection executes a GET twice."""
+        service = ResettingService(answers=1)
+        self.addCleanup(service.close)
+        client = HTTPClient('127.0.0.1', service.port)
+        client.get('/').read()
+        with self.assertRaises(HTTPConnectionClosed):
+            for _ in range(2):
+                client.get('/').read()
+                service._answers = 0
+        self.assertGreater(service.executions, 2)
+
+    def test_dispatch_executes_once_on_fresh_connection(self) -> None:
+        """Every method gets exactly one execution and may have run."""
+        for method in METHODS:
+            with self.subTest(method=method):
+                self._check_once(method)
+
+    def test_connection_is_never_used_again(self) -> None:
+        """A second request on the same connection is refused unsent."""
+        service = ResettingService(answers=1)
+        self.addCleanup(service.close)
+        connection = self._connect(service)
+        connection.send(build_call(), 'attempt-1.1').read_whole(100)
+        with self.assertRaises(DispatchError):
+            connection.send(build_call(), 'attempt-1.2')
+        self.assertEqual(1, service.executions)
+
+    def test_refused_connection_was_not_run(self) -> None:
+        """Nothing listens: the verdict is certain."""
+        service = ResettingService(answers=0)
+        target = self._target(service)
+        service.close()
+        with self.assertRaises(DispatchError) as caught:
+            target_client.TargetConnection(
+                target, connect_timeout_ms=500, silence_timeout_ms=500
+            )
+        self.assertIs(Verdict.NOT_RUN, caught.exception.verdict)
+
+    def _check_once(self, method: str) -> None:
+        service = ResettingService(answers=0)
+        self.addCleanup(service.close)
+        connection = self._connect(service)
+        with self.assertRaises(DispatchError) as caught:
+            connection.send(build_call(method=method), 'attempt-1.1')
+        self.assertIs(Verdict.MAY_HAVE_RUN, caught.exception.verdict)
+        self.assertEqual(1, service.executions)
+
+    def _connect(
+        self, service: ResettingService
+    ) -> target_client.TargetConnection:
+        return target_client.TargetConnection(
+            self._target(service),
+            connect_timeout_ms=500,
+            silence_timeout_ms=500,
+        )
+
+    def _target(self, service: ResettingService) -> Target:
+        return Target('service', 'service', '127.0.0.1', service.port, 'north')
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -11,7 +11,7 @@
 from tests.lib.chat import write_chat
 
 REPEAT_WINDOW_MS = 1_000
-QUARANTINE_S = 2.5
+QUARANTINE_S = 4.5
 
 
 class WholePathTest(unittest.TestCase):
--- /dev/null
+++ b/tests/lib/broken_claims.py
@@ -0,0 +1,132 @@
+"""Broken variants of the claim parts, each without one of its rules."""
+
+from typing import Any
+
+from lagoonbend.attempts import AttemptPath
+from lagoonbend.claims import ClaimLedger
+from lagoonbend.claims import HolderDirectory
+from lagoonbend.claims import KeyWindow
+from lagoonbend.claims import Ownership
+from lagoonbend.claims import PauseDetector
+from lagoonbend.claims import SeatOwnership
+from lagoonbend.claims import Ticket
+from lagoonbend.claims import TicketMint
+from lagoonbend.models import SeatPlan
+from lagoonbend_devkit.worlds import PartTypes
+
+
+class LocalDirectory(HolderDirectory):
+    """Takes each instance's own memory for the whole truth."""
+
+    def find(self, key: str) -> str | None:
+        """Return this instance."""
+        return None
+
+
+class LocalOwnership(SeatOwnership):
+    """Owns every key."""
+
+    def judge(self, key: str) -> Ownership:
+        """Accept the key."""
+        return Ownership.OWNED
+
+
+class EagerOwnership(SeatOwnership):
+    """Accepts keys at once after a start."""
+
+    @property
+    def quarantined_until_ms(self) -> int:
+        """No quarantine."""
+        return 0
+
+
+class CarelessOwnership(SeatOwnership):
+    """Moves keys to new owners without a word of the former ones."""
+
+    def apply(self, plan: SeatPlan) -> None:
+        """Forget the former seats."""
+        super().apply(plan._replace(former=()))
+
+
+class GullibleOwnership(SeatOwnership):
+    """Takes the time of an answer for the time of its truth."""
+
+    def hear(self, address: str, epoch: int, asked_ms: int) -> None:
+        """Date the answer now."""
+        super().hear(address, epoch, self._clock.now_ms())
+
+
+class ShortWindow(KeyWindow):
+    """Forgets that the last repeat takes time to arrive."""
+
+    @property
+    def memory_ms(self) -> int:
+        """The repeat window alone."""
+        return self.repeat_ms
+
+
+class ForgetfulLedger(ClaimLedger):
+    """Remembers bare keys for the repeat window alone."""
+
+    def __init__(self, *args: Any, window: KeyWindow, **kwargs: Any) -> None:
+        super().__init__(*args, window=ShortWindow(*window), **kwargs)
+
+
+class TimelessMint(TicketMint):
+    """Takes every nonce for fresh."""
+
+    def measure_nonce_age_ms(self, nonce: str) -> int | None:
+        """Return 0."""
+        return 0
+
+
+class ImmortalMint(TicketMint):
+    """Takes the tickets of earlier incarnations for its own."""
+
+    def is_home_of(self, ticket: Ticket) -> bool:
+        """Compare the name alone."""
+        return ticket.home == self._home
+
+    def check(self, ticket: Ticket, customer: str) -> None:
+        """Accept the ticket."""
+
+
+class BlindDetector(PauseDetector):
+    """Never notices a pause."""
+
+    def is_age_known(self, connected_ms: int) -> bool:
+        """Return True."""
+        return True
+
+
+class ImpatientPath(AttemptPath):
+    """Does not look how long ago a bare key was received."""
+
+    def _check_age(self) -> None:
+        if not self.call.age_known:
+            super()._check_age()
+
+
+class ForgivingPath(AttemptPath):
+    """Gives a claim back although the request may have run."""
+
+    def _begin_dispatch(self, target: Any) -> None:
+        super()._begin_dispatch(target)
+        verdict = type(self.verdict)
+        self.verdict = verdict('not_run')
+
+
+BROKEN = {
+    'memory of each instance alone': PartTypes(
+        directory=LocalDirectory, ownership=LocalOwnership
+    ),
+    'no quarantine after a start': PartTypes(ownership=EagerOwnership),
+    'ownership moves unconfirmed': PartTypes(ownership=CarelessOwnership),
+    'late word taken for fresh': PartTypes(ownership=GullibleOwnership),
+    'memory as long as the window': PartTypes(ledger=ForgetfulLedger),
+    'nonce without an age': PartTypes(mint=TimelessMint),
+    'ticket of an earlier incarnation': PartTypes(mint=ImmortalMint),
+    'pause not noticed': PartTypes(pauses=BlindDetector),
+    'receipt without an age': PartTypes(path=ImpatientPath),
+    'claim given back after the write': PartTypes(path=ForgivingPath),
+}
--- /dev/null
+++ b/tests/unit/test_claim_scenarios.py
@@ -0,0 +1,239 @@
+"""Named ways in which a key could run twice, and rules that stop them."""
+
+import unittest
+
+from lagoonbend.attempts import FetchNonce
+from lagoonbend.attempts import SendClaim
+from lagoonbend.models import RefusalCode
+from lagoonbend.models import SeatPlan
+from lagoonbend.models import Verdict
+from lagoonbend_devkit.worlds import ClaimWorld
+from lagoonbend_devkit.worlds import PartTypes
+from lagoonbend_devkit.worlds import WorldError
+from tests.lib.broken_claims import BROKEN
+from tests.lib.scripted_world import ScriptedWorld
+
+REAL = PartTypes()
+SEEDS = range(24)
+STEPS = 5_000
+WORDS = 105
+WORD_MS = 100
+CAUGHT_BY_CHANCE = (
+    'memory of each instance alone',
+    'no quarantine after a start',
+    'ownership moves unconfirmed',
+    'ticket of an earlier incarnation',
+    'claim given back after the write',
+)
+
+
+class RandomWorldTest(unittest.TestCase):
+    """Seeded random interleavings."""
+
+    def test_no_seed_breaks_a_promise(self) -> None:
+        """The real parts hold, and the runs serve calls."""
+        served = 0
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                world = ClaimWorld(seed)
+                world.run(STEPS)
+                served += world.counts['served']
+        self.assertGreater(served, len(SEEDS))
+
+    def test_broken_variants_are_caught(self) -> None:
+        """Each of these variants fails within the same seeds."""
+        for name in CAUGHT_BY_CHANCE:
+            with self.subTest(variant=name):
+                caught = any(_fails(seed, BROKEN[name]) for seed in SEEDS)
+                self.assertTrue(caught)
+
+
+class ScenarioTest(unittest.TestCase):
+    """Each scenario runs twice only without its rule."""
+
+    def test_late_repeat_of_a_paused_forwarder(self) -> None:
+        """A repeat waits in a forwarder until the owner has forgotten."""
+        self._check(_delay_after_receipt, 'receipt without an age')
+
+    def test_claim_held_up_beyond_the_memory(self) -> None:
+        """A claim with its nonce arrives after the owner has forgotten."""
+        self._check(_delay_claim, 'nonce without an age')
+
+    def test_last_repeat_takes_its_whole_time(self) -> None:
+        """A repeat at the end of the window arrives late but in time."""
+        self._check(_repeat_late, 'memory as long as the window')
+
+    def test_request_read_after_a_pause(self) -> None:
+        """A first send waits in the socket of a paused instance."""
+        self._check(_read_after_pause, 'pause not noticed')
+
+    def test_owner_changes_while_the_former_is_stale(self) -> None:
+        """A new owner and a stale former owner are asked in turn."""
+        self._check(_move_owner, 'ownership moves unconfirmed')
+
+    def test_late_word_of_a_former_owner(self) -> None:
+        """A former owner restarts stale; its old word comes late."""
+        self._check(_deliver_late_word, 'late word taken for fresh')
+
+    def _check(self, scenario: object, variant: str) -> None:
+        assert callable(scenario)
+        with self.assertRaises(WorldError):
+            scenario(ScriptedWorld(BROKEN[variant]))
+        scenario(ScriptedWorld(REAL))
+
+
+class TruthTest(unittest.TestCase):
+    """What is said of calls that did not run."""
+
+    def test_fresh_ticket_of_live_home_in_a_cut_is_served(self) -> None:
+        """A cut domain goes on with tickets of its own."""
+        world = ScriptedWorld()
+        world.cut_domains.add('south')
+        for number in range(4):
+            caller = world.new_caller(home=number)
+            world.call(caller, number)
+        self.assertEqual(4, world.counts['served'])
+
+    def test_expired_unused_ticket_was_not_run(self) -> None:
+        """The home remembers used tickets longer than it grants them."""
+        world = ScriptedWorld()
+        caller = world.new_caller(home=0)
+        world.pass_time(world.times.ticket_life_ms)
+        refusal = world.call(caller, 1).refusal
+        assert refusal is not None
+        self.assertIs(RefusalCode.KEY_EXPIRED, refusal.code)
+        self.assertIs(Verdict.NOT_RUN, refusal.verdict)
+
+    def test_released_claim_can_be_used_by_a_repeat(self) -> None:
+        """A call that met no target leaves its key free."""
+        world = ScriptedWorld()
+        caller = world.new_caller(home=0)
+        world.fate = 0.0
+        refusal = world.call(caller, 1).refusal
+        assert refusal is not None
+        self.assertIs(Verdict.NOT_RUN, refusal.verdict)
+        world.fate = 0.5
+        world.call(caller, 2)
+        self.assertEqual(1, caller.executions)
+
+    def test_lost_reply_does_not_block_the_key(self) -> None:
+        """The same attempt claims again and is granted the same claim."""
+        world = ScriptedWorld()
+        caller = world.new_caller(home=0)
+        attempt = world.begin(world.arrive(caller, 1))
+        assert attempt is not None
+        world.holding = True
+        world.advance(attempt)
+        world.deliver_one(world.messages[0])
+        world.give_up_waiting(attempt)
+        world.holding = False
+        world.finish(attempt)
+        self.assertEqual(1, caller.executions)
+
+
+def _fails(seed: int, types: PartTypes) -> bool:
+    try:
+        ClaimWorld(seed, types).run(STEPS)
+    except WorldError:
+        return True
+    return False
+
+
+def _delay_after_receipt(world: ScriptedWorld) -> None:
+    caller = world.new_caller()
+    owner = world.find_owner_number(caller.key)
+    forwarder = (owner + 1) % 3
+    attempt = world.begin(world.arrive(caller, forwarder))
+    assert attempt is not None
+    assert isinstance(attempt.step, FetchNonce)
+    world.call(caller, owner)
+    world.wait_out_quarantine()
+    world.finish(attempt)
+
+
+def _delay_claim(world: ScriptedWorld) -> None:
+    caller = world.new_caller()
+    owner = world.find_owner_number(caller.key)
+    forwarder = (owner + 1) % 3
+    attempt = world.begin(world.arrive(caller, forwarder))
+    assert attempt is not None
+    world.run_to(attempt, SendClaim)
+    world.call(caller, owner)
+    world.wait_out_quarantine()
+    world.finish(attempt)
+
+
+def _repeat_late(world: ScriptedWorld) -> None:
+    caller = world.new_caller()
+    owner = world.find_owner_number(caller.key)
+    world.call(caller, owner)
+    world.pass_time(world.times.repeat_window_ms - 1)
+    arrival = world.arrive(caller, owner)
+    world.pass_time(world.times.connection_ms)
+    attempt = world.begin(arrival)
+    assert attempt is not None
+    world.finish(attempt)
+
+
+def _read_after_pause(world: ScriptedWorld) -> None:
+    caller = world.new_caller()
+    owner = world.find_owner_number(caller.key)
+    paused = (owner + 1) % 3
+    arrival = world.arrive(caller, paused)
+    world.process(paused).is_paused = True
+    world.call(caller, owner)
+    world.wait_out_quarantine()
+    world.process(paused).is_paused = False
+    world.process(paused).woke_ms = world.clock.now_ms()
+    attempt = world.begin(arrival)
+    if attempt is not None:
+        world.finish(attempt)
+
+
+def _find_moved(world: ScriptedWorld, plan: SeatPlan) -> tuple[int, int]:
+    """Return a former and a new owner, and make the next key move so."""
+    for _ in range(100):
+        key = f'key-{len(world.callers)}'
+        world.process(3).apply(plan)
+        new = world.process(3).ownership.find_owner(key)
+        if new == world.process(3).address:
+            return world.find_owner_number(key), 3
+        world.new_caller()
+    raise AssertionError('no key moves')
+
+
+def _move_owner(world: ScriptedWorld) -> None:
+    old_plan = world.plans[0]
+    addresses = tuple(peer.address for peer in world.fleet_list.peers)
+    plan = SeatPlan(2, addresses, (old_plan.seats,))
+    former, new = _find_moved(world, plan)
+    world.wait_out_quarantine()
+    caller = world.new_caller()
+    world.call(caller, former)
+    world.call(caller, new)
+
+
+def _deliver_late_word(world: ScriptedWorld) -> None:
+    old_plan = world.plans[0]
+    addresses = tuple(peer.address for peer in world.fleet_list.peers)
+    plan = SeatPlan(2, addresses, (old_plan.seats,))
+    former, new = _find_moved(world, plan)
+    process = world.process(new)
+    words = []
+    world.process(former).apply(plan)
+    for _ in range(WORDS):
+        words.append(process.clock.now_ms())
+        world.pass_time(WORD_MS)
+    name = f'instance-{former}'
+    peer = next(p for p in world.fleet_list.peers if p.instance == name)
+    world.start(peer)
+    world.process(former).apply(old_plan)
+    address = world.process(former).address
+    caller = world.new_caller()
+    for count, asked_ms in enumerate(words):
+        process.ownership.hear(address, 2, asked_ms)
+        world.pass_time(WORD_MS)
+        if count == WORDS - 5:
+            caller.first_sent_ms = world.clock.now_ms()
+            world.call(caller, former)
+    world.call(caller, new)
