Weigh the ways of at-most-once dispatch and record the choice

Cause: the choice between tickets, owners and local memory rested on an argument alone, and callers had no way to tell a lost home from work that ran.

Change: an experiment that weighs four ways under three faults, a latency measurement on real processes, KeyedRequest for callers, process tests with SIGKILL and SIGSTOP, DESIGN part 1 and GLOSSARY.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/__main__.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/__main__.py
@@ -1,12 +1,14 @@
 """``python -m lagoonbend_devkit``: the demonstration, or a stand-in.
 
 ``demo`` runs the demonstration; ``platform PORT``, ``service PORT``,
-``engine-old PORT`` and ``engine-new PORT`` run a stand-in.
+``engine-old PORT`` and ``engine-new PORT`` run a stand-in; ``measure NAME``
+runs an experiment and prints its table.
 """
 
 import sys
 
 from lagoonbend_devkit._internal.demo.demo import run_demo
+from lagoonbend_devkit._internal.experiments.commands import EXPERIMENTS
 from lagoonbend_devkit._internal.standins.engine import build_engine
 from lagoonbend_devkit._internal.standins.engine_core import EngineSpeed
 from lagoonbend_devkit._internal.standins.platform import build_platform
@@ -23,6 +25,9 @@
     """Do what the command line says; return the exit code."""
     if arguments == ['demo']:
         return run_demo()
+    if arguments[0] == 'measure':
+        print(EXPERIMENTS[arguments[1]]())
+        return 0
     kind, port = arguments[0], int(arguments[1])
     if kind == 'platform':
         app = build_platform()
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments that write the figures of the docs."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/claim_ways.py
@@ -0,0 +1,35 @@
+"""Ways to dispatch at most once, weighed against each other."""
+
+from lagoonbend.claims import HolderDirectory
+from lagoonbend.claims import Ownership
+from lagoonbend.claims import SeatOwnership
+from lagoonbend_devkit._internal.worlds.part_types import PartTypes
+
+
+class LocalDirectory(HolderDirectory):
+    """Takes each instance's own memory for the whole truth."""
+
+    def find(self, key: str) -> str | None:
+        """Return this instance."""
+        return None
+
+
+class LocalOwnership(SeatOwnership):
+    """Owns every key."""
+
+    def judge(self, key: str) -> Ownership:
+        """Accept the key."""
+        return Ownership.OWNED
+
+
+class UnguardedOwnership(SeatOwnership):
+    """Accepts its keys without a quarantine after a start."""
+
+    @property
+    def quarantined_until_ms(self) -> int:
+        """No quarantine."""
+        return 0
+
+
+MEMORY_ALONE = PartTypes(directory=LocalDirectory, ownership=LocalOwnership)
+UNGUARDED_OWNER = PartTypes(ownership=UnguardedOwnership)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/claim_world.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/claim_world.py
@@ -80,6 +80,7 @@
         self.cut_domains: set[str] = set()
         self.plans: list[SeatPlan] = []
         self.oldest_plan = 0
+        self.delivered = 0
         self._types = types or PartTypes()
         self._numbers = 0
         self.fleet_list = _build_fleet_list()
@@ -309,6 +310,7 @@
 
     def deliver_one(self, message: Message) -> None:
         """Let a question or an answer arrive."""
+        self.delivered += 1
         if message.answerer is None:
             answerer = self.find_process(message.address)
             message.result = message.run(answerer)
--- a/tests/lib/scripted_world.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/scripted_world.py
@@ -1,4 +1,4 @@
-"""A claim world that a test moves step by step."""
+"""A claim world that is moved step by step."""
 
 from lagoonbend_devkit._internal.worlds.arrival import Arrival
 from lagoonbend_devkit._internal.worlds.claim_world import ClaimWorld
@@ -29,7 +29,7 @@
         self.wait_out_quarantine()
 
     def draw(self) -> float:
-        """Return the fate that the test has set."""
+        """Return the fate that was set."""
         return self.fate
 
     def wait_out_quarantine(self) -> None:
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Help for callers: when to repeat, and with which key."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/callers/advice.py
@@ -0,0 +1,12 @@
+"""What a caller may do after an answer."""
+
+import enum
+
+
+class Advice(enum.Enum):
+    """The one safe thing to do next."""
+
+    DONE = 'done'
+    REPEAT_SAME_KEY = 'repeat_same_key'
+    TAKE_NEW_KEY = 'take_new_key'
+    UNDECIDED = 'undecided'
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/callers.py
@@ -0,0 +1,6 @@
+"""Help for callers: when to repeat, and with which key."""
+
+from lagoonbend._internal.callers.advice import Advice
+from lagoonbend._internal.callers.keyed_request import KeyedRequest
+
+__all__ = ['Advice', 'KeyedRequest']
--- /dev/null
+++ b/tests/functional/test_process_faults.py
@@ -0,0 +1,87 @@
+"""Kills and pauses of real processes."""
+
+import signal
+import unittest
+
+import gevent
+import msgspec
+
+from lagoonbend_devkit.fleet import LocalFleet
+
+QUARANTINE_S = 4.5
+PAUSE_S = 5.0
+HOME = 'lake-north-1'
+OTHER = 'lake-south-1'
+
+
+class ProcessFaultsTest(unittest.TestCase):
+    """Each test uses a fleet of its own."""
+
+    def setUp(self) -> None:
+        """Start a fleet."""
+        self.fleet = LocalFleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.__enter__()
+
+    def test_killed_home_never_runs_a_ticket_again(self) -> None:
+        """The home is killed and restarted; its ticket stays refused."""
+        ticket = self.fleet.take_ticket(HOME)
+        self.assertEqual(200, self._book('one', ticket, OTHER))
+        self.fleet.processes[HOME].kill()
+        self.assertEqual(503, self._book('one', ticket, OTHER))
+        self.fleet.start_instance(HOME)
+        self.fleet.wait_ready([HOME])
+        for name in self.fleet.instances:
+            self.assertEqual(503, self._book('one', ticket, name))
+        self.assertEqual(['one'], self._read_bookings('one'))
+
+    def test_paused_home_runs_a_ticket_once_on_waking(self) -> None:
+        """A claim times out at a paused home; repeats run it once."""
+        ticket = self.fleet.take_ticket(HOME)
+        self.fleet.processes[HOME].send(signal.SIGSTOP)
+        self.assertEqual(503, self._book('two', ticket, OTHER))
+        self.fleet.processes[HOME].send(signal.SIGCONT)
+        statuses = [
+            self._book('two', ticket, name) for name in self.fleet.instances
+        ]
+        self.assertIn(len(self._read_bookings('two')), (0, 1))
+        self.assertLessEqual(set(statuses), {200, 409})
+
+    def test_request_read_after_a_pause_is_refused(self) -> None:
+        """A bare key waits in a paused instance while it runs elsewhere."""
+        gevent.sleep(QUARANTINE_S)
+        self.fleet.processes[OTHER].send(signal.SIGSTOP)
+        waiting = gevent.spawn(
+            self.fleet.call,
+            OTHER,
+            'POST',
+            '/bookings',
+            body=b'three',
+            key='three',
+        )
+        gevent.sleep(PAUSE_S)
+        self.fleet.processes[OTHER].send(signal.SIGCONT)
+        answer = waiting.get(timeout=10)
+        self.assertEqual(503, answer.status)
+        code = msgspec.json.decode(answer.body)['code']
+        self.assertEqual('key_unknown', code)
+        self.assertEqual([], self._read_bookings('three'))
+
+    def test_reset_target_is_not_dispatched_to_again(self) -> None:
+        """A service that executes and drops its answer executes once."""
+        for name, port in self.fleet.target_ports.items():
+            if name.startswith('service'):
+                self.fleet.set_faults(port, reset=1)
+        ticket = self.fleet.take_ticket(HOME)
+        self.assertEqual(502, self._book('four', ticket, HOME))
+        self.assertEqual(409, self._book('four', ticket, OTHER))
+        self.assertEqual(['four'], self._read_bookings('four'))
+
+    def _book(self, body: str, key: str, name: str) -> int:
+        answer = self.fleet.call(
+            name, 'POST', '/bookings', body=body.encode(), key=key
+        )
+        return answer.status
+
+    def _read_bookings(self, body: str) -> list[str]:
+        return [text for text in self.fleet.read_executions() if text == body]
--- a/tests/lib/claim_matrix.py
+++ b/tests/lib/claim_matrix.py
@@ -11,11 +11,11 @@
 from lagoonbend.attempts import SendClaim
 from lagoonbend.attempts import Write
 from lagoonbend_devkit._internal.worlds.part_types import PartTypes
+from lagoonbend_devkit._internal.worlds.scripted_world import LOST_ANSWER
+from lagoonbend_devkit._internal.worlds.scripted_world import ScriptedWorld
+from lagoonbend_devkit._internal.worlds.scripted_world import SUCCESS
 from lagoonbend_devkit._internal.worlds.virtual_attempt import VirtualAttempt
 from lagoonbend_devkit._internal.worlds.virtual_caller import VirtualCaller
-from tests.lib.scripted_world import LOST_ANSWER
-from tests.lib.scripted_world import ScriptedWorld
-from tests.lib.scripted_world import SUCCESS
 
 SERVING = 3
 STEPS: dict[str, type | None] = {
--- a/tests/unit/test_claim_scenarios.py
+++ b/tests/unit/test_claim_scenarios.py
@@ -7,11 +7,11 @@
 from lagoonbend.models import RefusalCode
 from lagoonbend.models import SeatPlan
 from lagoonbend.models import Verdict
+from lagoonbend_devkit._internal.worlds.scripted_world import ScriptedWorld
 from lagoonbend_devkit.worlds import ClaimWorld
 from lagoonbend_devkit.worlds import PartTypes
 from lagoonbend_devkit.worlds import WorldError
 from tests.lib.broken_claims import BROKEN
-from tests.lib.scripted_world import ScriptedWorld
 
 REAL = PartTypes()
 SEEDS = range(24)
