Route by expected time with a reserve, prefix affinity and learned speeds

Change: admission and routing in the library, driven by the daemon and by a model of engines; a reserve of fast engines for the top tier, learned speeds and token gaps, late cache events, waiting for a cached prefix in the first half of the time to the deadline.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/commands.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/commands.py
@@ -4,6 +4,8 @@
 
 from lagoonbend_devkit._internal.experiments import claim_experiment
 from lagoonbend_devkit._internal.experiments import claim_latency
+from lagoonbend_devkit._internal.experiments import model_cases
+from lagoonbend_devkit._internal.experiments import model_experiment
 from lagoonbend_devkit._internal.experiments.tables import write_table
 
 Experiment = Callable[[], str]
@@ -35,3 +37,21 @@
     return write_table(
         claim_latency.Latency._fields, claim_latency.run_claim_latency()
     )
+
+
+@experiment('routing')
+def measure_routing() -> str:
+    """Return goodput and waste of each policy at each lag."""
+    return write_table(
+        model_experiment.Measure._fields,
+        model_experiment.measure_cases(model_cases.list_routing_cases()),
+    )
+
+
+@experiment('tiers')
+def measure_tiers() -> str:
+    """Return goodput and waste under bursts and slow engines."""
+    return write_table(
+        model_experiment.Measure._fields,
+        model_experiment.measure_cases(model_cases.list_tier_cases()),
+    )
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/model_cases.py
@@ -0,0 +1,42 @@
+"""Rows of the experiments on routing and tiers."""
+
+from lagoonbend_devkit._internal.experiments.model_experiment import Case
+from lagoonbend_devkit._internal.model.model_settings import ModelSettings
+from lagoonbend_devkit._internal.model.workload import WORKLOADS
+
+LAGS_MS = (100, 1_000, 5_000)
+BASELINES = ('round_robin', 'least_reported', 'two_choices')
+CHOSEN = 'expected_time'
+BURST = 10.0
+SLOWDOWN = 10
+
+
+def list_routing_cases() -> list[Case]:
+    """Return each policy at each lag, and the oracle."""
+    cases = []
+    for workload in WORKLOADS:
+        for lag_ms in LAGS_MS:
+            for policy in (*BASELINES, CHOSEN):
+                settings = ModelSettings(policy=policy, lag_ms=lag_ms)
+                name = f'{policy}, lag {lag_ms} ms'
+                cases.append(Case(name, workload, settings))
+        oracle = ModelSettings(policy=CHOSEN, lag_ms=0, is_oracle=True)
+        cases.append(Case('oracle', workload, oracle))
+    return cases
+
+
+def list_tier_cases() -> list[Case]:
+    """Return bursts and slow engines, with tiers and without."""
+    troubles = {
+        'quiet': ModelSettings(),
+        'burst of 10 times': ModelSettings(burst_factor=BURST),
+        '2 engines slow down 10 times': ModelSettings(
+            slowdown=SLOWDOWN, slowed=2
+        ),
+    }
+    return [
+        Case(f'{name}, {kind}', workload, settings._replace(has_tiers=tiers))
+        for workload in WORKLOADS
+        for name, settings in troubles.items()
+        for kind, tiers in (('no tiers', False), ('tiers', True))
+    ]
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/model_experiment.py
@@ -0,0 +1,84 @@
+"""Measures goodput by tier and wasted prefill over seeds."""
+
+import multiprocessing
+import statistics
+from typing import NamedTuple
+
+from lagoonbend_devkit._internal.model.model_run import ModelRun
+from lagoonbend_devkit._internal.model.model_run import Outcome
+from lagoonbend_devkit._internal.model.model_settings import ModelSettings
+from lagoonbend_devkit._internal.model.workload import WORKLOADS
+
+SEEDS = (1, 2, 3, 4, 5)
+WORKERS = 6
+MILLION = 1_000_000
+
+
+class Case(NamedTuple):
+    """A row to measure.
+
+    :param name: name of the row.
+    :param workload: name of the workload.
+    :param settings: settings of its runs, but for the seed.
+    """
+
+    name: str
+    workload: str
+    settings: ModelSettings
+
+
+class Measure(NamedTuple):
+    """A measured row; ranges are over seeds.
+
+    :param workload: name of the workload.
+    :param case: name of the row.
+    :param top_goodput: of the most urgent tier, in percent.
+    :param low_goodput: of the lower tier, in percent.
+    :param low_refused: of the lower tier, in percent.
+    :param wasted: prompt tokens, in millions.
+    """
+
+    workload: str
+    case: str
+    top_goodput: str
+    low_goodput: str
+    low_refused: str
+    wasted: str
+
+
+def measure_cases(cases: list[Case]) -> list[Measure]:
+    """Run all cases over all seeds; return a row for each."""
+    jobs = [
+        (case.workload, case.settings._replace(seed=seed))
+        for case in cases
+        for seed in SEEDS
+    ]
+    with multiprocessing.Pool(WORKERS) as pool:
+        outcomes = pool.starmap(_run, jobs, chunksize=1)
+    count = len(SEEDS)
+    return [
+        _sum_up(case, outcomes[count * i : count * (i + 1)])
+        for i, case in enumerate(cases)
+    ]
+
+
+def _run(workload: str, settings: ModelSettings) -> Outcome:
+    return ModelRun(WORKLOADS[workload], settings).run()
+
+
+def _sum_up(case: Case, outcomes: list[Outcome]) -> Measure:
+    top, low = (kind.name for kind in WORKLOADS[case.workload].kinds)
+    return Measure(
+        case.workload,
+        case.name,
+        _write([o.goodput_percent[top] for o in outcomes]),
+        _write([o.goodput_percent[low] for o in outcomes]),
+        _write([o.refused_percent[low] for o in outcomes]),
+        _write([o.wasted_tokens / MILLION for o in outcomes], 2),
+    )
+
+
+def _write(values: list[float], digits: int = 1) -> str:
+    mean = statistics.mean(values)
+    low, high = min(values), max(values)
+    return f'{mean:.{digits}f} ({low:.{digits}f} to {high:.{digits}f})'
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model of the served systems, driven by the real decision code."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/model/model_call.py
@@ -0,0 +1,77 @@
+"""A request of the model."""
+
+from collections.abc import Callable
+
+from lagoonbend.clock import Clock
+from lagoonbend.exceptions import RefusedError
+from lagoonbend.models import Call
+from lagoonbend.queueing import AdmissionControl
+from lagoonbend.routing import Assignment
+from lagoonbend.routing import WorkEstimate
+from lagoonbend_devkit._internal.model.tally import Tally
+from lagoonbend_devkit._internal.standins.engine_core import EngineJob
+
+
+class ModelCall:
+    """A call whose job runs in a modelled engine.
+
+    :param call: the call.
+    :param work: its true work.
+    :param clock: clock of the model.
+    :param control: admission of its instance.
+    :param start: starts a job at a target.
+    :param tally: counts of its tier.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        work: WorkEstimate,
+        clock: Clock,
+        control: AdmissionControl,
+        start: Callable[[str, EngineJob], None],
+        tally: Tally,
+    ) -> None:
+        self.call = call
+        self.work = work
+        self._clock = clock
+        self._control = control
+        self._start = start
+        self._tally = tally
+        self._assignment: Assignment | None = None
+        self._job = EngineJob(
+            work.prompt_tokens,
+            work.output_tokens,
+            work.prefix,
+            work.prefix_tokens,
+            self._receive,
+        )
+
+    def give(self, assignment: Assignment) -> None:
+        """Start the job."""
+        self._assignment = assignment
+        self._start(assignment.state.target.target, self._job)
+
+    def refuse(self, error: RefusedError) -> None:
+        """Count the call as refused."""
+        self._tally.refused += 1
+
+    def preempt(self, error: RefusedError) -> None:
+        """Cancel the job."""
+        self._job.cancelled = True
+        self._tally.refused += 1
+
+    def _receive(self, token: int | None) -> None:
+        assignment = self._assignment
+        if assignment is None or self._job.cancelled:
+            return
+        now_ms = self._clock.now_ms()
+        if token is not None:
+            assignment.note_first_token(now_ms)
+            return
+        assignment.note_end(self.work.output_tokens, now_ms)
+        if now_ms <= self.call.deadline_ms:
+            self._tally.good += 1
+        else:
+            self._tally.late += 1
+        self._control.leave(assignment)
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/model/model_instance.py
@@ -0,0 +1,66 @@
+"""An entry instance of the model."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+
+from lagoonbend.clock import Clock
+from lagoonbend.invariants import Invariants
+from lagoonbend.models import Target
+from lagoonbend.queueing import AdmissionControl
+from lagoonbend.queueing import Applicant
+from lagoonbend.queueing import TierQueue
+from lagoonbend.routing import CacheEvent
+from lagoonbend.routing import LoadReport
+from lagoonbend.routing import TargetTable
+from lagoonbend_devkit._internal.model.model_settings import ModelSettings
+
+
+class ModelInstance:
+    """The real queue, table and admission of one instance.
+
+    :param clock: clock of the model.
+    :param settings: settings of the run.
+    :param rng: source of random choices.
+    :param targets: engines.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        settings: ModelSettings,
+        rng: random.Random,
+        targets: Iterable[Target],
+    ) -> None:
+        self.invariants = Invariants(strict=True)
+        self.table = TargetTable(
+            clock,
+            policy=settings.policy,
+            rng=rng,
+            outstanding_limit=settings.outstanding_limit,
+            backlog_limit_ms=settings.backlog_limit_ms,
+        )
+        self.table.apply(targets)
+        queue: TierQueue[Applicant] = TierQueue(
+            settings.queue_capacity, self.invariants
+        )
+        self.control = AdmissionControl(
+            clock,
+            queue,
+            self.table,
+            self.invariants,
+            preempt_slack_ms=settings.preempt_slack_ms,
+        )
+
+    def read_reports(self, read: Callable[[str], LoadReport | None]) -> None:
+        """Take the latest report of each engine."""
+        for state in self.table:
+            report = read(state.target.target)
+            if report is not None:
+                state.report = report
+
+    def hear(self, event: CacheEvent) -> None:
+        """Take a cache event of an engine."""
+        for state in self.table:
+            if state.target.target == event.target:
+                state.hear(event)
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/model/request_kind.py
@@ -0,0 +1,35 @@
+"""A kind of request in a workload."""
+
+from typing import NamedTuple
+
+
+class RequestKind(NamedTuple):
+    """Requests of one tier.
+
+    :param name: name of the tier.
+    :param rank: rank of the tier; 0 is the most urgent.
+    :param share: share of all requests.
+    :param deadline_ms: time in which the answer must be complete.
+    :param prompt_tokens: least and greatest length of a prompt.
+    :param output_tokens: least and greatest length of an answer.
+    :param prefix_tokens: length of the shared start of a prompt.
+    :param prefixes: number of different starts.
+    :param idempotent: False if a running request can't be given up.
+    """
+
+    name: str
+    rank: int
+    share: float
+    deadline_ms: int
+    prompt_tokens: tuple[int, int]
+    output_tokens: tuple[int, int]
+    prefix_tokens: int
+    prefixes: int
+    idempotent: bool
+
+    @property
+    def mean_tokens(self) -> float:
+        """Mean work of a request, with three of four prefixes cached."""
+        prompt = sum(self.prompt_tokens) / 2
+        output = sum(self.output_tokens) / 2
+        return prompt - 0.75 * self.prefix_tokens + output
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/model/workload.py
@@ -0,0 +1,80 @@
+"""Seeded workloads of the two partners."""
+
+from typing import NamedTuple
+
+from lagoonbend_devkit._internal.model.request_kind import RequestKind
+from lagoonbend_devkit._internal.standins.engine_core import EngineSpeed
+
+OLD = EngineSpeed(45, 384, 8)
+MIDDLE = EngineSpeed(30, 512, 8)
+NEW = EngineSpeed(20, 512, 8)
+
+
+class Workload(NamedTuple):
+    """Requests and engines of a partner.
+
+    :param name: name of the partner.
+    :param kinds: kinds of requests.
+    :param speeds: speeds of the engines.
+    :param instances: number of entry instances.
+    """
+
+    name: str
+    kinds: tuple[RequestKind, ...]
+    speeds: tuple[EngineSpeed, ...]
+    instances: int
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Tokens that all engines compute in a second."""
+        return sum(s.step_tokens * 1000 / s.step_ms for s in self.speeds)
+
+    @property
+    def mean_tokens(self) -> float:
+        """Mean work of a request."""
+        return sum(kind.share * kind.mean_tokens for kind in self.kinds)
+
+
+OFFICE = Workload(
+    'office',
+    (
+        RequestKind(
+            'flag', 0, 0.85, 2_500, (120, 360), (15, 30), 100, 6, False
+        ),
+        RequestKind(
+            'summary',
+            2,
+            0.15,
+            60_000,
+            (8_000, 24_000),
+            (150, 300),
+            6_000,
+            60,
+            True,
+        ),
+    ),
+    (OLD,) * 3 + (MIDDLE,) * 4 + (NEW,) * 3,
+    7,
+)
+LAKESHORE = Workload(
+    'lakeshore',
+    (
+        RequestKind(
+            'question', 0, 0.8, 3_000, (200, 800), (20, 45), 150, 6, False
+        ),
+        RequestKind(
+            'draft',
+            2,
+            0.2,
+            60_000,
+            (3_000, 12_000),
+            (150, 400),
+            2_500,
+            40,
+            True,
+        ),
+    ),
+    (OLD,) * 2 + (MIDDLE,) * 2 + (NEW,) * 2,
+    6,
+)
+WORKLOADS = {item.name: item for item in (OFFICE, LAKESHORE)}
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/engine.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/engine.py
@@ -1,5 +1,6 @@
 """Stand-in for a model engine with continuous batching."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from typing import NotRequired
 from typing import TypedDict
@@ -8,6 +9,7 @@
 import gevent
 import gevent.queue
 import msgspec
+import xxhash
 
 from lagoonbend_devkit._internal.standins.engine_core import EngineCore
 from lagoonbend_devkit._internal.standins.engine_core import EngineJob
@@ -17,6 +19,8 @@
 
 MILLISECONDS_PER_SECOND = 1000
 DEFAULT_OUTPUT_TOKENS = 16
+CHARACTERS_PER_TOKEN = 4
+PREFIX_TOKENS = 16
 
 
 class ChatRequest(TypedDict):
@@ -57,7 +61,7 @@
         self._executions.append(prompt)
         tokens: gevent.queue.Queue = gevent.queue.Queue()
         output = chat.get('max_tokens', DEFAULT_OUTPUT_TOKENS)
-        job = EngineJob(prompt, output, tokens.put)
+        job = _build_job(prompt, output, tokens.put)
         self._core.add(job)
         attempt = request.get_header('Lagoonbend-Attempt')
         if attempt:
@@ -159,6 +163,20 @@
         core.step()
 
 
+def _build_job(
+    prompt: str, output_tokens: int, put: Callable[[str | None], None]
+) -> EngineJob:
+    stamp = f'{xxhash.xxh3_64_intdigest(prompt.encode()):016x}'
+    head = prompt[: PREFIX_TOKENS * CHARACTERS_PER_TOKEN].encode()
+    return EngineJob(
+        max(1, len(prompt) // CHARACTERS_PER_TOKEN),
+        output_tokens,
+        xxhash.xxh3_64_intdigest(head),
+        PREFIX_TOKENS,
+        lambda n: put(None if n is None else f'{stamp}:{n}'),
+    )
+
+
 def _write_event(token: str) -> bytes:
     chunk = {
         'object': 'chat.completion.chunk',
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/engine_core.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/engine_core.py
@@ -3,11 +3,6 @@
 import collections
 from collections.abc import Callable
 
-import xxhash
-
-CHARACTERS_PER_TOKEN = 4
-PREFIX_TOKENS = 16
-
 
 class EngineSpeed:
     """Speed and memory of an engine.
@@ -28,23 +23,27 @@
 class EngineJob:
     """A request inside the engine.
 
-    :param prompt: whole prompt.
+    :param prompt_tokens: tokens of the prompt.
     :param output_tokens: tokens to generate.
-    :param emit: called with each token, and with None at the end.
+    :param prefix: hash of the start of the prompt; 0 if there is none.
+    :param prefix_tokens: tokens of that start.
+    :param emit: called with the number of each token, then with None.
     """
 
     def __init__(
         self,
-        prompt: str,
+        prompt_tokens: int,
         output_tokens: int,
-        emit: Callable[[str | None], None],
+        prefix: int,
+        prefix_tokens: int,
+        emit: Callable[[int | None], None],
     ) -> None:
-        self.prompt_tokens = max(1, len(prompt) // CHARACTERS_PER_TOKEN)
-        head = prompt[: PREFIX_TOKENS * CHARACTERS_PER_TOKEN]
-        self.prefix = xxhash.xxh3_64_intdigest(head.encode())
-        self.stamp = f'{xxhash.xxh3_64_intdigest(prompt.encode()):016x}'
-        self.prefill_left = self.prompt_tokens
+        self.prompt_tokens = prompt_tokens
         self.output_tokens = output_tokens
+        self.prefix = prefix
+        self.prefix_tokens = prefix_tokens
+        self.prefill_left = prompt_tokens
+        self.computed_tokens = 0
         self.emitted = 0
         self.emit = emit
         self.cancelled = False
@@ -59,15 +58,26 @@
     """Jobs of an engine; no clock and no socket.
 
     :param speed: speed and memory.
+    :param seen: prefixes that some engine has computed before.
     """
 
-    def __init__(self, speed: EngineSpeed) -> None:
+    def __init__(
+        self, speed: EngineSpeed, seen: set[int] | None = None
+    ) -> None:
         self._speed = speed
+        self._seen = set() if seen is None else seen
         self._jobs: collections.deque[EngineJob] = collections.deque()
-        self._cache: collections.OrderedDict[int, int]
-        self._cache = collections.OrderedDict()
+        self.cache: collections.OrderedDict[int, int]
+        self.cache = collections.OrderedDict()
         self.prefilled_tokens = 0
-        self.wasted_tokens = 0
+        self.cache_events: list[tuple[int, bool]] = []
+        self.recomputed_tokens = 0
+        self.dropped_tokens = 0
+
+    @property
+    def wasted_tokens(self) -> int:
+        """Prompt tokens computed again, or for work then dropped."""
+        return self.recomputed_tokens + self.dropped_tokens
 
     @property
     def running(self) -> int:
@@ -84,10 +94,12 @@
 
     def add(self, job: EngineJob) -> None:
         """Start a job; its cached prefix costs nothing."""
-        if job.prefix in self._cache:
-            self._cache.move_to_end(job.prefix)
-            cached = min(PREFIX_TOKENS, job.prompt_tokens - 1)
+        if job.prefix in self.cache:
+            self.cache.move_to_end(job.prefix)
+            cached = min(job.prefix_tokens, job.prompt_tokens - 1)
             job.prefill_left = job.prompt_tokens - cached
+        elif job.prefix in self._seen:
+            self.recomputed_tokens += job.prefix_tokens
         self._jobs.append(job)
 
     def step(self) -> None:
@@ -106,13 +118,14 @@
             computed = min(budget, job.prefill_left)
             budget -= computed
             job.prefill_left -= computed
+            job.computed_tokens += computed
             self.prefilled_tokens += computed
             if computed and job.prefill_left == 0:
                 self._remember(job.prefix)
 
     def _emit(self, job: EngineJob) -> None:
         job.emitted += 1
-        job.emit(f'{job.stamp}:{job.emitted}')
+        job.emit(job.emitted)
         if job.is_done:
             job.emit(None)
             self._jobs.remove(job)
@@ -120,10 +133,16 @@
     def _drop_cancelled(self) -> None:
         for job in [job for job in self._jobs if job.cancelled]:
             self._jobs.remove(job)
-            self.wasted_tokens += job.prompt_tokens - job.prefill_left
+            self.dropped_tokens += job.computed_tokens
 
     def _remember(self, prefix: int) -> None:
-        self._cache[prefix] = 1
-        self._cache.move_to_end(prefix)
-        while len(self._cache) > self._speed.cached_prefixes:
-            self._cache.popitem(last=False)
+        if not prefix:
+            return
+        self._seen.add(prefix)
+        if prefix not in self.cache:
+            self.cache_events.append((prefix, True))
+        self.cache[prefix] = 1
+        self.cache.move_to_end(prefix)
+        while len(self.cache) > self._speed.cached_prefixes:
+            dropped, _ = self.cache.popitem(last=False)
+            self.cache_events.append((dropped, False))
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/claim_world.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/claim_world.py
@@ -25,7 +25,9 @@
 from lagoonbend.models import SeatPlan
 from lagoonbend.models import Target
 from lagoonbend.models import Verdict
+from lagoonbend.routing import Assignment
 from lagoonbend.routing import TargetState
+from lagoonbend.routing import WorkEstimate
 from lagoonbend_devkit._internal.worlds.action import action
 from lagoonbend_devkit._internal.worlds.action import ACTIONS
 from lagoonbend_devkit._internal.worlds.arrival import Arrival
@@ -46,6 +48,7 @@
     'booking', 'booking', 0, 'service', False, True, CALL_LIFE_MS
 )
 ANSWER = RecordedAnswer(200, '', b'')
+NO_WORK = WorkEstimate(0, 0)
 TARGET = Target('service', 'service', '127.0.0.1', 1, 'north')
 Item = TypeVar('Item')
 
@@ -342,7 +345,7 @@
         elif isinstance(step, ReleaseClaim):
             self._release(attempt, step)
         elif isinstance(step, Admit):
-            attempt.send(TargetState(TARGET))
+            attempt.send(Assignment(TargetState(TARGET), NO_WORK, 0))
         elif isinstance(step, Connect):
             self._connect(attempt)
         elif isinstance(step, Write):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
@@ -96,7 +96,7 @@
         parts = self._parts
         settings = self._settings
         self._rulebook = Rulebook(parts.store)
-        admission = Admission(self._clock, parts.queue, parts.table)
+        admission = Admission(parts.control)
         directory = HolderDirectory(
             settings.instance.name,
             parts.address,
@@ -111,7 +111,6 @@
             settings.serving,
             self._metrics,
         )
-        self._admission = admission
         self._server = CallServer(
             self._clock,
             directory,
@@ -231,7 +230,7 @@
             return
         self._parts.table.apply(fleet.targets)
         log_event(Event.FLEET_APPLIED, revision=fleet.revision)
-        self._admission.pump()
+        self._parts.control.tick()
 
     def _tick(self) -> None:
         while True:
@@ -239,7 +238,7 @@
             if gap_ms is not None:
                 log_event(Event.PAUSE_NOTICED, pause_ms=gap_ms)
             self._parts.ledger.expire()
-            self._admission.pump()
+            self._parts.control.tick()
             gevent.sleep(TICK_S)
 
     def _build_dump(self) -> Dump:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_server.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_server.py
@@ -11,6 +11,7 @@
 from lagoonbend.claims import TicketMint
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import DispatchError
+from lagoonbend.exceptions import RefusedError
 from lagoonbend.invariants import Invariants
 from lagoonbend.models import Call
 from lagoonbend.models import Permit
@@ -132,9 +133,11 @@
         except DispatchError as error:
             self._note_incomplete(path, str(error))
             raise refusals.refuse_incomplete() from error
+        except RefusedError as error:
+            raise refusals.correct(error, path.verdict) from error
         finally:
             response.abort()
-            self._admission.leave(outcome.target, work)
+            self._admission.leave(outcome.target)
             self.attempts.pop(path.call.attempt, None)
         path.complete()
         content_type = response.get_header('content-type')
@@ -150,7 +153,6 @@
         response: target_response.TargetResponse,
     ) -> Iterator[bytes]:
         call = path.call
-        started_ms = self._clock.now_ms()
         record = bytearray()
         events = 0
         lines = response.read_lines()
@@ -161,6 +163,7 @@
         try:
             for event in relayed:
                 events += 1
+                outcome.target.note_first_token(self._clock.now_ms())
                 if event_stream.is_end_marker(event):
                     path.complete()
                 if outcome.permit and len(record) <= RECORD_LIMIT_BYTES:
@@ -169,11 +172,13 @@
         except event_stream.IncompleteStreamError as error:
             self._note_incomplete(path, str(error))
             raise
+        except RefusedError as error:
+            refused = refusals.correct(error, path.verdict)
+            yield event_stream.write_error_event(refused.refusal)
+            raise event_stream.IncompleteStreamError(str(error)) from error
         finally:
             response.abort()
-            elapsed_ms = self._clock.now_ms() - started_ms
-            outcome.target.learn(events, elapsed_ms)
-            self._admission.leave(outcome.target, work)
+            self._admission.leave(outcome.target)
             self.attempts.pop(call.attempt, None)
             self._metrics.tokens.add({}, events)
             if path.verdict is Verdict.RAN:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/parts.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/parts.py
@@ -12,9 +12,10 @@
 from lagoonbend.configuration import PartStore
 from lagoonbend.invariants import Invariants
 from lagoonbend.membership import FleetView
+from lagoonbend.queueing import AdmissionControl
+from lagoonbend.queueing import Applicant
 from lagoonbend.queueing import TierQueue
 from lagoonbend.routing import TargetTable
-from lagoonbend_entry._internal.serving.waiting_call import WaitingCall
 from lagoonbend_entry._internal.settings.settings import Settings
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
@@ -73,10 +74,18 @@
             policy=settings.serving.policy,
             rng=random.Random(),
             outstanding_limit=settings.serving.outstanding_limit,
+            backlog_limit_ms=settings.serving.backlog_limit_ms,
         )
-        self.queue: TierQueue[WaitingCall] = TierQueue(
+        self.queue: TierQueue[Applicant] = TierQueue(
             settings.serving.queue_capacity, self.invariants
         )
+        self.control = AdmissionControl(
+            clock,
+            self.queue,
+            self.table,
+            self.invariants,
+            preempt_slack_ms=settings.serving.preempt_slack_ms,
+        )
 
     @classmethod
     def from_config(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/step_driver.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/step_driver.py
@@ -21,7 +21,7 @@
 from lagoonbend.exceptions import LagoonbendError
 from lagoonbend.models import ClaimReply
 from lagoonbend.models import Verdict
-from lagoonbend.routing import TargetState
+from lagoonbend.routing import Assignment
 from lagoonbend.routing import WorkEstimate
 from lagoonbend_entry._internal.network.targets import target_client
 from lagoonbend_entry._internal.network.targets import target_response
@@ -120,7 +120,7 @@
         self._courier.release(step.permit)
 
     @handles(Admit)
-    def _admit(self, drive: Drive, step: Admit) -> TargetState:
+    def _admit(self, drive: Drive, step: Admit) -> Assignment:
         return self._admission.admit(drive.path.call, drive.work)
 
     @handles(Connect)
@@ -129,13 +129,13 @@
     ) -> target_client.TargetConnection:
         try:
             return target_client.TargetConnection(
-                step.target.target,
+                step.target.state.target,
                 connect_timeout_ms=self._settings.connect_timeout_ms,
                 silence_timeout_ms=self._settings.target_timeout_ms,
             )
         except DispatchError as error:
             attempt = drive.path.call.attempt
-            _note_failure(attempt, step.target.target.target, error)
+            _note_failure(attempt, step.target.state.target.target, error)
             raise
 
     @handles(Abandon)
@@ -165,8 +165,8 @@
     @handles(Leave)
     def _leave(self, drive: Drive, step: Leave) -> None:
         if step.failed:
-            step.target.avoid_until_ms = self._clock.now_ms() + AVOID_MS
-        self._admission.leave(step.target, drive.work)
+            step.target.state.avoid_until_ms = self._clock.now_ms() + AVOID_MS
+        self._admission.leave(step.target)
 
 
 def _note_failure(attempt: str, target: str, error: DispatchError) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/waiting_call.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/waiting_call.py
@@ -1,15 +1,16 @@
 """A call that waits for a target."""
 
+import gevent
 import gevent.event
 
 from lagoonbend.exceptions import RefusedError
 from lagoonbend.models import Call
-from lagoonbend.routing import TargetState
+from lagoonbend.routing import Assignment
 from lagoonbend.routing import WorkEstimate
 
 
 class WaitingCall:
-    """A call with the greenlet that waits for its turn.
+    """A call with the greenlet that serves it.
 
     :param call: the call.
     :param work: its estimated work.
@@ -18,28 +19,30 @@
     def __init__(self, call: Call, work: WorkEstimate) -> None:
         self.call = call
         self.work = work
+        self._worker = gevent.getcurrent()
         self._turn: gevent.event.AsyncResult = gevent.event.AsyncResult()
 
-    def give(self, state: TargetState) -> None:
+    def give(self, assignment: Assignment) -> None:
         """Let the call run at a target."""
-        self._turn.set(state)
+        self._turn.set(assignment)
 
     def refuse(self, error: RefusedError) -> None:
-        """Let the call fail."""
+        """Let the call fail while it waits."""
         self._turn.set_exception(error)
 
-    def wait(self, timeout_s: float) -> TargetState | None:
-        """Wait for the turn; None if it did not come in time.
+    def preempt(self, error: RefusedError) -> None:
+        """Let the call fail while it runs."""
+        gevent.kill(self._worker, error)
+
+    def wait(self) -> Assignment:
+        """Wait for the turn.
 
         :raises RefusedError: if the call was refused meanwhile.
         """
-        try:
-            state: TargetState = self._turn.get(timeout=timeout_s)
-        except gevent.Timeout:
-            return None
-        return state
-
-    def take_turn(self) -> TargetState | None:
-        """Return the target if the turn has come, else None."""
+        assignment: Assignment = self._turn.get()
+        return assignment
+
+    def take_turn(self) -> Assignment | None:
+        """Return the turn if it has come, else None."""
         value = self._turn.value
-        return value if isinstance(value, TargetState) else None
+        return value if isinstance(value, Assignment) else None
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/serving_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/serving_settings.py
@@ -9,6 +9,10 @@
     :param queue_capacity: greatest number of waiting requests.
     :param policy: registered policy that chooses a target.
     :param outstanding_limit: greatest number of requests at one target.
+    :param backlog_limit_ms: greatest expected time to the first token at a
+        target that gets a request of the most urgent tier.
+    :param preempt_slack_ms: time before its deadline at which a waiting
+        request takes the place of a running one of a lower tier.
     :param connect_timeout_ms: time to connect to a target.
     :param target_timeout_ms: greatest silence of a target.
     :param drain_notice_ms: time for the balancer to notice a shutdown.
@@ -16,8 +20,10 @@
     """
 
     queue_capacity: int = 256
-    policy: str = 'least_outstanding'
-    outstanding_limit: int = 16
+    policy: str = 'expected_time'
+    outstanding_limit: int = 64
+    backlog_limit_ms: int = 1_000
+    preempt_slack_ms: int = 500
     connect_timeout_ms: int = 500
     target_timeout_ms: int = 30_000
     drain_notice_ms: int = 2_000
--- a/packages/lagoonbend/src/lagoonbend/_internal/attempts/attempt_path.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/attempts/attempt_path.py
@@ -29,7 +29,7 @@
 from lagoonbend._internal.models.claim_request import ClaimRequest
 from lagoonbend._internal.models.permit import Permit
 from lagoonbend._internal.models.verdict import Verdict
-from lagoonbend._internal.routing.target_state import TargetState
+from lagoonbend._internal.routing.assignment import Assignment
 from lagoonbend._internal.utils.clock import Clock
 from lagoonbend._internal.utils.fingerprint import fingerprint
 from lagoonbend._internal.utils.invariants import Invariants
@@ -169,7 +169,7 @@
             'No target could be connected to.', self.verdict
         )
 
-    def _try_target(self, target: TargetState) -> Generator[Step, Any, object]:
+    def _try_target(self, target: Assignment) -> Generator[Step, Any, object]:
         connection = yield Connect(target)
         if self._is_late():
             yield Abandon(connection)
@@ -187,10 +187,10 @@
             'The target gave no answer.', self.verdict
         )
 
-    def _begin_dispatch(self, target: TargetState) -> None:
+    def _begin_dispatch(self, target: Assignment) -> None:
         if not self.dispatches:
             self._budget.earn()
-        self.target = target.target.target
+        self.target = target.state.target.target
         self.dispatches += 1
         self.verdict = Verdict.MAY_HAVE_RUN
         self._invariants.check(
--- a/packages/lagoonbend/src/lagoonbend/_internal/attempts/dispatched.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/attempts/dispatched.py
@@ -4,7 +4,7 @@
 
 from lagoonbend._internal.models.permit import Permit
 from lagoonbend._internal.models.recorded_answer import RecordedAnswer
-from lagoonbend._internal.routing.target_state import TargetState
+from lagoonbend._internal.routing.assignment import Assignment
 
 
 class Replayed(NamedTuple):
@@ -21,12 +21,12 @@
 
     Whoever drives the attempt reads the answer and leaves the target.
 
-    :param target: the target.
+    :param target: the call at its target.
     :param response: the begun answer.
     :param permit: the claim, if the call has a key.
     """
 
-    target: TargetState
+    target: Assignment
     response: object
     permit: Permit | None
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/attempts/steps/admit.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/attempts/steps/admit.py
@@ -6,5 +6,5 @@
 class Admit(NamedTuple):
     """Wait until a target has room.
 
-    Result: a TargetState that counts the work. Raises RefusedError.
+    Result: an Assignment that counts the work. Raises RefusedError.
     """
--- a/packages/lagoonbend/src/lagoonbend/_internal/attempts/steps/connect.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/attempts/steps/connect.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from lagoonbend._internal.routing.target_state import TargetState
+from lagoonbend._internal.routing.assignment import Assignment
 
 
 class Connect(NamedTuple):
@@ -10,7 +10,7 @@
 
     Result: a connection. Raises DispatchError with verdict not run.
 
-    :param target: the target.
+    :param target: the call at its target.
     """
 
-    target: TargetState
+    target: Assignment
--- a/packages/lagoonbend/src/lagoonbend/_internal/attempts/steps/leave.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/attempts/steps/leave.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from lagoonbend._internal.routing.target_state import TargetState
+from lagoonbend._internal.routing.assignment import Assignment
 
 
 class Leave(NamedTuple):
@@ -10,9 +10,9 @@
 
     No result and no error.
 
-    :param target: the target.
+    :param target: the call at its target.
     :param failed: True if the target is to be avoided for a while.
     """
 
-    target: TargetState
+    target: Assignment
     failed: bool
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/queueing/admission_control.py
@@ -0,0 +1,192 @@
+"""Which calls wait, run, make room for others and are given up."""
+
+from collections.abc import Iterator
+
+from lagoonbend._internal.attempts import refusals
+from lagoonbend._internal.models.call import Call
+from lagoonbend._internal.queueing.applicant import Applicant
+from lagoonbend._internal.queueing.tier_queue import TierQueue
+from lagoonbend._internal.queueing.waiter import Waiter
+from lagoonbend._internal.routing.assignment import Assignment
+from lagoonbend._internal.routing.target_table import matches
+from lagoonbend._internal.routing.target_table import TargetTable
+from lagoonbend._internal.utils.clock import Clock
+from lagoonbend._internal.utils.invariants import Invariants
+
+MILLISECONDS_PER_SECOND = 1000
+SHORTEST_RETRY_MS = 500
+LONGEST_RETRY_MS = 30_000
+
+
+class AdmissionControl:
+    """Admits calls in order of tier and deadline.
+
+    A call is given up only if no work of a lower tier that could make room
+    for it is kept by this instance: neither a waiting call in a full queue,
+    nor an idempotent call that runs at an engine the urgent call could use.
+
+    :param clock: clock of the instance.
+    :param queue: waiting calls.
+    :param table: targets.
+    :param invariants: checks that must always hold.
+    :param preempt_slack_ms: time before its deadline at which a waiting
+        call takes the place of a running one of a lower tier.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        queue: TierQueue[Applicant],
+        table: TargetTable,
+        invariants: Invariants,
+        *,
+        preempt_slack_ms: int,
+    ) -> None:
+        self._clock = clock
+        self._queue = queue
+        self._table = table
+        self._invariants = invariants
+        self._preempt_slack_ms = preempt_slack_ms
+        self._running: dict[Assignment, Applicant] = {}
+
+    def apply(self, applicant: Applicant) -> Waiter[Applicant] | None:
+        """Let a call wait; it may be given a target at once.
+
+        :returns: None if the call was refused.
+        """
+        call = applicant.call
+        if not self._table.serves(call.request_class.kind, call.model):
+            applicant.refuse(refusals.refuse_no_target(refusals.SOON_MS))
+            return None
+        self._table.note_arrival(applicant.work, call.request_class.rank)
+        offer = self._queue.offer(
+            applicant, call.request_class.rank, call.deadline_ms
+        )
+        if offer.displaced is not None:
+            error = refusals.refuse_displaced(self.estimate_wait_ms())
+            offer.displaced.item.refuse(error)
+        if offer.accepted is None:
+            return self._apply_again(applicant)
+        self.pump()
+        return offer.accepted
+
+    def withdraw(self, waiter: Waiter[Applicant]) -> bool:
+        """Take a call out of the queue; False if it waits no more."""
+        return self._queue.remove(waiter)
+
+    def leave(self, assignment: Assignment) -> None:
+        """Count a call at a target as over and let others run."""
+        self._running.pop(assignment, None)
+        self._table.end(assignment)
+        self.pump()
+
+    def pump(self) -> None:
+        """Give targets with room to the most urgent waiting calls."""
+        rooms: dict[tuple[str, str, int], bool] = {}
+        for waiter in list(self._queue):
+            call = waiter.item.call
+            pool = (call.request_class.kind, call.model, waiter.rank)
+            if pool not in rooms:
+                rooms[pool] = self._table.has_room(*pool)
+            if rooms[pool] and self._try_assign(waiter):
+                del rooms[pool]
+
+    def tick(self) -> None:
+        """Do what time asks for; call often."""
+        self.pump()
+        now_ms = self._clock.now_ms()
+        for waiter in list(self._queue):
+            if waiter.deadline_ms - now_ms <= self._preempt_slack_ms:
+                self._preempt_for(waiter)
+        for waiter in self._queue.expire(now_ms):
+            self._check_kept(waiter)
+            waiter.item.refuse(refusals.refuse_late())
+
+    def estimate_wait_ms(self) -> int:
+        """Return how long the waiting work will take."""
+        tokens = sum(waiter.item.work.tokens for waiter in self._queue)
+        tokens += sum(state.outstanding_tokens for state in self._table)
+        speed = sum(state.tokens_per_s for state in self._table)
+        if not speed:
+            return LONGEST_RETRY_MS
+        wait_ms = int(tokens / speed * MILLISECONDS_PER_SECOND)
+        return max(SHORTEST_RETRY_MS, min(wait_ms, LONGEST_RETRY_MS))
+
+    def _try_assign(self, waiter: Waiter[Applicant]) -> bool:
+        applicant = waiter.item
+        request_class = applicant.call.request_class
+        assignment = self._table.assign(
+            request_class.kind,
+            applicant.call.model,
+            applicant.work,
+            waiter.rank,
+            can_wait=self._has_slack(applicant.call),
+        )
+        if assignment is None:
+            return False
+        self._queue.remove(waiter)
+        self._running[assignment] = applicant
+        applicant.give(assignment)
+        return True
+
+    def _has_slack(self, call: Call) -> bool:
+        """Return True in the first half of the time to the deadline."""
+        now_ms = self._clock.now_ms()
+        return now_ms - call.received_ms < call.deadline_ms - now_ms
+
+    def _apply_again(self, applicant: Applicant) -> Waiter[Applicant] | None:
+        """Make room for a call that found the queue full, or refuse it."""
+        first = next(iter(self._queue), None)
+        if first is not None and self._preempt_for(first):
+            return self.apply(applicant)
+        error = refusals.refuse_queue_full(self.estimate_wait_ms())
+        applicant.refuse(error)
+        return None
+
+    def _preempt_for(self, waiter: Waiter[Applicant]) -> bool:
+        """Stop the cheapest running call of a lower tier; run the waiter."""
+        victims = self._list_victims(waiter)
+        victim = min(victims, key=_count_lost_tokens, default=None)
+        if victim is None:
+            return False
+        applicant = self._running.pop(victim)
+        self._table.end(victim)
+        assignment = Assignment(
+            victim.state, waiter.item.work, self._clock.now_ms()
+        )
+        self._queue.remove(waiter)
+        victim.state.running.add(assignment)
+        self._running[assignment] = waiter.item
+        error = refusals.refuse_displaced(self.estimate_wait_ms())
+        applicant.preempt(error)
+        waiter.item.give(assignment)
+        return True
+
+    def _list_victims(self, waiter: Waiter[Applicant]) -> Iterator[Assignment]:
+        call = waiter.item.call
+        for assignment, applicant in self._running.items():
+            request_class = applicant.call.request_class
+            if (
+                request_class.rank > waiter.rank
+                and request_class.idempotent
+                and request_class.kind == 'engine'
+                and not assignment.state.target.leaving
+                and matches(
+                    assignment.state, call.request_class.kind, call.model
+                )
+            ):
+                yield assignment
+
+    def _check_kept(self, waiter: Waiter[Applicant]) -> None:
+        self._invariants.check(
+            not any(self._list_victims(waiter)),
+            'no_shed_while_lower_tier_kept',
+            f'rank {waiter.rank} given up, a lower tier runs',
+        )
+
+
+def _count_lost_tokens(assignment: Assignment) -> int:
+    """Return the computed tokens that a preemption wastes, at most."""
+    if assignment.first_token_ms is None:
+        return 0
+    return assignment.work.prompt_tokens
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Policies that choose a target, one a module."""
--- a/packages/lagoonbend/src/lagoonbend/_internal/routing/least_outstanding.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/policies/least_reported.py
@@ -1,4 +1,4 @@
-"""Least own outstanding work."""
+"""Least reported load."""
 
 from collections.abc import Sequence
 import random
@@ -8,13 +8,15 @@
 from lagoonbend._internal.routing.work_estimate import WorkEstimate
 
 
-@register_policy('least_outstanding')
-class LeastOutstanding:
-    """Chooses the target whose own outstanding work ends first.
+@register_policy('least_reported')
+class LeastReported:
+    """Chooses the target whose latest report shows the least work.
 
-    :param rng: breaks ties.
+    :param rng: source of random choices.
     """
 
+    uses_reserve = False
+
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
 
@@ -24,11 +26,20 @@
         work: WorkEstimate,
         now_ms: int,
     ) -> TargetState:
-        """Return the candidate with the shortest expected work."""
+        """Return one of the candidates."""
         return min(
             candidates,
             key=lambda state: (
-                (state.outstanding_tokens + work.tokens) / state.tokens_per_s,
+                state.report.waiting_tokens if state.report else 0,
                 self._rng.random(),
             ),
         )
+
+    def find_home(
+        self,
+        candidates: Sequence[TargetState],
+        work: WorkEstimate,
+        now_ms: int,
+    ) -> TargetState | None:
+        """Return None: prefixes are not looked at."""
+        return None
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/policies/two_choices.py
@@ -0,0 +1,45 @@
+"""Power of two choices on reported load."""
+
+from collections.abc import Sequence
+import random
+
+from lagoonbend._internal.routing.policy import register_policy
+from lagoonbend._internal.routing.target_state import TargetState
+from lagoonbend._internal.routing.work_estimate import WorkEstimate
+
+
+@register_policy('two_choices')
+class TwoChoices:
+    """Draws two targets and takes the one with the lower reported load.
+
+    :param rng: source of random choices.
+    """
+
+    uses_reserve = False
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def choose(
+        self,
+        candidates: Sequence[TargetState],
+        work: WorkEstimate,
+        now_ms: int,
+    ) -> TargetState:
+        """Return one of the candidates."""
+        pair = self._rng.sample(list(candidates), min(2, len(candidates)))
+        return min(
+            pair,
+            key=lambda state: (
+                state.report.waiting_tokens if state.report else 0
+            ),
+        )
+
+    def find_home(
+        self,
+        candidates: Sequence[TargetState],
+        work: WorkEstimate,
+        now_ms: int,
+    ) -> TargetState | None:
+        """Return None: prefixes are not looked at."""
+        return None
--- a/packages/lagoonbend/src/lagoonbend/_internal/routing/policy.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/policy.py
@@ -10,7 +10,13 @@
 
 
 class Policy(Protocol):
-    """Chooses one of several targets that can serve a request."""
+    """Chooses one of several targets that can serve a request.
+
+    ``uses_reserve`` tells whether engines are kept free of lower tiers and
+    calls wait for the target that their prefix belongs to.
+    """
+
+    uses_reserve: bool
 
     def choose(
         self,
@@ -20,6 +26,14 @@
     ) -> TargetState:
         """Return one of the candidates, of which there is at least one."""
 
+    def find_home(
+        self,
+        candidates: Sequence[TargetState],
+        work: WorkEstimate,
+        now_ms: int,
+    ) -> TargetState | None:
+        """Return the target that is worth waiting for, if there is one."""
+
 
 PolicyFactory = Callable[[random.Random], Policy]
 POLICIES: dict[str, PolicyFactory] = {}
--- a/packages/lagoonbend/src/lagoonbend/routing.py
+++ b/packages/lagoonbend/src/lagoonbend/routing.py
@@ -1,6 +1,8 @@
 """Choice of a target on stale and sparse load."""
 
+from lagoonbend._internal.models.cache_event import CacheEvent
 from lagoonbend._internal.models.load_report import LoadReport
+from lagoonbend._internal.routing.assignment import Assignment
 from lagoonbend._internal.routing.policy import POLICIES
 from lagoonbend._internal.routing.policy import Policy
 from lagoonbend._internal.routing.policy import register_policy
@@ -10,6 +12,8 @@
 
 __all__ = [
     'POLICIES',
+    'Assignment',
+    'CacheEvent',
     'LoadReport',
     'Policy',
     'TargetState',
