Share loads, limits, documents and lists among peers; hold after a pause

Cause: the exchange asked every peer in every round, which grows with the square of the fleet; loads were not read; limits did not exist; a domain without the platform could not get a newer list; an instance that woke from a pause went on with old facts; an empty instance before a stale platform could put an older document into force.

Ruled out: polling each target from each instance (252,000 polls/s at the size to design for); static shares of limits (see measure limits).

Change: 3 peers a round whatever the fleet, each engine polled by one instance of its domain, limits divided by an owner that never gives out more than the limit, documents and lists fetched from peers, a hold after a pause until a peer asked afterwards has answered, a join with the peers before a document of the platform is put into force.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/commands.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/commands.py
@@ -4,6 +4,7 @@
 
 from lagoonbend_devkit._internal.experiments import claim_experiment
 from lagoonbend_devkit._internal.experiments import claim_latency
+from lagoonbend_devkit._internal.experiments import limit_experiment
 from lagoonbend_devkit._internal.experiments import model_cases
 from lagoonbend_devkit._internal.experiments import model_experiment
 from lagoonbend_devkit._internal.experiments.tables import write_table
@@ -55,3 +56,12 @@
         model_experiment.Measure._fields,
         model_experiment.measure_cases(model_cases.list_tier_cases()),
     )
+
+
+@experiment('limits')
+def measure_limits() -> str:
+    """Return what passes of twice a limit, by way and fault."""
+    return write_table(
+        limit_experiment.LimitResult._fields,
+        limit_experiment.run_limit_experiment(),
+    )
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/instance_spec.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/instance_spec.py
@@ -35,6 +35,9 @@
 
 [serving]
 drain_notice_ms = 300
+
+[faults]
+links = on
 """
 
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/local_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/local_fleet.py
@@ -17,6 +17,7 @@
 from lagoonbend_devkit._internal.fleet.sample_part import build_part
 from lagoonbend_devkit._internal.fleet.sample_part import CALLER_KEY
 from lagoonbend_devkit._internal.fleet.sample_part import PARTNER
+from lagoonbend_entry.dump import Dump
 
 DOMAINS = ('lake-north', 'lake-south')
 MODELS = ['assistant', 'drafter']
@@ -144,6 +145,17 @@
         body = msgspec.json.encode(faults)
         self._put(port, '/control/faults', body)
 
+    def cut_links(self, instance: str, addresses: list[str]) -> None:
+        """Cut an instance off from exactly these addresses."""
+        body = msgspec.json.encode(addresses)
+        self._put(self.instances[instance].operator_port, '/links', body)
+
+    def read_dump(self, instance: str) -> Dump:
+        """Return the state of an instance."""
+        port = self.instances[instance].operator_port
+        answer = exchange(port, 'GET', '/dump')
+        return msgspec.json.decode(answer.body, type=Dump)
+
     def call(
         self,
         instance: str,
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/model/model_settings.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/model/model_settings.py
@@ -37,6 +37,6 @@
     slowed: int = 0
     has_tiers: bool = True
     outstanding_limit: int = 64
-    backlog_limit_ms: int = 1_000
+    backlog_limit_ms: int = 300
     preempt_slack_ms: int = 500
     queue_capacity: int = 256
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/platform.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/platform.py
@@ -21,12 +21,14 @@
     def __init__(self) -> None:
         self.version = 0
         self.body = b''
+        self.history: list[tuple[int, bytes]] = [(0, b'')]
         self._changed = gevent.event.Event()
 
     def publish(self, body: bytes) -> None:
         """Replace the value and wake all waiting readers."""
         self.version += 1
         self.body = body
+        self.history.append((self.version, body))
         self._changed.set()
         self._changed = gevent.event.Event()
 
@@ -38,7 +40,8 @@
 class ValueResource:
     """Reads and watches of one value.
 
-    Fault ``down`` answers 503; fault ``stale`` hides new versions.
+    Fault ``down`` answers 503; ``stale`` hides new versions; ``behind``
+    serves as many versions back as it says.
 
     :param value: value.
     :param faults: faults of the stand-in.
@@ -82,6 +85,9 @@
         return bool(self._faults['down'])
 
     def _read(self) -> tuple[int, bytes]:
+        if self._faults['behind']:
+            last = len(self._value.history) - 1
+            return self._value.history[max(0, last - self._faults['behind'])]
         if not self._faults['stale']:
             self._stale = (self._value.version, self._value.body)
         return self._stale
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
@@ -1,5 +1,7 @@
 """An entry instance: listeners, watchers and decision parts."""
 
+import functools
+import random
 import signal
 
 import gevent
@@ -29,6 +31,8 @@
 from lagoonbend_entry._internal.serving.call_server import CallServer
 from lagoonbend_entry._internal.serving.claim_courier import ClaimCourier
 from lagoonbend_entry._internal.serving.dump_builder import DumpBuilder
+from lagoonbend_entry._internal.serving.limit_sharer import LimitSharer
+from lagoonbend_entry._internal.serving.load_poller import LoadPoller
 from lagoonbend_entry._internal.serving.part_applier import PartApplier
 from lagoonbend_entry._internal.serving.parts import Parts
 from lagoonbend_entry._internal.serving.peer_book import PeerBook
@@ -44,8 +48,9 @@
 MILLISECONDS_PER_SECOND = 1000
 TICK_S = 0.1
 BACKLOG = 256
-DOCUMENT_PATH = '/v1/values/document'
-FLEET_PATH = '/v1/fleet'
+JOIN_TIMEOUT_S = 3.0
+HOLD_MS = 2_000
+VALUE_PATHS = {'document': '/v1/values/document', 'fleet': '/v1/fleet'}
 
 
 class Instance:
@@ -62,6 +67,7 @@
         self._parts = Parts.from_config(settings, clock, self._metrics)
         self._stopped = gevent.event.Event()
         self._state = 'starting'
+        self._woke_ms = 0
         self._gate = LinkGate()
         self._loop = PeerLoop(HubBridge())
         self._peers = PeerClient(
@@ -83,6 +89,8 @@
         for watcher in self._watchers:
             gevent.spawn(watcher.run)
         gevent.spawn(self._exchange.run)
+        gevent.spawn(self._poller.run)
+        gevent.spawn(self._limits.run)
         gevent.spawn(self._tick)
         self._caller_server.start()
         self._operator_server.start()
@@ -126,39 +134,49 @@
     def _build_watching(self) -> None:
         parts = self._parts
         settings = self._settings
+        me = settings.instance
         self._book = PeerBook(
-            settings.instance.name,
+            me.name,
             parts.address,
+            me.failure_domain,
             self._clock,
             parts.store,
             parts.fleet,
             parts.ownership,
+            parts.table,
         )
         self._applier = PartApplier(parts.store, parts.ownership, self._book)
         self._exchange = PeerExchange(
-            settings.instance.name,
+            me.name,
+            me.failure_domain,
             self._clock,
             parts.fleet,
+            parts.ownership,
             self._peers,
             self._book,
-            self._applier,
+            self._apply_value,
+            self._confirm_facts,
+            random.Random(),
             heartbeat_ms=settings.peers.heartbeat_ms,
         )
+        self._poller = LoadPoller(
+            me.name,
+            me.failure_domain,
+            self._clock,
+            parts.fleet,
+            parts.table,
+        )
+        self._limits = LimitSharer(
+            me.name, self._clock, parts.fleet, self._peers, self._book
+        )
         self._watchers = [
             PlatformWatcher(
-                'document',
-                self._build_reader(DOCUMENT_PATH),
-                lambda body: self._apply_document(body),
-                lambda: None,
+                value,
+                self._build_reader(path),
+                functools.partial(self._apply_platform_value, value),
                 retry_ms=settings.platform.retry_ms,
-            ),
-            PlatformWatcher(
-                'fleet',
-                self._build_reader(FLEET_PATH),
-                self._apply_fleet,
-                lambda: None,
-                retry_ms=settings.platform.retry_ms,
-            ),
+            )
+            for value, path in VALUE_PATHS.items()
         ]
         self._dumps = DumpBuilder(
             settings.instance, self._clock, parts, self._book, self._server
@@ -184,6 +202,7 @@
             self._clock,
             self._rulebook,
             parts.pauses,
+            self._limits,
             body_limit_bytes=callers.body_limit_bytes,
             body_timeout_ms=callers.body_timeout_ms,
         )
@@ -205,6 +224,7 @@
                     self._state == 'serving'
                     and parts.store.current is not None
                 ),
+                self._gate if self._settings.faults.links == 'on' else None,
             ),
             log=None,
         )
@@ -217,10 +237,20 @@
         self._peer_server = Server([service])
         await self._peer_server.start(peers.address, peers.port)
 
-    def _apply_document(self, body: bytes) -> None:
-        self._applier.apply(body, 'platform')
+    def _apply_platform_value(self, value: str, body: bytes) -> None:
+        if value == 'document':
+            # A stale platform must not take an empty instance back to a
+            # document that its peers have left behind.
+            self._exchange.joined.wait(JOIN_TIMEOUT_S)
+        self._apply_value(value, body, 'platform')
+
+    def _apply_value(self, value: str, body: bytes, source: str) -> None:
+        if value == 'document':
+            self._applier.apply(body, source)
+        else:
+            self._apply_fleet(body, source)
 
-    def _apply_fleet(self, body: bytes) -> None:
+    def _apply_fleet(self, body: bytes, source: str) -> None:
         try:
             fleet = platform_reader.parse_fleet(body)
         except PlatformError as error:
@@ -228,19 +258,26 @@
             return
         if not self._parts.fleet.apply(fleet):
             return
+        self._book.keep_value('fleet', body)
         self._parts.table.apply(fleet.targets)
-        log_event(Event.FLEET_APPLIED, revision=fleet.revision)
+        log_event(Event.FLEET_APPLIED, revision=fleet.revision, source=source)
         self._parts.control.tick()
 
     def _tick(self) -> None:
         while True:
             gap_ms = self._parts.pauses.observe()
             if gap_ms is not None:
+                self._woke_ms = self._clock.now_ms()
+                self._parts.control.hold(self._woke_ms + HOLD_MS)
                 log_event(Event.PAUSE_NOTICED, pause_ms=gap_ms)
             self._parts.ledger.expire()
             self._parts.control.tick()
             gevent.sleep(TICK_S)
 
+    def _confirm_facts(self, asked_ms: int) -> None:
+        if asked_ms >= self._woke_ms:
+            self._parts.control.resume()
+
     def _build_dump(self) -> Dump:
         failures = sum(watcher.failures for watcher in self._watchers)
         return self._dumps.build(self._state, failures)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/digest.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/digest.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from lagoonbend_entry._internal.models.aged_load import AgedLoad
+
 
 class Digest(NamedTuple):
     """Revisions that an instance has in force.
@@ -13,6 +15,7 @@
     :param part_digest: digest of that part.
     :param fleet_revision: revision of the list.
     :param seat_epoch: epoch of the owners of bare keys.
+    :param loads: latest loads of targets.
     """
 
     instance: str
@@ -22,3 +25,4 @@
     part_digest: str
     fleet_revision: int
     seat_epoch: int
+    loads: tuple[AgedLoad, ...] = ()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/operators/operator_app.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/operators/operator_app.py
@@ -3,8 +3,10 @@
 from collections.abc import Callable
 
 import falcon
+import msgspec
 
 from lagoonbend_entry._internal.models.dump import Dump
+from lagoonbend_entry._internal.network.link_gate import LinkGate
 from lagoonbend_entry._internal.utils.metrics import Metrics
 
 PROMETHEUS_MEDIA_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
@@ -62,10 +64,28 @@
         response.text = 'yes\n' if healthy else 'no\n'
 
 
+class LinksResource:
+    """``PUT /links``: a list of addresses that are cut off; for tests.
+
+    :param gate: links of the instance.
+    """
+
+    def __init__(self, gate: LinkGate) -> None:
+        self._gate = gate
+
+    def on_put(
+        self, request: falcon.Request, response: falcon.Response
+    ) -> None:
+        """Replace the cut addresses."""
+        body = request.bounded_stream.read()
+        self._gate.cut = frozenset(msgspec.json.decode(body, type=list[str]))
+
+
 def build_operator_app(
     build_dump: Callable[[], Dump],
     metrics: Metrics,
     is_ready: Callable[[], bool],
+    gate: LinkGate | None,
 ) -> falcon.App:
     """Return the application that serves operators."""
     app = falcon.App()
@@ -73,4 +93,6 @@
     app.add_route('/metrics', MetricsResource(metrics))
     app.add_route('/ready', HealthResource(is_ready))
     app.add_route('/live', HealthResource(lambda: True))
+    if gate is not None:
+        app.add_route('/links', LinksResource(gate))
     return app
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_client.py
@@ -117,16 +117,33 @@
 
         return self._ask(address, call)
 
-    def fetch_part(self, address: str, partner: str) -> bytes:
-        """Return the document with a partner's part.
+    def fetch_value(self, address: str, value: str) -> bytes:
+        """Return a value of the platform as the instance has it.
 
         :raises PeerError: if the instance does not answer in time.
         """
 
         async def call(stub: peer_grpc.PeerStub) -> bytes:
-            message = peer_pb2.FetchPartRequest(partner=partner)
-            reply = await stub.FetchPart(message, timeout=self._timeout_s)
-            return reply.document
+            message = peer_pb2.FetchValueRequest(value=value)
+            reply = await stub.FetchValue(message, timeout=self._timeout_s)
+            return reply.body
+
+        return self._ask(address, call)
+
+    def report_demand(
+        self, address: str, instance: str, demands: dict[str, float]
+    ) -> dict[str, float]:
+        """Report demands to an owner of limits; return the shares.
+
+        :raises PeerError: if the instance does not answer in time.
+        """
+
+        async def call(stub: peer_grpc.PeerStub) -> dict[str, float]:
+            message = peer_pb2.DemandReport(
+                instance=instance, demand_per_s=demands
+            )
+            reply = await stub.ReportDemand(message, timeout=self._timeout_s)
+            return dict(reply.shares)
 
         return self._ask(address, call)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_messages.py
@@ -5,6 +5,7 @@
 from lagoonbend.models import ClaimRequest
 from lagoonbend.models import RecordedAnswer
 from lagoonbend.models import Verdict
+from lagoonbend_entry._internal.models.aged_load import AgedLoad
 from lagoonbend_entry._internal.models.digest import Digest
 from lagoonbend_entry._internal.network.peers.generated import peer_pb2
 
@@ -57,7 +58,9 @@
 
 def write_digest(digest: Digest) -> peer_pb2.Digest:
     """Return the message for a digest."""
-    return peer_pb2.Digest(**digest._asdict())
+    fields = digest._asdict()
+    fields['loads'] = [peer_pb2.Load(**x._asdict()) for x in digest.loads]
+    return peer_pb2.Digest(**fields)
 
 
 def read_digest(message: peer_pb2.Digest) -> Digest:
@@ -70,4 +73,8 @@
         message.part_digest,
         message.fleet_revision,
         message.seat_epoch,
+        tuple(
+            AgedLoad(x.target, x.running, x.waiting_tokens, x.age_ms)
+            for x in message.loads
+        ),
     )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_service.py
@@ -24,8 +24,13 @@
     def exchange(self, digest: Digest) -> Digest:
         """Note a peer's digest and return one's own."""
 
-    def fetch_part(self, partner: str) -> bytes:
-        """Return the document with a partner's part; empty if unknown."""
+    def fetch_value(self, value: str) -> bytes:
+        """Return a value of the platform; empty if unknown."""
+
+    def report_demand(
+        self, instance: str, demands: dict[str, float]
+    ) -> dict[str, float]:
+        """Note a peer's demands; return its shares."""
 
 
 class PeerService(peer_grpc.PeerBase):
@@ -118,18 +123,33 @@
         )
         await stream.send_message(peer_messages.write_digest(own))
 
-    async def FetchPart(  # noqa: N802
+    async def FetchValue(  # noqa: N802
         self,
-        stream: Stream[peer_pb2.FetchPartRequest, peer_pb2.FetchPartReply],
+        stream: Stream[peer_pb2.FetchValueRequest, peer_pb2.FetchValueReply],
     ) -> None:
-        """Hand out a part of the document."""
+        """Hand out a value of the platform."""
         message = await stream.recv_message()
         if message is None:
             return
-        document = await self._loop.run_in_hub(
-            lambda: self._digests.fetch_part(message.partner)
+        body = await self._loop.run_in_hub(
+            lambda: self._digests.fetch_value(message.value)
+        )
+        await stream.send_message(peer_pb2.FetchValueReply(body=body))
+
+    async def ReportDemand(  # noqa: N802
+        self,
+        stream: Stream[peer_pb2.DemandReport, peer_pb2.DemandShares],
+    ) -> None:
+        """Divide limits of customers."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        shares = await self._loop.run_in_hub(
+            lambda: self._digests.report_demand(
+                message.instance, dict(message.demand_per_s)
+            )
         )
-        await stream.send_message(peer_pb2.FetchPartReply(document=document))
+        await stream.send_message(peer_pb2.DemandShares(shares=shares))
 
 
 def decide_claim(ledger: ClaimLedger, request: ClaimRequest) -> ClaimReply:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_reader.py
@@ -13,6 +13,7 @@
 from lagoonbend.models import Call
 from lagoonbend.models import RefusalCode
 from lagoonbend_entry._internal.models.chat_body import ChatBody
+from lagoonbend_entry._internal.serving.limit_sharer import LimitSharer
 from lagoonbend_entry._internal.serving.rulebook import Rulebook
 
 CONNECTED_KEY = 'lagoonbend.connected_ms'
@@ -21,6 +22,7 @@
 CHAT_PATH = '/v1/chat/completions'
 KEY_HEADER = 'Idempotency-Key'
 DEADLINE_HEADER = 'Lagoonbend-Deadline-Ms'
+DEFAULT_OUTPUT_TOKENS = 128
 KEY_LIMIT_CHARACTERS = 200
 MILLISECONDS_PER_SECOND = 1000
 
@@ -30,10 +32,12 @@
 
     :param model: model asked for; empty for a plain service.
     :param streaming: True if the caller wants events as they come.
+    :param output_tokens: greatest number of tokens to generate.
     """
 
     model: str = ''
     streaming: bool = False
+    output_tokens: int = 0
 
 
 class CallReader:
@@ -44,6 +48,7 @@
     :param clock: clock of the instance.
     :param rulebook: rules in force.
     :param pauses: tells which requests may have waited in a pause.
+    :param limits: limits of customers.
     :param body_limit_bytes: greatest size of a body.
     :param body_timeout_ms: time for the whole body to arrive.
     """
@@ -55,6 +60,7 @@
         clock: Clock,
         rulebook: Rulebook,
         pauses: PauseDetector,
+        limits: LimitSharer,
         *,
         body_limit_bytes: int,
         body_timeout_ms: int,
@@ -64,6 +70,7 @@
         self._clock = clock
         self._rulebook = rulebook
         self._pauses = pauses
+        self._limits = limits
         self._body_limit_bytes = body_limit_bytes
         self._body_timeout_s = body_timeout_ms / MILLISECONDS_PER_SECOND
 
@@ -74,12 +81,14 @@
         """
         received_ms = self._clock.now_ms()
         authorization = request.get_header('Authorization') or ''
-        customer = self._rulebook.authenticate(authorization)['name']
+        entry = self._rulebook.authenticate(authorization)
+        customer = entry['name']
         body = self._read_body(request)
         fields = _read_chat(request.path, body)
         request_class = self._rulebook.classify(
             customer, request.method, request.path, fields.model
         )
+        self._limits.take(entry)
         deadline_ms = _read_deadline(request, request_class.deadline_ms)
         return Call(
             f'{self._prefix}-{next(self._numbers)}',
@@ -95,6 +104,7 @@
             received_ms,
             self._pauses.is_age_known(request.env[CONNECTED_KEY]),
             received_ms + deadline_ms,
+            fields.output_tokens,
         )
 
     def _read_body(self, request: falcon.Request) -> bytes:
@@ -138,7 +148,11 @@
         raise refusals.refuse_malformed(
             f'The body is no chat completion: {error}.'
         ) from error
-    return ChatFields(chat['model'], chat.get('stream', False))
+    return ChatFields(
+        chat['model'],
+        chat.get('stream', False),
+        chat.get('max_tokens', DEFAULT_OUTPUT_TOKENS),
+    )
 
 
 def _read_target(request: falcon.Request) -> str:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_server.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_server.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator
 
+import xxhash
+
 from lagoonbend.attempts import AttemptPath
 from lagoonbend.attempts import Dispatched
 from lagoonbend.attempts import refusals
@@ -33,7 +35,7 @@
 ANSWER_LIMIT_BYTES = 16_777_216
 RECORD_LIMIT_BYTES = 65_536
 BYTES_PER_TOKEN = 4
-OUTPUT_TOKENS = 64
+PREFIX_BYTES = 2_048
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -180,6 +182,7 @@
             response.abort()
             self._admission.leave(outcome.target)
             self.attempts.pop(call.attempt, None)
+            outcome.target.note_end(events, self._clock.now_ms())
             self._metrics.tokens.add({}, events)
             if path.verdict is Verdict.RAN:
                 answer = RecordedAnswer(200, EVENT_STREAM, bytes(record))
@@ -218,7 +221,16 @@
 
 def estimate_work(call: Call) -> WorkEstimate:
     """Return the expected work of a call from the size of its body."""
-    return WorkEstimate(len(call.body) // BYTES_PER_TOKEN, OUTPUT_TOKENS)
+    prompt_tokens = len(call.body) // BYTES_PER_TOKEN
+    if len(call.body) < 2 * PREFIX_BYTES:
+        return WorkEstimate(prompt_tokens, call.output_tokens)
+    prefix = xxhash.xxh3_64_intdigest(call.body[:PREFIX_BYTES])
+    return WorkEstimate(
+        prompt_tokens,
+        call.output_tokens,
+        prefix,
+        PREFIX_BYTES // BYTES_PER_TOKEN,
+    )
 
 
 def _is_event_stream(
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/limit_sharer.py
@@ -0,0 +1,103 @@
+"""Applies customers' limits and shares them with other instances."""
+
+import collections
+
+import gevent
+
+from lagoonbend.attempts import refusals
+from lagoonbend.clock import Clock
+from lagoonbend.configuration import CustomerEntry
+from lagoonbend.exceptions import PeerError
+from lagoonbend.limits import CustomerLimit
+from lagoonbend.limits import CustomerLimiter
+from lagoonbend.membership import choose_by_rendezvous
+from lagoonbend.membership import FleetView
+from lagoonbend_entry._internal.network.peers.peer_client import PeerClient
+from lagoonbend_entry._internal.serving.peer_book import PeerBook
+
+REPORT_S = 1.0
+LEAST_SHARE = 0.5
+
+
+class LimitSharer:
+    """Takes requests of customers from their limits.
+
+    A customer whose demand here is small against an equal share is not
+    reported: its limit can't be near. The others are reported once a second
+    to the limit's owner, found by rendezvous hash over the listed instances.
+
+    :param instance: name of this instance.
+    :param clock: clock of this instance.
+    :param fleet: list of instances.
+    :param peers: client of other instances.
+    :param book: divides the limits that this instance owns.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        clock: Clock,
+        fleet: FleetView,
+        peers: PeerClient,
+        book: PeerBook,
+    ) -> None:
+        self._instance = instance
+        self._clock = clock
+        self._fleet = fleet
+        self._peers = peers
+        self._book = book
+        self._limiter = CustomerLimiter(clock)
+        self._limits: dict[str, CustomerLimit] = {}
+
+    def take(self, customer: CustomerEntry) -> None:
+        """Take one request from a customer's limit.
+
+        :raises RefusedError: if the limit is used up.
+        """
+        rate_per_s = customer.get('rate_per_s')
+        if rate_per_s is None:
+            return
+        name = customer['name']
+        burst = customer.get('burst', max(1, int(rate_per_s)))
+        limit = CustomerLimit(rate_per_s, burst)
+        self._limits[name] = limit
+        retry_after_ms = self._limiter.take(name, limit)
+        if retry_after_ms:
+            raise refusals.refuse_over_limit(retry_after_ms)
+
+    def run(self) -> None:
+        """Report demands until the greenlet is killed."""
+        while True:
+            self._limiter.instances = max(1, len(self._fleet.current.peers))
+            for owner, demands in self._group_demands().items():
+                gevent.spawn(self._report, owner, demands)
+            gevent.sleep(REPORT_S)
+
+    def _group_demands(self) -> dict[str, dict[str, float]]:
+        """Return demands by customer, by the name of the owner."""
+        names = [peer.instance for peer in self._fleet.current.peers]
+        groups: dict[str, dict[str, float]] = collections.defaultdict(dict)
+        for customer, demand in self._limiter.list_demands().items():
+            rate_per_s = self._limits[customer].rate_per_s
+            equal_per_s = rate_per_s / self._limiter.instances
+            owner = choose_by_rendezvous(names, customer)
+            if owner is not None and demand >= LEAST_SHARE * equal_per_s:
+                groups[owner][customer] = demand
+        return groups
+
+    def _report(self, owner: str, demands: dict[str, float]) -> None:
+        asked_ms = self._clock.now_ms()
+        try:
+            shares = self._ask(owner, demands)
+        except PeerError:
+            return
+        for customer, share in shares.items():
+            self._limiter.apply_share(customer, share, asked_ms)
+
+    def _ask(self, owner: str, demands: dict[str, float]) -> dict[str, float]:
+        if owner == self._instance:
+            return self._book.report_demand(self._instance, demands)
+        peer = self._fleet.find_peer(owner)
+        if peer is None:
+            raise PeerError('not listed', context=f'instance {owner}')
+        return self._peers.report_demand(peer.address, self._instance, demands)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/part_applier.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/part_applier.py
@@ -40,7 +40,7 @@
         if not applied:
             return False
         self._ownership.apply(part.seats)
-        self._book.keep_document(document)
+        self._book.keep_value('document', document)
         log_event(
             Event.PART_APPLIED,
             revision=part.revision,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_exchange.py
@@ -1,63 +1,102 @@
 """Exchanges digests with peers."""
 
+from collections.abc import Callable
+import random
+
 import gevent
+import gevent.event
 
+from lagoonbend.claims import SeatOwnership
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import PeerError
 from lagoonbend.membership import FleetView
 from lagoonbend_entry._internal.network.peers.peer_client import PeerClient
-from lagoonbend_entry._internal.serving.part_applier import PartApplier
 from lagoonbend_entry._internal.serving.peer_book import PeerBook
 
 MILLISECONDS_PER_SECOND = 1000
+NEAR_PEERS = 2
+FAR_PEERS = 1
 
 
 class PeerExchange:
-    """Asks each peer in turn, and fetches what a peer has newer.
+    """Asks a few peers in each round, and fetches what one has newer.
+
+    Each round asks random peers, most of the own domain, and the former
+    owners of bare keys while a plan names them. The cost of a round does
+    not grow with the fleet.
 
     :param instance: name of this instance.
+    :param failure_domain: domain of this instance.
     :param clock: clock of this instance.
     :param fleet: list of instances.
+    :param ownership: owners of bare keys.
     :param peers: client of other instances.
     :param book: what peers have told.
-    :param applier: puts documents into force.
+    :param apply: takes a value of the platform: its name, body and source.
+    :param confirm: called when peers asked at a time have answered.
+    :param rng: source of random choices.
     :param heartbeat_ms: time between two rounds.
     """
 
     def __init__(
         self,
         instance: str,
+        failure_domain: str,
         clock: Clock,
         fleet: FleetView,
+        ownership: SeatOwnership,
         peers: PeerClient,
         book: PeerBook,
-        applier: PartApplier,
+        apply: Callable[[str, bytes, str], None],
+        confirm: Callable[[int], None],
+        rng: random.Random,
         *,
         heartbeat_ms: int,
     ) -> None:
         self._instance = instance
+        self._failure_domain = failure_domain
         self._clock = clock
         self._fleet = fleet
+        self._ownership = ownership
         self._peers = peers
         self._book = book
-        self._applier = applier
+        self._apply = apply
+        self._confirm = confirm
+        self._rng = rng
         self._heartbeat_s = heartbeat_ms / MILLISECONDS_PER_SECOND
+        self.joined = gevent.event.Event()
 
     def run(self) -> None:
         """Exchange until the greenlet is killed."""
         while True:
-            addresses = [
-                peer.address
-                for peer in self._fleet.current.peers
-                if peer.instance != self._instance
-            ]
-            gevent.joinall(
-                [gevent.spawn(self._exchange, item) for item in addresses]
-            )
-            self._fetch_newer()
+            self.run_round()
+            if self._fleet.age_ms is not None:
+                self.joined.set()
             gevent.sleep(self._heartbeat_s)
 
-    def _exchange(self, address: str) -> None:
+    def run_round(self) -> None:
+        """Ask the peers of one round."""
+        asked_ms = self._clock.now_ms()
+        addresses = self._choose_addresses()
+        gevent.joinall([gevent.spawn(self._ask, a) for a in addresses])
+        self._fetch('document', self._book.find_newer_part())
+        self._fetch('fleet', self._book.find_newer_fleet())
+        if self._book.has_heard_since(asked_ms):
+            self._confirm(asked_ms)
+
+    def _choose_addresses(self) -> set[str]:
+        near: list[str] = []
+        far: list[str] = []
+        for peer in self._fleet.current.peers:
+            if peer.instance == self._instance:
+                continue
+            is_near = peer.failure_domain == self._failure_domain
+            (near if is_near else far).append(peer.address)
+        chosen = self._rng.sample(near, min(NEAR_PEERS, len(near)))
+        chosen += self._rng.sample(far, min(FAR_PEERS, len(far)))
+        return {*chosen, *self._ownership.list_former_owners()}
+
+    def _ask(self, address: str) -> None:
         asked_ms = self._clock.now_ms()
         try:
             digest = self._peers.exchange(address, self._book.write_digest())
@@ -65,14 +104,12 @@
             return
         self._book.hear(digest, asked_ms)
 
-    def _fetch_newer(self) -> None:
-        address = self._book.find_newer()
+    def _fetch(self, value: str, address: str | None) -> None:
         if address is None:
             return
-        partner = self._book.write_digest().partner
         try:
-            document = self._peers.fetch_part(address, partner)
+            body = self._peers.fetch_value(address, value)
         except PeerError:
             return
-        if document:
-            self._applier.apply(document, f'peer {address}')
+        if body:
+            self._apply(value, body, f'peer {address}')
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/platform_watcher.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/platform_watcher.py
@@ -18,7 +18,6 @@
     :param name: name of the value, for logs.
     :param reader: client of the platform.
     :param apply: takes a changed value.
-    :param confirm: called when the platform says that nothing changed.
     :param retry_ms: pause after a failed call.
     """
 
@@ -27,14 +26,12 @@
         name: str,
         reader: platform_reader.PlatformReader,
         apply: Callable[[bytes], None],
-        confirm: Callable[[], None],
         *,
         retry_ms: int,
     ) -> None:
         self._name = name
         self._reader = reader
         self._apply = apply
-        self._confirm = confirm
         self._retry_s = retry_ms / MILLISECONDS_PER_SECOND
         self._version = ''
         self.failures = 0
@@ -54,7 +51,6 @@
             log_event(Event.PLATFORM_BACK, value=self._name)
             self.failures = 0
         if reading is None:
-            self._confirm()
             return
         self._version = reading.version
         self._apply(reading.body)
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/faults_settings.py
@@ -0,0 +1,12 @@
+"""Section ``[faults]``."""
+
+from typing import NamedTuple
+
+
+class FaultsSettings(NamedTuple):
+    """Faults for tests; all off in production.
+
+    :param links: ``on`` lets operators cut links with ``PUT /links``.
+    """
+
+    links: str = 'off'
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/field_kind.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/field_kind.py
@@ -52,6 +52,12 @@
     return number
 
 
+def _parse_switch(text: str) -> str:
+    if text not in ('on', 'off'):
+        raise ValueError(text)
+    return text
+
+
 def _parse_name(text: str) -> str:
     if not NAME_PATTERN.fullmatch(text):
         raise ValueError(text)
@@ -61,6 +67,7 @@
 NAME = FieldKind('a name of letters, digits, ".", "_" and "-"', _parse_name)
 KINDS = {
     'address': FieldKind('an IP number such as 127.0.0.1', _parse_ip),
+    'links': FieldKind('on or off', _parse_switch),
     'port': FieldKind('a TCP port from 1 to 65535', _parse_port),
     'ms': FieldKind(
         'whole milliseconds without a unit, such as 500', _parse_whole
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/serving_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/serving_settings.py
@@ -22,7 +22,7 @@
     queue_capacity: int = 256
     policy: str = 'expected_time'
     outstanding_limit: int = 64
-    backlog_limit_ms: int = 1_000
+    backlog_limit_ms: int = 300
     preempt_slack_ms: int = 500
     connect_timeout_ms: int = 500
     target_timeout_ms: int = 30_000
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings.py
@@ -7,6 +7,7 @@
 from lagoonbend_entry._internal.settings import platform_settings
 from lagoonbend_entry._internal.settings import serving_settings
 from lagoonbend_entry._internal.settings.claims_settings import ClaimsSettings
+from lagoonbend_entry._internal.settings.faults_settings import FaultsSettings
 
 
 class Settings(NamedTuple):
@@ -19,3 +20,4 @@
     platform: platform_settings.PlatformSettings
     claims: ClaimsSettings
     serving: serving_settings.ServingSettings
+    faults: FaultsSettings
--- a/packages/lagoonbend/src/lagoonbend/_internal/attempts/attempt_path.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/attempts/attempt_path.py
@@ -36,6 +36,7 @@
 
 CLAIM_TRIES = 2
 CONNECT_TRIES = 3
+ASSIGNMENT_LIFE_MS = 2_000
 
 Steps = Generator[Step, Any, Outcome]
 
@@ -174,6 +175,13 @@
         if self._is_late():
             yield Abandon(connection)
             raise refusals.refuse_late()
+        if self._clock.now_ms() - target.started_ms > ASSIGNMENT_LIFE_MS:
+            yield Abandon(connection)
+            raise DispatchError(
+                'the choice of the target is too old',
+                verdict=Verdict.NOT_RUN,
+                context=self.call.attempt,
+            )
         self._begin_dispatch(target)
         return (yield Write(connection, self.dispatch))
 
@@ -193,6 +201,11 @@
         self.target = target.state.target.target
         self.dispatches += 1
         self.verdict = Verdict.MAY_HAVE_RUN
+        self._invariants.check(
+            not target.state.target.leaving,
+            'no_new_work_for_leaving_targets',
+            self.target,
+        )
         self._invariants.check(
             self.dispatches == 1 or self.call.request_class.idempotent,
             'dispatched_at_most_once',
--- a/packages/lagoonbend/src/lagoonbend/_internal/attempts/refusals.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/attempts/refusals.py
@@ -120,6 +120,16 @@
     )
 
 
+def refuse_over_limit(retry_after_ms: int) -> RefusedError:
+    """Return the refusal for a customer that has used up its limit."""
+    return refuse(
+        429,
+        RefusalCode.CUSTOMER_LIMIT,
+        'The customer has used up its limit.',
+        retry_after_ms=retry_after_ms,
+    )
+
+
 def refuse_no_target(retry_after_ms: int) -> RefusedError:
     """Return the refusal for a request that no target can serve."""
     return refuse(
@@ -140,6 +150,16 @@
     )
 
 
+def refuse_hopeless(retry_after_ms: int) -> RefusedError:
+    """Return the refusal for a call that can't end in time any more."""
+    return refuse(
+        503,
+        RefusalCode.NO_TIME_LEFT,
+        'No target got room while the answer could still come in time.',
+        retry_after_ms=retry_after_ms,
+    )
+
+
 def refuse_queue_full(retry_after_ms: int) -> RefusedError:
     """Return the refusal for a request that finds no place to wait."""
     return refuse(
--- a/packages/lagoonbend/src/lagoonbend/_internal/claims/seat_ownership.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/claims/seat_ownership.py
@@ -93,6 +93,13 @@
             return None
         return choose_by_rendezvous(self._plan.seats, key)
 
+    def list_former_owners(self) -> set[str]:
+        """Return the addresses whose word this instance needs."""
+        if self._plan is None or self._address not in self._plan.seats:
+            return set()
+        former = {a for seats in self._plan.former for a in seats}
+        return former - {self._address}
+
     def judge(self, key: str) -> Ownership:
         """Return whether this instance may accept ``key`` now."""
         if self._plan is None or self.find_owner(key) != self._address:
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of customers, shared by many instances."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/limits/token_bucket.py
@@ -0,0 +1,30 @@
+"""A token bucket whose rate may change."""
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class TokenBucket:
+    """Lets requests pass at a rate, with a burst.
+
+    :param now_ms: time of creation.
+    :param burst: greatest number of requests at once; it starts full.
+    """
+
+    def __init__(self, now_ms: int, burst: float) -> None:
+        self._credit = burst
+        self._filled_ms = now_ms
+
+    def take(self, now_ms: int, rate_per_s: float, burst: float) -> int:
+        """Take one request; return 0, or the milliseconds until the next.
+
+        :param rate_per_s: rate in force since the last call.
+        :param burst: greatest credit.
+        """
+        span_s = (now_ms - self._filled_ms) / MILLISECONDS_PER_SECOND
+        self._filled_ms = now_ms
+        self._credit = min(self._credit + span_s * rate_per_s, burst)
+        if self._credit >= 1:
+            self._credit -= 1
+            return 0
+        missing_s = (1 - self._credit) / max(rate_per_s, 0.001)
+        return max(1, int(missing_s * MILLISECONDS_PER_SECOND))
--- a/packages/lagoonbend/src/lagoonbend/_internal/models/call.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/models/call.py
@@ -21,6 +21,7 @@
     :param received_ms: when it was read, on this instance's clock.
     :param age_known: False if it may have waited in a paused instance.
     :param deadline_ms: when the answer loses its worth, on the same clock.
+    :param output_tokens: greatest number of tokens to generate.
     """
 
     attempt: str
@@ -36,3 +37,4 @@
     received_ms: int
     age_known: bool
     deadline_ms: int
+    output_tokens: int = 0
--- a/packages/lagoonbend/src/lagoonbend/_internal/models/refusal_code.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/models/refusal_code.py
@@ -23,6 +23,7 @@
     QUEUE_FULL = 'queue_full'
     CUSTOMER_LIMIT = 'customer_limit'
     DEADLINE_PASSED = 'deadline_passed'
+    NO_TIME_LEFT = 'no_time_left'
     NO_TARGET = 'no_target'
     TARGET_FAILED = 'target_failed'
     INCOMPLETE_ANSWER = 'incomplete_answer'
--- a/packages/lagoonbend/src/lagoonbend/_internal/queueing/admission_control.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/queueing/admission_control.py
@@ -8,6 +8,7 @@
 from lagoonbend._internal.queueing.tier_queue import TierQueue
 from lagoonbend._internal.queueing.waiter import Waiter
 from lagoonbend._internal.routing.assignment import Assignment
+from lagoonbend._internal.routing.best_speed import BestSpeed
 from lagoonbend._internal.routing.target_table import matches
 from lagoonbend._internal.routing.target_table import TargetTable
 from lagoonbend._internal.utils.clock import Clock
@@ -16,6 +17,7 @@
 MILLISECONDS_PER_SECOND = 1000
 SHORTEST_RETRY_MS = 500
 LONGEST_RETRY_MS = 30_000
+MISSES_PER_PUMP = 8
 
 
 class AdmissionControl:
@@ -48,6 +50,7 @@
         self._invariants = invariants
         self._preempt_slack_ms = preempt_slack_ms
         self._running: dict[Assignment, Applicant] = {}
+        self._held_until_ms = 0
 
     def apply(self, applicant: Applicant) -> Waiter[Applicant] | None:
         """Let a call wait; it may be given a target at once.
@@ -80,27 +83,47 @@
         self._table.end(assignment)
         self.pump()
 
+    def hold(self, until_ms: int) -> None:
+        """Assign nothing until then, or until ``resume``.
+
+        An instance that woke from a pause still believes old facts.
+        """
+        self._held_until_ms = until_ms
+
+    def resume(self) -> None:
+        """Assign again: the facts were confirmed."""
+        self._held_until_ms = 0
+        self.pump()
+
     def pump(self) -> None:
         """Give targets with room to the most urgent waiting calls."""
-        rooms: dict[tuple[str, str, int], bool] = {}
+        if self._clock.now_ms() < self._held_until_ms:
+            return
+        closed: set[tuple[str, str, int]] = set()
+        misses = 0
         for waiter in list(self._queue):
             call = waiter.item.call
             pool = (call.request_class.kind, call.model, waiter.rank)
-            if pool not in rooms:
-                rooms[pool] = self._table.has_room(*pool)
-            if rooms[pool] and self._try_assign(waiter):
-                del rooms[pool]
+            if pool in closed:
+                continue
+            if not self._table.has_room(*pool):
+                closed.add(pool)
+            elif not self._try_assign(waiter):
+                misses += 1
+                if misses >= MISSES_PER_PUMP:
+                    return
 
     def tick(self) -> None:
         """Do what time asks for; call often."""
         self.pump()
-        now_ms = self._clock.now_ms()
+        speeds: dict[tuple[str, str], BestSpeed] = {}
         for waiter in list(self._queue):
-            if waiter.deadline_ms - now_ms <= self._preempt_slack_ms:
-                self._preempt_for(waiter)
-        for waiter in self._queue.expire(now_ms):
-            self._check_kept(waiter)
-            waiter.item.refuse(refusals.refuse_late())
+            call = waiter.item.call
+            pool = (call.request_class.kind, call.model)
+            if pool not in speeds:
+                speeds[pool] = self._table.find_best_speed(*pool)
+            service_ms = speeds[pool].estimate_service_ms(waiter.item.work)
+            self._check_slack(waiter, service_ms)
 
     def estimate_wait_ms(self) -> int:
         """Return how long the waiting work will take."""
@@ -112,6 +135,22 @@
         wait_ms = int(tokens / speed * MILLISECONDS_PER_SECOND)
         return max(SHORTEST_RETRY_MS, min(wait_ms, LONGEST_RETRY_MS))
 
+    def _check_slack(
+        self, waiter: Waiter[Applicant], service_ms: float
+    ) -> None:
+        """Preempt for a call that is short of time; refuse a hopeless one.
+
+        :param service_ms: least time of the call at a target.
+        """
+        now_ms = self._clock.now_ms()
+        slack_ms = waiter.deadline_ms - now_ms - service_ms
+        if slack_ms > self._preempt_slack_ms or self._preempt_for(waiter):
+            return
+        if slack_ms <= 0 and self._queue.remove(waiter):
+            self._check_kept(waiter)
+            error = refusals.refuse_hopeless(self.estimate_wait_ms())
+            waiter.item.refuse(error)
+
     def _try_assign(self, waiter: Waiter[Applicant]) -> bool:
         applicant = waiter.item
         request_class = applicant.call.request_class
--- a/packages/lagoonbend/src/lagoonbend/_internal/routing/target_table.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/target_table.py
@@ -6,6 +6,8 @@
 
 from lagoonbend._internal.models.target import Target
 from lagoonbend._internal.routing.assignment import Assignment
+from lagoonbend._internal.routing.best_speed import BestSpeed
+from lagoonbend._internal.routing.best_speed import INSTANT
 from lagoonbend._internal.routing.policies import expected_time  # noqa: F401
 from lagoonbend._internal.routing.policies import least_reported  # noqa: F401
 from lagoonbend._internal.routing.policies import round_robin  # noqa: F401
@@ -80,6 +82,16 @@
             self._find_open(self._find_usable(kind, model, rank), rank)
         )
 
+    def find_best_speed(self, kind: str, model: str) -> BestSpeed:
+        """Return the best learned speeds of the targets for a request."""
+        states = [s for s in self if matches(s, kind, model)]
+        if kind == 'service' or not states:
+            return INSTANT
+        return BestSpeed(
+            max(state.tokens_per_s for state in states),
+            min(state.token_gap_ms for state in states),
+        )
+
     def assign(
         self,
         kind: str,
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/limits.py
@@ -0,0 +1,7 @@
+"""Limits of customers, shared by many instances."""
+
+from lagoonbend._internal.limits.customer_limit import CustomerLimit
+from lagoonbend._internal.limits.customer_limiter import CustomerLimiter
+from lagoonbend._internal.limits.limit_owner import LimitOwner
+
+__all__ = ['CustomerLimit', 'CustomerLimiter', 'LimitOwner']
--- /dev/null
+++ b/tests/functional/test_configuration.py
@@ -0,0 +1,141 @@
+"""Documents and lists in force, through faults of the platform."""
+
+from collections.abc import Callable
+import signal
+import unittest
+
+import gevent
+import msgspec
+
+from lagoonbend_devkit._internal.fleet.sample_part import build_part
+from lagoonbend_devkit.fleet import LocalFleet
+
+IN_FORCE_S = 10.0
+PAUSE_S = 3.0
+CALLS = 30
+CUT_DOMAIN = 'lake-south'
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Each test uses a fleet of its own."""
+
+    def setUp(self) -> None:
+        """Start a fleet."""
+        self.fleet = LocalFleet()
+        self.addCleanup(self.fleet.close)
+        self.fleet.__enter__()
+        specs = self.fleet.instances.values()
+        self.seats = [spec.peer_address for spec in specs]
+        self.platform = f'127.0.0.1:{self.fleet.platform_port}'
+
+    def test_document_reaches_a_domain_without_platform(self) -> None:
+        """Peers carry a document into a domain that lost the platform."""
+        for name, spec in self.fleet.instances.items():
+            if spec.failure_domain == CUT_DOMAIN:
+                self.fleet.cut_links(name, [self.platform])
+        self.fleet.publish_part(build_part(2, self.seats))
+        self._wait(lambda: self._revisions() == {2})
+
+    def test_empty_instance_does_not_go_back_with_stale_platform(
+        self,
+    ) -> None:
+        """A restarted instance takes its peers' newer document at once."""
+        self.fleet.publish_part(build_part(2, self.seats))
+        self._wait(lambda: self._revisions() == {2})
+        self.fleet.set_faults(self.fleet.platform_port, behind=1)
+        name = next(iter(self.fleet.instances))
+        self.fleet.processes[name].kill()
+        self.fleet.start_instance(name)
+        self.fleet.wait_ready([name])
+        self.assertEqual(2, self.fleet.read_dump(name)['part_revision'])
+        gevent.sleep(1.0)
+        self.assertEqual({2}, self._revisions())
+
+    def test_race_of_two_operators_ends_in_one_document(self) -> None:
+        """Two documents of one revision: one wins, the conflict is seen."""
+        for deadline_ms in (7_000, 8_000):
+            part = build_part(2, self.seats)
+            part['tiers'][0]['deadline_ms'] = deadline_ms
+            self.fleet.publish_part(part)
+            gevent.sleep(0.5)
+        self._wait(lambda: len(self._digests()) == 1)
+        conflicts = [
+            self.fleet.read_dump(name)['part_conflicts']
+            for name in self.fleet.instances
+        ]
+        self.assertIn([2], conflicts)
+
+    def test_malformed_document_changes_nothing(self) -> None:
+        """A document that fails validation is not put into force."""
+        part = build_part(2, self.seats)
+        part['rules'][0]['tier'] = 'unknown'
+        self.fleet.publish_part(part)
+        gevent.sleep(1.0)
+        self.assertEqual({1}, self._revisions())
+        answer = self.fleet.call(
+            next(iter(self.fleet.instances)), 'GET', '/maps/1'
+        )
+        self.assertEqual(200, answer.status)
+
+    def test_calls_go_on_without_platform(self) -> None:
+        """The platform is down; every instance still serves."""
+        self.fleet.set_faults(self.fleet.platform_port, down=1)
+        gevent.sleep(1.0)
+        for name in self.fleet.instances:
+            answer = self.fleet.call(name, 'GET', '/maps/1')
+            self.assertEqual(200, answer.status)
+
+    def test_leaving_target_gets_no_new_work(self) -> None:
+        """Also from an instance that slept through the news."""
+        sleeper = next(iter(self.fleet.instances))
+        self.fleet.processes[sleeper].send(signal.SIGSTOP)
+        self.fleet.leaving.add('service-lake-north')
+        self.fleet.publish_fleet()
+        gevent.sleep(PAUSE_S)
+        self.fleet.processes[sleeper].send(signal.SIGCONT)
+        jobs = [
+            gevent.spawn(self.fleet.call, name, 'GET', f'/maps/{n}')
+            for n in range(CALLS)
+            for name in self.fleet.instances
+        ]
+        for job in jobs:
+            self.assertEqual(200, job.get(timeout=20).status)
+        port = self.fleet.target_ports['service-lake-north']
+        executions = self.fleet.read_json(port, '/control/executions')
+        self.assertEqual([], executions)
+
+    def test_customer_limit_is_shared(self) -> None:
+        """What passes through all instances stays near the limit."""
+        part = build_part(2, self.seats)
+        part['customers'][0]['rate_per_s'] = 8.0
+        part['customers'][0]['burst'] = 8
+        self.fleet.publish_part(part)
+        self._wait(lambda: self._revisions() == {2})
+        answers = [
+            self.fleet.call(name, 'GET', '/maps/1')
+            for _ in range(10)
+            for name in self.fleet.instances
+        ]
+        statuses = [answer.status for answer in answers]
+        self.assertIn(200, statuses)
+        limited = next(a for a in answers if a.status == 429)
+        problem = msgspec.json.decode(limited.body)
+        self.assertEqual('customer_limit', problem['code'])
+        self.assertIn('retry-after', limited.headers)
+
+    def _revisions(self) -> set[int]:
+        return {
+            self.fleet.read_dump(name)['part_revision']
+            for name in self.fleet.instances
+        }
+
+    def _digests(self) -> set[str]:
+        return {
+            self.fleet.read_dump(name)['part_digest']
+            for name in self.fleet.instances
+        }
+
+    def _wait(self, holds: Callable[[], bool]) -> None:
+        with gevent.Timeout(IN_FORCE_S, AssertionError('not in force')):
+            while not holds():
+                gevent.sleep(0.1)
