Publish customers in shards, so that one change costs one shard

Ruled out: deltas between revisions; an instance that starts empty or misses one needs the whole anyway.

Change: a part names the digests of its customers' shards; an instance fetches the shards it lacks, from the platform or from the peer that advertised the part, and puts the part into force with exactly these.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/local_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/local_fleet.py
@@ -1,5 +1,6 @@
 """A small fleet of real processes on loopback."""
 
+import hashlib
 import pathlib
 import tempfile
 from types import TracebackType
@@ -8,6 +9,7 @@
 import msgspec
 
 from lagoonbend.configuration import PartEntry
+from lagoonbend.configuration import split_customers
 from lagoonbend_devkit._internal.fleet.http import Answer
 from lagoonbend_devkit._internal.fleet.http import exchange
 from lagoonbend_devkit._internal.fleet.instance_spec import InstanceSpec
@@ -109,6 +111,19 @@
         body = msgspec.json.encode(build_document(part))
         self._put(self.platform_port, '/v1/values/document', body)
 
+    def publish_sharded(self, part: PartEntry, digits: int) -> None:
+        """Publish the customers of a part as shards, then the part."""
+        shards = split_customers(part['customers'], digits)
+        for name, body in shards.items():
+            self._put(self.platform_port, f'/v1/values/customers-{name}', body)
+        sharded = part.copy()
+        sharded['customers'] = []
+        sharded['shards'] = {
+            name: hashlib.sha256(body).hexdigest()
+            for name, body in shards.items()
+        }
+        self.publish_part(sharded)
+
     def publish_fleet(self) -> None:
         """Publish the list of instances and targets."""
         self.fleet_revision += 1
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/platform.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/standins/platform.py
@@ -111,6 +111,34 @@
         )
 
 
+class ShardsResource:
+    """All other values, made when they are first published.
+
+    :param faults: faults of the stand-in.
+    """
+
+    def __init__(self, faults: Faults) -> None:
+        self._faults = faults
+        self._values: dict[str, ValueResource] = {}
+
+    def on_get(
+        self, request: falcon.Request, response: falcon.Response, name: str
+    ) -> None:
+        """Answer with a value."""
+        if name not in self._values:
+            raise falcon.HTTPNotFound
+        self._values[name].on_get(request, response)
+
+    def on_put(
+        self, request: falcon.Request, response: falcon.Response, name: str
+    ) -> None:
+        """Publish a value; a control path."""
+        if name not in self._values:
+            value = ValueResource(PublishedValue(), self._faults)
+            self._values[name] = value
+        self._values[name].on_put(request, response)
+
+
 def build_platform() -> falcon.App:
     """Return the application of the platform's stand-in."""
     faults = Faults()
@@ -119,6 +147,8 @@
         for name in ('document', 'fleet')
     }
     app = falcon.App()
+    shards = ShardsResource(faults)
+    app.add_route('/v1/values/{name}', shards)
     app.add_route('/v1/values/document', values['document'])
     app.add_route('/v1/fleet', values['fleet'])
     app.add_route('/control/calls', CallsResource(values))
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
@@ -50,6 +50,7 @@
 BACKLOG = 256
 JOIN_TIMEOUT_S = 3.0
 HOLD_MS = 2_000
+VALUES_PATH = '/v1/values/'
 VALUE_PATHS = {'document': '/v1/values/document', 'fleet': '/v1/fleet'}
 
 
@@ -103,7 +104,7 @@
     def _build_serving(self) -> None:
         parts = self._parts
         settings = self._settings
-        self._rulebook = Rulebook(parts.store)
+        self._rulebook = Rulebook(parts.store, parts.shards)
         admission = Admission(parts.control)
         directory = HolderDirectory(
             settings.instance.name,
@@ -145,7 +146,9 @@
             parts.ownership,
             parts.table,
         )
-        self._applier = PartApplier(parts.store, parts.ownership, self._book)
+        self._applier = PartApplier(
+            parts.store, parts.shards, parts.ownership, self._book
+        )
         self._exchange = PeerExchange(
             me.name,
             me.failure_domain,
@@ -154,7 +157,7 @@
             parts.ownership,
             self._peers,
             self._book,
-            self._apply_value,
+            self._apply_peer_value,
             self._confirm_facts,
             random.Random(),
             heartbeat_ms=settings.peers.heartbeat_ms,
@@ -242,13 +245,19 @@
             # A stale platform must not take an empty instance back to a
             # document that its peers have left behind.
             self._exchange.joined.wait(JOIN_TIMEOUT_S)
-        self._apply_value(value, body, 'platform')
+            self._applier.apply(body, 'platform', self._read_value)
+        else:
+            self._apply_fleet(body, 'platform')
 
-    def _apply_value(self, value: str, body: bytes, source: str) -> None:
+    def _apply_peer_value(self, value: str, body: bytes, address: str) -> None:
         if value == 'document':
-            self._applier.apply(body, source)
+            fetch = functools.partial(self._peers.fetch_value, address)
+            self._applier.apply(body, f'peer {address}', fetch)
         else:
-            self._apply_fleet(body, source)
+            self._apply_fleet(body, f'peer {address}')
+
+    def _read_value(self, name: str) -> bytes:
+        return self._build_reader(VALUES_PATH + name).read()
 
     def _apply_fleet(self, body: bytes, source: str) -> None:
         try:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/platform/platform_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/platform/platform_reader.py
@@ -81,6 +81,7 @@
         watch_ms: int,
         gate: LinkGate,
     ) -> None:
+        self._name = f'{address}:{port}'
         self._address = address
         self._port = port
         self._path = path
@@ -93,34 +94,52 @@
         :returns: None if there was none in the time of a watch.
         :raises PlatformError: if the service gives no usable answer.
         """
-        name = f'{self._address}:{self._port}'
+        uri = f'{self._path}?after={version}&wait_ms={self._watch_ms}'
+        status, reading = self._get(uri)
+        if status == NOT_MODIFIED:
+            return None
+        self._check_status(status)
+        return reading
+
+    def read(self) -> bytes:
+        """Return the value as it is now.
+
+        :raises PlatformError: if the service gives no usable answer.
+        """
+        status, reading = self._get(self._path)
+        self._check_status(status)
+        return reading.body
+
+    def _get(self, uri: str) -> tuple[int, Reading]:
         timeout_ms = self._watch_ms + WATCH_MARGIN_MS
         client = HTTPClient(
             self._address,
             self._port,
             network_timeout=timeout_ms / MILLISECONDS_PER_SECOND,
         )
-        uri = f'{self._path}?after={version}&wait_ms={self._watch_ms}'
         try:
-            self._gate.check(name)
+            self._gate.check(self._name)
             response = client.get(uri)
             body = bytes(response.read())
-            self._gate.check(name)
+            self._gate.check(self._name)
         except (OSError, HTTPParseError, PeerError) as error:
             raise PlatformError(
                 f'no answer: {type(error).__name__}',
-                context=f'platform {name}{self._path}',
+                context=f'platform {self._name}{self._path}',
             ) from error
         finally:
             client.close()
-        if response.status_code == NOT_MODIFIED:
-            return None
-        if response.status_code != OK or not response.message_complete:
+        version = str(response.get(VERSION_HEADER, ''))
+        is_whole = response.message_complete
+        status = int(response.status_code) if is_whole else 0
+        return status, Reading(version, body)
+
+    def _check_status(self, status: int) -> None:
+        if status != OK:
             raise PlatformError(
-                f'status {response.status_code}',
-                context=f'platform {name}{self._path}',
+                f'status {status}',
+                context=f'platform {self._name}{self._path}',
             )
-        return Reading(str(response.get(VERSION_HEADER, '')), body)
 
 
 def parse_fleet(body: bytes) -> FleetList:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/part_applier.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/part_applier.py
@@ -1,45 +1,78 @@
 """Puts documents into force."""
 
+from collections.abc import Callable
+
 from lagoonbend.claims import SeatOwnership
 from lagoonbend.configuration import parse_document
+from lagoonbend.configuration import Part
 from lagoonbend.configuration import PartStore
+from lagoonbend.configuration import ShardStore
 from lagoonbend.exceptions import DocumentError
 from lagoonbend_entry._internal.serving.peer_book import PeerBook
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 
+SHARD_VALUE_PREFIX = 'customers-'
+FetchValue = Callable[[str], bytes]
+
 
 class PartApplier:
     """Checks a document and puts its part into force if it is newer.
 
     :param store: part in force.
+    :param shards: customers' shards of the part in force.
     :param ownership: owners of bare keys.
-    :param book: hands the document to peers.
+    :param book: hands the document and its shards to peers.
     """
 
     def __init__(
-        self, store: PartStore, ownership: SeatOwnership, book: PeerBook
+        self,
+        store: PartStore,
+        shards: ShardStore,
+        ownership: SeatOwnership,
+        book: PeerBook,
     ) -> None:
         self._store = store
+        self._shards = shards
         self._ownership = ownership
         self._book = book
 
-    def apply(self, document: bytes, source: str) -> bool:
-        """Return True if the document's part is in force now."""
+    def apply(self, document: bytes, source: str, fetch: FetchValue) -> bool:
+        """Return True if the document's part is in force now.
+
+        :param source: where the document came from, for the log.
+        :param fetch: returns a value of the same source.
+        :raises NetworkError: if a shard can't be fetched.
+        """
         try:
             part = parse_document(document).get(self._store.partner)
+            if part is None:
+                return False
+            if self._store.is_newer(part):
+                self._fetch_shards(part, fetch)
         except DocumentError as error:
             log_event(Event.PART_REJECTED, source=source, reason=str(error))
             return False
-        if part is None:
-            return False
         conflicts = len(self._store.conflicts)
         applied = self._store.offer(part)
         if len(self._store.conflicts) > conflicts:
             log_event(Event.PART_CONFLICT, revision=part.revision)
-        if not applied:
-            return False
+        if applied:
+            self._put_into_force(part, document, source)
+        return applied
+
+    def _fetch_shards(self, part: Part, fetch: FetchValue) -> None:
+        for digits, digest in self._shards.list_missing(part).items():
+            name = SHARD_VALUE_PREFIX + digits
+            body = fetch(name)
+            self._shards.add(digest, body)
+            self._book.keep_value(name, body)
+
+    def _put_into_force(
+        self, part: Part, document: bytes, source: str
+    ) -> None:
         self._ownership.apply(part.seats)
+        self._shards.keep_only(part)
         self._book.keep_value('document', document)
         log_event(
             Event.PART_APPLIED,
@@ -47,4 +80,3 @@
             digest=part.digest,
             source=source,
         )
-        return True
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/parts.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/parts.py
@@ -10,6 +10,7 @@
 from lagoonbend.claims import TicketMint
 from lagoonbend.clock import Clock
 from lagoonbend.configuration import PartStore
+from lagoonbend.configuration import ShardStore
 from lagoonbend.invariants import Invariants
 from lagoonbend.membership import FleetView
 from lagoonbend.queueing import AdmissionControl
@@ -68,6 +69,7 @@
             settle_ms=claims.settle_ms,
         )
         self.store = PartStore(settings.instance.partner, self.invariants)
+        self.shards = ShardStore()
         self.fleet = FleetView(clock)
         self.table = TargetTable(
             clock,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_exchange.py
@@ -32,7 +32,8 @@
     :param ownership: owners of bare keys.
     :param peers: client of other instances.
     :param book: what peers have told.
-    :param apply: takes a value of the platform: its name, body and source.
+    :param apply: takes a value of the platform: its name, its body and the
+        address of the peer that has it.
     :param confirm: called when peers asked at a time have answered.
     :param rng: source of random choices.
     :param heartbeat_ms: time between two rounds.
@@ -109,7 +110,7 @@
             return
         try:
             body = self._peers.fetch_value(address, value)
+            if body:
+                self._apply(value, body, address)
         except PeerError:
             return
-        if body:
-            self._apply(value, body, f'peer {address}')
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/rulebook.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/rulebook.py
@@ -7,6 +7,7 @@
 from lagoonbend.configuration import Part
 from lagoonbend.configuration import PartStore
 from lagoonbend.configuration import RuleEntry
+from lagoonbend.configuration import ShardStore
 from lagoonbend.models import RefusalCode
 from lagoonbend.models import RequestClass
 
@@ -17,10 +18,12 @@
     """Applies the part in force to requests.
 
     :param store: holder of the part.
+    :param shards: customers' shards of the part.
     """
 
-    def __init__(self, store: PartStore) -> None:
+    def __init__(self, store: PartStore, shards: ShardStore) -> None:
         self._store = store
+        self._shards = shards
 
     def authenticate(self, authorization: str) -> CustomerEntry:
         """Return the customer that a bearer key names.
@@ -30,7 +33,7 @@
         part = self._require_part()
         key = authorization.removeprefix(BEARER).encode()
         digest = hashlib.sha256(key).hexdigest()
-        customer = part.customers.get(digest)
+        customer = self._shards.find_customer(part, digest)
         if customer is None or not authorization.startswith(BEARER):
             raise refusals.refuse(
                 401,
--- a/packages/lagoonbend/src/lagoonbend/_internal/configuration/document.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/configuration/document.py
@@ -55,6 +55,10 @@
     """The part of the document that one partner owns.
 
     ``parent`` is the digest of the part that the operators started from.
+    ``shards`` maps the first hex digits of customers' key digests to the
+    SHA-256 of the shard that holds these customers, a value of its own with
+    a list of ``CustomerEntry``; so that a change of one customer costs one
+    shard and not the whole document.
     """
 
     revision: int
@@ -63,6 +67,7 @@
     tiers: list[TierEntry]
     rules: list[RuleEntry]
     seats: NotRequired[SeatsEntry]
+    shards: NotRequired[dict[str, str]]
 
 
 class DocumentEntry(TypedDict):
--- a/packages/lagoonbend/src/lagoonbend/_internal/configuration/part.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/configuration/part.py
@@ -24,10 +24,12 @@
     :param revision: grows with each change of the part.
     :param digest: SHA-256 of the part in canonical form, in hex.
     :param parent: digest of the part that it was made from.
-    :param customers: customers by the hex digest of their bearer key.
+    :param customers: customers by the hex digest of their bearer key, but
+        for those in shards.
     :param tiers: tiers by name.
     :param rules: rules, the first match wins.
     :param seats: who owns which bare keys.
+    :param shards: digests of the customers' shards, by first digits.
     """
 
     partner: str
@@ -38,6 +40,7 @@
     tiers: dict[str, TierEntry]
     rules: tuple[RuleEntry, ...]
     seats: SeatPlan
+    shards: dict[str, str]
 
     @classmethod
     def from_entry(cls, partner: str, entry: PartEntry) -> 'Part':
@@ -64,6 +67,7 @@
             )
             if seats
             else NO_SEATS,
+            entry.get('shards', {}),
         )
 
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/configuration/part_store.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/configuration/part_store.py
@@ -25,13 +25,17 @@
         """Revision and digest in force; (0, '') without a part."""
         return order_of(self.current)
 
+    def is_newer(self, part: Part) -> bool:
+        """Return True if a part comes after the one in force."""
+        return part.partner == self.partner and order_of(part) > self.order
+
     def offer(self, part: Part) -> bool:
         """Take a part if it is newer; return True if it is in force now."""
         if part.partner != self.partner:
             return False
         self._note_conflict(part)
         before = self.order
-        if order_of(part) <= before:
+        if not self.is_newer(part):
             return False
         self.current = part
         self._invariants.check(
--- a/packages/lagoonbend/src/lagoonbend/configuration.py
+++ b/packages/lagoonbend/src/lagoonbend/configuration.py
@@ -9,6 +9,8 @@
 from lagoonbend._internal.configuration.part import parse_document
 from lagoonbend._internal.configuration.part import Part
 from lagoonbend._internal.configuration.part_store import PartStore
+from lagoonbend._internal.configuration.shard_store import ShardStore
+from lagoonbend._internal.configuration.shard_store import split_customers
 
 __all__ = [
     'CustomerEntry',
@@ -17,7 +19,9 @@
     'PartEntry',
     'PartStore',
     'RuleEntry',
+    'ShardStore',
     'TierEntry',
     'compute_digest',
     'parse_document',
+    'split_customers',
 ]
--- a/tests/functional/test_configuration.py
+++ b/tests/functional/test_configuration.py
@@ -1,12 +1,14 @@
 """Documents and lists in force, through faults of the platform."""
 
 from collections.abc import Callable
+import hashlib
 import signal
 import unittest
 
 import gevent
 import msgspec
 
+from lagoonbend.configuration import CustomerEntry
 from lagoonbend_devkit._internal.fleet.sample_part import build_part
 from lagoonbend_devkit.fleet import LocalFleet
 
@@ -51,6 +53,32 @@
         gevent.sleep(1.0)
         self.assertEqual({2}, self._revisions())
 
+    def test_sharded_customers_reach_a_domain_without_platform(
+        self,
+    ) -> None:
+        """Shards come with the document, from the platform and peers."""
+        for name, spec in self.fleet.instances.items():
+            if spec.failure_domain == CUT_DOMAIN:
+                self.fleet.cut_links(name, [self.platform])
+        part = build_part(2, self.seats)
+        for number in range(200):
+            key = hashlib.sha256(str(number).encode()).hexdigest()
+            customer: CustomerEntry = {'name': f'c{number}', 'key_sha256': key}
+            part['customers'].append(customer)
+        self.fleet.publish_sharded(part, 1)
+        self._wait(lambda: self._revisions() == {2})
+        for name in self.fleet.instances:
+            answer = self.fleet.call(name, 'GET', '/maps/1')
+            self.assertEqual(200, answer.status)
+
+    def test_document_without_its_shard_changes_nothing(self) -> None:
+        """A part is put into force with exactly its shards, or not."""
+        part = build_part(2, self.seats)
+        part['shards'] = {'a': '0' * 64}
+        self.fleet.publish_part(part)
+        gevent.sleep(1.0)
+        self.assertEqual({1}, self._revisions())
+
     def test_race_of_two_operators_ends_in_one_document(self) -> None:
         """Two documents of one revision: one wins, the conflict is seen."""
         for deadline_ms in (7_000, 8_000):
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -86,3 +86,21 @@
             last = world.arrive(2)
         self.assertEqual(['queue_full'], last.ends)
         self.assertGreaterEqual(world.control.estimate_wait_ms(), 500)
+
+    def test_woken_instance_waits_for_confirmed_facts(self) -> None:
+        """Nothing is assigned on old facts until a peer has answered."""
+        world = AdmissionWorld(1)
+        world.control.hold(world.clock.now_ms() + 2_000)
+        waiting = world.arrive(0)
+        self.assertIsNone(waiting.assignment)
+        world.control.resume()
+        self.assertIsNotNone(waiting.assignment)
+
+    def test_hold_ends_in_a_cut(self) -> None:
+        """An instance that can ask nobody goes on after a while."""
+        world = AdmissionWorld(1)
+        world.control.hold(world.clock.now_ms() + 500)
+        waiting = world.arrive(0)
+        world.clock.advance(500)
+        world.control.tick()
+        self.assertIsNotNone(waiting.assignment)
