Document operations, proofs and decisions; split and diff documents

Cause: operators had no page, the proofs no list, the command line no way to prepare shards or see what a document changes.

Change: OPERATIONS, PROOFS with what is not proved, EVENTS checked against the catalogue, DESIGN parts 3 to 6 with their tables, samples for both partners, two examples, document split and diff, a table of every fault at every step, capacity experiments.

A platform value whose application failed was not read again until its next version; it is now.

--- /dev/null
+++ b/news/2.feature
@@ -0,0 +1,1 @@
+Serve requests end to end: tickets, tiers, routing, limits, configuration.
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/__main__.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/__main__.py
@@ -2,7 +2,8 @@
 
 ``demo`` runs the demonstration; ``platform PORT``, ``service PORT``,
 ``engine-old PORT`` and ``engine-new PORT`` run a stand-in; ``measure NAME``
-runs an experiment and prints its table.
+runs an experiment and prints its table; ``worlds FIRST LAST STEPS`` makes long
+seeded runs.
 """
 
 import sys
@@ -14,6 +15,7 @@
 from lagoonbend_devkit._internal.standins.platform import build_platform
 from lagoonbend_devkit._internal.standins.service import build_service
 from lagoonbend_devkit._internal.standins.standin_server import serve_standin
+from lagoonbend_devkit._internal.worlds.long_run import run_worlds
 
 SPEEDS = {
     'engine-old': EngineSpeed(40, 128, 32),
@@ -28,6 +30,9 @@
     if arguments[0] == 'measure':
         print(EXPERIMENTS[arguments[1]]())
         return 0
+    if arguments[0] == 'worlds':
+        first, last, steps = map(int, arguments[1:])
+        return min(1, run_worlds(first, last, steps))
     kind, port = arguments[0], int(arguments[1])
     if kind == 'platform':
         app = build_platform()
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes that docs/CAPACITY.md is worked out from."""
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/capacity/control_slopes.py
@@ -0,0 +1,304 @@
+"""Slopes of the control mechanisms, measured on the real parts."""
+
+from collections.abc import Callable
+import random
+import time
+import tracemalloc
+
+import msgspec
+
+from lagoonbend.claims import ClaimLedger
+from lagoonbend.claims import KeyWindow
+from lagoonbend.claims import SeatOwnership
+from lagoonbend.claims import TicketMint
+from lagoonbend.clock import PausedClock
+from lagoonbend.configuration import PartStore
+from lagoonbend.configuration import ShardStore
+from lagoonbend.configuration import split_customers
+from lagoonbend.invariants import Invariants
+from lagoonbend.limits import CustomerLimit
+from lagoonbend.limits import CustomerLimiter
+from lagoonbend.membership import FleetView
+from lagoonbend.models import ClaimRequest
+from lagoonbend.routing import LoadReport
+from lagoonbend.routing import TargetTable
+from lagoonbend.routing import WorkEstimate
+from lagoonbend_devkit._internal.capacity import samples
+from lagoonbend_devkit._internal.capacity.slope import measure_slope
+from lagoonbend_devkit._internal.capacity.slope import Slope
+from lagoonbend_entry.peering import Digest
+from lagoonbend_entry.peering import parse_fleet
+from lagoonbend_entry.peering import PeerBook
+from lagoonbend_entry.peering import read_digest
+from lagoonbend_entry.peering import write_digest
+
+PEERS = (4, 16, 64, 256)
+CUSTOMERS = (100, 1_000, 10_000, 30_000)
+CLAIMS = (100, 1_000, 10_000, 30_000)
+TARGETS = (4, 16, 64, 256)
+LOADS = (4, 16, 64, 100)
+DESIGN_PEERS = 420
+DESIGN_TARGETS = 600
+DESIGN_CUSTOMERS = 30_000
+DESIGN_CLAIMS = 500
+DESIGN_LOADS = 100
+SHARD_DIGITS = 2
+REPEATS = 5
+MICROSECONDS_PER_SECOND = 1_000_000
+WINDOW = KeyWindow(60_000, 20_000, 2_000)
+
+
+def list_control_slopes() -> list[Slope]:
+    """Measure all control mechanisms."""
+    return [
+        measure_slope(
+            'list of the fleet, bytes',
+            'instances, with 10 targets for 7',
+            PEERS,
+            lambda n: len(_write_fleet(n)),
+            DESIGN_PEERS,
+        ),
+        measure_slope(
+            'reading the list, us',
+            'instances, with 10 targets for 7',
+            PEERS,
+            _time_fleet,
+            DESIGN_PEERS,
+        ),
+        measure_slope(
+            'all shards of customers, bytes',
+            'customers',
+            CUSTOMERS,
+            lambda n: sum(map(len, _split(n).values())),
+            DESIGN_CUSTOMERS,
+        ),
+        measure_slope(
+            'largest of 256 shards, bytes',
+            'customers',
+            CUSTOMERS,
+            lambda n: max(map(len, _split(n).values())),
+            DESIGN_CUSTOMERS,
+        ),
+        measure_slope(
+            'memory of the shards, bytes',
+            'customers',
+            CUSTOMERS,
+            _weigh_customers,
+            DESIGN_CUSTOMERS,
+        ),
+        measure_slope(
+            'answer of an exchange, bytes',
+            'loads carried',
+            LOADS,
+            lambda n: len(_build_digest(n)),
+            DESIGN_LOADS,
+        ),
+        measure_slope(
+            'exchange without the RPC, us for both ends',
+            'loads carried',
+            LOADS,
+            _time_exchange,
+            DESIGN_LOADS,
+        ),
+        measure_slope(
+            'memory of claims, bytes',
+            'claims held',
+            CLAIMS,
+            _weigh_claims,
+            DESIGN_CLAIMS,
+        ),
+        measure_slope(
+            'one claim, us',
+            'claims held',
+            CLAIMS,
+            _time_claim,
+            DESIGN_CLAIMS,
+        ),
+        measure_slope(
+            'memory of limits, bytes',
+            'active customers',
+            CUSTOMERS,
+            _weigh_limits,
+            DESIGN_CLAIMS,
+        ),
+        measure_slope(
+            'choice of a target, us',
+            'targets',
+            TARGETS,
+            _time_choice,
+            DESIGN_TARGETS,
+        ),
+    ]
+
+
+def _write_fleet(peers: int) -> bytes:
+    fleet = samples.build_fleet(peers, peers * 10 // 7)
+    return samples.write_fleet(fleet)
+
+
+def _time_fleet(peers: int) -> float:
+    body = _write_fleet(peers)
+    return _time(lambda: parse_fleet(body))
+
+
+def _split(customers: int) -> dict[str, bytes]:
+    return split_customers(samples.build_customers(customers), SHARD_DIGITS)
+
+
+def _weigh_customers(customers: int) -> float:
+    shards = _split(customers)
+
+    def build() -> object:
+        entries = {}
+        for digits, body in shards.items():
+            items = msgspec.json.decode(body)
+            entries[digits] = {item['key_sha256']: item for item in items}
+        return ShardStore(), entries, [bytes(b) for b in shards.values()]
+
+    return _weigh(build) + sum(map(len, shards.values()))
+
+
+def _build_book(loads: int) -> PeerBook:
+    clock = PausedClock(1_000)
+    table = TargetTable(
+        clock,
+        policy='expected_time',
+        rng=random.Random(1),
+        outstanding_limit=64,
+        backlog_limit_ms=300,
+    )
+    table.apply(samples.build_targets(loads))
+    for state in table:
+        name = state.target.target
+        state.report = LoadReport(name, 12, 30_000, 500)
+    ownership = SeatOwnership(
+        '10.0.0.1:7000', clock, window=WINDOW, confirm_ms=5_000
+    )
+    return PeerBook(
+        'instance-001',
+        '10.0.0.1:7000',
+        'domain-0',
+        clock,
+        PartStore('partner', Invariants()),
+        FleetView(clock),
+        ownership,
+        table,
+    )
+
+
+def _build_digest(loads: int) -> bytes:
+    book = _build_book(loads)
+    return write_digest(book.write_digest()).SerializeToString()
+
+
+def _time_exchange(loads: int) -> float:
+    book = _build_book(loads)
+
+    def exchange() -> None:
+        question = write_digest(book.write_question()).SerializeToString()
+        own = book.exchange(read_digest(Digest.FromString(question)))
+        answer = write_digest(own).SerializeToString()
+        book.hear(read_digest(Digest.FromString(answer)), 0)
+
+    return _time(exchange)
+
+
+def _build_ledger() -> tuple[ClaimLedger, TicketMint]:
+    clock = PausedClock(1_000)
+    mint = TicketMint('instance-001', 'incarnation', clock)
+    ownership = SeatOwnership(
+        '10.0.0.1:7000', clock, window=WINDOW, confirm_ms=5_000
+    )
+    ledger = ClaimLedger(
+        clock,
+        mint,
+        ownership,
+        ticket_life_ms=600_000,
+        window=WINDOW,
+        invariants=Invariants(),
+    )
+    return ledger, mint
+
+
+def _fill_ledger(claims: int) -> tuple[ClaimLedger, TicketMint]:
+    ledger, mint = _build_ledger()
+    for number in range(claims):
+        key = mint.issue('customer').to_text()
+        attempt = f'instance-001-incarnation-{number}'
+        ledger.claim(ClaimRequest('customer', key, attempt, number))
+    return ledger, mint
+
+
+def _weigh_claims(claims: int) -> float:
+    return _weigh(lambda: _fill_ledger(claims))
+
+
+def _time_claim(claims: int) -> float:
+    ledger, mint = _fill_ledger(claims)
+
+    def claim() -> None:
+        key = mint.issue('customer').to_text()
+        ledger.claim(ClaimRequest('customer', key, 'attempt', 1))
+
+    return _time(claim)
+
+
+def _weigh_limits(customers: int) -> float:
+    names = [f'customer-{number}' for number in range(customers)]
+
+    def build() -> object:
+        limiter = CustomerLimiter(PausedClock())
+        for name in names:
+            limiter.take(name, CustomerLimit(5.0, 20))
+        return limiter
+
+    return _weigh(build)
+
+
+def _time_choice(targets: int) -> float:
+    clock = PausedClock(1_000)
+    table = TargetTable(
+        clock,
+        policy='expected_time',
+        rng=random.Random(1),
+        outstanding_limit=64,
+        backlog_limit_ms=300,
+    )
+    table.apply(samples.build_targets(targets))
+    for state in table:
+        name = state.target.target
+        state.report = LoadReport(name, 12, 500, 900)
+    work = WorkEstimate(500, 50, 7, 200)
+
+    def choose() -> None:
+        table.note_arrival(work, 0)
+        assignment = table.assign('engine', 'assistant', work, 0)
+        if assignment is not None:
+            table.end(assignment)
+
+    return _time(choose)
+
+
+def _weigh(build: Callable[[], object]) -> float:
+    """Return the bytes that what ``build`` returns keeps."""
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = build()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return after - before
+
+
+def _time(function: Callable[[], object]) -> float:
+    """Return the best processor time of a call, in microseconds."""
+    best = float('inf')
+    for _ in range(REPEATS):
+        count = 0
+        started = time.process_time()
+        while time.process_time() - started < 0.02:
+            function()
+            count += 1
+        spent = time.process_time() - started
+        best = min(best, spent / count)
+    return best * MICROSECONDS_PER_SECOND
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/commands.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/commands.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Callable
 
+from lagoonbend_devkit._internal.capacity import control_slopes
+from lagoonbend_devkit._internal.capacity import data_path
+from lagoonbend_devkit._internal.capacity.slope import Slope
 from lagoonbend_devkit._internal.experiments import claim_experiment
 from lagoonbend_devkit._internal.experiments import claim_latency
 from lagoonbend_devkit._internal.experiments import limit_experiment
@@ -65,3 +68,23 @@
         limit_experiment.LimitResult._fields,
         limit_experiment.run_limit_experiment(),
     )
+
+
+@experiment('capacity')
+def measure_capacity() -> str:
+    """Return the slopes of the control mechanisms."""
+    return write_table(Slope._fields, control_slopes.list_control_slopes())
+
+
+@experiment('data-path')
+def measure_data_path() -> str:
+    """Return the cost of the data path."""
+    rows = data_path.measure_data_path()
+    return write_table(data_path.DataPath._fields, rows)
+
+
+@experiment('idle')
+def measure_idle() -> str:
+    """Return the cost of idle instances."""
+    rows = data_path.measure_idle()
+    return write_table(data_path.IdleCost._fields, rows)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/instance_spec.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/instance_spec.py
@@ -20,7 +20,7 @@
 [peers]
 address = 127.0.0.1
 port = {peer_port}
-heartbeat_ms = 300
+heartbeat_ms = {heartbeat_ms}
 
 [platform]
 address = 127.0.0.1
@@ -52,6 +52,7 @@
     :param peer_port: port of the peers' listener.
     :param platform_port: port of the platform's stand-in.
     :param repeat_window_ms: repeat window of bare keys.
+    :param heartbeat_ms: time between two exchanges with peers.
     """
 
     name: str
@@ -62,6 +63,7 @@
     peer_port: int
     platform_port: int
     repeat_window_ms: int
+    heartbeat_ms: int
 
     def write_settings(self) -> str:
         """Return the INI text of the instance."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/local_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/local_fleet.py
@@ -34,10 +34,14 @@
 
     :param instances_per_domain: entry instances in each domain.
     :param repeat_window_ms: repeat window of bare keys.
+    :param heartbeat_ms: time between two exchanges with peers.
     """
 
     def __init__(
-        self, instances_per_domain: int = 2, repeat_window_ms: int = 1_000
+        self,
+        instances_per_domain: int = 2,
+        repeat_window_ms: int = 1_000,
+        heartbeat_ms: int = 300,
     ) -> None:
         self._temporary = tempfile.TemporaryDirectory(prefix='lagoonbend-')
         self._directory = pathlib.Path(self._temporary.name)
@@ -64,6 +68,7 @@
                 ports.pop(),
                 self.platform_port,
                 repeat_window_ms,
+                heartbeat_ms,
             )
             for name, domain in names
         }
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/process.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/process.py
@@ -30,6 +30,11 @@
                 env=os.environ,
             )
 
+    @property
+    def pid(self) -> int:
+        """Number of the process."""
+        return self._process.pid
+
     @property
     def is_running(self) -> bool:
         """True until the process has ended."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
@@ -281,6 +281,7 @@
                 log_event(Event.PAUSE_NOTICED, pause_ms=gap_ms)
             self._parts.ledger.expire()
             self._parts.control.tick()
+            self._metrics.set_waiting(self._dumps.count_waiting())
             gevent.sleep(TICK_S)
 
     def _confirm_facts(self, asked_ms: int) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/dump_builder.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/dump_builder.py
@@ -62,7 +62,7 @@
             platform_failures=platform_failures,
             seat_epoch=parts.ownership.epoch,
             bare_keys_quarantined_ms=max(quarantined_ms, 0),
-            waiting=self._count_waiting(),
+            waiting=self.count_waiting(),
             attempts=[
                 _dump_attempt(attempt, now_ms)
                 for attempt in self._server.attempts.values()
@@ -77,7 +77,8 @@
             violations=dict(parts.invariants.violations),
         )
 
-    def _count_waiting(self) -> dict[str, int]:
+    def count_waiting(self) -> dict[str, int]:
+        """Return the number of waiting calls by tier."""
         return dict(
             collections.Counter(
                 waiter.item.call.request_class.tier
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_book.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_book.py
@@ -65,7 +65,15 @@
         self.heard: dict[str, Heard] = {}
 
     def write_digest(self) -> Digest:
-        """Return what this instance tells its peers."""
+        """Return what this instance answers a peer."""
+        loads = tuple(self._list_loads())[:GREATEST_LOADS]
+        return self.write_question()._replace(loads=loads)
+
+    def write_question(self) -> Digest:
+        """Return what this instance tells a peer when it asks.
+
+        Loads travel in answers alone, which halves the bytes of a round.
+        """
         revision, digest = self._store.order
         return Digest(
             self._instance,
@@ -75,7 +83,6 @@
             digest,
             self._fleet.current.revision,
             self._ownership.epoch,
-            tuple(self._list_loads())[:GREATEST_LOADS],
         )
 
     def exchange(self, digest: Digest) -> Digest:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_exchange.py
@@ -100,7 +100,7 @@
     def _ask(self, address: str) -> None:
         asked_ms = self._clock.now_ms()
         try:
-            digest = self._peers.exchange(address, self._book.write_digest())
+            digest = self._peers.exchange(address, self._book.write_question())
         except PeerError:
             return
         self._book.hear(digest, asked_ms)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/platform_watcher.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/platform_watcher.py
@@ -52,8 +52,8 @@
             self.failures = 0
         if reading is None:
             return
-        self._version = reading.version
         self._apply(reading.body)
+        self._version = reading.version
 
     def _note_failure(self, error: PlatformError) -> None:
         if not self.failures:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/metrics.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/metrics.py
@@ -62,6 +62,13 @@
             buckets=LATENCY_BUCKETS_S,
         )
 
+    def set_waiting(self, counts: dict[str, int]) -> None:
+        """Set the number of waiting requests by tier."""
+        for labels, _ in self.waiting.get_all():
+            counts.setdefault(labels['tier'], 0)
+        for tier, count in counts.items():
+            self.waiting.set({'tier': tier}, count)
+
     def render(self) -> bytes:
         """Return all metrics in the text form of Prometheus."""
         content, _ = render(self.registry, ['text/plain'])
--- a/packages/lagoonbend/src/lagoonbend/_internal/models/refusal_code.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/models/refusal_code.py
@@ -27,4 +27,3 @@
     NO_TARGET = 'no_target'
     TARGET_FAILED = 'target_failed'
     INCOMPLETE_ANSWER = 'incomplete_answer'
-    DRAINING = 'draining'
--- a/packages/lagoonbend/src/lagoonbend/_internal/routing/policies/least_reported.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/policies/least_reported.py
@@ -1,24 +1,16 @@
 """Least reported load."""
 
 from collections.abc import Sequence
-import random
 
+from lagoonbend._internal.routing.policies.plain_policy import PlainPolicy
 from lagoonbend._internal.routing.policy import register_policy
 from lagoonbend._internal.routing.target_state import TargetState
 from lagoonbend._internal.routing.work_estimate import WorkEstimate
 
 
 @register_policy('least_reported')
-class LeastReported:
-    """Chooses the target whose latest report shows the least work.
-
-    :param rng: source of random choices.
-    """
-
-    uses_reserve = False
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+class LeastReported(PlainPolicy):
+    """Chooses the target whose latest report shows the least work."""
 
     def choose(
         self,
@@ -34,12 +26,3 @@
                 self._rng.random(),
             ),
         )
-
-    def find_home(
-        self,
-        candidates: Sequence[TargetState],
-        work: WorkEstimate,
-        now_ms: int,
-    ) -> TargetState | None:
-        """Return None: prefixes are not looked at."""
-        return None
--- a/packages/lagoonbend/src/lagoonbend/_internal/routing/policies/two_choices.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/policies/two_choices.py
@@ -1,24 +1,16 @@
 """Power of two choices on reported load."""
 
 from collections.abc import Sequence
-import random
 
+from lagoonbend._internal.routing.policies.plain_policy import PlainPolicy
 from lagoonbend._internal.routing.policy import register_policy
 from lagoonbend._internal.routing.target_state import TargetState
 from lagoonbend._internal.routing.work_estimate import WorkEstimate
 
 
 @register_policy('two_choices')
-class TwoChoices:
-    """Draws two targets and takes the one with the lower reported load.
-
-    :param rng: source of random choices.
-    """
-
-    uses_reserve = False
-
-    def __init__(self, rng: random.Random) -> None:
-        self._rng = rng
+class TwoChoices(PlainPolicy):
+    """Draws two targets and takes the one with the lower reported load."""
 
     def choose(
         self,
@@ -34,12 +26,3 @@
                 state.report.waiting_tokens if state.report else 0
             ),
         )
-
-    def find_home(
-        self,
-        candidates: Sequence[TargetState],
-        work: WorkEstimate,
-        now_ms: int,
-    ) -> TargetState | None:
-        """Return None: prefixes are not looked at."""
-        return None
--- /dev/null
+++ b/tests/functional/test_command_line.py
@@ -0,0 +1,105 @@
+"""The operators' command line, the settings and the examples."""
+
+import pathlib
+import subprocess
+import sys
+import tempfile
+import unittest
+
+from lagoonbend_devkit.fleet import LocalFleet
+
+ROOT = pathlib.Path(__file__).parents[2]
+BIN = pathlib.Path(sys.executable).parent
+PARTNERS = ('port-louis', 'lakeshore')
+BROKEN = {
+    'port = 8080': ('port = 80800', 'expected a TCP port'),
+    'address = 10.0.0.2': ('address = platform', 'expected an IP number'),
+    'retry_ms = 1000': ('retry_ms = 1s', 'expected whole milliseconds'),
+    'watch_ms = 20000': ('watch_s = 20', 'expected watch_ms'),
+    '[serving]': ('[servings]', 'expected serving'),
+    'policy = expected_time': ('policy = fastest', 'expected one of'),
+    'partner = lakeshore': ('', 'missing key'),
+}
+
+
+class CommandLineTest(unittest.TestCase):
+    """Commands as an operator types them."""
+
+    def test_samples_are_good(self) -> None:
+        """Each partner's settings and document pass the checks."""
+        for partner in PARTNERS:
+            sample = f'samples/{partner}'
+            for arguments in (
+                ('config', 'check', f'{sample}.ini'),
+                ('document', 'check', f'{sample}.json'),
+            ):
+                code, output = _run(*arguments)
+                self.assertEqual(0, code, output)
+
+    def test_faulty_settings_are_one_line_and_exit_code_2(self) -> None:
+        """The line names file, section, key and what was expected."""
+        text = (ROOT / 'samples' / 'lakeshore.ini').read_text()
+        for good, (bad, expected) in BROKEN.items():
+            with self.subTest(bad=bad), tempfile.TemporaryDirectory() as name:
+                path = pathlib.Path(name) / 'bad.ini'
+                path.write_text(text.replace(good, bad, 1))
+                code, output = _run('config', 'check', str(path))
+                self.assertEqual(2, code)
+                self.assertEqual(1, len(output.strip().splitlines()), output)
+                self.assertIn(str(path), output)
+                self.assertIn(expected, output)
+
+    def test_split_document_is_good(self) -> None:
+        """A document whose customers moved into shards passes the check."""
+        with tempfile.TemporaryDirectory() as name:
+            code, output = _run(
+                'document', 'split', 'samples/lakeshore.json', name
+            )
+            self.assertEqual(0, code, output)
+            code, output = _run('document', 'check', f'{name}/document')
+            self.assertEqual(0, code, output)
+            code, _ = _run(
+                'document',
+                'diff',
+                'samples/lakeshore.json',
+                f'{name}/document',
+            )
+            self.assertEqual(1, code)
+
+    def test_dump_and_status_read_a_fleet(self) -> None:
+        """Tables and JSON of real instances, without secrets."""
+        with LocalFleet(instances_per_domain=1) as fleet:
+            addresses = [
+                f'127.0.0.1:{spec.operator_port}'
+                for spec in fleet.instances.values()
+            ]
+            outputs = [
+                _run('status', *addresses),
+                _run('dump', addresses[0]),
+                _run('dump', '--json', addresses[0]),
+            ]
+        for code, output in outputs:
+            self.assertEqual(0, code, output)
+            self.assertIn('lake-north-1', output)
+            self.assertNotIn('demo-key', output)
+        code, _ = _run('status', addresses[0])
+        self.assertEqual(1, code)
+
+    def test_examples_run(self) -> None:
+        """Parts work alone."""
+        for path in sorted((ROOT / 'examples').glob('*.py')):
+            done = subprocess.run(
+                [sys.executable, str(path)], capture_output=True, check=False
+            )
+            self.assertEqual(0, done.returncode, done.stderr)
+
+
+def _run(*arguments: str) -> tuple[int, str]:
+    done = subprocess.run(
+        [str(BIN / 'lagoonbend'), *arguments],
+        capture_output=True,
+        check=False,
+        cwd=ROOT,
+        text=True,
+    )
+    return done.returncode, done.stdout + done.stderr
--- a/tests/functional/test_process_faults.py
+++ b/tests/functional/test_process_faults.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from lagoonbend_devkit.fleet import LocalFleet
+from tests.lib.chat import write_chat
 
 QUARANTINE_S = 4.5
 PAUSE_S = 5.0
@@ -77,6 +78,36 @@
         self.assertEqual(409, self._book('four', ticket, OTHER))
         self.assertEqual(['four'], self._read_bookings('four'))
 
+    def test_killed_instance_leaves_no_whole_stream(self) -> None:
+        """A caller of a killed instance never takes a part for the whole."""
+        stream = self._begin_stream(HOME)
+        self.fleet.processes[HOME].send(signal.SIGKILL)
+        answer = stream.get(timeout=20)
+        self.assertEqual(0, answer.status)
+        self.assertNotIn(b'[DONE]', answer.body)
+
+    def test_paused_instance_ends_its_stream_whole(self) -> None:
+        """A stream goes on after the instance wakes up."""
+        stream = self._begin_stream(HOME)
+        self.fleet.processes[HOME].send(signal.SIGSTOP)
+        gevent.sleep(1.5)
+        self.fleet.processes[HOME].send(signal.SIGCONT)
+        answer = stream.get(timeout=20)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(101, answer.body.count(b'data: '))
+
+    def _begin_stream(self, name: str) -> gevent.Greenlet:
+        body = write_chat('long question', max_tokens=100)
+        stream = gevent.spawn(
+            self.fleet.call,
+            name,
+            'POST',
+            '/v1/chat/completions',
+            body=body,
+        )
+        gevent.sleep(0.4)
+        return stream
+
     def _book(self, body: str, key: str, name: str) -> int:
         answer = self.fleet.call(
             name, 'POST', '/bookings', body=body.encode(), key=key
--- a/tests/lib/broken_claims.py
+++ b/tests/lib/broken_claims.py
@@ -4,42 +4,16 @@
 
 from lagoonbend.attempts import AttemptPath
 from lagoonbend.claims import ClaimLedger
-from lagoonbend.claims import HolderDirectory
 from lagoonbend.claims import KeyWindow
-from lagoonbend.claims import Ownership
 from lagoonbend.claims import PauseDetector
 from lagoonbend.claims import SeatOwnership
 from lagoonbend.claims import Ticket
 from lagoonbend.claims import TicketMint
 from lagoonbend.models import SeatPlan
+from lagoonbend_devkit._internal.experiments import claim_ways
 from lagoonbend_devkit.worlds import PartTypes
 
 
-class LocalDirectory(HolderDirectory):
-    """Takes each instance's own memory for the whole truth."""
-
-    def find(self, key: str) -> str | None:
-        """Return this instance."""
-        return None
-
-
-class LocalOwnership(SeatOwnership):
-    """Owns every key."""
-
-    def judge(self, key: str) -> Ownership:
-        """Accept the key."""
-        return Ownership.OWNED
-
-
-class EagerOwnership(SeatOwnership):
-    """Accepts keys at once after a start."""
-
-    @property
-    def quarantined_until_ms(self) -> int:
-        """No quarantine."""
-        return 0
-
-
 class CarelessOwnership(SeatOwnership):
     """Moves keys to new owners without a word of the former ones."""
 
@@ -117,10 +91,8 @@
 
 
 BROKEN = {
-    'memory of each instance alone': PartTypes(
-        directory=LocalDirectory, ownership=LocalOwnership
-    ),
-    'no quarantine after a start': PartTypes(ownership=EagerOwnership),
+    'memory of each instance alone': claim_ways.MEMORY_ALONE,
+    'no quarantine after a start': claim_ways.UNGUARDED_OWNER,
     'ownership moves unconfirmed': PartTypes(ownership=CarelessOwnership),
     'late word taken for fresh': PartTypes(ownership=GullibleOwnership),
     'memory as long as the window': PartTypes(ledger=ForgetfulLedger),
--- /dev/null
+++ b/tests/unit/test_model.py
@@ -0,0 +1,51 @@
+"""The measures of the model against their stated targets."""
+
+import unittest
+
+from lagoonbend_devkit._internal.model.model_run import ModelRun
+from lagoonbend_devkit._internal.model.model_run import Outcome
+from lagoonbend_devkit._internal.model.model_settings import ModelSettings
+from lagoonbend_devkit._internal.model.workload import WORKLOADS
+
+SEED = 1
+DURATION_MS = 30_000
+GREATEST_LOSS_PERCENT = 3.0
+
+
+class ModelTest(unittest.TestCase):
+    """Short seeded runs at 1 s lag and 90 % load."""
+
+    def test_urgent_tier_is_served(self) -> None:
+        """The top tier comes within 3 % of the oracle."""
+        for name in WORKLOADS:
+            with self.subTest(workload=name):
+                chosen = _run(name, 'expected_time', is_oracle=False)
+                oracle = _run(name, 'expected_time', is_oracle=True)
+                top = WORKLOADS[name].kinds[0].name
+                loss = (
+                    oracle.goodput_percent[top] - chosen.goodput_percent[top]
+                )
+                self.assertLessEqual(loss, GREATEST_LOSS_PERCENT)
+
+    def test_naive_policy_is_not(self) -> None:
+        """Least reported load misses the same bound."""
+        chosen = _run('office', 'least_reported', is_oracle=False)
+        oracle = _run('office', 'expected_time', is_oracle=True)
+        loss = oracle.goodput_percent['flag'] - chosen.goodput_percent['flag']
+        self.assertGreater(loss, GREATEST_LOSS_PERCENT)
+
+    def test_same_seed_gives_same_outcome(self) -> None:
+        """A run can be replayed."""
+        first = _run('lakeshore', 'expected_time', is_oracle=False)
+        second = _run('lakeshore', 'expected_time', is_oracle=False)
+        self.assertEqual(first, second)
+
+
+def _run(name: str, policy: str, *, is_oracle: bool) -> Outcome:
+    settings = ModelSettings(
+        policy=policy,
+        seed=SEED,
+        is_oracle=is_oracle,
+        duration_ms=DURATION_MS,
+    )
+    return ModelRun(WORKLOADS[name], settings).run()
