Add the console of forms, the load tool, and mend what the whole run found

Found: the rule that drops old assignments made the claim world refuse every call, since it dated them at 0; the tests that the matrix serves calls and catches broken variants failed, as they should. The status table folded instance names when piped.

Ruled out: dropping the age of assignments; the world was wrong, not the rule.

--- a/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/cli/main.py
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/cli/main.py
@@ -5,19 +5,25 @@
 from cleo.application import Application
 
 from lagoonbend_cli import __version__
+from lagoonbend_cli._internal.commands import console_password
 from lagoonbend_cli._internal.commands import document_check
 from lagoonbend_cli._internal.commands import document_split
 from lagoonbend_cli._internal.commands.config_check import ConfigCheckCommand
+from lagoonbend_cli._internal.commands.console_run import ConsoleRunCommand
 from lagoonbend_cli._internal.commands.document_diff import DocumentDiffCommand
 from lagoonbend_cli._internal.commands.dump_command import DumpCommand
+from lagoonbend_cli._internal.commands.load_command import LoadCommand
 from lagoonbend_cli._internal.commands.status_command import StatusCommand
 
 COMMANDS = (
+    console_password.ConsolePasswordCommand,
+    ConsoleRunCommand,
     ConfigCheckCommand,
     document_check.DocumentCheckCommand,
     DocumentDiffCommand,
     document_split.DocumentSplitCommand,
     DumpCommand,
+    LoadCommand,
     StatusCommand,
 )
 
--- a/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/commands/dump_command.py
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/commands/dump_command.py
@@ -3,11 +3,11 @@
 from cleo.helpers import argument
 from cleo.helpers import option
 import msgspec
-from rich.console import Console
 
 from lagoonbend_cli._internal.commands.base import EXIT_OK
 from lagoonbend_cli._internal.commands.base import LagoonbendCommand
 from lagoonbend_cli._internal.network.operator_client import fetch_dump
+from lagoonbend_cli._internal.utils.tables import build_console
 from lagoonbend_cli._internal.utils.tables import print_dump
 
 
@@ -25,5 +25,5 @@
         if self.option('json'):
             self.line(msgspec.json.format(msgspec.json.encode(dump)).decode())
         else:
-            print_dump(Console(), dump)
+            print_dump(build_console(), dump)
         return EXIT_OK
--- a/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/commands/status_command.py
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/commands/status_command.py
@@ -1,13 +1,13 @@
 """``lagoonbend status``."""
 
 from cleo.helpers import argument
-from rich.console import Console
 
 from lagoonbend.exceptions import NetworkError
 from lagoonbend_cli._internal.commands.base import EXIT_FAILURE
 from lagoonbend_cli._internal.commands.base import EXIT_OK
 from lagoonbend_cli._internal.commands.base import LagoonbendCommand
 from lagoonbend_cli._internal.network.operator_client import fetch_dump
+from lagoonbend_cli._internal.utils.tables import build_console
 from lagoonbend_cli._internal.utils.tables import print_status
 from lagoonbend_cli._internal.utils.tables import summarize
 
@@ -32,7 +32,7 @@
                 rows.append(summarize(fetch_dump(address)))
             except NetworkError as error:
                 failures.append(str(error))
-        print_status(Console(), rows)
+        print_status(build_console(), rows)
         for failure in failures:
             self.line_error(failure)
         return EXIT_FAILURE if failures else EXIT_OK
--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/console/__init__.py
@@ -0,0 +1,1 @@
+"""The console: web forms that yield one validated document."""
--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/load/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded load on instances, and its report."""
--- a/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/utils/tables.py
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/utils/tables.py
@@ -6,12 +6,20 @@
 from rich.console import Console
 from rich.table import Table
 
+from lagoonbend_cli._internal.load.load_report import LoadReport
 from lagoonbend_entry.dump import Dump
 
 NEVER = 'never'
+PIPED_WIDTH = 200
 DIGEST_CHARACTERS = 12
 
 
+def build_console() -> Console:
+    """Return a console that does not fold names when piped to a file."""
+    console = Console()
+    return console if console.is_terminal else Console(width=PIPED_WIDTH)
+
+
 def print_dump(console: Console, dump: Dump) -> None:
     """Print the whole state of an instance."""
     _print_facts(console, dump)
@@ -83,6 +91,32 @@
     )
 
 
+def print_load(console: Console, report: LoadReport) -> None:
+    """Print goodput, latency and ends by tier."""
+    _print_rows(
+        console,
+        f'{report["mix"]}, {report["rate_per_s"]:g} requests/s',
+        ('tier', 'sent', 'goodput %', 'late', 'p50 ms', 'p95 ms', 'ends'),
+        (
+            (
+                tier['tier'],
+                str(tier['sent']),
+                str(tier['goodput_percent']),
+                str(tier['late']),
+                f'{tier["latency_ms"]["p50"]:g}',
+                f'{tier["latency_ms"]["p95"]:g}',
+                ', '.join(f'{k} {v}' for k, v in tier['ends'].items()),
+            )
+            for tier in report['tiers']
+        ),
+    )
+    if report['wasted_tokens'] is not None:
+        console.print(
+            f'wasted prefill: {report["wasted_tokens"]} of '
+            f'{report["prefilled_tokens"]} prompt tokens'
+        )
+
+
 def summarize(dump: Dump) -> tuple[str, ...]:
     """Return the status line of an instance."""
     return (
@@ -113,8 +147,8 @@
     rows: Iterable[Sequence[str]],
 ) -> None:
     table = Table(title=title)
-    for column in columns:
-        table.add_column(column)
+    for number, column in enumerate(columns):
+        table.add_column(column, no_wrap=number == 0)
     for row in rows:
         table.add_row(*row)
     console.print(table)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/capacity/samples.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/capacity/samples.py
@@ -34,7 +34,7 @@
             '10.0.0.1',
             8000,
             f'domain-{number % DOMAINS}',
-            ('assistant', 'drafter'),
+            ('assistant', 'drafts'),
         )
         for number in range(count)
     ]
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/demo/scenario.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/demo/scenario.py
@@ -71,7 +71,7 @@
         first = self._book(other, b'boat at noon', ticket)
         kept = first.status == 200
         yield _write(f'booking, ticket of {victim}', first, kept)
-        body = _write_chat('Draft the catalogue', 'drafter', DRAFT_TOKENS)
+        body = _write_chat('Draft the catalogue', 'drafts', DRAFT_TOKENS)
         drafts = {
             name: gevent.spawn(
                 self._fleet.call, name, 'POST', CHAT_PATH, body=body
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/local_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/local_fleet.py
@@ -22,7 +22,7 @@
 from lagoonbend_entry.dump import Dump
 
 DOMAINS = ('lake-north', 'lake-south')
-MODELS = ['assistant', 'drafter']
+MODELS = ['assistant', 'trail-assistant', 'drafts']
 START_TIMEOUT_S = 30.0
 POLL_S = 0.05
 
@@ -97,6 +97,11 @@
             process.kill()
         self._temporary.cleanup()
 
+    @property
+    def engine_port(self) -> int:
+        """Port of the first engine."""
+        return self.target_ports[f'engine-{DOMAINS[0]}']
+
     def start_instance(self, name: str) -> None:
         """Start an instance with empty memory."""
         spec = self.instances[name]
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/sample_part.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/sample_part.py
@@ -41,7 +41,7 @@
             {
                 'name': 'draft',
                 'path': '/v1/chat/completions',
-                'model': 'drafter',
+                'model': 'drafts',
                 'tier': 'draft',
                 'kind': 'engine',
                 'idempotent': True,
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/claim_world.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/claim_world.py
@@ -345,7 +345,8 @@
         elif isinstance(step, ReleaseClaim):
             self._release(attempt, step)
         elif isinstance(step, Admit):
-            attempt.send(Assignment(TargetState(TARGET), NO_WORK, 0))
+            now_ms = attempt.process.clock.now_ms()
+            attempt.send(Assignment(TargetState(TARGET), NO_WORK, now_ms))
         elif isinstance(step, Connect):
             self._connect(attempt)
         elif isinstance(step, Write):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/field_kind.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/field_kind.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9_.-]{0,62}')
+HASH_PATTERN = re.compile(r'[0-9a-f]{32}:[0-9a-f]{128}')
 GREATEST_PORT = 65_535
 
 
@@ -52,6 +53,20 @@
     return number
 
 
+def _parse_addresses(text: str) -> str:
+    for item in text.split():
+        ip, _, port = item.rpartition(':')
+        _parse_ip(ip)
+        _parse_port(port)
+    return text
+
+
+def _parse_hash(text: str) -> str:
+    if not HASH_PATTERN.fullmatch(text):
+        raise ValueError(text)
+    return text
+
+
 def _parse_switch(text: str) -> str:
     if text not in ('on', 'off'):
         raise ValueError(text)
@@ -67,6 +82,10 @@
 NAME = FieldKind('a name of letters, digits, ".", "_" and "-"', _parse_name)
 KINDS = {
     'address': FieldKind('an IP number such as 127.0.0.1', _parse_ip),
+    'addresses': FieldKind('ip:port, separated by blanks', _parse_addresses),
+    'hash': FieldKind(
+        'what "lagoonbend console password" printed', _parse_hash
+    ),
     'links': FieldKind('on or off', _parse_switch),
     'port': FieldKind('a TCP port from 1 to 65535', _parse_port),
     'ms': FieldKind(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
@@ -4,20 +4,32 @@
 import difflib
 import pathlib
 import typing
+from typing import TypeVar
 
 from lagoonbend.exceptions import SettingsError
 from lagoonbend.routing import POLICIES
 from lagoonbend_entry._internal.settings.field_kind import find_kind
 from lagoonbend_entry._internal.settings.settings import Settings
 
+Sections = TypeVar('Sections')
+
 
 def read_settings(path: pathlib.Path) -> Settings:
-    """Read settings from an INI file.
+    """Read the settings of an instance from an INI file.
+
+    :raises SettingsError: on the first fault, with file, section and key.
+    """
+    return read_sections(path, Settings)
+
+
+def read_sections(path: pathlib.Path, cls: type[Sections]) -> Sections:
+    """Read settings whose fields are sections.
 
+    :param cls: named tuple of named tuples, one for each section.
     :raises SettingsError: on the first fault, with file, section and key.
     """
     parser = _parse_file(path)
-    sections = typing.get_type_hints(Settings)
+    sections = typing.get_type_hints(cls)
     for section in parser.sections():
         if section not in sections:
             raise _fault(
@@ -28,10 +40,10 @@
                 _suggest(section, sections),
             )
     values: dict[str, typing.Any] = {
-        section: _read_section(path, parser, section, cls)
-        for section, cls in sections.items()
+        section: _read_section(path, parser, section, section_cls)
+        for section, section_cls in sections.items()
     }
-    return Settings(**values)
+    return cls(**values)
 
 
 def _parse_file(path: pathlib.Path) -> configparser.ConfigParser:
--- a/tests/functional/test_command_line.py
+++ b/tests/functional/test_command_line.py
@@ -6,6 +6,8 @@
 import tempfile
 import unittest
 
+import msgspec
+
 from lagoonbend_devkit.fleet import LocalFleet
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -85,6 +87,32 @@
         code, _ = _run('status', addresses[0])
         self.assertEqual(1, code)
 
+    def test_load_reports_every_tier(self) -> None:
+        """A short run yields a table, JSON and a plot."""
+        with (
+            LocalFleet(instances_per_domain=1) as fleet,
+            tempfile.TemporaryDirectory() as name,
+        ):
+            specs = fleet.instances.values()
+            code, output = _run(
+                'load',
+                *(f'127.0.0.1:{spec.caller_port}' for spec in specs),
+                *('--mix', 'lakeshore', '--key', 'demo-key'),
+                *('--rate', '20', '--seconds', '3'),
+                *('--engine', f'127.0.0.1:{fleet.engine_port}'),
+                *('--json', f'{name}/r.json', '--plot', f'{name}/r.svg'),
+            )
+            self.assertEqual(0, code, output)
+            report = msgspec.json.decode(
+                pathlib.Path(f'{name}/r.json').read_bytes()
+            )
+            plot = pathlib.Path(f'{name}/r.svg').read_text()
+        tiers = {tier['tier']: tier for tier in report['tiers']}
+        self.assertEqual({'trail', 'booking', 'draft'}, set(tiers))
+        for tier in tiers.values():
+            self.assertEqual({'answered': tier['sent']}, tier['ends'])
+        self.assertIn('<svg', plot)
+
     def test_examples_run(self) -> None:
         """Parts work alone."""
         for path in sorted((ROOT / 'examples').glob('*.py')):
