Count a pause too short to notice into the memory of bare keys

The world let a connection live on after any pause; the daemon closes it by a timer. Looking at that race showed a real hole: a pause shorter than pause_ms that spans the end of the timer lets a late repeat be read, and the owner had forgotten the key by then.

Ruled out: a shorter pause_ms alone; any pause that is not noticed leaves the hole.

Change: the arrival time counts a pause for the head and for the body; the world closes connections by running time. Targets that nobody reports are taken last.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/claim_latency.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/claim_latency.py
@@ -11,7 +11,7 @@
 
 CALLS = 200
 WARM_UP_CALLS = 20
-QUARANTINE_S = 4.5
+QUARANTINE_S = 6.0
 MILLISECONDS_PER_SECOND = 1000
 P95_INDEX = 18
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/instance_spec.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/instance_spec.py
@@ -32,6 +32,7 @@
 repeat_window_ms = {repeat_window_ms}
 confirm_ms = 1000
 nonce_life_ms = 500
+pause_ms = 600
 
 [serving]
 drain_notice_ms = 300
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/claim_world.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/claim_world.py
@@ -224,7 +224,6 @@
         if process is None:
             return False
         process.is_paused = False
-        process.woke_ms = self.clock.now_ms()
         return True
 
     @action(2)
@@ -458,8 +457,6 @@
         waited_ms = self.clock.now_ms() - arrival.connected_ms
         clock_ms = process.clock.now_ms()
         age_known = process.pauses.is_age_known(clock_ms - waited_ms)
-        if self._is_closed(arrival):
-            return
         self._numbers += 1
         call = Call(
             f'attempt-{self._numbers}',
@@ -488,10 +485,6 @@
         self.attempts.append(attempt)
         self.settle(attempt)
 
-    def _is_closed(self, arrival: Arrival) -> bool:
-        since_ms = max(arrival.connected_ms, arrival.process.woke_ms)
-        return self.clock.now_ms() - since_ms > self.times.connection_ms
-
     def send(self, caller: VirtualCaller, process: VirtualProcess) -> None:
         """Put a caller's request on its way to a process."""
         caller.sends += 1
@@ -512,6 +505,21 @@
             for process in self._running():
                 process.pauses.observe()
                 process.ledger.expire()
+            self._close_late_connections()
+
+    def _close_late_connections(self) -> None:
+        """Let running processes close connections that took too long.
+
+        A pause may span the end of that time; the request can then be read
+        on waking, before the process notices how late it is.
+        """
+        oldest_ms = self.clock.now_ms() - self.times.connection_ms
+        self.arrivals = [
+            arrival
+            for arrival in self.arrivals
+            if not arrival.process.is_running
+            or arrival.connected_ms >= oldest_ms
+        ]
 
     def can_go(self, message: Message) -> bool:
         """Return True if a message can arrive now."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/scripted_world.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/scripted_world.py
@@ -38,6 +38,7 @@
         self.pass_time(
             times.repeat_window_ms
             + times.connection_ms
+            + times.pause_ms
             + 2 * times.nonce_life_ms
             + times.confirm_ms
         )
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/virtual_process.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/virtual_process.py
@@ -14,8 +14,6 @@
 class VirtualProcess:
     """The decision parts of one incarnation of an instance.
 
-    ``woke_ms`` is the end of its last pause, on the world's clock.
-
     :param instance: name of the instance.
     :param address: address of its peer listener.
     :param failure_domain: domain it stands in.
@@ -44,12 +42,13 @@
         self.clock = clock
         self.is_alive = True
         self.is_paused = False
-        self.woke_ms = 0
         self.invariants = Invariants(strict=True)
         self.budget = RetryBudget()
         fleet = FleetView(clock)
         window = KeyWindow(
-            times.repeat_window_ms, times.connection_ms, times.nonce_life_ms
+            times.repeat_window_ms,
+            times.connection_ms + times.pause_ms,
+            times.nonce_life_ms,
         )
         fleet.apply(fleet_list)
         self.mint = types.mint(instance, str(incarnation), clock)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/parts.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/parts.py
@@ -23,7 +23,8 @@
 from lagoonbend_entry._internal.utils.metrics import Metrics
 
 INCARNATION_BYTES = 6
-# The head and the body of a request have a timeout each.
+# The head and the body of a request have a timeout each, and a pause too
+# short to notice may span the end of either.
 ARRIVAL_PHASES = 2
 
 
@@ -46,7 +47,8 @@
         self.mint = TicketMint(settings.instance.name, self.incarnation, clock)
         window = KeyWindow(
             claims.repeat_window_ms,
-            ARRIVAL_PHASES * settings.callers.body_timeout_ms,
+            ARRIVAL_PHASES
+            * (settings.callers.body_timeout_ms + claims.pause_ms),
             claims.nonce_life_ms,
         )
         self.ownership = SeatOwnership(
--- a/packages/lagoonbend/src/lagoonbend/_internal/claims/key_window.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/claims/key_window.py
@@ -8,7 +8,8 @@
 
     :param repeat_ms: how long a caller may send a key after its first send.
     :param arrival_ms: greatest time from the accepted connection to the
-        receipt of the whole request, in an instance that is not paused.
+        receipt of the whole request, in an instance that notices no pause;
+        pauses too short to notice are part of it.
     :param nonce_life_ms: greatest time from the receipt to the arrival of
         the owner's nonce, and from the issue of the nonce to the claim.
     """
--- a/packages/lagoonbend/src/lagoonbend/_internal/routing/target_state.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/target_state.py
@@ -17,6 +17,7 @@
 FALLING_RATE = 0.1
 LEARNING_TOKENS = 500
 MILLISECONDS_PER_SECOND = 1000
+REPORT_LIFE_MS = 10_000
 
 
 class RunningWork(Protocol):
@@ -52,6 +53,12 @@
         """Tokens of this instance's requests at the target."""
         return sum(item.work.tokens for item in self.running)
 
+    def is_reported(self, now_ms: int) -> bool:
+        """Return True if there is a report that is not too old."""
+        if self.report is None:
+            return False
+        return now_ms - self.report.measured_ms < REPORT_LIFE_MS
+
     def learn(self, tokens: float, elapsed_ms: int) -> None:
         """Move the learned speed towards what one request has shown.
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/routing/target_table.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/target_table.py
@@ -147,9 +147,14 @@
     def _find_open(
         self, states: list[TargetState], rank: int
     ) -> list[TargetState]:
-        """Return the targets with room; the reserve alone if it has room."""
+        """Return the targets with room, the best of them alone.
+
+        A target whose load nobody reports looks idle, and is taken only if
+        no reported one has room; so are targets outside the reserve.
+        """
         now_ms = self._clock.now_ms()
         is_open = [s for s in states if self._has_room(s, rank, now_ms)]
+        is_open = [s for s in is_open if s.is_reported(now_ms)] or is_open
         if rank != self._reserve.top_rank or not self._policy.uses_reserve:
             return is_open
         reserved = self._reserve.choose(states)
--- a/tests/functional/test_process_faults.py
+++ b/tests/functional/test_process_faults.py
@@ -9,7 +9,7 @@
 from lagoonbend_devkit.fleet import LocalFleet
 from tests.lib.chat import write_chat
 
-QUARANTINE_S = 4.5
+QUARANTINE_S = 6.0
 PAUSE_S = 5.0
 HOME = 'lake-north-1'
 OTHER = 'lake-south-1'
--- a/tests/functional/test_whole_path.py
+++ b/tests/functional/test_whole_path.py
@@ -12,7 +12,7 @@
 from tests.lib.chat import write_chat
 
 REPEAT_WINDOW_MS = 1_000
-QUARANTINE_S = 4.5
+QUARANTINE_S = 6.0
 REPEATS = 50
 IN_PROGRESS = 409
 
--- a/tests/lib/claim_matrix.py
+++ b/tests/lib/claim_matrix.py
@@ -196,9 +196,7 @@
     world.holding = False
     world.cut_domains.clear()
     for process in world.processes.values():
-        if process.is_paused:
-            process.is_paused = False
-            process.woke_ms = world.clock.now_ms()
+        process.is_paused = False
 
 
 def _kill(scene: Scene, number: int) -> None:
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -7,6 +7,7 @@
 from lagoonbend.queueing import AdmissionControl
 from lagoonbend.queueing import Offer
 from lagoonbend.queueing import TierQueue
+from lagoonbend.routing import LoadReport
 from tests.lib.admission_world import AdmissionWorld
 
 SEEDS = range(30)
@@ -87,6 +88,17 @@
         self.assertEqual(['queue_full'], last.ends)
         self.assertGreaterEqual(world.control.estimate_wait_ms(), 500)
 
+    def test_unreported_target_is_the_last_choice(self) -> None:
+        """Targets beyond the shared loads do not look idle."""
+        world = AdmissionWorld(1)
+        for state in list(world.table)[:-1]:
+            name = state.target.target
+            state.report = LoadReport(name, 1, 10, world.clock.now_ms())
+        unreported = list(world.table)[-1]
+        first = [world.arrive(2) for _ in range(2)]
+        self.assertEqual(0, unreported.outstanding)
+        self.assertTrue(all(item.assignment for item in first))
+
     def test_woken_instance_waits_for_confirmed_facts(self) -> None:
         """Nothing is assigned on old facts until a peer has answered."""
         world = AdmissionWorld(1)
--- a/tests/unit/test_claim_scenarios.py
+++ b/tests/unit/test_claim_scenarios.py
@@ -63,6 +63,10 @@
         """A repeat at the end of the window arrives late but in time."""
         self._check(_repeat_late, 'memory as long as the window')
 
+    def test_short_pause_spans_the_end_of_a_connection(self) -> None:
+        """A pause too short to notice lets a late repeat be read."""
+        _pause_shortly(ScriptedWorld(REAL))
+
     def test_request_read_after_a_pause(self) -> None:
         """A first send waits in the socket of a paused instance."""
         self._check(_read_after_pause, 'pause not noticed')
@@ -175,6 +179,25 @@
     world.finish(attempt)
 
 
+def _pause_shortly(world: ScriptedWorld) -> None:
+    times = world.times
+    caller = world.new_caller()
+    owner = world.find_owner_number(caller.key)
+    world.call(caller, owner)
+    world.pass_time(times.repeat_window_ms - 1)
+    arrival = world.arrive(caller, owner)
+    world.pass_time(times.connection_ms)
+    world.process(owner).is_paused = True
+    world.pass_time(times.pause_ms - 1)
+    world.process(owner).is_paused = False
+    attempt = world.begin(arrival)
+    assert attempt is not None
+    world.pass_time(times.nonce_life_ms - 1)
+    world.run_to(attempt, SendClaim)
+    world.pass_time(times.nonce_life_ms - 1)
+    world.finish(attempt)
+
+
 def _read_after_pause(world: ScriptedWorld) -> None:
     caller = world.new_caller()
     owner = world.find_owner_number(caller.key)
@@ -184,7 +207,6 @@
     world.call(caller, owner)
     world.wait_out_quarantine()
     world.process(paused).is_paused = False
-    world.process(paused).woke_ms = world.clock.now_ms()
     attempt = world.begin(arrival)
     if attempt is not None:
         world.finish(attempt)
