Give back the claim of a caller that left; interrupt only running work

Cause: read as a newcomer, three faults without a test. A caller that left while its claim was asked for left the claim held, so that its repeat was told 'may have run' of what did not. An error for a preempted call or for a caller that left was thrown a moment later, into whatever the greenlet then served.

Ruled out: catching every exception in the attempt's path; a killed process must not run further steps.

Change: the claim step gives the claim back; errors are thrown only while the work goes on; the world is split into its core and its actions.

Before: the new test of the path would have raised without ReleaseClaim (not run before the change).

Conclusion: preemption in the daemon is covered by these and the decision tests, not by whole processes.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/claim_experiment.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/experiments/claim_experiment.py
@@ -5,10 +5,10 @@
 
 from lagoonbend_devkit._internal.experiments.claim_ways import MEMORY_ALONE
 from lagoonbend_devkit._internal.experiments.claim_ways import UNGUARDED_OWNER
-from lagoonbend_devkit._internal.worlds.claim_world import INSTANCES
-from lagoonbend_devkit._internal.worlds.claim_world import WorldError
 from lagoonbend_devkit._internal.worlds.part_types import PartTypes
 from lagoonbend_devkit._internal.worlds.scripted_world import ScriptedWorld
+from lagoonbend_devkit._internal.worlds.world_core import INSTANCES
+from lagoonbend_devkit._internal.worlds.world_core import WorldError
 
 CALLS = 1_000
 SPREAD_MS = 9
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/long_run.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/long_run.py
@@ -4,7 +4,7 @@
 import multiprocessing
 
 from lagoonbend_devkit._internal.worlds.claim_world import ClaimWorld
-from lagoonbend_devkit._internal.worlds.claim_world import WorldError
+from lagoonbend_devkit._internal.worlds.world_core import WorldError
 
 WORKERS = 6
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/scripted_world.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/worlds/scripted_world.py
@@ -2,11 +2,11 @@
 
 from lagoonbend_devkit._internal.worlds.arrival import Arrival
 from lagoonbend_devkit._internal.worlds.claim_world import ClaimWorld
-from lagoonbend_devkit._internal.worlds.claim_world import CUSTOMER
 from lagoonbend_devkit._internal.worlds.part_types import PartTypes
 from lagoonbend_devkit._internal.worlds.virtual_attempt import VirtualAttempt
 from lagoonbend_devkit._internal.worlds.virtual_caller import VirtualCaller
 from lagoonbend_devkit._internal.worlds.virtual_process import VirtualProcess
+from lagoonbend_devkit._internal.worlds.world_core import CUSTOMER
 
 GREATEST_ROUNDS = 200
 SUCCESS = 0.5
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/callers/caller_watch.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/callers/caller_watch.py
@@ -6,6 +6,7 @@
 import gevent.socket
 
 from lagoonbend.exceptions import CallerGoneError
+from lagoonbend_entry._internal.utils.interrupt import Interrupt
 
 POLL_S = 0.2
 
@@ -22,7 +23,7 @@
     def __init__(self, sock: gevent.socket.socket) -> None:
         self._poll = select.poll()
         self._poll.register(sock.fileno(), select.POLLRDHUP)
-        self._worker = gevent.getcurrent()
+        self._interrupt = Interrupt()
         self._watcher: gevent.Greenlet | None = None
 
     def __enter__(self) -> 'CallerWatch':
@@ -30,10 +31,11 @@
         return self
 
     def __exit__(self, *details: object) -> None:
+        self._interrupt.is_over = True
         if self._watcher is not None:
             self._watcher.kill(block=False)
 
     def _watch(self) -> None:
         while not self._poll.poll(0):
             gevent.sleep(POLL_S)
-        gevent.kill(self._worker, CallerGoneError('caller has left'))
+        self._interrupt.throw(CallerGoneError('caller has left'))
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/targets/target_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/targets/target_client.py
@@ -5,6 +5,7 @@
 from geventhttpclient.response import HTTPParseError
 
 from lagoonbend.exceptions import DispatchError
+from lagoonbend.exceptions import LagoonbendError
 from lagoonbend.models import Call
 from lagoonbend.models import Target
 from lagoonbend.models import Verdict
@@ -85,6 +86,9 @@
                 verdict=Verdict.MAY_HAVE_RUN,
                 context=context,
             ) from error
+        except LagoonbendError:
+            self.abort()
+            raise
         self._sock.settimeout(self._silence_timeout_s)
         return target_response.TargetResponse(response, self.abort, context)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/admission.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/admission.py
@@ -16,6 +16,7 @@
 
     def __init__(self, control: AdmissionControl) -> None:
         self._control = control
+        self._running: dict[Assignment, WaitingCall] = {}
 
     def admit(self, call: Call, work: WorkEstimate) -> Assignment:
         """Wait for a target; count the work there.
@@ -26,15 +27,21 @@
         waiting = WaitingCall(call, work)
         waiter = self._control.apply(waiting)
         try:
-            return waiting.wait()
+            assignment = waiting.wait()
         except LagoonbendError:
             if waiter is not None:
                 self._control.withdraw(waiter)
-            assignment = waiting.take_turn()
-            if assignment is not None:
-                self._control.leave(assignment)
+            waiting.end()
+            late = waiting.take_turn()
+            if late is not None:
+                self._control.leave(late)
             raise
+        self._running[assignment] = waiting
+        return assignment
 
     def leave(self, assignment: Assignment) -> None:
         """Count the work at a target as over and let others run."""
+        waiting = self._running.pop(assignment, None)
+        if waiting is not None:
+            waiting.end()
         self._control.leave(assignment)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/waiting_call.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/waiting_call.py
@@ -1,12 +1,12 @@
 """A call that waits for a target."""
 
-import gevent
 import gevent.event
 
 from lagoonbend.exceptions import RefusedError
 from lagoonbend.models import Call
 from lagoonbend.routing import Assignment
 from lagoonbend.routing import WorkEstimate
+from lagoonbend_entry._internal.utils.interrupt import Interrupt
 
 
 class WaitingCall:
@@ -19,7 +19,7 @@
     def __init__(self, call: Call, work: WorkEstimate) -> None:
         self.call = call
         self.work = work
-        self._worker = gevent.getcurrent()
+        self._interrupt = Interrupt()
         self._turn: gevent.event.AsyncResult = gevent.event.AsyncResult()
 
     def give(self, assignment: Assignment) -> None:
@@ -32,7 +32,11 @@
 
     def preempt(self, error: RefusedError) -> None:
         """Let the call fail while it runs."""
-        gevent.kill(self._worker, error)
+        self._interrupt.throw(error)
+
+    def end(self) -> None:
+        """Note that the call runs no more."""
+        self._interrupt.is_over = True
 
     def wait(self) -> Assignment:
         """Wait for the turn.
--- a/packages/lagoonbend/src/lagoonbend/_internal/attempts/attempt_path.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/attempts/attempt_path.py
@@ -132,6 +132,9 @@
         except PeerError as error:
             yield ReleaseClaim(permit)
             raise refusals.refuse_unreachable_owner() from error
+        except CallerGoneError:
+            yield ReleaseClaim(permit)
+            raise
         return reply, permit
 
     def _check_age(self) -> None:
--- a/tests/unit/test_claim_scenarios.py
+++ b/tests/unit/test_claim_scenarios.py
@@ -3,7 +3,9 @@
 import unittest
 
 from lagoonbend.attempts import FetchNonce
+from lagoonbend.attempts import ReleaseClaim
 from lagoonbend.attempts import SendClaim
+from lagoonbend.exceptions import CallerGoneError
 from lagoonbend.models import RefusalCode
 from lagoonbend.models import SeatPlan
 from lagoonbend.models import Verdict
@@ -120,6 +122,18 @@
         world.call(caller, 2)
         self.assertEqual(1, caller.executions)
 
+    def test_claim_of_a_caller_that_left_is_given_back(self) -> None:
+        """The holder may have granted it; nobody will dispatch."""
+        world = ScriptedWorld()
+        caller = world.new_caller(home=0)
+        attempt = world.begin(world.arrive(caller, 1))
+        assert attempt is not None
+        world.run_to(attempt, SendClaim)
+        with self.assertRaises(CallerGoneError):
+            attempt.throw(CallerGoneError('gone'))
+            self.assertIsInstance(attempt.step, ReleaseClaim)
+            attempt.send(None)
+
     def test_lost_reply_does_not_block_the_key(self) -> None:
         """The same attempt claims again and is granted the same claim."""
         world = ScriptedWorld()
