Relay streams for POST alone

Cause: reading the relay showed that a stream for HEAD would never be begun, and its place at the target never given back, if a target answered HEAD with an event stream.

Ruled out: no caller could be shown to do it with the stand-in, which answers 405; the new test passes before and after.

Change: only POST is relayed as a stream; unused parameters removed.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_server.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/call_server.py
@@ -105,11 +105,9 @@
         if isinstance(outcome, Replayed):
             self.attempts.pop(call.attempt, None)
             return Served(*outcome.answer, replayed=True)
-        return self._answer(path, work, outcome)
+        return self._answer(path, outcome)
 
-    def _answer(
-        self, path: AttemptPath, work: WorkEstimate, outcome: Dispatched
-    ) -> Served:
+    def _answer(self, path: AttemptPath, outcome: Dispatched) -> Served:
         response = outcome.response
         if not isinstance(response, target_response.TargetResponse):
             raise TypeError(response)
@@ -119,14 +117,13 @@
             elapsed_ms / MILLISECONDS_PER_SECOND,
         )
         if _is_event_stream(path.call, response):
-            stream = self._relay(path, work, outcome, response)
+            stream = self._relay(path, outcome, response)
             return Served(200, EVENT_STREAM, stream=stream)
-        return self._read_whole(path, work, outcome, response)
+        return self._read_whole(path, outcome, response)
 
     def _read_whole(
         self,
         path: AttemptPath,
-        work: WorkEstimate,
         outcome: Dispatched,
         response: target_response.TargetResponse,
     ) -> Served:
@@ -150,7 +147,6 @@
     def _relay(
         self,
         path: AttemptPath,
-        work: WorkEstimate,
         outcome: Dispatched,
         response: target_response.TargetResponse,
     ) -> Iterator[bytes]:
@@ -239,6 +235,7 @@
     content_type = response.get_header('content-type')
     return (
         call.streaming
+        and call.method == 'POST'
         and response.status == 200
         and content_type.startswith(EVENT_STREAM)
     )
--- a/tests/functional/test_callers_side.py
+++ b/tests/functional/test_callers_side.py
@@ -116,6 +116,12 @@
         answer = self.fleet.call(NAME, 'GET', '/maps/lake%20shore?q=%C3%A9')
         self.assertEqual(200, answer.status)
 
+    def test_head_leaves_no_work_behind(self) -> None:
+        """No body is relayed for HEAD; its place at the target is free."""
+        self.fleet.call(NAME, 'HEAD', CHAT_PATH, body=write_chat('head'))
+        targets = self.fleet.read_dump(NAME)['targets']
+        self.assertEqual({0}, {item['outstanding'] for item in targets})
+
     def test_slow_and_truncated_bodies_hold_up_nobody(self) -> None:
         """Idle connections end in 408; others are served meanwhile."""
         head = b'POST /maps/1 HTTP/1.1\r\nHost: x\r\n'
