Look at the targets once for each placement; drop dead and twin code

Cause: read once more as a whole. For each waiting call, pump asked whether some target had room and assign then looked at all targets again. The gauge of waiting calls was set ten times a second, whether or not anybody read it. Three methods had lost their last caller; the age of a fresh report stood in two places; the raw servers of the tests, the resources of the console and two tables of the capacity slopes were written twice.

Ruled out: one map of running calls for admission and its control; the control forgets a preempted call at once, and the greenlet's own map keeps its late error from the next request.

Change: assign says why a call got no target (Unplaced); the gauge is set when metrics are read; TierQueue.expire, ClaimLedger.entries and PeerLoop.stop are gone; TargetState.is_reported serves both places (a load of exactly 10 s is no longer sent on); base classes for the twins.

Conclusion: behaviour is the same but for that one millisecond; the cost of a placement was not measured again.

--- a/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/console/console_app.py
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/console/console_app.py
@@ -112,8 +112,8 @@
                 )
 
 
-class SignInResource:
-    """``/sign-in``.
+class ConsoleResource:
+    """A page of the console.
 
     :param console: the console.
     """
@@ -121,6 +121,10 @@
     def __init__(self, console: Console) -> None:
         self._console = console
 
+
+class SignInResource(ConsoleResource):
+    """``/sign-in``."""
+
     def on_get(
         self, request: falcon.Request, response: falcon.Response
     ) -> None:
@@ -160,14 +164,8 @@
         )
 
 
-class SignOutResource:
-    """``/sign-out``.
-
-    :param console: the console.
-    """
-
-    def __init__(self, console: Console) -> None:
-        self._console = console
+class SignOutResource(ConsoleResource):
+    """``/sign-out``."""
 
     def on_post(
         self, request: falcon.Request, response: falcon.Response
@@ -178,14 +176,8 @@
         raise falcon.HTTPSeeOther('/sign-in')
 
 
-class OverviewResource:
-    """``/``: where which revision is in force.
-
-    :param console: the console.
-    """
-
-    def __init__(self, console: Console) -> None:
-        self._console = console
+class OverviewResource(ConsoleResource):
+    """``/``: where which revision is in force."""
 
     def on_get(
         self, request: falcon.Request, response: falcon.Response
@@ -223,14 +215,8 @@
         return rows, failures
 
 
-class EntriesResource:
-    """``/customers`` and its like: the entries of a list.
-
-    :param console: the console.
-    """
-
-    def __init__(self, console: Console) -> None:
-        self._console = console
+class EntriesResource(ConsoleResource):
+    """``/customers`` and its like: the entries of a list."""
 
     def on_get(
         self, request: falcon.Request, response: falcon.Response, name: str
@@ -239,14 +225,8 @@
         show_entries(self._console, request, response, name, '')
 
 
-class DeleteResource:
-    """``/customers/0/delete`` and its like.
-
-    :param console: the console.
-    """
-
-    def __init__(self, console: Console) -> None:
-        self._console = console
+class DeleteResource(ConsoleResource):
+    """``/customers/0/delete`` and its like."""
 
     def on_post(
         self,
@@ -270,14 +250,8 @@
         raise falcon.HTTPSeeOther(f'/{name}')
 
 
-class EntryResource:
-    """``/customers/0``, ``/customers/new`` and their like.
-
-    :param console: the console.
-    """
-
-    def __init__(self, console: Console) -> None:
-        self._console = console
+class EntryResource(ConsoleResource):
+    """``/customers/0``, ``/customers/new`` and their like."""
 
     def on_get(
         self,
@@ -339,14 +313,8 @@
         )
 
 
-class DocumentResource:
-    """``/document``: the changes, and the document to publish.
-
-    :param console: the console.
-    """
-
-    def __init__(self, console: Console) -> None:
-        self._console = console
+class DocumentResource(ConsoleResource):
+    """``/document``: the changes, and the document to publish."""
 
     def on_get(
         self, request: falcon.Request, response: falcon.Response
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/capacity/control_slopes.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/capacity/control_slopes.py
@@ -20,6 +20,7 @@
 from lagoonbend.limits import CustomerLimiter
 from lagoonbend.membership import FleetView
 from lagoonbend.models import ClaimRequest
+from lagoonbend.routing import Assignment
 from lagoonbend.routing import LoadReport
 from lagoonbend.routing import TargetTable
 from lagoonbend.routing import WorkEstimate
@@ -174,8 +175,10 @@
     return _weigh(build) + sum(map(len, shards.values()))
 
 
-def _build_book(loads: int) -> PeerBook:
-    clock = PausedClock(1_000)
+def _build_table(
+    clock: PausedClock, targets: int, report: LoadReport
+) -> TargetTable:
+    """Return a table whose targets all have the same report."""
     table = TargetTable(
         clock,
         policy='expected_time',
@@ -183,10 +186,15 @@
         outstanding_limit=64,
         backlog_limit_ms=300,
     )
-    table.apply(samples.build_targets(loads))
+    table.apply(samples.build_targets(targets))
     for state in table:
-        name = state.target.target
-        state.report = LoadReport(name, 12, 30_000, 500)
+        state.report = report._replace(target=state.target.target)
+    return table
+
+
+def _build_book(loads: int) -> PeerBook:
+    clock = PausedClock(1_000)
+    table = _build_table(clock, loads, LoadReport('', 12, 30_000, 500))
     ownership = SeatOwnership(
         '10.0.0.1:7000', clock, window=WINDOW, confirm_ms=5_000
     )
@@ -289,23 +297,13 @@
 
 def _time_choice(targets: int) -> float:
     clock = PausedClock(1_000)
-    table = TargetTable(
-        clock,
-        policy='expected_time',
-        rng=random.Random(1),
-        outstanding_limit=64,
-        backlog_limit_ms=300,
-    )
-    table.apply(samples.build_targets(targets))
-    for state in table:
-        name = state.target.target
-        state.report = LoadReport(name, 12, 500, 900)
+    table = _build_table(clock, targets, LoadReport('', 12, 500, 900))
     work = WorkEstimate(500, 50, 7, 200)
 
     def choose() -> None:
         table.note_arrival(work, 0)
         assignment = table.assign('engine', 'assistant', work, 0)
-        if assignment is not None:
+        if isinstance(assignment, Assignment):
             table.end(assignment)
 
     return _time(choose)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/instance.py
@@ -222,7 +222,7 @@
             _listen(operators.address, operators.port),
             operator_app.build_operator_app(
                 self._build_dump,
-                self._metrics,
+                self._render_metrics,
                 lambda: (
                     self._state == 'serving'
                     and parts.store.current is not None
@@ -281,13 +281,16 @@
                 log_event(Event.PAUSE_NOTICED, pause_ms=gap_ms)
             self._parts.ledger.expire()
             self._parts.control.tick()
-            self._metrics.set_waiting(self._dumps.count_waiting())
             gevent.sleep(TICK_S)
 
     def _confirm_facts(self, asked_ms: int) -> None:
         if asked_ms >= self._woke_ms:
             self._parts.control.resume()
 
+    def _render_metrics(self) -> bytes:
+        self._metrics.set_waiting(self._dumps.count_waiting())
+        return self._metrics.render()
+
     def _build_dump(self) -> Dump:
         failures = sum(watcher.failures for watcher in self._watchers)
         return self._dumps.build(self._state, failures)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/operators/operator_app.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/operators/operator_app.py
@@ -7,7 +7,6 @@
 
 from lagoonbend_entry._internal.models.dump import Dump
 from lagoonbend_entry._internal.network.link_gate import LinkGate
-from lagoonbend_entry._internal.utils.metrics import Metrics
 
 PROMETHEUS_MEDIA_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
@@ -31,18 +30,18 @@
 class MetricsResource:
     """``GET /metrics``: counters in the text form of Prometheus.
 
-    :param metrics: counters.
+    :param render_metrics: returns the counters.
     """
 
-    def __init__(self, metrics: Metrics) -> None:
-        self._metrics = metrics
+    def __init__(self, render_metrics: Callable[[], bytes]) -> None:
+        self._render_metrics = render_metrics
 
     def on_get(
         self, request: falcon.Request, response: falcon.Response
     ) -> None:
         """Answer with all counters."""
         response.content_type = PROMETHEUS_MEDIA_TYPE
-        response.data = self._metrics.render()
+        response.data = self._render_metrics()
 
 
 class HealthResource:
@@ -83,14 +82,14 @@
 
 def build_operator_app(
     build_dump: Callable[[], Dump],
-    metrics: Metrics,
+    render_metrics: Callable[[], bytes],
     is_ready: Callable[[], bool],
     gate: LinkGate | None,
 ) -> falcon.App:
     """Return the application that serves operators."""
     app = falcon.App()
     app.add_route('/dump', DumpResource(build_dump))
-    app.add_route('/metrics', MetricsResource(metrics))
+    app.add_route('/metrics', MetricsResource(render_metrics))
     app.add_route('/ready', HealthResource(is_ready))
     app.add_route('/live', HealthResource(lambda: True))
     if gate is not None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_loop.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/peers/peer_loop.py
@@ -33,10 +33,6 @@
         """Start the thread."""
         self._thread.start()
 
-    def stop(self) -> None:
-        """Stop the loop; calls that are not answered stay so."""
-        self._loop.call_soon_threadsafe(self._loop.stop)
-
     def ask(self, coroutine: Coroutine[object, object, Result]) -> Result:
         """Run a coroutine in the loop; block this greenlet until its end.
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_book.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/serving/peer_book.py
@@ -13,7 +13,6 @@
 from lagoonbend_entry._internal.models.aged_load import AgedLoad
 from lagoonbend_entry._internal.models.digest import Digest
 
-LOAD_LIFE_MS = 10_000
 GREATEST_LOADS = 120
 
 
@@ -159,7 +158,7 @@
         )
         for state in states:
             report = state.report
-            if report is None or now_ms - report.measured_ms > LOAD_LIFE_MS:
+            if report is None or not state.is_reported(now_ms):
                 continue
             yield AgedLoad(
                 report.target,
--- a/packages/lagoonbend/src/lagoonbend/_internal/claims/claim_ledger.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/claims/claim_ledger.py
@@ -1,7 +1,5 @@
 """Grants each key to one attempt."""
 
-from collections.abc import Iterator
-
 from lagoonbend._internal.claims.claim_entry import ClaimEntry
 from lagoonbend._internal.claims.claim_entry import ClaimState
 from lagoonbend._internal.claims.key_window import KeyWindow
@@ -59,11 +57,6 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def entries(self) -> Iterator[tuple[str, ClaimEntry]]:
-        """Yield customers and their entries, for a dump."""
-        for (customer, _), entry in self._entries.items():
-            yield customer, entry
-
     def claim(self, request: ClaimRequest) -> ClaimReply:
         """Decide whether an attempt may dispatch.
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/queueing/admission_control.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/queueing/admission_control.py
@@ -11,6 +11,7 @@
 from lagoonbend._internal.routing.best_speed import BestSpeed
 from lagoonbend._internal.routing.target_table import matches
 from lagoonbend._internal.routing.target_table import TargetTable
+from lagoonbend._internal.routing.unplaced import Unplaced
 from lagoonbend._internal.utils.clock import Clock
 from lagoonbend._internal.utils.invariants import Invariants
 
@@ -106,9 +107,10 @@
             pool = (call.request_class.kind, call.model, waiter.rank)
             if pool in closed:
                 continue
-            if not self._table.has_room(*pool):
+            placed = self._try_assign(waiter)
+            if placed is Unplaced.NO_ROOM:
                 closed.add(pool)
-            elif not self._try_assign(waiter):
+            elif placed is Unplaced.WAITS_FOR_HOME:
                 misses += 1
                 if misses >= MISSES_PER_PUMP:
                     return
@@ -151,7 +153,7 @@
             error = refusals.refuse_hopeless(self.estimate_wait_ms())
             waiter.item.refuse(error)
 
-    def _try_assign(self, waiter: Waiter[Applicant]) -> bool:
+    def _try_assign(self, waiter: Waiter[Applicant]) -> Assignment | Unplaced:
         applicant = waiter.item
         request_class = applicant.call.request_class
         assignment = self._table.assign(
@@ -161,12 +163,12 @@
             waiter.rank,
             can_wait=self._has_slack(applicant.call),
         )
-        if assignment is None:
-            return False
+        if isinstance(assignment, Unplaced):
+            return assignment
         self._queue.remove(waiter)
         self._running[assignment] = applicant
         applicant.give(assignment)
-        return True
+        return assignment
 
     def _has_slack(self, call: Call) -> bool:
         """Return True in the first half of the time to the deadline."""
--- a/packages/lagoonbend/src/lagoonbend/_internal/queueing/tier_queue.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/queueing/tier_queue.py
@@ -82,15 +82,6 @@
             return False
         return True
 
-    def expire(self, now_ms: int) -> list[Waiter[Item]]:
-        """Remove and return the waiters whose deadline has passed."""
-        late = [
-            waiter for waiter in self._waiters if waiter.deadline_ms <= now_ms
-        ]
-        for waiter in late:
-            self._waiters.remove(waiter)
-        return late
-
     def _check_shed(self, shed: Waiter[Item]) -> None:
         kept_rank = self._waiters[-1].rank if self._waiters else shed.rank
         self._invariants.check(
--- a/packages/lagoonbend/src/lagoonbend/_internal/routing/target_table.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/routing/target_table.py
@@ -15,6 +15,7 @@
 from lagoonbend._internal.routing.policy import POLICIES
 from lagoonbend._internal.routing.target_state import TargetState
 from lagoonbend._internal.routing.tier_reserve import TierReserve
+from lagoonbend._internal.routing.unplaced import Unplaced
 from lagoonbend._internal.routing.work_estimate import WorkEstimate
 from lagoonbend._internal.utils.clock import Clock
 
@@ -76,12 +77,6 @@
         """Note the work of an arrived request."""
         self._reserve.note(work, rank)
 
-    def has_room(self, kind: str, model: str, rank: int) -> bool:
-        """Return True if some target can take a request now."""
-        return bool(
-            self._find_open(self._find_usable(kind, model, rank), rank)
-        )
-
     def find_best_speed(self, kind: str, model: str) -> BestSpeed:
         """Return the best learned speeds of the targets for a request."""
         states = [s for s in self if matches(s, kind, model)]
@@ -100,21 +95,22 @@
         rank: int,
         *,
         can_wait: bool = False,
-    ) -> Assignment | None:
-        """Assign a request to a target with room; None if there is none.
+    ) -> Assignment | Unplaced:
+        """Assign a request to a target with room.
 
         :param can_wait: True if the request may wait for the target that
             is worth it, even if another one has room.
+        :returns: the assignment, or why there is none.
         """
         now_ms = self._clock.now_ms()
         usable = self._find_usable(kind, model, rank)
         candidates = self._find_open(usable, rank)
         if not candidates:
-            return None
+            return Unplaced.NO_ROOM
         if can_wait and rank != self._reserve.top_rank:
             home = self._policy.find_home(usable, work, now_ms)
             if home is not None and home not in candidates:
-                return None
+                return Unplaced.WAITS_FOR_HOME
         state = self._policy.choose(candidates, work, now_ms)
         backlog = state.estimate_backlog_tokens(now_ms)
         assignment = Assignment(state, work, now_ms, backlog)
--- a/tests/lib/scripted_target.py
+++ b/tests/lib/scripted_target.py
@@ -2,13 +2,13 @@
 
 from collections.abc import Sequence
 
-import gevent.server
 import gevent.socket
 
-READ_BYTES = 65_536
+from tests.lib.raw_server import RawServer
+from tests.lib.raw_server import READ_BYTES
 
 
-class ScriptedTarget:
+class ScriptedTarget(RawServer):
     """Sends one script a connection, then closes it.
 
     :param scripts: bytes to answer with, one for each connection; the last
@@ -17,24 +17,10 @@
 
     def __init__(self, scripts: Sequence[bytes]) -> None:
         self._scripts = list(scripts)
-        self._server = gevent.server.StreamServer(
-            ('127.0.0.1', 0), self._serve
-        )
-        self._server.start()
-
-    @property
-    def port(self) -> int:
-        """TCP port of the target."""
-        port: int = self._server.server_port
-        return port
-
-    def close(self) -> None:
-        """Stop the target."""
-        self._server.stop()
-
-    def _serve(
-        self, sock: gevent.socket.socket, address: tuple[str, int]
-    ) -> None:
+        super().__init__()
+
+    def serve(self, sock: gevent.socket.socket) -> None:
+        """Serve one connection."""
         sock.recv(READ_BYTES)
         script = self._scripts[0]
         if len(self._scripts) > 1:
