--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Links between instances, and who decides for which service."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -0,0 +1,681 @@
+"""Gets places for calls, and gives them where this instance decides."""
+
+import gevent
+import gevent.server
+import gevent.socket
+
+from lagoonbend.clock import Clock
+from lagoonbend.exceptions import PeerError
+from lagoonbend.facts import CustomerRule
+from lagoonbend.facts import PublishedItem
+from lagoonbend.invariants import Invariants
+from lagoonbend.limits import SharedLimits
+from lagoonbend.scheduling import Denial
+from lagoonbend.scheduling import HeldPlace
+from lagoonbend.scheduling import PlaceDecision
+from lagoonbend.scheduling import PlaceEnd
+from lagoonbend.scheduling import PlaceRequest
+from lagoonbend.scheduling import PromptPart
+from lagoonbend_entry._internal.coordination import message_channel
+from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.coordination.fleet import Fleet
+from lagoonbend_entry._internal.coordination.peer_link import PeerLink
+from lagoonbend_entry._internal.coordination.pending_call import PendingCall
+from lagoonbend_entry._internal.coordination.service_desk import ServiceDesk
+from lagoonbend_entry._internal.gateway.facts_keeper import FactsKeeper
+from lagoonbend_entry._internal.gateway.stream_socket import set_options
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+
+PING_MS = 250
+"""Time between questions to each peer, at up to ``PINGED_PEERS`` peers."""
+PINGED_PEERS = 16
+"""Peers above which questions become rarer in proportion, so that control
+costs an instance the same in a larger fleet."""
+TICK_MS = 50
+ACK_MS = 200
+"""Time for the deciding instance to say that a call waits; a round trip
+between domains takes about 3 ms. Later the instance decides by itself."""
+GREATEST_MOVES = 3
+"""Times that a call is sent on between instances that disagree on who
+decides, before its own instance does."""
+MILLISECONDS_PER_SECOND = 1000
+LOCAL = 'local'
+
+
+class Coordinator:
+    """Finds who decides, asks, and decides where it is this instance.
+
+    :param fleet: membership.
+    :param facts: rules and targets.
+    :param clock: clock of the instance.
+    :param invariants: checks that must always hold.
+    :param incarnation: identity of this life of the process.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        facts: FactsKeeper,
+        clock: Clock,
+        invariants: Invariants,
+        incarnation: str,
+    ) -> None:
+        self.is_leaving = False
+        self._fleet = fleet
+        self._facts = facts
+        self._clock = clock
+        self._incarnation = incarnation
+        self._links: dict[str, PeerLink] = {}
+        self._channels: dict[str, message_channel.MessageChannel] = {}
+        self._pending: dict[str, PendingCall] = {}
+        self._held: dict[str, tuple[PlaceRequest, HeldPlace, str]] = {}
+        self._deciders: dict[str, str] = {}
+        self.desk = ServiceDesk(
+            facts, clock, SharedLimits(), invariants, self._deliver
+        )
+        self._local = ServiceDesk(
+            facts, clock, SharedLimits(), invariants, self._deliver
+        )
+        facts.on_change.append(self.desk.feed)
+        facts.on_change.append(self._local.feed)
+
+    def start(self) -> None:
+        """Open links to the known peers and start the loops."""
+        for address in self._fleet.list_known():
+            self._open_link(address)
+        gevent.spawn(self._run_pings)
+        gevent.spawn(self._run_ticks)
+
+    def acquire(
+        self, request: PlaceRequest, rule: CustomerRule | None, wait_ms: int
+    ) -> PlaceDecision:
+        """Return a place or a denial; waits until there is one.
+
+        :param wait_ms: greatest time to wait.
+        """
+        asked_ms = self._clock.now_ms()
+        for move in range(GREATEST_MOVES + 1):
+            waited_ms = self._clock.now_ms() - asked_ms
+            left_ms = wait_ms - waited_ms
+            if left_ms <= 0:
+                break
+            current = request._replace(waited_ms=request.waited_ms + waited_ms)
+            decider = self._find_decider(request.service)
+            if move == GREATEST_MOVES:
+                decider = LOCAL
+            decision = self._ask(current, rule, decider, left_ms)
+            if decision is not None:
+                return decision
+        return PlaceDecision(
+            request.call,
+            request.instance,
+            denial=Denial.NO_TIME_LEFT,
+            retry_after_ms=MILLISECONDS_PER_SECOND,
+        )
+
+    def release(
+        self, request: PlaceRequest, target: str, end: PlaceEnd, first_ms: int
+    ) -> None:
+        """Give a place back with what was seen of the target."""
+        held = self._held.pop(request.call, None)
+        if held is None:
+            return
+        where = held[2]
+        now_there = self._deciders.get(request.service, self._fleet.address)
+        if where == LOCAL:
+            self._release_at(self._local, request, target, end, first_ms)
+        if now_there == self._fleet.address:
+            self._release_at(self.desk, request, target, end, first_ms)
+            return
+        link = self._links.get(now_there)
+        if link is not None:
+            link.send(
+                messages.Done(
+                    request.call,
+                    request.service,
+                    target,
+                    request.failure_domain,
+                    end.value,
+                    first_ms,
+                )
+            )
+
+    def serve_peer(
+        self, sock: gevent.socket.socket, address: tuple[str, int]
+    ) -> None:
+        """Answer a peer that has connected, until it closes."""
+        try:
+            set_options(sock)
+        except OSError:
+            sock.close()
+            return
+        channel = message_channel.MessageChannel(sock)
+        peer = ''
+        try:
+            for message in channel.receive():
+                if isinstance(message, messages.Greeting):
+                    if message.protocol != messages.PROTOCOL_VERSION:
+                        break
+                    peer = message.address
+                    self._channels[peer] = channel
+                    self.learn([peer])
+                elif peer:
+                    self._answer(peer, channel, message)
+        except PeerError as error:
+            log_event(Event.PEER_REJECTED, peer=peer, reason=str(error))
+        finally:
+            channel.close()
+            if peer and self._channels.get(peer) is channel:
+                del self._channels[peer]
+                for scheduler in list(self.desk.schedulers):
+                    self.desk.deliver(scheduler.drop_instance(peer))
+
+    def count_known(self) -> int:
+        """Return the number of instances that share fleet-wide limits."""
+        return self._fleet.count_known()
+
+    def learn(self, addresses: list[str]) -> None:
+        """Take in addresses of peers and open links to new ones."""
+        for address in self._fleet.learn(addresses):
+            self._open_link(address)
+
+    def leave(self) -> None:
+        """Stop deciding, for the instance is to stop."""
+        self.is_leaving = True
+        for service in self.desk.services:
+            self._step_down(service)
+
+    def _ask(
+        self,
+        request: PlaceRequest,
+        rule: CustomerRule | None,
+        decider: str,
+        left_ms: int,
+    ) -> PlaceDecision | None:
+        pending = PendingCall(request, rule, decider)
+        self._pending[request.call] = pending
+        try:
+            if decider == LOCAL:
+                self._local.submit(request, rule)
+            elif decider == self._fleet.address:
+                self.desk.submit(request, rule)
+            elif not self._send_ask(request, decider):
+                return self._ask(request, rule, LOCAL, left_ms)
+            else:
+                return self._wait_remote(pending, left_ms)
+            return self._take(pending.wait(left_ms), request, decider)
+        except TimeoutError:
+            return None
+        finally:
+            if self._pending.get(request.call) is pending:
+                del self._pending[request.call]
+            self._withdraw(request, decider)
+
+    def _wait_remote(
+        self, pending: PendingCall, left_ms: int
+    ) -> PlaceDecision | None:
+        request = pending.request
+        try:
+            decision = pending.wait(min(ACK_MS, left_ms))
+        except TimeoutError:
+            if not pending.is_queued:
+                log_event(
+                    Event.DECIDER_SILENT,
+                    request=request.call,
+                    decider=pending.decider,
+                    service=request.service,
+                )
+                return self._ask(request, pending.rule, LOCAL, left_ms)
+            decision = pending.wait(max(1, left_ms - ACK_MS))
+        return self._take(decision, request, pending.decider)
+
+    def _take(
+        self, decision: PlaceDecision | None, request: PlaceRequest, where: str
+    ) -> PlaceDecision | None:
+        if decision is not None and decision.denial is None:
+            place = HeldPlace(
+                request.call,
+                request.instance,
+                decision.target,
+                request.rank,
+                request.prompt,
+                request.prompt_tokens + request.output_tokens,
+                self._clock.now_ms(),
+                decision.expected_ms,
+            )
+            self._held[request.call] = (request, place, where)
+            if where == LOCAL:
+                self._register([(request, place)], request.service)
+        return decision
+
+    def _send_ask(self, request: PlaceRequest, decider: str) -> bool:
+        link = self._links.get(decider)
+        if link is None:
+            return False
+        return link.send(
+            messages.Ask(
+                request.call,
+                request.service,
+                request.failure_domain,
+                request.rank,
+                request.customer,
+                request.cost_units,
+                request.waited_ms,
+                request.objective_ms,
+                request.deadline_ms,
+                [messages.WirePart(*part) for part in request.prompt],
+                request.output_tokens,
+                request.body_bytes,
+                list(request.excluded),
+            )
+        )
+
+    def _withdraw(self, request: PlaceRequest, decider: str) -> None:
+        """Forget a call that is no longer waited for, if it still waits."""
+        if request.call in self._held:
+            return
+        if decider in (LOCAL, self._fleet.address):
+            desk = self._local if decider == LOCAL else self.desk
+            scheduler = desk.find(request.service)
+            if scheduler is not None:
+                desk.deliver(
+                    scheduler.withdraw(request.instance, request.call)
+                )
+            return
+        link = self._links.get(decider)
+        if link is not None:
+            link.send(messages.Withdraw(request.call, request.service))
+
+    def _release_at(
+        self,
+        desk: ServiceDesk,
+        request: PlaceRequest,
+        target: str,
+        end: PlaceEnd,
+        first_ms: int,
+    ) -> None:
+        scheduler = desk.find(request.service)
+        if scheduler is not None:
+            desk.deliver(
+                scheduler.release(
+                    request.instance,
+                    request.call,
+                    target,
+                    end,
+                    first_ms,
+                    request.failure_domain,
+                )
+            )
+
+    def _deliver(self, decision: PlaceDecision) -> None:
+        if decision.instance == self._fleet.address:
+            pending = self._pending.get(decision.call)
+            if pending is not None:
+                pending.decide(decision)
+            return
+        channel = self._channels.get(decision.instance)
+        if channel is None:
+            return
+        denial = decision.denial.value if decision.denial else ''
+        channel.send(
+            messages.Decision(
+                decision.call,
+                decision.target,
+                decision.expected_ms,
+                denial,
+                decision.retry_after_ms,
+                decision.waited_ms,
+                decision.queue_length,
+            )
+        )
+
+    def _find_decider(self, service: str) -> str:
+        decider = self._fleet.find_decider(
+            service,
+            decides=self.desk.find(service) is not None,
+            is_leaving=self.is_leaving,
+        )
+        before = self._deciders.get(service)
+        if decider != before:
+            self._deciders[service] = decider
+            self._note_decider(service, before, decider)
+        return decider
+
+    def _note_decider(
+        self, service: str, before: str | None, decider: str
+    ) -> None:
+        log_event(
+            Event.DECIDER_CHANGED,
+            service=service,
+            before=before or '',
+            decider=decider,
+            alive=self._fleet.count_alive(),
+            known=self._fleet.count_known(),
+        )
+        if before == self._fleet.address:
+            self._step_down(service)
+        if decider == self._fleet.address:
+            self.desk.open(service)
+        held = [
+            (request, place)
+            for request, place, _ in self._held.values()
+            if request.service == service
+        ]
+        self._register(held, service)
+
+    def _register(
+        self, held: list[tuple[PlaceRequest, HeldPlace]], service: str
+    ) -> None:
+        """Tell the instance that decides of places in use."""
+        if not held:
+            return
+        decider = self._deciders.get(service, self._fleet.address)
+        if decider == self._fleet.address:
+            scheduler = self.desk.find(service)
+            for _, place in held:
+                if scheduler is not None:
+                    scheduler.register(place)
+            return
+        link = self._links.get(decider)
+        if link is None:
+            return
+        now_ms = self._clock.now_ms()
+        places = [
+            messages.WirePlace(
+                place.call,
+                place.target,
+                place.rank,
+                [messages.WirePart(*part) for part in place.prompt],
+                place.tokens,
+                now_ms - place.started_ms,
+                place.expected_ms,
+            )
+            for _, place in held
+        ]
+        link.send(messages.Holding(service, places))
+
+    def _step_down(self, service: str) -> None:
+        scheduler = self.desk.close(service)
+        if scheduler is None:
+            return
+        for request in scheduler.list_waiting():
+            if request.instance == self._fleet.address:
+                pending = self._pending.get(request.call)
+                if pending is not None:
+                    pending.move()
+                continue
+            channel = self._channels.get(request.instance)
+            if channel is not None:
+                channel.send(messages.Moved(request.call))
+
+    def _answer(
+        self,
+        peer: str,
+        channel: message_channel.MessageChannel,
+        message: messages.AnyMessage,
+    ) -> None:
+        """Answer a message of a peer that has connected here."""
+        match message:
+            case messages.Ping():
+                self.learn(message.members)
+                channel.send(self._write_pong(message.sent_ms))
+            case messages.ItemsWanted():
+                channel.send(self._write_items(message))
+            case messages.Ask():
+                self._answer_ask(peer, channel, message)
+            case messages.Withdraw():
+                self._answer_withdraw(peer, message)
+            case messages.Done():
+                scheduler = self.desk.find(message.service)
+                if scheduler is not None:
+                    self.desk.deliver(
+                        scheduler.release(
+                            peer,
+                            message.call,
+                            message.target,
+                            PlaceEnd(message.end),
+                            message.first_ms,
+                            message.failure_domain,
+                        )
+                    )
+            case messages.Holding():
+                self._answer_holding(peer, message)
+
+    def _answer_ask(
+        self,
+        peer: str,
+        channel: message_channel.MessageChannel,
+        message: messages.Ask,
+    ) -> None:
+        if self._find_decider(message.service) != self._fleet.address:
+            channel.send(messages.Moved(message.call))
+            return
+        request = PlaceRequest(
+            message.call,
+            peer,
+            message.failure_domain,
+            message.service,
+            message.rank,
+            message.customer,
+            message.cost_units,
+            message.waited_ms,
+            message.objective_ms,
+            message.deadline_ms,
+            tuple(PromptPart(p.part, p.tokens) for p in message.prompt),
+            message.output_tokens,
+            message.body_bytes,
+            tuple(message.excluded),
+        )
+        rule = self._find_rule(message.customer)
+        channel.send(messages.Queued(message.call))
+        self.desk.submit(request, rule)
+
+    def _answer_withdraw(self, peer: str, message: messages.Withdraw) -> None:
+        scheduler = self.desk.find(message.service)
+        if scheduler is not None:
+            self.desk.deliver(scheduler.withdraw(peer, message.call))
+
+    def _answer_holding(self, peer: str, message: messages.Holding) -> None:
+        if self._find_decider(message.service) != self._fleet.address:
+            return
+        scheduler = self.desk.open(message.service)
+        now_ms = self._clock.now_ms()
+        for place in message.places:
+            scheduler.register(
+                HeldPlace(
+                    place.call,
+                    peer,
+                    place.target,
+                    place.rank,
+                    tuple(PromptPart(p.part, p.tokens) for p in place.prompt),
+                    place.tokens,
+                    now_ms - place.age_ms,
+                    place.expected_ms,
+                )
+            )
+
+    def _find_rule(self, customer: str) -> CustomerRule | None:
+        rules = self._facts.rules
+        if rules is None or not customer:
+            return None
+        return rules.find_customer(customer)
+
+    def _hear(self, link: PeerLink, message: messages.AnyMessage) -> None:
+        """Take an answer of a peer that this instance has called."""
+        match message:
+            case messages.Pong():
+                self._hear_pong(link, message)
+            case messages.Items():
+                self._hear_items(message)
+            case messages.Queued():
+                pending = self._pending.get(message.call)
+                if pending is not None:
+                    pending.is_queued = True
+            case messages.Moved():
+                pending = self._pending.get(message.call)
+                if pending is not None:
+                    pending.move()
+            case messages.Decision():
+                self._hear_decision(link, message)
+
+    def _hear_decision(
+        self, link: PeerLink, message: messages.Decision
+    ) -> None:
+        pending = self._pending.get(message.call)
+        if pending is None or pending.decider != link.address:
+            if message.target:
+                self._give_back(link, message)
+            return
+        pending.decide(
+            PlaceDecision(
+                message.call,
+                self._fleet.address,
+                message.target,
+                message.expected_ms,
+                Denial(message.denial) if message.denial else None,
+                message.retry_after_ms,
+                message.waited_ms,
+                message.queue_length,
+            )
+        )
+
+    def _give_back(self, link: PeerLink, message: messages.Decision) -> None:
+        """Return a place that came after the call was given up."""
+        for service, decider in self._deciders.items():
+            if decider == link.address:
+                link.send(
+                    messages.Done(
+                        message.call,
+                        service,
+                        message.target,
+                        self._fleet.failure_domain,
+                        PlaceEnd.CALLER_LEFT.value,
+                        0,
+                    )
+                )
+
+    def _hear_pong(self, link: PeerLink, pong: messages.Pong) -> None:
+        is_new = self._fleet.find_alive(pong.address) is None
+        self._fleet.note_pong(pong)
+        self.learn(pong.members)
+        for desk in (self.desk, self._local):
+            desk.limits.note_used(pong.incarnation, pong.used)
+        if is_new:
+            log_event(
+                Event.PEER_REACHED,
+                peer=pong.address,
+                failure_domain=pong.failure_domain,
+                uptime_ms=pong.uptime_ms,
+            )
+        book = self._facts.book
+        if pong.revision > book.complete_revision:
+            link.send(
+                messages.ItemsWanted(
+                    self._clock.now_ms(), book.complete_revision
+                )
+            )
+        elif pong.proof_age_ms is not None:
+            book.prove(pong.revision, pong.sent_ms - pong.proof_age_ms)
+
+    def _hear_items(self, message: messages.Items) -> None:
+        if message.proof_age_ms is None:
+            return
+        self._facts.take_changes(
+            [PublishedItem(i.key, i.revision, i.value) for i in message.items],
+            message.revision,
+            message.sent_ms - message.proof_age_ms,
+            'peer',
+        )
+
+    def _write_pong(self, sent_ms: int) -> messages.Pong:
+        return messages.Pong(
+            sent_ms,
+            self._fleet.address,
+            self._fleet.failure_domain,
+            self._incarnation,
+            self._fleet.uptime_ms,
+            self.is_leaving,
+            self.desk.services,
+            self._fleet.list_members(),
+            self._facts.book.complete_revision,
+            self._facts.age_ms(),
+            self._sum_used(),
+        )
+
+    def _sum_used(self) -> dict[str, float]:
+        used = dict(self.desk.limits.list_used())
+        for customer, units in self._local.limits.list_used().items():
+            used[customer] = used.get(customer, 0.0) + units
+        return used
+
+    def _write_items(self, message: messages.ItemsWanted) -> messages.Items:
+        book = self._facts.book
+        return messages.Items(
+            message.sent_ms,
+            [
+                messages.WireItem(item.key, item.revision, item.value)
+                for item in book.list_since(message.since)
+            ],
+            book.complete_revision,
+            self._facts.age_ms(),
+        )
+
+    def _open_link(self, address: str) -> None:
+        link = PeerLink(
+            address,
+            messages.Greeting(
+                messages.PROTOCOL_VERSION,
+                self._fleet.address,
+                self._fleet.failure_domain,
+                self._incarnation,
+            ),
+            self._clock,
+            on_message=self._hear,
+            on_open=self._greet,
+            on_lost=self._note_lost,
+            on_stopped=self._fleet.note_stopped,
+        )
+        self._links[address] = link
+        gevent.spawn(link.run)
+
+    def _greet(self, link: PeerLink) -> None:
+        link.send(
+            messages.Ping(self._clock.now_ms(), self._fleet.list_members())
+        )
+        for service, decider in self._deciders.items():
+            if decider == link.address:
+                held = [
+                    (request, place)
+                    for request, place, _ in self._held.values()
+                    if request.service == service
+                ]
+                self._register(held, service)
+
+    def _note_lost(self, link: PeerLink) -> None:
+        log_event(Event.PEER_LOST, peer=link.address)
+        self._fleet.drop(link.address)
+        for pending in list(self._pending.values()):
+            if pending.decider == link.address:
+                pending.move()
+
+    def _run_pings(self) -> None:
+        while True:
+            members = self._fleet.list_members()
+            for link in list(self._links.values()):
+                link.check()
+                link.send(messages.Ping(self._clock.now_ms(), members))
+            factor = max(1.0, len(self._links) / PINGED_PEERS)
+            gevent.sleep(PING_MS * factor / MILLISECONDS_PER_SECOND)
+
+    def _run_ticks(self) -> None:
+        while True:
+            gevent.sleep(TICK_MS / MILLISECONDS_PER_SECOND)
+            known = max(1, self._fleet.count_known())
+            self.desk.limits.share = self._fleet.count_alive() / known
+            self._local.limits.share = 1 / known
+            for service in self.desk.services:
+                self._find_decider(service)
+            self.desk.advance(1.0)
+            self._local.advance(1 / known)
+            self._facts.expire()
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_link.py
@@ -0,0 +1,102 @@
+"""The connection that this instance keeps to a peer."""
+
+from collections.abc import Callable
+import errno
+
+import gevent
+
+from lagoonbend.clock import Clock
+from lagoonbend.exceptions import PeerError
+from lagoonbend_entry._internal.coordination import message_channel
+from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.gateway.stream_socket import open_stream
+
+CONNECT_TIMEOUT_MS = 400
+RETRY_MS = 300
+"""Pause between attempts to reach a peer."""
+SILENT_MS = 900
+"""Time without any message after which a connection is opened anew: an
+open one may fall silent for good while new ones work."""
+MILLISECONDS_PER_SECOND = 1000
+
+
+class PeerLink:
+    """Connects, greets, and reads until closed; again and again.
+
+    :param address: address of the peer.
+    :param greeting: first message.
+    :param clock: clock of the instance.
+    :param on_message: called with the link and each message.
+    :param on_open: called with the link once it is open.
+    :param on_lost: called with the link when it is lost.
+    :param on_stopped: called when no process listens at the address.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        greeting: messages.Greeting,
+        clock: Clock,
+        *,
+        on_message: Callable[['PeerLink', messages.AnyMessage], None],
+        on_open: Callable[['PeerLink'], None],
+        on_lost: Callable[['PeerLink'], None],
+        on_stopped: Callable[[str], None],
+    ) -> None:
+        self.address = address
+        self.heard_ms = 0
+        self._greeting = greeting
+        self._clock = clock
+        self._on_message = on_message
+        self._on_open = on_open
+        self._on_lost = on_lost
+        self._on_stopped = on_stopped
+        self._channel: message_channel.MessageChannel | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """True while messages can be sent."""
+        return self._channel is not None and not self._channel.is_closed
+
+    def send(self, message: messages.Message) -> bool:
+        """Send a message soon; return False if the link is down."""
+        if self._channel is None or self._channel.is_closed:
+            return False
+        self._channel.send(message)
+        return True
+
+    def check(self) -> None:
+        """Close a link that has fallen silent."""
+        silent_ms = self._clock.now_ms() - self.heard_ms
+        if self.is_open and silent_ms >= SILENT_MS and self._channel:
+            self._channel.close()
+
+    def run(self) -> None:
+        """Keep the link up until killed."""
+        while True:
+            self._run_once()
+            gevent.sleep(RETRY_MS / MILLISECONDS_PER_SECOND)
+
+    def _run_once(self) -> None:
+        ip, _, port = self.address.rpartition(':')
+        try:
+            sock = open_stream((ip, int(port)), CONNECT_TIMEOUT_MS)
+        except OSError as error:
+            if error.errno == errno.ECONNREFUSED:
+                self._on_stopped(self.address)
+            return
+        sock.settimeout(None)
+        self._channel = message_channel.MessageChannel(sock)
+        self.heard_ms = self._clock.now_ms()
+        self._channel.send(self._greeting)
+        self._on_open(self)
+        try:
+            for message in self._channel.receive():
+                self.heard_ms = self._clock.now_ms()
+                self._on_message(self, message)
+        except PeerError:
+            pass
+        finally:
+            self._channel.close()
+            self._channel = None
+            self._on_lost(self)
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Data path between callers and targets on plain sockets."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_reason.py
@@ -0,0 +1,28 @@
+"""Why an instance answers by itself."""
+
+import enum
+
+
+class RefusalReason(enum.Enum):
+    """Reasons with the status that the caller gets.
+
+    503 and 429 say that the call has not run and never will; 502 and 504
+    say nothing of the kind.
+    """
+
+    NOT_CONFIGURED = ('not_configured', 503)
+    FACTS_TOO_OLD = ('facts_too_old', 503)
+    NO_ROUTE = ('no_route', 404)
+    NO_CUSTOMER = ('no_customer', 401)
+    OVER_LIMIT = ('over_limit', 429)
+    OVERLOADED = ('overloaded', 503)
+    NO_TIME_LEFT = ('no_time_left', 503)
+    NO_TARGET = ('no_target', 503)
+    NOT_SENT = ('not_sent', 503)
+    MAY_HAVE_RUN = ('may_have_run', 502)
+    TIME_UP = ('time_up', 504)
+    INTERNAL = ('internal', 500)
+
+    def __init__(self, label: str, status: int) -> None:
+        self.label = label
+        self.status = status
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
@@ -0,0 +1,196 @@
+"""One connection to a target or to the platform's service."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import select
+import time
+
+import gevent.select
+import gevent.socket
+
+from lagoonbend_entry._internal.gateway.answer import Answer
+from lagoonbend_entry._internal.gateway.answer_parser import AnswerParser
+from lagoonbend_entry._internal.gateway.stream_socket import open_stream
+from lagoonbend_entry._internal.gateway.target_error import BadAnswerError
+from lagoonbend_entry._internal.gateway.target_error import ConnectionLostError
+from lagoonbend_entry._internal.gateway.target_error import NotConnectedError
+from lagoonbend_entry._internal.gateway.target_error import SilentTargetError
+
+READ_BYTES = 65_536
+WATCHED_SEND_BYTES = 16_384
+"""Requests above this size are sent while watching for an early answer."""
+MILLISECONDS_PER_SECOND = 1000
+
+
+class TargetConnection:
+    """Sends requests, one at a time, and reads their answers.
+
+    :param sock: connected socket.
+    :param address: IP number and port, for errors.
+    """
+
+    def __init__(
+        self, sock: gevent.socket.socket, address: tuple[str, int]
+    ) -> None:
+        self.address = address
+        self.idle_since_ms = 0
+        self.request_count = 0
+        self._sock = sock
+        self._parser = AnswerParser()
+        self._is_request_whole = True
+        self._is_ended = False
+
+    @classmethod
+    def connect(
+        cls, address: tuple[str, int], timeout_ms: int
+    ) -> 'TargetConnection':
+        """Open a connection.
+
+        :raises NotConnectedError: if that fails in time.
+        """
+        try:
+            sock = open_stream(address, timeout_ms)
+        except OSError as error:
+            raise NotConnectedError(
+                str(error) or type(error).__name__,
+                context='{}:{}'.format(*address),
+            ) from error
+        return cls(sock, address)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+    @property
+    def is_reusable(self) -> bool:
+        """True if nothing is left of earlier requests."""
+        return (
+            self._is_request_whole
+            and not self._is_ended
+            and not self._parser.is_broken
+            and not self._parser.answers
+        )
+
+    def is_quiet(self) -> bool:
+        """Return True if the target has neither sent nor closed."""
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+    def send(self, data: bytes, timeout_ms: int) -> None:
+        """Send a request; stop early if an answer comes first.
+
+        :raises ConnectionLostError: if the connection breaks.
+        """
+        self.request_count += 1
+        self._sock.settimeout(timeout_ms / MILLISECONDS_PER_SECOND)
+        try:
+            if len(data) <= WATCHED_SEND_BYTES:
+                self._sock.sendall(data)
+            else:
+                self._send_watched(data, timeout_ms)
+        except TimeoutError as error:
+            raise self._silent('request not taken') from error
+        except OSError as error:
+            raise self._lost(str(error)) from error
+
+    def read_head(self, timeout_ms: int) -> Answer:
+        """Return the next final answer once its head is there.
+
+        :raises SilentTargetError: if it doesn't come in time.
+        :raises ConnectionLostError: if the connection ends.
+        :raises BadAnswerError: if the bytes are no answer.
+        """
+        end_s = time.monotonic() + timeout_ms / MILLISECONDS_PER_SECOND
+        while True:
+            answers = self._parser.answers
+            if answers and answers[0].is_head_complete:
+                if not answers[0].is_interim:
+                    return answers[0]
+                answers.popleft()
+                continue
+            self._receive(end_s - time.monotonic())
+
+    def read_body(self, answer: Answer, gap_ms: int) -> Iterator[bytes]:
+        """Yield the body as it comes.
+
+        :param gap_ms: greatest silence between two pieces.
+        :raises NetworkError: if the body is cut short.
+        """
+        while True:
+            while answer.chunks:
+                yield answer.chunks.popleft()
+            if answer.is_complete:
+                break
+            self._receive(gap_ms / MILLISECONDS_PER_SECOND)
+        if self._parser.answers and self._parser.answers[0] is answer:
+            self._parser.answers.popleft()
+
+    def _receive(self, timeout_s: float) -> None:
+        if self._parser.is_broken:
+            raise BadAnswerError(
+                'bytes that are no answer', context=self._context
+            )
+        if self._is_ended:
+            raise self._lost('connection closed')
+        if timeout_s <= 0:
+            raise self._silent('no answer in time')
+        self._sock.settimeout(timeout_s)
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except TimeoutError as error:
+            raise self._silent('no answer in time') from error
+        except OSError as error:
+            self._is_ended = True
+            raise self._lost(str(error)) from error
+        if data:
+            self._parser.feed(data)
+            return
+        self._is_ended = True
+        self._parser.end()
+
+    def _send_watched(self, data: bytes, timeout_ms: int) -> None:
+        """Send while watching for an answer that comes before the end."""
+        view = memoryview(data)
+        end_s = time.monotonic() + timeout_ms / MILLISECONDS_PER_SECOND
+        raw = self._sock
+        raw.settimeout(0)
+        while view:
+            left_s = end_s - time.monotonic()
+            readable, writable, _ = gevent.select.select(
+                [raw], [raw], [], max(0.0, left_s)
+            )
+            if readable:
+                self._is_request_whole = False
+                return
+            if not writable:
+                raise TimeoutError('request not taken')
+            try:
+                view = view[raw.send(view) :]
+            except BlockingIOError:
+                continue
+
+    @property
+    def _context(self) -> str:
+        return '{}:{}'.format(*self.address)
+
+    def _silent(self, message: str) -> SilentTargetError:
+        return SilentTargetError(message, context=self._context)
+
+    def _lost(self, message: str) -> ConnectionLostError:
+        return ConnectionLostError(message, context=self._context)
+
+
+def encode_request(
+    method: str,
+    path: str,
+    headers: Iterable[tuple[str, str]],
+    body: bytes,
+) -> bytes:
+    """Return the bytes of a request whose body has a length."""
+    lines = [f'{method} {path} HTTP/1.1']
+    lines.extend(f'{name}: {value}' for name, value in headers)
+    if body or method not in ('GET', 'HEAD', 'DELETE'):
+        lines.append(f'Content-Length: {len(body)}')
+    head = '\r\n'.join(lines) + '\r\n\r\n'
+    return head.encode('latin-1') + body
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_error.py
@@ -0,0 +1,19 @@
+"""Errors of a connection to a target."""
+
+from lagoonbend.exceptions import NetworkError
+
+
+class NotConnectedError(NetworkError):
+    """No connection could be opened; nothing was sent."""
+
+
+class ConnectionLostError(NetworkError):
+    """The connection ended before the answer was whole."""
+
+
+class SilentTargetError(NetworkError):
+    """Nothing came within the time given."""
+
+
+class BadAnswerError(NetworkError):
+    """Bytes came that are no whole answer to the request."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; no decisions."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_codec.py
@@ -0,0 +1,82 @@
+"""Reads the answers of the platform's service."""
+
+import binascii
+from typing import NamedTuple
+from typing import TypeVar
+
+import msgspec
+
+from lagoonbend.exceptions import PlatformError
+from lagoonbend.facts import PublishedItem
+
+Answer = TypeVar('Answer')
+
+
+class _WireItem(msgspec.Struct):
+    """An item; ``tombstone`` marks one that was removed."""
+
+    key: str
+    revision: int
+    value: str | None = None
+    tombstone: bool = False
+
+
+class _RangeAnswer(msgspec.Struct, rename='kebab'):
+    """A page of a listing; ``has-more`` tells that others follow."""
+
+    entries: list[_WireItem]
+    as_of: int
+    has_more: bool = False
+
+
+class _WatchAnswer(msgspec.Struct, rename='kebab'):
+    """Changes since a revision."""
+
+    events: list[_WireItem]
+    as_of: int
+
+
+class ItemsPage(NamedTuple):
+    """Items of one answer.
+
+    :param items: items in the order of the answer.
+    :param revision: the service's revision when it answered.
+    :param has_more: True if a listing goes on after the last item.
+    """
+
+    items: tuple[PublishedItem, ...]
+    revision: int
+    has_more: bool
+
+
+def decode_listing(content: bytes) -> ItemsPage:
+    """Return the items of a listing; raise PlatformError if unreadable."""
+    answer = _decode(content, _RangeAnswer)
+    items = tuple(_read_item(item) for item in answer.entries)
+    return ItemsPage(items, answer.as_of, answer.has_more)
+
+
+def decode_changes(content: bytes) -> ItemsPage:
+    """Return the changes of a watch; raise PlatformError if unreadable."""
+    answer = _decode(content, _WatchAnswer)
+    items = tuple(_read_item(item) for item in answer.events)
+    return ItemsPage(items, answer.as_of, False)
+
+
+def _decode(content: bytes, cls: type[Answer]) -> Answer:
+    try:
+        return msgspec.json.decode(content, type=cls)
+    except msgspec.DecodeError as error:
+        raise PlatformError(
+            f'unreadable answer: {error}', context='platform service'
+        ) from error
+
+
+def _read_item(item: _WireItem) -> PublishedItem:
+    if item.tombstone or item.value is None:
+        return PublishedItem(item.key, item.revision, None)
+    try:
+        value = binascii.a2b_base64(item.value)
+    except (binascii.Error, ValueError):
+        value = b''
+    return PublishedItem(item.key, item.revision, value)
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
@@ -0,0 +1,45 @@
+"""Reads a server's registration."""
+
+import ipaddress
+
+import msgspec
+
+from lagoonbend.facts import ListedTarget
+from lagoonbend.facts import PublishedItem
+from lagoonbend_entry._internal.platform import names
+
+GREATEST_PORT = 65_535
+
+
+class _Registration(msgspec.Struct):
+    """The fields that are used; others are ignored."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+
+
+def decode_target(item: PublishedItem) -> ListedTarget | None:
+    """Return the target that an item registers; None if it names none."""
+    if item.value is None or not item.key.startswith(names.TARGETS_PREFIX):
+        return None
+    try:
+        entry = msgspec.json.decode(item.value, type=_Registration)
+        ip, _, port = entry.address.rpartition(':')
+        ipaddress.IPv4Address(ip)
+        is_usable = 0 < int(port) <= GREATEST_PORT and entry.slots > 0
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError):
+        return None
+    if not is_usable or entry.state not in names.TARGET_STATES:
+        return None
+    return ListedTarget(
+        target=item.key.removeprefix(names.TARGETS_PREFIX),
+        service=entry.service,
+        ip=ip,
+        port=int(port),
+        failure_domain=entry.zone,
+        slots=entry.slots,
+        is_leaving=entry.state != 'ready',
+    )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/field_kind.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/field_kind.py
@@ -8,6 +8,7 @@
 NAME_PATTERN = re.compile(r'[A-Za-z0-9][A-Za-z0-9_.-]{0,62}')
 HASH_PATTERN = re.compile(r'[0-9a-f]{32}:[0-9a-f]{128}')
 GREATEST_PORT = 65_535
+GREATEST_DECIMAL = 1e9
 
 
 class FieldKind(NamedTuple):
@@ -18,7 +19,7 @@
     """
 
     expected: str
-    parse: Callable[[str], str | int]
+    parse: Callable[[str], str | int | float]
 
 
 def find_kind(key: str) -> FieldKind:
@@ -61,6 +62,19 @@
     return text
 
 
+def _parse_endpoint(text: str) -> str:
+    if len(text.split()) != 1:
+        raise ValueError(text)
+    return _parse_addresses(text)
+
+
+def _parse_decimal(text: str) -> float:
+    number = float(text)
+    if not 0 <= number < GREATEST_DECIMAL:
+        raise ValueError(text)
+    return number
+
+
 def _parse_hash(text: str) -> str:
     if not HASH_PATTERN.fullmatch(text):
         raise ValueError(text)
@@ -83,6 +97,11 @@
 KINDS = {
     'address': FieldKind('an IP number such as 127.0.0.1', _parse_ip),
     'addresses': FieldKind('ip:port, separated by blanks', _parse_addresses),
+    'endpoint': FieldKind('ip:port, such as 127.0.0.1:80', _parse_endpoint),
+    'endpoints': FieldKind('ip:port, separated by blanks', _parse_addresses),
+    'ratio': FieldKind('a number such as 0.2', _parse_decimal),
+    'slack': FieldKind('a number such as 50', _parse_decimal),
+    's': FieldKind('seconds without a unit, such as 2.5', _parse_decimal),
     'hash': FieldKind(
         'what "lagoonbend console password" printed', _parse_hash
     ),
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
@@ -93,7 +93,7 @@
 
 def _parse_value(
     path: pathlib.Path, section: str, key: str, text: str
-) -> str | int:
+) -> str | int | float:
     kind = find_kind(key)
     try:
         value = kind.parse(text)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -21,9 +21,31 @@
         'error',
         'A property that must always hold was found broken.',
     )
+    RELOADED = ('LB0007', 'info', 'The settings were read again.')
+    RELOAD_FAILED = (
+        'LB0008',
+        'error',
+        'Changed settings could not be read; those before stay in force.',
+    )
+    READY_CHANGED = (
+        'LB0009',
+        'info',
+        'The instance tells the balancer another readiness.',
+    )
+    LOG_LINES_DROPPED = (
+        'LB0010',
+        'warning',
+        'Lines were left out, for standard output was not read in time.',
+    )
     REQUEST_REFUSED = ('LB0200', 'info', 'A request got a refusal.')
     REQUEST_ANSWERED = ('LB0201', 'info', 'A request got its answer.')
     REQUEST_LEFT = ('LB0202', 'info', 'A caller left before its answer.')
+    CALL_ENDED = ('LB0203', 'info', 'A call got its final answer.')
+    CALL_NOT_ADMITTED = (
+        'LB0204',
+        'info',
+        'The rules in force do not admit a request.',
+    )
     DISPATCH_FAILED = ('LB0300', 'warning', 'A dispatch failed.')
     ANSWER_INCOMPLETE = (
         'LB0301',
@@ -44,6 +66,34 @@
     PLATFORM_BACK = ('LB0501', 'info', 'The platform answers again.')
     FLEET_APPLIED = ('LB0502', 'info', 'A new list is in force.')
     FLEET_REJECTED = ('LB0506', 'error', 'A list could not be read.')
+    FACTS_CHANGED = (
+        'LB0507',
+        'info',
+        'Published items changed what the instance works by.',
+    )
+    RULES_APPLIED = ('LB0508', 'info', 'A new configuration is in force.')
+    RULES_REJECTED = (
+        'LB0509',
+        'error',
+        'A published configuration could not be used.',
+    )
+    PEER_REACHED = ('LB0600', 'info', 'A peer answers.')
+    PEER_LOST = ('LB0601', 'warning', 'The link to a peer is lost.')
+    PEER_REJECTED = (
+        'LB0602',
+        'error',
+        'A peer sent bytes that are no message.',
+    )
+    DECIDER_CHANGED = (
+        'LB0603',
+        'info',
+        'Another instance gives the places of a service.',
+    )
+    DECIDER_SILENT = (
+        'LB0604',
+        'warning',
+        'The instance that gives places did not answer in time.',
+    )
     PART_APPLIED = ('LB0503', 'info', 'A new configuration is in force.')
     PART_REJECTED = ('LB0504', 'error', 'A document failed validation.')
     PART_CONFLICT = (
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/gateway.py
@@ -0,0 +1,33 @@
+"""``python -m lagoonbend_entry.gateway``: an instance on a platform.
+
+It parses no command line, so that a small instance loads little: the path
+of the settings is in the environment.
+"""
+
+import os
+import pathlib
+import sys
+
+from lagoonbend.exceptions import SettingsError
+from lagoonbend_entry._internal.gateway.gateway import Gateway
+from lagoonbend_entry._internal.settings import gateway_settings
+from lagoonbend_entry._internal.settings.settings_reader import read_sections
+
+SETTINGS_VARIABLE = 'LAGOONBEND_SETTINGS'
+EXIT_SETTINGS = 2
+
+
+def main() -> int:
+    """Run an instance; return the exit code."""
+    path = pathlib.Path(os.environ.get(SETTINGS_VARIABLE, ''))
+    try:
+        settings = read_sections(path, gateway_settings.GatewaySettings)
+    except SettingsError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_SETTINGS
+    Gateway.from_config(settings, path).run()
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/__init__.py
@@ -0,0 +1,1 @@
+"""Published facts with a revision and an age."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/caller_bounds.py
@@ -0,0 +1,18 @@
+"""Bounds on what a caller may send."""
+
+from typing import NamedTuple
+
+
+class CallerBounds(NamedTuple):
+    """Sizes and times of a caller's connection.
+
+    :param header_bytes: greatest size of a request's head.
+    :param body_bytes: greatest size of a body.
+    :param header_timeout_ms: greatest time for a head to arrive.
+    :param idle_timeout_ms: greatest time between two requests.
+    """
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/outcomes/__init__.py
@@ -0,0 +1,1 @@
+"""How attempts end and what follows."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds on repeated sends."""
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_end.py
@@ -0,0 +1,24 @@
+"""How the use of a place ended."""
+
+import enum
+
+
+class PlaceEnd(enum.Enum):
+    """What the carrying instance saw; the values travel."""
+
+    ANSWERED = 'answered'
+    TARGET_ERROR = 'target_error'
+    BAD_ANSWER = 'bad_answer'
+    SILENT = 'silent'
+    NOT_REACHED = 'not_reached'
+    TURNED_AWAY = 'turned_away'
+    CALLER_LEFT = 'caller_left'
+
+    @property
+    def is_fault(self) -> bool:
+        """True if it speaks against the target."""
+        return self in (
+            PlaceEnd.TARGET_ERROR,
+            PlaceEnd.BAD_ANSWER,
+            PlaceEnd.SILENT,
+        )
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -0,0 +1,404 @@
+"""Gives the places of one service to calls of all instances."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from lagoonbend._internal.facts.customer_rule import CustomerRule
+from lagoonbend._internal.facts.listed_target import ListedTarget
+from lagoonbend._internal.facts.service_profile import ServiceProfile
+from lagoonbend._internal.limits.shared_limits import SharedLimits
+from lagoonbend._internal.queueing.tier_queue import TierQueue
+from lagoonbend._internal.queueing.waiter import Waiter
+from lagoonbend._internal.scheduling.denial import Denial
+from lagoonbend._internal.scheduling.held_place import HeldPlace
+from lagoonbend._internal.scheduling.place_decision import PlaceDecision
+from lagoonbend._internal.scheduling.place_end import PlaceEnd
+from lagoonbend._internal.scheduling.place_request import PlaceRequest
+from lagoonbend._internal.scheduling.target_load import FULL_PAUSE_MS
+from lagoonbend._internal.scheduling.target_load import TargetLoad
+from lagoonbend._internal.utils.clock import Clock
+from lagoonbend._internal.utils.invariants import Invariants
+
+QUEUE_CAPACITY = 1_024
+"""Greatest number of calls that wait for one service; about ten seconds of
+the largest burst of the sheets."""
+DISTANCE_MS = 10.0
+"""What another failure domain costs in the choice of a target, for the
+round trip and the head of a request."""
+DISTANCE_MS_PER_KB = 2.0
+"""What each kilobyte of a body to another failure domain costs; bytes
+between domains are priced at the office."""
+CROWDING_MS = 40.0
+"""What a full target costs against an empty one, for each running call
+slows the others down."""
+LATE_ORDER_MS = 1_000_000_000
+"""Added to the order of calls past their objective, so that they come after
+all calls of their rank that can still be on time."""
+INITIAL_HOLD_MS = 500.0
+"""Time that a call holds a place, before any was seen."""
+HOLD_LEARNING_RATE = 0.05
+LEAST_RETRY_MS = 200
+GREATEST_RETRY_MS = 5_000
+NO_TARGET_RETRY_MS = 1_000
+"""When to come back to a service without targets; a target that starts is
+listed within about a second."""
+
+
+class _Waiting(NamedTuple):
+    """A call in the queue."""
+
+    request: PlaceRequest
+    rule: CustomerRule | None
+    arrived_ms: int
+    objective_end_ms: int
+    deadline_end_ms: int
+
+
+class ServiceScheduler:
+    """Decides which call runs next, and where.
+
+    Targets take calls as they come and know no ranks, so no more calls are
+    let through than a target runs at once, and all others wait here in
+    order of rank and then of the time left to their objective.
+
+    :param service: the service.
+    :param clock: clock of the instance.
+    :param limits: customers' limits.
+    :param invariants: checks that must always hold.
+    """
+
+    def __init__(
+        self,
+        service: ServiceProfile,
+        clock: Clock,
+        limits: SharedLimits,
+        invariants: Invariants,
+    ) -> None:
+        self.service = service
+        self.share = 1.0
+        self._clock = clock
+        self._limits = limits
+        self._queue: TierQueue[_Waiting] = TierQueue(
+            QUEUE_CAPACITY, invariants
+        )
+        self._waiters: dict[tuple[str, str], Waiter[_Waiting]] = {}
+        self._loads: dict[str, TargetLoad] = {}
+        self._usable: dict[str, ListedTarget] = {}
+        self._hold_ms = INITIAL_HOLD_MS
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    @property
+    def held_count(self) -> int:
+        """Number of places in use."""
+        return sum(len(load.held) for load in self._loads.values())
+
+    @property
+    def place_count(self) -> int:
+        """Number of places of all targets."""
+        return sum(load.listed.slots for load in self._loads.values())
+
+    @property
+    def loads(self) -> Iterable[TargetLoad]:
+        """What is known of each target."""
+        return self._loads.values()
+
+    def set_targets(
+        self, profile: ServiceProfile, targets: Iterable[ListedTarget]
+    ) -> Iterator[PlaceDecision]:
+        """Take in the list of targets; yield what can be decided now."""
+        self.service = profile
+        listed = {target.target: target for target in targets}
+        for name in [name for name in self._loads if name not in listed]:
+            if not self._loads[name].held:
+                del self._loads[name]
+        for name, target in listed.items():
+            load = self._loads.get(name)
+            if load is None:
+                self._loads[name] = TargetLoad(
+                    target, profile.is_engine, profile.memory_tokens
+                )
+            else:
+                load.listed = target
+        self._usable = listed
+        yield from self.advance()
+
+    def submit(
+        self, request: PlaceRequest, rule: CustomerRule | None
+    ) -> Iterator[PlaceDecision]:
+        """Take in a call; yield what is decided at once."""
+        now_ms = self._clock.now_ms()
+        if rule is not None:
+            wait_ms = self._limits.find_wait_ms(rule, now_ms)
+            if wait_ms:
+                yield self._deny(request, Denial.OVER_LIMIT, wait_ms)
+                return
+        if not self._loads:
+            yield self._deny(request, Denial.NO_TARGET, NO_TARGET_RETRY_MS)
+            return
+        arrived_ms = now_ms - request.waited_ms
+        waiting = _Waiting(
+            request,
+            rule,
+            arrived_ms,
+            arrived_ms + request.objective_ms,
+            arrived_ms + request.deadline_ms,
+        )
+        wait_ms = self._estimate_wait_ms(request.rank)
+        if now_ms + wait_ms >= waiting.deadline_end_ms:
+            yield self._deny(request, Denial.OVERLOADED, wait_ms)
+            return
+        yield from self._enqueue(waiting, now_ms)
+        yield from self.advance()
+
+    def withdraw(self, instance: str, call: str) -> Iterator[PlaceDecision]:
+        """Forget a call that nobody waits for; yield what follows.
+
+        It may have got its place as it was given up.
+        """
+        if self._dequeue(instance, call):
+            return
+        for load in self._loads.values():
+            load.release(instance, call)
+        yield from self.advance()
+
+    def register(self, place: HeldPlace) -> None:
+        """Take in a place that was given by another scheduler."""
+        load = self._loads.get(place.target)
+        if load is not None:
+            load.hold(place)
+            load.cache.use(place.prompt, load.held_tokens)
+
+    def release(
+        self,
+        instance: str,
+        call: str,
+        target: str,
+        end: PlaceEnd,
+        first_ms: int,
+        failure_domain: str,
+    ) -> Iterator[PlaceDecision]:
+        """Note the end of a call at a target; yield what follows.
+
+        :param first_ms: time to the first bytes; 0 if there were none.
+        :param failure_domain: domain of the instance that carried it.
+        """
+        load = self._loads.get(target)
+        if load is not None:
+            place = load.release(instance, call)
+            self._learn(load, place, end, first_ms, failure_domain)
+            if target not in self._usable and not load.held:
+                del self._loads[target]
+        yield from self.advance()
+
+    def drop_instance(self, instance: str) -> Iterator[PlaceDecision]:
+        """Free all that an instance held or asked for, for it is gone."""
+        for load in self._loads.values():
+            for key in [key for key in load.held if key[0] == instance]:
+                load.release(*key)
+        for key in [key for key in self._waiters if key[0] == instance]:
+            self._dequeue(*key)
+        yield from self.advance()
+
+    def advance(self) -> Iterator[PlaceDecision]:
+        """Yield what time and free places allow to decide."""
+        now_ms = self._clock.now_ms()
+        yield from self._expire(now_ms)
+        while len(self._queue):
+            if not self._has_free_place():
+                return
+            choice: list[TargetLoad] = []
+
+            def is_runnable(
+                waiting: _Waiting, choice: list[TargetLoad] = choice
+            ) -> bool:
+                load = self._choose(waiting.request, now_ms)
+                if load is not None:
+                    choice.append(load)
+                return load is not None
+
+            waiter = self._queue.take(is_runnable)
+            if waiter is None:
+                return
+            yield from self._decide(waiter.item, choice[0], now_ms)
+
+    def list_waiting(self) -> Iterator[PlaceRequest]:
+        """Yield all calls that wait."""
+        for waiter in list(self._queue):
+            yield waiter.item.request
+
+    def list_held(self) -> Iterator[HeldPlace]:
+        """Yield all places in use."""
+        for load in self._loads.values():
+            yield from load.held.values()
+
+    def _dequeue(self, instance: str, call: str) -> bool:
+        waiter = self._waiters.pop((instance, call), None)
+        return waiter is not None and self._queue.remove(waiter)
+
+    def _decide(
+        self, waiting: _Waiting, load: TargetLoad, now_ms: int
+    ) -> Iterator[PlaceDecision]:
+        request = waiting.request
+        self._waiters.pop((request.instance, request.call), None)
+        if waiting.rule is not None:
+            wait_ms = self._limits.find_wait_ms(waiting.rule, now_ms)
+            if wait_ms:
+                yield self._deny(request, Denial.OVER_LIMIT, wait_ms)
+                return
+            self._limits.charge(waiting.rule, request.cost_units, now_ms)
+        expected_ms = int(load.estimate_first_ms(request, now_ms))
+        load.note_reading(request, now_ms)
+        load.hold(
+            HeldPlace(
+                request.call,
+                request.instance,
+                load.listed.target,
+                request.rank,
+                request.prompt,
+                request.prompt_tokens + request.output_tokens,
+                now_ms,
+                expected_ms,
+            )
+        )
+        yield PlaceDecision(
+            request.call,
+            request.instance,
+            load.listed.target,
+            expected_ms,
+            waited_ms=now_ms - waiting.arrived_ms,
+            queue_length=len(self._queue),
+        )
+
+    def _enqueue(
+        self, waiting: _Waiting, now_ms: int
+    ) -> Iterator[PlaceDecision]:
+        order_ms = waiting.objective_end_ms
+        if order_ms <= now_ms:
+            order_ms += LATE_ORDER_MS
+        request = waiting.request
+        offer = self._queue.offer(waiting, request.rank, order_ms)
+        if offer.accepted is not None:
+            self._waiters[request.instance, request.call] = offer.accepted
+        else:
+            yield self._deny(request, Denial.OVERLOADED, GREATEST_RETRY_MS)
+        if offer.displaced is not None:
+            lost = offer.displaced.item.request
+            self._waiters.pop((lost.instance, lost.call), None)
+            yield self._deny(lost, Denial.OVERLOADED, GREATEST_RETRY_MS)
+
+    def _expire(self, now_ms: int) -> Iterator[PlaceDecision]:
+        """Deny calls without time left; put late ones behind the others."""
+        for waiter in list(self._queue):
+            waiting = waiter.item
+            request = waiting.request
+            if now_ms >= waiting.deadline_end_ms:
+                self._dequeue(request.instance, request.call)
+                yield self._deny(request, Denial.NO_TIME_LEFT, LEAST_RETRY_MS)
+            elif waiter.deadline_ms <= now_ms:
+                self._dequeue(request.instance, request.call)
+                yield from self._enqueue(waiting, now_ms)
+
+    def _choose(self, request: PlaceRequest, now_ms: int) -> TargetLoad | None:
+        """Return the best target with a free place, if any."""
+        best: TargetLoad | None = None
+        best_cost = 0.0
+        for load in self._list_sound(request, now_ms):
+            if not load.has_place(request, self.share):
+                continue
+            cost = self._estimate_cost(load, request, now_ms)
+            if best is None or cost < best_cost:
+                best, best_cost = load, cost
+        return best
+
+    def _list_sound(
+        self, request: PlaceRequest, now_ms: int
+    ) -> list[TargetLoad]:
+        """Return targets that are not set aside; all, if none is sound."""
+        listed = [
+            load
+            for name, load in self._loads.items()
+            if name in self._usable and name not in request.excluded
+        ]
+        sound = [
+            load
+            for load in listed
+            if now_ms >= load.full_until_ms
+            and not load.faults.is_ejected(now_ms)
+            and not load.faults.is_unreached(request.failure_domain, now_ms)
+        ]
+        if 2 * len(sound) >= len(listed):
+            return sound
+        return [
+            load
+            for load in listed
+            if not load.faults.is_unreached(request.failure_domain, now_ms)
+        ] or listed
+
+    @staticmethod
+    def _estimate_cost(
+        load: TargetLoad, request: PlaceRequest, now_ms: int
+    ) -> float:
+        cost_ms = load.estimate_first_ms(request, now_ms)
+        cost_ms += CROWDING_MS * len(load.held) / load.listed.slots
+        if load.listed.failure_domain != request.failure_domain:
+            cost_ms += DISTANCE_MS
+            cost_ms += DISTANCE_MS_PER_KB * request.body_bytes / 1024
+        return cost_ms * (1.0 + 2.0 * load.faults.rate)
+
+    def _has_free_place(self) -> bool:
+        return any(
+            len(load.held) < max(1, int(load.listed.slots * self.share))
+            for name, load in self._loads.items()
+            if name in self._usable
+        )
+
+    def _estimate_wait_ms(self, rank: int) -> int:
+        """Return the expected wait of a newcomer of a rank."""
+        ahead = sum(1 for waiter in self._queue if waiter.rank <= rank)
+        if not ahead:
+            return 0
+        places = max(1.0, self.place_count * self.share)
+        return int(ahead * self._hold_ms / places)
+
+    def _learn(
+        self,
+        load: TargetLoad,
+        place: HeldPlace | None,
+        end: PlaceEnd,
+        first_ms: int,
+        failure_domain: str,
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        if end is PlaceEnd.NOT_REACHED:
+            load.faults.note_unreached(failure_domain, now_ms)
+            return
+        if end is PlaceEnd.TURNED_AWAY:
+            load.full_until_ms = now_ms + FULL_PAUSE_MS
+            return
+        load.faults.note_reached(failure_domain)
+        if end is not PlaceEnd.CALLER_LEFT:
+            load.faults.note_answer(end.is_fault, now_ms)
+        if place is None:
+            return
+        if end is PlaceEnd.ANSWERED:
+            held_ms = now_ms - place.started_ms
+            self._hold_ms += HOLD_LEARNING_RATE * (held_ms - self._hold_ms)
+        if first_ms:
+            load.learn(place.expected_ms, first_ms)
+
+    @staticmethod
+    def _deny(
+        request: PlaceRequest, denial: Denial, retry_after_ms: int
+    ) -> PlaceDecision:
+        bounded_ms = min(
+            max(retry_after_ms, LEAST_RETRY_MS), GREATEST_RETRY_MS
+        )
+        return PlaceDecision(
+            request.call,
+            request.instance,
+            denial=denial,
+            retry_after_ms=bounded_ms,
+        )
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -0,0 +1,25 @@
+"""Published facts with a revision and an age."""
+
+from lagoonbend._internal.facts.caller_bounds import CallerBounds
+from lagoonbend._internal.facts.customer_rule import CustomerRule
+from lagoonbend._internal.facts.item_book import ItemBook
+from lagoonbend._internal.facts.listed_target import ListedTarget
+from lagoonbend._internal.facts.published_item import PublishedItem
+from lagoonbend._internal.facts.route import Route
+from lagoonbend._internal.facts.ruleset import RuleSet
+from lagoonbend._internal.facts.service_profile import ServiceProfile
+from lagoonbend._internal.facts.target_directory import TargetDirectory
+from lagoonbend._internal.facts.weighted_service import WeightedService
+
+__all__ = [
+    'CallerBounds',
+    'CustomerRule',
+    'ItemBook',
+    'ListedTarget',
+    'PublishedItem',
+    'Route',
+    'RuleSet',
+    'ServiceProfile',
+    'TargetDirectory',
+    'WeightedService',
+]
--- a/packages/lagoonbend/src/lagoonbend/limits.py
+++ b/packages/lagoonbend/src/lagoonbend/limits.py
@@ -3,5 +3,6 @@
 from lagoonbend._internal.limits.customer_limit import CustomerLimit
 from lagoonbend._internal.limits.customer_limiter import CustomerLimiter
 from lagoonbend._internal.limits.limit_owner import LimitOwner
+from lagoonbend._internal.limits.shared_limits import SharedLimits
 
-__all__ = ['CustomerLimit', 'CustomerLimiter', 'LimitOwner']
+__all__ = ['CustomerLimit', 'CustomerLimiter', 'LimitOwner', 'SharedLimits']
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/rendezvous.py
@@ -0,0 +1,6 @@
+"""Rendezvous hashing."""
+
+from lagoonbend._internal.utils.rendezvous import choose_by_rendezvous
+from lagoonbend._internal.utils.rendezvous import score_candidate
+
+__all__ = ['choose_by_rendezvous', 'score_candidate']
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -0,0 +1,21 @@
+"""Places at targets, shared by all instances that reach each other."""
+
+from lagoonbend._internal.scheduling.denial import Denial
+from lagoonbend._internal.scheduling.held_place import HeldPlace
+from lagoonbend._internal.scheduling.place_decision import PlaceDecision
+from lagoonbend._internal.scheduling.place_end import PlaceEnd
+from lagoonbend._internal.scheduling.place_request import PlaceRequest
+from lagoonbend._internal.scheduling.prompt_part import PromptPart
+from lagoonbend._internal.scheduling.ranks import combine_ranks
+from lagoonbend._internal.scheduling.service_scheduler import ServiceScheduler
+
+__all__ = [
+    'Denial',
+    'HeldPlace',
+    'PlaceDecision',
+    'PlaceEnd',
+    'PlaceRequest',
+    'PromptPart',
+    'ServiceScheduler',
+    'combine_ranks',
+]
