Hold limits and objectives in the queue: refuse at once what can't be on time

Cause: in an overload calls were held until callers gave up, a customer far beyond its limit filled the queue, and its less urgent calls used up the limit. Change: limits are charged as a call enters the queue, less urgent calls leave a part of the burst, small ones may overdraw it; calls that can't be on time go behind, a predicted wait beyond the objective is refused at once, waiting ends after two objectives; returns are spread at the pace of the limit; a summary line of each service a second.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -1,5 +1,7 @@
 """Gets places for calls, and gives them where this instance decides."""
 
+import itertools
+
 import gevent
 import gevent.server
 import gevent.socket
@@ -9,6 +11,7 @@
 from lagoonbend.facts import CustomerRule
 from lagoonbend.facts import PublishedItem
 from lagoonbend.invariants import Invariants
+from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import HeldPlace
@@ -33,6 +36,8 @@
 """Peers above which questions become rarer in proportion, so that control
 costs an instance the same in a larger fleet."""
 TICK_MS = 50
+TICKS_A_SUMMARY = 20
+"""Ticks between two lines on the load of a service."""
 ACK_MS = 200
 """Time for the deciding instance to say that a call waits; a round trip
 between domains takes about 3 ms. Later the instance decides by itself."""
@@ -51,6 +56,7 @@
     :param clock: clock of the instance.
     :param invariants: checks that must always hold.
     :param incarnation: identity of this life of the process.
+    :param tolerance: how exactly customers' limits must be kept.
     """
 
     def __init__(
@@ -60,6 +66,7 @@
         clock: Clock,
         invariants: Invariants,
         incarnation: str,
+        tolerance: LimitTolerance,
     ) -> None:
         self.is_leaving = False
         self._fleet = fleet
@@ -72,10 +79,10 @@
         self._held: dict[str, tuple[PlaceRequest, HeldPlace, str]] = {}
         self._deciders: dict[str, str] = {}
         self.desk = ServiceDesk(
-            facts, clock, SharedLimits(), invariants, self._deliver
+            facts, clock, SharedLimits(tolerance), invariants, self._deliver
         )
         self._local = ServiceDesk(
-            facts, clock, SharedLimits(), invariants, self._deliver
+            facts, clock, SharedLimits(tolerance), invariants, self._deliver
         )
         facts.on_change.append(self.desk.feed)
         facts.on_change.append(self._local.feed)
@@ -669,13 +676,29 @@
             gevent.sleep(PING_MS * factor / MILLISECONDS_PER_SECOND)
 
     def _run_ticks(self) -> None:
-        while True:
+        for tick in itertools.count():
             gevent.sleep(TICK_MS / MILLISECONDS_PER_SECOND)
             known = max(1, self._fleet.count_known())
-            self.desk.limits.share = self._fleet.count_alive() / known
-            self._local.limits.share = 1 / known
+            self.desk.limits.reached_part = self._fleet.count_alive() / known
+            self._local.limits.reached_part = 1 / known
             for service in self.desk.services:
                 self._find_decider(service)
             self.desk.advance(1.0)
             self._local.advance(1 / known)
             self._facts.expire()
+            if tick % TICKS_A_SUMMARY == 0:
+                self._log_loads()
+
+    def _log_loads(self) -> None:
+        for scheduler in self.desk.schedulers:
+            if not scheduler.held_count and not len(scheduler):
+                continue
+            log_event(
+                Event.SERVICE_LOAD,
+                service=scheduler.service.name,
+                waiting=len(scheduler),
+                held=scheduler.held_count,
+                targets=scheduler.describe_targets(),
+                reached=self._fleet.count_alive(),
+                known=self._fleet.count_known(),
+            )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -16,6 +16,7 @@
 from lagoonbend.clock import RuntimeClock
 from lagoonbend.exceptions import SettingsError
 from lagoonbend.invariants import Invariants
+from lagoonbend.limits import LimitTolerance
 from lagoonbend.outcomes import RetryShare
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.coordination.fleet import Fleet
@@ -91,6 +92,11 @@
             self._clock,
             self._invariants,
             uuid.uuid4().hex[:12],
+            LimitTolerance(
+                settings.bounds.limit_overshoot_ratio,
+                settings.bounds.limit_slack,
+                settings.bounds.limit_window_s,
+            ),
         )
         self._pool = ConnectionPool(self._clock)
         self._store = StoreClient(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -94,6 +94,11 @@
         'warning',
         'The instance that gives places did not answer in time.',
     )
+    SERVICE_LOAD = (
+        'LB0605',
+        'info',
+        'State of a service whose places this instance gives.',
+    )
     PART_APPLIED = ('LB0503', 'info', 'A new configuration is in force.')
     PART_REJECTED = ('LB0504', 'error', 'A document failed validation.')
     PART_CONFLICT = (
--- a/packages/lagoonbend/src/lagoonbend/_internal/limits/debt_bucket.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/limits/debt_bucket.py
@@ -23,11 +23,14 @@
         self._filled_ms = now_ms
         self._level = min(self._level + span_s * rate_per_s, burst)
 
-    def find_wait_ms(self, rate_per_s: float) -> int:
-        """Return 0 if a call may pass, or the milliseconds until then."""
-        if self._level > 0:
+    def find_wait_ms(self, rate_per_s: float, reserve: float = 0.0) -> int:
+        """Return 0 if a call may pass, or the milliseconds until then.
+
+        :param reserve: level that the call must leave untouched.
+        """
+        if self._level > reserve:
             return 0
-        missing_s = (1 - self._level) / max(rate_per_s, 0.001)
+        missing_s = (1 + reserve - self._level) / max(rate_per_s, 0.001)
         return max(1, int(missing_s * MILLISECONDS_PER_SECOND))
 
     def spend(self, units: float) -> None:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/fault_record.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/fault_record.py
@@ -55,6 +55,10 @@
         until_ms, _ = self._unreached.get(failure_domain, (0, 0))
         return now_ms < until_ms
 
+    def is_unreached_anywhere(self, now_ms: int) -> bool:
+        """Return True while some domain should not try the target."""
+        return any(now_ms < end_ms for end_ms, _ in self._unreached.values())
+
     def is_ejected(self, now_ms: int) -> bool:
         """Return True while the target is set aside."""
         return now_ms < self.ejected_until_ms
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -15,6 +15,7 @@
 from lagoonbend._internal.scheduling.place_decision import PlaceDecision
 from lagoonbend._internal.scheduling.place_end import PlaceEnd
 from lagoonbend._internal.scheduling.place_request import PlaceRequest
+from lagoonbend._internal.scheduling.ranks import find_level
 from lagoonbend._internal.scheduling.target_load import FULL_PAUSE_MS
 from lagoonbend._internal.scheduling.target_load import TargetLoad
 from lagoonbend._internal.utils.clock import Clock
@@ -32,9 +33,13 @@
 CROWDING_MS = 40.0
 """What a full target costs against an empty one, for each running call
 slows the others down."""
-LATE_ORDER_MS = 1_000_000_000
+LATE_ORDER_MS = 10**15
 """Added to the order of calls past their objective, so that they come after
 all calls of their rank that can still be on time."""
+PATIENCE_FACTOR = 2
+"""Objectives after which a call that still waits is given up."""
+LEAST_PATIENCE_MS = 1_000
+"""Least time before a waiting call is given up."""
 INITIAL_HOLD_MS = 500.0
 """Time that a call holds a place, before any was seen."""
 HOLD_LEARNING_RATE = 0.05
@@ -51,8 +56,8 @@
     request: PlaceRequest
     rule: CustomerRule | None
     arrived_ms: int
-    objective_end_ms: int
-    deadline_end_ms: int
+    start_by_ms: int
+    give_up_ms: int
 
 
 class ServiceScheduler:
@@ -130,26 +135,31 @@
     ) -> Iterator[PlaceDecision]:
         """Take in a call; yield what is decided at once."""
         now_ms = self._clock.now_ms()
-        if rule is not None:
-            wait_ms = self._limits.find_wait_ms(rule, now_ms)
-            if wait_ms:
-                yield self._deny(request, Denial.OVER_LIMIT, wait_ms)
-                return
         if not self._loads:
             yield self._deny(request, Denial.NO_TARGET, NO_TARGET_RETRY_MS)
             return
         arrived_ms = now_ms - request.waited_ms
+        first_ms = self._estimate_least_first_ms(request, now_ms)
         waiting = _Waiting(
             request,
             rule,
             arrived_ms,
-            arrived_ms + request.objective_ms,
-            arrived_ms + request.deadline_ms,
+            arrived_ms + request.objective_ms - int(first_ms),
+            arrived_ms + self._find_patience_ms(request),
         )
-        wait_ms = self._estimate_wait_ms(request.rank)
-        if now_ms + wait_ms >= waiting.deadline_end_ms:
+        wait_ms = self._estimate_wait_ms(request.rank, now_ms)
+        last_ms = max(waiting.start_by_ms, now_ms + request.objective_ms)
+        if wait_ms and now_ms + wait_ms >= min(last_ms, waiting.give_up_ms):
             yield self._deny(request, Denial.OVERLOADED, wait_ms)
             return
+        if rule is not None and request.cost_units:
+            level = find_level(request.rank)
+            wait_ms = self._limits.take(
+                rule, request.cost_units, level, now_ms
+            )
+            if wait_ms:
+                yield self._deny(request, Denial.OVER_LIMIT, wait_ms)
+                return
         yield from self._enqueue(waiting, now_ms)
         yield from self.advance()
 
@@ -234,6 +244,29 @@
         for load in self._loads.values():
             yield from load.held.values()
 
+    def describe_targets(self) -> list[str]:
+        """Return a short text for each target, for logs.
+
+        ``name held/slots slowness`` and marks: ``-`` no longer listed,
+        ``e`` set aside for faults, ``f`` said to be full, ``u`` not reached
+        from some domain.
+        """
+        now_ms = self._clock.now_ms()
+        return [
+            f'{name} {len(load.held)}/{load.listed.slots}'
+            f' {load.slowness:.2f}{self._mark(name, load, now_ms)}'
+            for name, load in self._loads.items()
+        ]
+
+    def _mark(self, name: str, load: TargetLoad, now_ms: int) -> str:
+        marks = {
+            '-': name not in self._usable,
+            'e': load.faults.is_ejected(now_ms),
+            'f': now_ms < load.full_until_ms,
+            'u': load.faults.is_unreached_anywhere(now_ms),
+        }
+        return ''.join(mark for mark, is_set in marks.items() if is_set)
+
     def _dequeue(self, instance: str, call: str) -> bool:
         waiter = self._waiters.pop((instance, call), None)
         return waiter is not None and self._queue.remove(waiter)
@@ -243,12 +276,6 @@
     ) -> Iterator[PlaceDecision]:
         request = waiting.request
         self._waiters.pop((request.instance, request.call), None)
-        if waiting.rule is not None:
-            wait_ms = self._limits.find_wait_ms(waiting.rule, now_ms)
-            if wait_ms:
-                yield self._deny(request, Denial.OVER_LIMIT, wait_ms)
-                return
-            self._limits.charge(waiting.rule, request.cost_units, now_ms)
         expected_ms = int(load.estimate_first_ms(request, now_ms))
         load.note_reading(request, now_ms)
         load.hold(
@@ -275,8 +302,8 @@
     def _enqueue(
         self, waiting: _Waiting, now_ms: int
     ) -> Iterator[PlaceDecision]:
-        order_ms = waiting.objective_end_ms
-        if order_ms <= now_ms:
+        order_ms = waiting.start_by_ms
+        if order_ms < now_ms:
             order_ms += LATE_ORDER_MS
         request = waiting.request
         offer = self._queue.offer(waiting, request.rank, order_ms)
@@ -294,10 +321,11 @@
         for waiter in list(self._queue):
             waiting = waiter.item
             request = waiting.request
-            if now_ms >= waiting.deadline_end_ms:
+            if now_ms >= waiting.give_up_ms:
                 self._dequeue(request.instance, request.call)
-                yield self._deny(request, Denial.NO_TIME_LEFT, LEAST_RETRY_MS)
-            elif waiter.deadline_ms <= now_ms:
+                wait_ms = self._estimate_wait_ms(request.rank, now_ms)
+                yield self._deny(request, Denial.NO_TIME_LEFT, wait_ms)
+            elif waiter.deadline_ms < now_ms:
                 self._dequeue(request.instance, request.call)
                 yield from self._enqueue(waiting, now_ms)
 
@@ -355,14 +383,48 @@
             if name in self._usable
         )
 
-    def _estimate_wait_ms(self, rank: int) -> int:
-        """Return the expected wait of a newcomer of a rank."""
-        ahead = sum(1 for waiter in self._queue if waiter.rank <= rank)
+    def _estimate_wait_ms(self, rank: int, now_ms: int) -> int:
+        """Return the expected wait of a newcomer of a rank.
+
+        Calls that are late already let it pass.
+        """
+        ahead = sum(
+            1
+            for waiter in self._queue
+            if waiter.rank < rank
+            or (waiter.rank == rank and waiter.deadline_ms < LATE_ORDER_MS)
+        )
         if not ahead:
             return 0
         places = max(1.0, self.place_count * self.share)
         return int(ahead * self._hold_ms / places)
 
+    def _estimate_least_first_ms(
+        self, request: PlaceRequest, now_ms: int
+    ) -> float:
+        """Return the expected time to the first bytes at the best target."""
+        return min(
+            (
+                load.estimate_idle_first_ms(request)
+                for name, load in self._loads.items()
+                if name in self._usable
+            ),
+            default=0.0,
+        )
+
+    @staticmethod
+    def _find_patience_ms(request: PlaceRequest) -> int:
+        """Return the time from arrival after which a call is given up.
+
+        A call that has missed its objective keeps a part of its worth, and
+        is kept while room may come soon; later its caller does better to
+        come back.
+        """
+        patience_ms = max(
+            PATIENCE_FACTOR * request.objective_ms, LEAST_PATIENCE_MS
+        )
+        return min(patience_ms, request.deadline_ms)
+
     def _learn(
         self,
         load: TargetLoad,
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
@@ -67,9 +67,14 @@
         if not self.is_engine:
             return self.slowness * SERVICE_BASE_MS
         wait_ms = max(0.0, self._read_until_ms - now_ms)
-        return wait_ms + self.slowness * (
-            ENGINE_BASE_MS + self._estimate_read_ms(request)
-        )
+        return wait_ms + self.estimate_idle_first_ms(request)
+
+    def estimate_idle_first_ms(self, request: PlaceRequest) -> float:
+        """Return the time to the first bytes if nothing is before them."""
+        if not self.is_engine:
+            return self.slowness * SERVICE_BASE_MS
+        read_ms = self._estimate_read_ms(request)
+        return self.slowness * (ENGINE_BASE_MS + read_ms)
 
     def hold(self, place: HeldPlace) -> None:
         """Note a call that gets a place."""
