Let the route's rank go first, by a setting, and the customer's decide among equals

Cause: with the customer's rank first, route-guide calls of one customer held places for seconds while the most urgent calls of others were refused. Weighed: customer first (kept as rank_order = customer_first).

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -87,6 +87,7 @@
     service: str
     failure_domain: str
     rank: int
+    level: int
     customer: str
     cost_units: float
     waited_ms: int
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -14,11 +14,11 @@
 from lagoonbend.outcomes import decide_next_step
 from lagoonbend.outcomes import NextStep
 from lagoonbend.outcomes import RetryShare
-from lagoonbend.scheduling import combine_ranks
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import PlaceDecision
 from lagoonbend.scheduling import PlaceEnd
 from lagoonbend.scheduling import PlaceRequest
+from lagoonbend.scheduling import RankOrder
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.gateway.admission import Admission
 from lagoonbend_entry._internal.gateway.admission import count_cost_units
@@ -102,6 +102,8 @@
     :param pool: kept connections to targets.
     :param clock: clock of the instance.
     :param make_retry_share: returns the retry budget of a service.
+    :param instance: own address for peers, and own failure domain.
+    :param rank_order: order of customers' and routes' ranks.
     """
 
     def __init__(
@@ -113,6 +115,7 @@
         clock: Clock,
         make_retry_share: Callable[[], RetryShare],
         instance: tuple[str, str],
+        rank_order: RankOrder,
     ) -> None:
         self._facts = facts
         self._admission = admission
@@ -120,6 +123,7 @@
         self._pool = pool
         self._clock = clock
         self._make_retry_share = make_retry_share
+        self._rank_order = rank_order
         self._address, self._failure_domain = instance
         self._retry_shares: dict[str, RetryShare] = {}
         self._sequence = 0
@@ -288,9 +292,10 @@
             instance=self._address,
             failure_domain=self._failure_domain,
             service=call.service,
-            rank=combine_ranks(
+            rank=self._rank_order(
                 customer.rank if customer else None, call.route.rank
             ),
+            level=call.route.rank,
             customer=customer.name if customer else '',
             cost_units=(
                 0.0
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_keeper.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_keeper.py
@@ -123,6 +123,10 @@
             before=self.version,
             source=source,
             revision=item.revision,
+            customers=[
+                f'{rule.name} {rule.rank} {rule.rate_per_s:.0f}'
+                for rule in set(rules.customers_by_key.values())
+            ],
         )
         self.rules = rules
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -18,6 +18,7 @@
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.outcomes import RetryShare
+from lagoonbend.scheduling import RANK_ORDERS
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.gateway import caller_connection
@@ -117,6 +118,7 @@
             self._clock,
             self._make_retry_share,
             (settings.listen.peers_endpoint, settings.instance.failure_domain),
+            RANK_ORDERS[settings.scheduling.rank_order],
         )
 
     @classmethod
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
@@ -51,6 +51,15 @@
     timeout_ms: int = 700
 
 
+class GatewaySchedulingSettings(NamedTuple):
+    """Section ``[scheduling]``: who goes first.
+
+    :param rank_order: ``route_first`` or ``customer_first``.
+    """
+
+    rank_order: str = 'route_first'
+
+
 class GatewaySettings(NamedTuple):
     """Settings by section; the field names are the section names."""
 
@@ -59,3 +68,4 @@
     peers: GatewayPeersSettings
     platform: GatewayPlatformSettings
     bounds: BoundsSettings
+    scheduling: GatewaySchedulingSettings
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
@@ -8,10 +8,15 @@
 
 from lagoonbend.exceptions import SettingsError
 from lagoonbend.routing import POLICIES
+from lagoonbend.scheduling import RANK_ORDERS
 from lagoonbend_entry._internal.settings.field_kind import find_kind
 from lagoonbend_entry._internal.settings.settings import Settings
 
 Sections = TypeVar('Sections')
+REGISTRIES: dict[str, typing.Mapping[str, object]] = {
+    'policy': POLICIES,
+    'rank_order': RANK_ORDERS,
+}
 
 
 def read_settings(path: pathlib.Path) -> Settings:
@@ -105,8 +110,9 @@
             f'found {text!r}',
             f'expected {kind.expected}',
         ) from error
-    if key == 'policy' and value not in POLICIES:
-        names = ', '.join(sorted(POLICIES))
+    registry = REGISTRIES.get(key)
+    if registry is not None and value not in registry:
+        names = ', '.join(sorted(registry))
         raise _fault(
             path, section, key, f'found {text!r}', f'expected one of {names}'
         )
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_request.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_request.py
@@ -12,8 +12,8 @@
     :param instance: instance that carries the call.
     :param failure_domain: domain of that instance.
     :param service: service that shall run it.
-    :param rank: importance, smaller is more urgent: that of the customer
-        goes before that of the route; see ``combine_ranks``.
+    :param rank: importance, smaller is more urgent; see ``ranks``.
+    :param level: rank of the route alone; 0 is the most urgent.
     :param customer: name of the customer; empty for a public call.
     :param cost_units: what the call costs of the customer's limit.
     :param waited_ms: time since the call arrived.
@@ -31,6 +31,7 @@
     failure_domain: str
     service: str
     rank: int
+    level: int
     customer: str
     cost_units: float
     waited_ms: int
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -15,7 +15,6 @@
 from lagoonbend._internal.scheduling.place_decision import PlaceDecision
 from lagoonbend._internal.scheduling.place_end import PlaceEnd
 from lagoonbend._internal.scheduling.place_request import PlaceRequest
-from lagoonbend._internal.scheduling.ranks import find_level
 from lagoonbend._internal.scheduling.target_load import FULL_PAUSE_MS
 from lagoonbend._internal.scheduling.target_load import TargetLoad
 from lagoonbend._internal.utils.clock import Clock
@@ -153,9 +152,8 @@
             yield self._deny(request, Denial.OVERLOADED, wait_ms)
             return
         if rule is not None and request.cost_units:
-            level = find_level(request.rank)
             wait_ms = self._limits.take(
-                rule, request.cost_units, level, now_ms
+                rule, request.cost_units, request.level, now_ms
             )
             if wait_ms:
                 yield self._deny(request, Denial.OVER_LIMIT, wait_ms)
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -6,16 +6,18 @@
 from lagoonbend._internal.scheduling.place_end import PlaceEnd
 from lagoonbend._internal.scheduling.place_request import PlaceRequest
 from lagoonbend._internal.scheduling.prompt_part import PromptPart
-from lagoonbend._internal.scheduling.ranks import combine_ranks
+from lagoonbend._internal.scheduling.ranks import RANK_ORDERS
+from lagoonbend._internal.scheduling.ranks import RankOrder
 from lagoonbend._internal.scheduling.service_scheduler import ServiceScheduler
 
 __all__ = [
+    'RANK_ORDERS',
     'Denial',
     'HeldPlace',
     'PlaceDecision',
     'PlaceEnd',
     'PlaceRequest',
     'PromptPart',
+    'RankOrder',
     'ServiceScheduler',
-    'combine_ranks',
 ]
