Serve metrics, say 401 and 404 by facts of a sound watch, and test the path with processes

Cause: the proof of a sound watch is up to 2.4 s old, and above 1.5 s unknown keys and routes got 503; found by a test with real processes. Metrics were missing.

--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform: store, engine and plain service."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -178,6 +178,13 @@
                 for scheduler in list(self.desk.schedulers):
                     self.desk.deliver(scheduler.drop_instance(peer))
 
+    def count_waiting(self) -> dict[str, int]:
+        """Return the calls that wait for each service decided here."""
+        return {
+            scheduler.service.name: len(scheduler)
+            for scheduler in self.desk.schedulers
+        }
+
     def count_known(self) -> int:
         """Return the number of instances that share fleet-wide limits."""
         return self._fleet.count_known()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -28,11 +28,15 @@
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.facts_keeper import FactsKeeper
+from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
 from lagoonbend_entry._internal.platform import refusal_headers
+from lagoonbend_entry._internal.platform.call_headers import (
+    decode_call_headers,
+)
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 
@@ -104,6 +108,7 @@
     :param make_retry_share: returns the retry budget of a service.
     :param instance: own address for peers, and own failure domain.
     :param rank_order: order of customers' and routes' ranks.
+    :param metrics: counters of calls.
     """
 
     def __init__(
@@ -116,6 +121,7 @@
         make_retry_share: Callable[[], RetryShare],
         instance: tuple[str, str],
         rank_order: RankOrder,
+        metrics: GatewayMetrics,
     ) -> None:
         self._facts = facts
         self._admission = admission
@@ -124,6 +130,7 @@
         self._clock = clock
         self._make_retry_share = make_retry_share
         self._rank_order = rank_order
+        self._metrics = metrics
         self._address, self._failure_domain = instance
         self._retry_shares: dict[str, RetryShare] = {}
         self._sequence = 0
@@ -185,6 +192,8 @@
                 return None
             if step is NextStep.BREAK_STREAM:
                 return Refused(RefusalReason.MAY_HAVE_RUN)
+            if self._clock.now_ms() + LEAST_ATTEMPT_MS >= call.ends_ms:
+                return self._refuse_late(progress)
             if step is NextStep.FAIL_MAY_HAVE_RUN:
                 return Refused(RefusalReason.MAY_HAVE_RUN, DEFAULT_RETRY_MS)
             if step is NextStep.REFUSE_NOT_RUN:
@@ -341,9 +350,10 @@
         reason: RefusalReason,
     ) -> None:
         retry_after_ms = DEFAULT_RETRY_MS if reason.status == 503 else None
+        self._metrics.count_call('', reason.label, 0, 0)
         log_event(
             Event.CALL_NOT_ADMITTED,
-            request=request.values.get('attempt-id', ''),
+            request=decode_call_headers(request.values).attempt,
             reason=reason.label,
             path=request.path[:80],
             version=self._facts.version,
@@ -370,6 +380,13 @@
 
     def _log_end(self, progress: Progress, outcome: str) -> None:
         call = progress.call
+        total_ms = self._clock.now_ms() - call.request.received_ms
+        self._metrics.count_call(
+            call.route.name, outcome, progress.first_ms, total_ms
+        )
+        for step in progress.trail:
+            target, _, end = step.rpartition(':')
+            self._metrics.count_attempt(target, end)
         log_event(
             Event.CALL_ENDED,
             request=call.headers.attempt,
@@ -381,7 +398,7 @@
             last_event=progress.position.last_id or '',
             waited_ms=progress.waited_ms,
             first_ms=progress.first_ms,
-            total_ms=self._clock.now_ms() - call.request.received_ms,
+            total_ms=total_ms,
             version=call.version,
             fact_age_ms=call.fact_age_ms,
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -26,9 +26,11 @@
 from lagoonbend_entry._internal.gateway.call_handler import CallHandler
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.facts_keeper import FactsKeeper
-from lagoonbend_entry._internal.gateway.readiness_server import ReadinessServer
+from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.store_watcher import StoreWatcher
 from lagoonbend_entry._internal.gateway.stream_socket import set_options
+from lagoonbend_entry._internal.gateway.text_server import HTTP_OK
+from lagoonbend_entry._internal.gateway.text_server import TextServer
 from lagoonbend_entry._internal.platform import names
 from lagoonbend_entry._internal.platform.rules_codec import decode_rules
 from lagoonbend_entry._internal.platform.store_client import StoreClient
@@ -54,6 +56,8 @@
 LAST_SHARE = 0.93
 """Part of the grace time after which the process ends by itself."""
 BACKLOG = 1_024
+HTTP_UNAVAILABLE = 503
+METRICS_PATH = b'/metrics'
 SETTINGS_CHECK_S = 1.0
 EXPIRE_S = 1.0
 POLL_S = 0.05
@@ -102,12 +106,16 @@
         self._pool = ConnectionPool(self._clock)
         self._store = StoreClient(
             parse_endpoint(settings.platform.endpoint),
-            self._clock,
+            settings.instance.name,
             settings.platform.timeout_ms,
         )
         self._watcher = StoreWatcher(
             self._facts, self._store, self._clock, self._is_reader
         )
+        self._metrics = GatewayMetrics()
+        self._metrics_server = TextServer(
+            METRICS_PATH, lambda: (HTTP_OK, self._render_metrics())
+        )
         self._handler = CallHandler(
             self._facts,
             Admission(
@@ -119,6 +127,7 @@
             self._make_retry_share,
             (settings.listen.peers_endpoint, settings.instance.failure_domain),
             RANK_ORDERS[settings.scheduling.rank_order],
+            self._metrics,
         )
 
     @classmethod
@@ -135,17 +144,18 @@
             gevent.signal.signal(number, self._on_stop)
         gevent.signal.signal(signal.SIGHUP, self._on_reload)
         listen = self._settings.listen
-        readiness = ReadinessServer(names.READINESS_PATH, self._is_ready)
+        readiness = TextServer(names.READINESS_PATH, self._answer_readiness)
         callers = self._listen(listen.callers_endpoint, self._serve_caller)
         self._listen(listen.readiness_endpoint, readiness.serve)
         self._listen(listen.peers_endpoint, self._coordinator.serve_peer)
+        self._listen(listen.metrics_endpoint, self._metrics_server.serve)
         self._coordinator.start()
         gevent.spawn(self._watcher.run)
         gevent.spawn(self._run_upkeep)
         log_event(
             Event.STARTED,
             failure_domain=self._settings.instance.failure_domain,
-            processor_ms=int(time.process_time() * 1000),
+            reads_store=self._is_reader(),
             process=os.getpid(),
         )
         self._stop.wait()
@@ -201,6 +211,21 @@
             )
         return is_ready
 
+    def _answer_readiness(self) -> tuple[int, bytes]:
+        return (HTTP_OK if self._is_ready() else HTTP_UNAVAILABLE), b''
+
+    def _render_metrics(self) -> bytes:
+        self._metrics.set_state(
+            fact_age_ms=self._facts.age_ms(),
+            version=self._facts.version,
+            active=self._handler.active_count,
+            opened=self._pool.opened_count,
+            store_calls=self._store.call_count,
+            peers=self._fleet.count_alive(),
+            waiting=self._coordinator.count_waiting(),
+        )
+        return self._metrics.render()
+
     def _is_reader(self) -> bool:
         return self._fleet.is_among_first(READERS_A_DOMAIN)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
@@ -2,7 +2,6 @@
 
 import urllib.parse
 
-from lagoonbend.clock import Clock
 from lagoonbend.exceptions import NetworkError
 from lagoonbend.exceptions import PlatformError
 from lagoonbend_entry._internal.gateway import target_connection
@@ -24,16 +23,16 @@
     """Reads and watches published items over one kept connection.
 
     :param address: IP number and port of the service.
-    :param clock: clock of the instance.
+    :param name: name of the instance, told to the service.
     :param timeout_ms: greatest time for a connection, and for an answer
         beyond the time that a call waits by itself.
     """
 
     def __init__(
-        self, address: tuple[str, int], clock: Clock, timeout_ms: int
+        self, address: tuple[str, int], name: str, timeout_ms: int
     ) -> None:
         self._address = address
-        self._clock = clock
+        self._name = name
         self._timeout_ms = timeout_ms
         self._connection: target_connection.TargetConnection | None = None
         self.call_count = 0
@@ -92,7 +91,10 @@
             )
         connection = self._connection
         full_path = f'{path}?{urllib.parse.urlencode(query)}'
-        headers = [('Host', '{}:{}'.format(*self._address))]
+        headers = [
+            ('Host', '{}:{}'.format(*self._address)),
+            ('User-Agent', self._name),
+        ]
         connection.send(
             encode_request('GET', full_path, headers, b''), self._timeout_ms
         )
--- /dev/null
+++ b/tests/functional/test_gateway_lifecycle.py
@@ -0,0 +1,191 @@
+"""Real instances: signals, outages of the store, and bad input."""
+
+import signal
+import socket
+import time
+import unittest
+
+import gevent
+import gevent.socket
+
+from lagoonbend_devkit._internal.fleet.http import exchange
+from lagoonbend_devkit._internal.published import published_fleet
+from tests.functional.test_gateway_answers import call
+
+REVOKE_S = 5.0
+DRAIN_S = 2.0
+
+
+def send_raw(port: int, data: bytes, timeout_s: float = 3.0) -> bytes:
+    """Send bytes on a connection of their own; return what comes back."""
+    with gevent.socket.create_connection(('127.0.0.1', port)) as sock:
+        sock.settimeout(timeout_s)
+        sock.sendall(data)
+        received = b''
+        try:
+            while data := sock.recv(65_536):
+                received += data
+        except OSError:
+            pass
+    return received
+
+
+class GatewayLifecycleTest(unittest.TestCase):
+    """Each test has a fleet of its own."""
+
+    def test_sigterm_cuts_no_request_in_flight(self) -> None:
+        """Readiness goes first; a running stream comes to its end."""
+        with published_fleet.PublishedFleet() as fleet:
+            slow = gevent.spawn(
+                call, fleet, 'booking', X_Fault='silent', Deadline_Ms='2000'
+            )
+            gevent.sleep(0.3)
+            fleet.processes[0].send(signal.SIGTERM)
+            fleet.wait_ready(0, ready=False)
+            self.assertEqual(200, call(fleet, 'booking')[1].status)
+            self.assertEqual(504, slow.get()[1].status)
+            self.assertEqual(0, fleet.processes[0].wait(9.0))
+            self.assertEqual(200, call(fleet, 'stream', instance=1)[1].status)
+
+    def test_killed_instance_that_decides_is_replaced(self) -> None:
+        """Calls go on through the others, and again after the restart."""
+        with published_fleet.PublishedFleet(instance_count=3) as fleet:
+            for number in range(3):
+                fleet.processes[number].kill()
+                for other in range(3):
+                    if other != number:
+                        _, answer = call(fleet, 'stream', instance=other)
+                        self.assertEqual(200, answer.status)
+                fleet.start_instance(number)
+                fleet.wait_ready(number)
+                _, answer = call(fleet, 'stream', instance=number)
+                self.assertEqual(200, answer.status)
+
+    def test_key_ends_everywhere_within_the_bound(self) -> None:
+        """Also while the store answers nobody."""
+        with published_fleet.PublishedFleet() as fleet:
+            fleet.publish(keys=('k-other',))
+            gevent.sleep(0.5)
+            self.assertEqual(401, call(fleet, 'booking')[1].status)
+            _, answer = call(fleet, 'booking', key='k-other')
+            self.assertEqual(200, answer.status)
+            fleet.store.mode = 'busy'
+            start_s = time.monotonic()
+            while time.monotonic() - start_s < REVOKE_S:
+                attempt, answer = call(fleet, 'booking', key='k-other')
+                gevent.sleep(0.2)
+            self.assertEqual(503, answer.status)
+            self.assertFalse(fleet.is_ready(0))
+            fleet.store.mode = 'ok'
+            fleet.wait_ready(0)
+            _, answer = call(fleet, 'booking', key='k-other')
+            self.assertEqual(200, answer.status)
+
+    def test_instance_cut_from_the_store_lives_on_its_peers(self) -> None:
+        """Facts come from peers, with their age."""
+        with published_fleet.PublishedFleet() as fleet:
+            start_s = time.monotonic()
+            fleet.store.refused_agent = 'instance-0'
+            while time.monotonic() - start_s < REVOKE_S:
+                gevent.sleep(0.25)
+                self.assertEqual(200, call(fleet, 'booking')[1].status)
+            fleet.publish(keys=('k-new',))
+            gevent.sleep(DRAIN_S)
+            self.assertEqual(401, call(fleet, 'booking')[1].status)
+            _, answer = call(fleet, 'booking', key='k-new')
+            self.assertEqual(200, answer.status)
+
+    def test_leaving_target_gets_no_new_work(self) -> None:
+        """Nothing reaches it later than the bound."""
+        with published_fleet.PublishedFleet() as fleet:
+            fleet.register('desk-0', 'desk', 'draining')
+            gevent.sleep(DRAIN_S)
+            del fleet.runs[:]
+            for _ in range(10):
+                self.assertEqual(200, call(fleet, 'booking')[1].status)
+            self.assertEqual({'desk-1'}, {run.target for run in fleet.runs})
+
+    def test_reused_address_runs_nothing_for_another(self) -> None:
+        """A server of another name at the address is not run."""
+        with published_fleet.PublishedFleet(service_count=1) as fleet:
+            fleet.targets['desk-0'].name = 'somebody-else'
+            _, answer = call(fleet, 'booking')
+            self.assertEqual(503, answer.status)
+            self.assertEqual([], fleet.runs)
+
+    def test_dropped_history_and_foreign_entries(self) -> None:
+        """A listing replaces lost changes; unreadable entries hurt nobody."""
+        with published_fleet.PublishedFleet() as fleet:
+            fleet.store.put_bytes('servers/bad', b'\xff not json')
+            fleet.store.put('servers/worse', {'service': 'desk', 'slots': 'x'})
+            fleet.store.mode = 'gone'
+            fleet.publish(keys=('k-late',))
+            gevent.sleep(DRAIN_S)
+            _, answer = call(fleet, 'booking', key='k-late')
+            self.assertEqual(200, answer.status)
+
+    def test_caller_that_leaves_ends_its_work(self) -> None:
+        """The target sees the close within half a second."""
+        with published_fleet.PublishedFleet() as fleet:
+            sock = socket.create_connection(
+                ('127.0.0.1', fleet.callers_port(0))
+            )
+            sock.sendall(
+                b'GET /look-up/x HTTP/1.1\r\nHost: calls.example\r\n'
+                b'Attempt-Id: leaver\r\nAuthorization: Bearer k-first\r\n'
+                b'X-Fault: silent\r\n\r\n'
+            )
+            gevent.sleep(0.3)
+            sock.close()
+            gevent.sleep(0.5)
+            left = [t.left_attempts for t in fleet.targets.values()]
+            self.assertIn(['leaver'], left)
+
+    def test_bad_input_gets_a_clear_error_and_reaches_no_target(self) -> None:
+        """Malformed, smuggled, huge and slow requests."""
+        head = b'POST /booking/x HTTP/1.1\r\nHost: calls.example\r\n'
+        cases = {
+            b'no request at all\r\n\r\n': b'400',
+            head + b'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd': (
+                b'400'
+            ),
+            head
+            + b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n'
+            + b'0\r\n\r\n': b'400',
+            head + b'X: ' + b'y' * 9_000 + b'\r\n\r\n': b'431',
+            head + b'Content-Length: 200000\r\n\r\n': b'413',
+            head + b'X: slow': b'408',
+            b'GET http://calls.example/ HTTP/1.1\r\nHost: a\r\n\r\n': b'400',
+        }
+        with published_fleet.PublishedFleet() as fleet:
+            for data, status in cases.items():
+                with self.subTest(data=data[:60], status=status):
+                    answer = send_raw(fleet.callers_port(0), data)
+                    self.assertEqual(status, answer[9:12])
+            self.assertEqual([], fleet.runs)
+            self.assertEqual(200, call(fleet, 'booking')[1].status)
+
+    def test_pipelined_requests_are_answered_in_order(self) -> None:
+        """Bytes that arrive while a request is served are kept."""
+        one = (
+            b'POST /booking/x HTTP/1.1\r\nHost: calls.example\r\n'
+            b'Attempt-Id: p%d\r\nAuthorization: Bearer k-first\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\n1\r\n%d\r\n0\r\n\r\n'
+        )
+        with published_fleet.PublishedFleet() as fleet:
+            data = b''.join(one % (n, n) for n in range(4))
+            answer = send_raw(fleet.callers_port(0), data, timeout_s=1.0)
+            bodies = [answer.index(b'ran %d' % n) for n in range(4)]
+            self.assertEqual(sorted(bodies), bodies)
+
+    def test_metrics_are_served_as_text(self) -> None:
+        """Counters and histograms on the address of the settings."""
+        with published_fleet.PublishedFleet() as fleet:
+            call(fleet, 'booking')
+            answer = exchange(fleet.metrics_port(0), 'GET', '/metrics')
+            self.assertEqual(200, answer.status)
+            self.assertIn(b'lagoonbend_calls_total', answer.body)
+
+
+if __name__ == '__main__':
+    unittest.main()
