--- /dev/null
+++ b/tests/unit/test_burst_of_all_callers.py
@@ -0,0 +1,113 @@
+"""Pattern: several times the usual load for some seconds."""
+
+import random
+import unittest
+
+from lagoonbend.scheduling import Denial
+from tests.lib.pool_world import CallKind
+from tests.lib.pool_world import PoolWorld
+
+URGENT = CallKind(rank=0, hold_ms=300)
+MIDDLE = CallKind(rank=1, hold_ms=250, objective_ms=1_200)
+SLOW = CallKind(rank=2, hold_ms=1_500, objective_ms=1_500, deadline_ms=15_000)
+MIX = ((URGENT, 20), (MIDDLE, 28), (SLOW, 24))
+
+
+def play(factor: float, seconds: int, seed: int) -> PoolWorld:
+    """Play a mix at ``factor`` times the load that 20 places can take."""
+    world = PoolWorld()
+    generator = random.Random(seed)
+    per_s = {kind: rate * factor / 2.2 for kind, rate in MIX}
+    for _ in range(seconds * 100):
+        for kind, rate in per_s.items():
+            if generator.random() < rate / 100:
+                world.arrive(kind)
+        world.run(10)
+    world.run(16_000)
+    return world
+
+
+class BurstTest(unittest.TestCase):
+    """The urgent are on time, and nobody waits in vain."""
+
+    def test_urgent_calls_are_on_time_at_three_times_the_load(self) -> None:
+        """Long calls of a low rank hold up no urgent one for long."""
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                world = play(3.0, 10, seed)
+                self.assertGreaterEqual(world.share_on_time(URGENT), 0.97)
+                self.assertGreaterEqual(world.share_on_time(MIDDLE), 0.9)
+
+    def test_targets_never_get_more_than_they_run_at_once(self) -> None:
+        """Waiting belongs in front of the targets."""
+        world = play(3.0, 5, 1)
+        self.assertEqual(20, world.largest_held)
+
+    def test_every_call_gets_exactly_one_decision(self) -> None:
+        """Granted or denied, and with a time to come back."""
+        world = play(4.0, 5, 2)
+        for record in world.records.values():
+            self.assertIsNotNone(record.decision)
+            if record.decision and record.decision.denial:
+                self.assertGreater(record.decision.retry_after_ms, 0)
+
+    def test_hopeless_calls_are_refused_early(self) -> None:
+        """A refusal comes by two objectives, most come at once."""
+        world = play(4.0, 10, 3)
+        waits = [
+            (record.decided_ms - record.arrived_ms, record.kind.objective_ms)
+            for record in world.records.values()
+            if record.decision and record.decision.denial
+        ]
+        self.assertTrue(waits)
+        for wait_ms, objective_ms in waits:
+            self.assertLessEqual(wait_ms, max(2 * objective_ms, 1_000) + 50)
+
+    def test_no_urgent_call_is_refused_while_others_get_places(self) -> None:
+        """At a load whose urgent part fits, none of it is refused."""
+        world = play(3.0, 10, 4)
+        refused = [
+            record
+            for record in world.records.values()
+            if record.kind is URGENT
+            and record.decision
+            and record.decision.denial
+        ]
+        self.assertEqual([], refused)
+
+    def test_steady_load_within_capacity_is_all_on_time(self) -> None:
+        """No call is refused at 80 % of the capacity."""
+        world = play(0.8, 10, 5)
+        denials = [
+            record.decision.denial
+            for record in world.records.values()
+            if record.decision and record.decision.denial
+        ]
+        self.assertEqual([], denials)
+        self.assertEqual(1.0, world.share_on_time(URGENT))
+
+
+class GiveUpTest(unittest.TestCase):
+    """Calls that nobody waits for any more."""
+
+    def test_withdrawn_call_frees_its_place(self) -> None:
+        """Whether it waits still or has just got a place."""
+        world = PoolWorld(targets=1, slots=1)
+        first = world.arrive(URGENT)
+        second = world.arrive(URGENT)
+        third = world.arrive(URGENT)
+        self.assertIsNone(second.decision)
+        list(world.scheduler.withdraw('i0', second.request.call))
+        decisions = list(world.scheduler.withdraw('i0', first.request.call))
+        self.assertEqual([third.request.call], [d.call for d in decisions])
+
+    def test_service_without_targets_is_refused_at_once(self) -> None:
+        """There is nothing to wait for."""
+        world = PoolWorld(targets=0)
+        record = world.arrive(URGENT)
+        assert record.decision is not None
+        self.assertIs(Denial.NO_TARGET, record.decision.denial)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/unit/test_cut_between_domains.py
@@ -0,0 +1,209 @@
+"""Pattern: failure domains lose each other, targets or instances die."""
+
+import unittest
+
+from lagoonbend.clock import PausedClock
+from lagoonbend.scheduling import PlaceEnd
+from lagoonbend_entry._internal.coordination.fleet import Fleet
+from lagoonbend_entry._internal.coordination.messages import Pong
+from tests.lib.pool_world import CallKind
+from tests.lib.pool_world import CallRecord
+from tests.lib.pool_world import PoolWorld
+
+CALL = CallKind(rank=0, hold_ms=200)
+SERVICE = 'chat'
+
+
+class FleetWorld:
+    """Instances that exchange signs of life on a paused clock."""
+
+    def __init__(self, count: int) -> None:
+        self.clock = PausedClock(1_000_000)
+        self.names = [f'10.0.{n}.1:80' for n in range(count)]
+        self.fleets = {
+            name: Fleet(name, f'd{n % 2}', self.names[:3], self.clock)
+            for n, name in enumerate(self.names)
+        }
+        self.decides: dict[str, bool] = dict.fromkeys(self.names, False)
+        self.leaving: set[str] = set()
+        self.sides: list[set[str]] = [set(self.names)]
+        self.advance(4_000)
+
+    def advance(self, span_ms: int) -> None:
+        """Let time pass, with signs of life within each side."""
+        for _ in range(span_ms // 250):
+            self.clock.advance(250)
+            for side in self.sides:
+                for asker in side:
+                    for peer in side - {asker}:
+                        self.fleets[asker].note_pong(self.write_pong(peer))
+
+    def write_pong(self, name: str) -> Pong:
+        """Return the sign of life of an instance."""
+        fleet = self.fleets[name]
+        decides = [SERVICE] if self.decides[name] else []
+        return Pong(
+            self.clock.now_ms(),
+            name,
+            fleet.failure_domain,
+            'x',
+            fleet.uptime_ms,
+            name in self.leaving,
+            decides,
+            [],
+            0,
+            None,
+            {},
+        )
+
+    def find_deciders(self) -> dict[str, str]:
+        """Return whom each instance asks, and let those decide."""
+        found = {
+            name: fleet.find_decider(
+                SERVICE,
+                decides=self.decides[name],
+                is_leaving=name in self.leaving,
+            )
+            for name, fleet in self.fleets.items()
+            if any(name in side for side in self.sides)
+        }
+        for name in self.names:
+            self.decides[name] = found.get(name) == name
+        return found
+
+
+class DeciderTest(unittest.TestCase):
+    """Who decides, without an election."""
+
+    def test_all_agree_and_the_choice_stays(self) -> None:
+        """A restart of another instance changes nothing."""
+        world = FleetWorld(7)
+        chosen = set(world.find_deciders().values())
+        self.assertEqual(1, len(chosen))
+        world.advance(2_000)
+        self.assertEqual(chosen, set(world.find_deciders().values()))
+
+    def test_each_side_of_a_cut_decides_and_they_join_again(self) -> None:
+        """Both sides serve; one decider is left after the cut."""
+        world = FleetWorld(7)
+        world.find_deciders()
+        world.sides = [set(world.names[:2]), set(world.names[2:])]
+        world.advance(2_000)
+        found = world.find_deciders()
+        for side in world.sides:
+            deciders = {found[name] for name in side}
+            self.assertEqual(1, len(deciders))
+            self.assertLessEqual(deciders, side)
+        world.sides = [set(world.names)]
+        for _ in range(3):
+            world.advance(500)
+            found = world.find_deciders()
+        self.assertEqual(1, len(set(found.values())))
+
+    def test_dead_and_leaving_deciders_are_replaced(self) -> None:
+        """Within the time that signs of life take to be missed."""
+        world = FleetWorld(5)
+        first = next(iter(world.find_deciders().values()))
+        world.leaving.add(first)
+        world.advance(500)
+        found = world.find_deciders()
+        second = {found[name] for name in world.names if name != first}
+        self.assertEqual(1, len(second))
+        self.assertNotIn(first, second)
+        world.sides = [set(world.names) - second]
+        world.advance(1_250)
+        world.leaving.clear()
+        self.assertFalse(second & set(world.find_deciders().values()))
+
+    def test_stopped_instance_takes_no_part_of_limits(self) -> None:
+        """One that is out of reach does."""
+        world = FleetWorld(6)
+        fleet = world.fleets[world.names[0]]
+        self.assertEqual(6, fleet.count_known())
+        world.sides = [set(world.names[:4])]
+        world.advance(1_500)
+        self.assertEqual(4, fleet.count_alive())
+        self.assertEqual(6, fleet.count_known())
+        fleet.note_stopped(world.names[5])
+        self.assertEqual(5, fleet.count_known())
+
+
+def list_targets(records: list[CallRecord]) -> set[str]:
+    """Return the targets that calls got."""
+    return {record.decision.target for record in records if record.decision}
+
+
+class SickTargetTest(unittest.TestCase):
+    """What answers tell of targets."""
+
+    def test_unreached_target_is_avoided_by_its_domain_only(self) -> None:
+        """Another domain goes on using it."""
+        world = PoolWorld(targets=2, slots=50, is_engine=False)
+        first = world.arrive(CALL, failure_domain='d0')
+        assert first.decision is not None
+        lost = first.decision.target
+        world.end(first.request.call, PlaceEnd.NOT_REACHED)
+        near = [world.arrive(CALL, failure_domain='d0') for _ in range(10)]
+        far = [world.arrive(CALL, failure_domain='d1') for _ in range(40)]
+        self.assertNotIn(
+            lost, {r.decision and r.decision.target for r in near}
+        )
+        self.assertIn(lost, {r.decision and r.decision.target for r in far})
+
+    def test_failing_target_is_set_aside_and_tried_again(self) -> None:
+        """It gets few calls while it fails, and more once it is sound."""
+        world = PoolWorld(targets=4, slots=10, is_engine=False)
+        hits = 0
+        for _ in range(200):
+            record = world.arrive(CALL)
+            assert record.decision is not None
+            if record.decision.target == 't0':
+                hits += 1
+                world.end(record.request.call, PlaceEnd.BAD_ANSWER)
+            world.run(20)
+        self.assertLess(hits, 30)
+        world.run(5_000)
+        targets = set()
+        for _ in range(50):
+            record = world.arrive(CALL)
+            assert record.decision is not None
+            targets.add(record.decision.target)
+            world.run(20)
+        self.assertIn('t0', targets)
+
+    def test_never_all_targets_are_set_aside(self) -> None:
+        """A service whose targets all fail is still tried."""
+        world = PoolWorld(targets=3, slots=10, is_engine=False)
+        for _ in range(100):
+            record = world.arrive(CALL)
+            assert record.decision is not None
+            self.assertIsNone(record.decision.denial)
+            world.end(record.request.call, PlaceEnd.SILENT)
+            world.run(10)
+
+    def test_lost_instance_frees_its_places(self) -> None:
+        """And those that wait get them."""
+        world = PoolWorld(targets=1, slots=2)
+        for _ in range(2):
+            world.arrive(CALL, instance='lost')
+        waiting = world.arrive(CALL, instance='i0')
+        self.assertIsNone(waiting.decision)
+        granted = list(world.scheduler.drop_instance('lost'))
+        self.assertEqual([waiting.request.call], [d.call for d in granted])
+
+    def test_prompts_go_where_they_are_kept(self) -> None:
+        """Sessions return to the engine that has read them."""
+        kind = CallKind(rank=0, hold_ms=200, prompt_tokens=3_000)
+        world = PoolWorld(targets=4, slots=10)
+        seen: dict[str, set[str]] = {}
+        for number in range(120):
+            session = f's{number % 8}'
+            record = world.arrive(kind, session=session)
+            assert record.decision is not None
+            seen.setdefault(session, set()).add(record.decision.target)
+            world.run(40)
+        self.assertLessEqual(sum(map(len, seen.values())), 10)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/unit/test_hot_customer.py
@@ -0,0 +1,108 @@
+"""Pattern: one customer sends many times its usual."""
+
+import unittest
+
+from lagoonbend.facts import CustomerRule
+from lagoonbend.limits import LimitTolerance
+from lagoonbend.limits import SharedLimits
+from tests.lib.pool_world import CallKind
+from tests.lib.pool_world import PoolWorld
+
+URGENT = CallKind(rank=0, hold_ms=300)
+SLOW = CallKind(rank=2, hold_ms=1_000, objective_ms=1_500)
+HOT = CustomerRule('hot', rate_per_s=30_000.0, burst=30_000.0)
+OTHER = CustomerRule('other', rate_per_s=60_000.0, burst=60_000.0)
+TOLERANCE = LimitTolerance(0.25, 110_000.0, 8.0)
+WINDOW_MS = 8_000
+
+
+def count_passed(
+    limits: SharedLimits, rule: CustomerRule, per_s: int, units: float
+) -> float:
+    """Return the units let through in one window at a steady demand."""
+    passed = 0.0
+    for step in range(WINDOW_MS * per_s // 1_000):
+        now_ms = 5_000 + step * 1_000 // per_s
+        if not limits.take(rule, units, 0, now_ms):
+            passed += units
+    return passed
+
+
+class HotCustomerTest(unittest.TestCase):
+    """Others keep what is theirs, and the urgent calls of the hot pass."""
+
+    def test_others_are_on_time(self) -> None:
+        """A customer at ten times its limit fills no queue."""
+        world = PoolWorld()
+        others = []
+        for _ in range(400):
+            for _ in range(3):
+                world.arrive(URGENT, rule=HOT, cost_units=3_000)
+            others.append(world.arrive(URGENT, rule=OTHER, cost_units=1_000))
+            world.run(25)
+        world.run(5_000)
+        on_time = sum(record.is_on_time for record in others)
+        self.assertGreaterEqual(on_time / len(others), 0.98)
+
+    def test_urgent_calls_of_the_hot_customer_go_first(self) -> None:
+        """Its less urgent calls leave a part of the limit to them."""
+        world = PoolWorld(targets=8)
+        for _ in range(400):
+            world.arrive(SLOW, rule=HOT, cost_units=1_000)
+            world.arrive(URGENT, rule=HOT, cost_units=1_000)
+            world.run(25)
+        urgent, slow = (
+            sum(
+                record.decision is not None and record.decision.denial is None
+                for record in world.records.values()
+                if record.kind is kind
+            )
+            for kind in (URGENT, SLOW)
+        )
+        self.assertGreater(urgent, 3 * slow)
+
+    def test_limit_is_kept_and_used(self) -> None:
+        """What passes in a window is between limit and tolerance."""
+        limits = SharedLimits(TOLERANCE)
+        passed = count_passed(limits, HOT, 100, 2_000.0)
+        limit = HOT.rate_per_s * 8 + HOT.burst
+        self.assertLessEqual(passed, limit * 1.25 + 110_000)
+        self.assertGreaterEqual(passed, HOT.rate_per_s * 8)
+
+    def test_all_sides_of_any_cut_stay_within_the_tolerance(self) -> None:
+        """Split brain: each side counts alone."""
+        for size in (6, 7, 84, 420):
+            for part in range(1, size):
+                with self.subTest(size=size, part=part):
+                    passed = 0.0
+                    for side in (part, size - part):
+                        limits = SharedLimits(TOLERANCE)
+                        limits.reached_part = side / size
+                        passed += count_passed(limits, HOT, 40, 2_000.0)
+                    limit = HOT.rate_per_s * 8 + HOT.burst
+                    # The last call of a side may overdraw its bucket.
+                    bound = limit * 1.25 + 110_000 + 2 * 2_000
+                    self.assertLessEqual(passed, bound)
+
+    def test_use_at_other_instances_counts(self) -> None:
+        """What a peer let through is taken off here."""
+        limits = SharedLimits(TOLERANCE)
+        limits.take(HOT, 1.0, 0, 0)
+        limits.note_used('peer', {'hot': 0.0})
+        limits.note_used('peer', {'hot': 500_000.0})
+        self.assertGreater(limits.take(HOT, 1.0, 0, 100), 0)
+
+    def test_refused_calls_are_asked_to_return_one_after_the_other(
+        self,
+    ) -> None:
+        """Returns are spread at the pace of the limit."""
+        limits = SharedLimits(LimitTolerance())
+        while not limits.take(HOT, 3_000.0, 0, 0):
+            continue
+        waits = [limits.take(HOT, 3_000.0, 0, 0) for _ in range(5)]
+        self.assertEqual(sorted(waits), waits)
+        self.assertGreaterEqual(waits[-1] - waits[0], 390)
+
+
+if __name__ == '__main__':
+    unittest.main()
--- /dev/null
+++ b/tests/unit/test_platform_folder.py
@@ -0,0 +1,54 @@
+"""The users' names stay in one folder, which decides nothing."""
+
+import pathlib
+import re
+import unittest
+
+ROOT = pathlib.Path(__file__).parents[2]
+SOURCES = (
+    ROOT / 'packages' / 'lagoonbend' / 'src',
+    ROOT / 'packages' / 'lagoonbend-entry' / 'src',
+)
+FOLDER = (
+    ROOT / 'packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform'
+)
+NAMES = re.compile(
+    r"""['"/](attempt-id|deadline-ms|expect-instance|server-stamp|prefix-hash
+    |token-usage|not-executed|server-load|length-hint|kv-\w+|readyz
+    |route-kind|weighted-services|api-keys|rate-per-s|uncached-tokens
+    |target-latency-ms|gap-target-ms|max-attempts|heartbeat-ms
+    |op/config|servers/)""",
+    re.IGNORECASE | re.VERBOSE,
+)
+DECISIONS = re.compile(
+    r'import random|gevent\.sleep|retry_share|scheduler|RefusalReason|clock'
+)
+GREATEST_LINES = 900
+
+
+class PlatformFolderTest(unittest.TestCase):
+    """Reads the sources as text."""
+
+    def test_names_of_the_platform_stand_in_its_folder_only(self) -> None:
+        """Fields, headers and paths."""
+        found = [
+            f'{path.relative_to(ROOT)}: {match.group()}'
+            for root in SOURCES
+            for path in root.rglob('*.py')
+            if FOLDER not in path.parents
+            for match in NAMES.finditer(path.read_text(encoding='utf-8'))
+        ]
+        self.assertEqual([], found)
+
+    def test_folder_is_small_and_decides_nothing(self) -> None:
+        """It reads, writes and calls."""
+        lines = 0
+        for path in FOLDER.glob('*.py'):
+            text = path.read_text(encoding='utf-8')
+            lines += text.count('\n')
+            self.assertIsNone(DECISIONS.search(text), path.name)
+        self.assertLess(lines, GREATEST_LINES)
+
+
+if __name__ == '__main__':
+    unittest.main()
