Hear of all instances of a large fleet through neighbours drawn from all known

Change: neighbours from all known instances, questions count as signs of life, news grow with the fleet; deciders are looked up once a tick. Failing first: tests.unit.test_large_fleet at 84 and 420 instances.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -82,6 +82,7 @@
         self._held: dict[str, tuple[PlaceRequest, HeldPlace, str]] = {}
         self._deciders: dict[str, str] = {}
         self._hints: dict[str, str] = {}
+        self._current_deciders: dict[str, str] = {}
         self.desk = ServiceDesk(
             facts, clock, SharedLimits(tolerance), invariants, self._deliver
         )
@@ -161,15 +162,21 @@
             return
         channel = message_channel.MessageChannel(sock)
         peer = ''
+        failure_domain = ''
         try:
             for message in channel.receive():
                 if isinstance(message, messages.Greeting):
                     if message.protocol != messages.PROTOCOL_VERSION:
                         break
                     peer = message.address
+                    failure_domain = message.failure_domain
                     self._channels[peer] = channel
                     self.learn([peer])
                 elif peer:
+                    if isinstance(message, messages.Ping):
+                        self._fleet.note_caller(
+                            peer, failure_domain, message.uptime_ms
+                        )
                     self._answer(peer, channel, message)
         except PeerError as error:
             log_event(Event.PEER_REJECTED, peer=peer, reason=str(error))
@@ -205,6 +212,7 @@
     def leave(self) -> None:
         """Stop deciding, for the instance is to stop."""
         self.is_leaving = True
+        self._current_deciders.clear()
         for service in self.desk.pools:
             self._step_down(service)
 
@@ -354,6 +362,10 @@
         )
 
     def _find_decider(self, service: str) -> str:
+        """Return who decides; looked up anew after each tick and loss."""
+        current = self._current_deciders.get(service)
+        if current is not None:
+            return current
         decider = self._fleet.find_decider(
             service,
             decides=self.desk.find(service) is not None,
@@ -364,6 +376,7 @@
         if decider != before:
             self._deciders[service] = decider
             self._note_decider(service, before, decider)
+        self._current_deciders[service] = decider
         return decider
 
     def _note_decider(
@@ -539,6 +552,7 @@
                     pending.is_queued = True
             case messages.Moved():
                 self._hints[message.pool] = message.decider
+                self._current_deciders.clear()
                 pending = self._pending.get(message.call)
                 if pending is not None:
                     pending.move()
@@ -613,6 +627,11 @@
             'peer',
         )
 
+    def _write_ping(self, wants_news: bool) -> messages.Ping:
+        return messages.Ping(
+            self._clock.now_ms(), self._fleet.uptime_ms, wants_news
+        )
+
     def _write_pong(self, ping: messages.Ping) -> messages.Pong:
         return messages.Pong(
             ping.sent_ms,
@@ -653,19 +672,19 @@
                 messages.PROTOCOL_VERSION,
                 self._fleet.address,
                 self._fleet.failure_domain,
-                self._incarnation,
             ),
             self._clock,
             on_message=self._hear,
             on_open=self._greet,
             on_lost=self._note_lost,
             on_stopped=self._fleet.note_stopped,
+            on_unreached=self._fleet.drop,
         )
         self._links[address] = link
         gevent.spawn(link.run)
 
     def _greet(self, link: PeerLink) -> None:
-        link.send(messages.Ping(self._clock.now_ms(), True))
+        link.send(self._write_ping(True))
         for service, decider in self._deciders.items():
             if decider == link.address:
                 held = [
@@ -678,6 +697,7 @@
     def _note_lost(self, link: PeerLink) -> None:
         log_event(Event.PEER_LOST, peer=link.address)
         self._fleet.drop(link.address)
+        self._current_deciders.clear()
         for pending in list(self._pending.values()):
             if pending.decider == link.address:
                 pending.move()
@@ -714,11 +734,12 @@
             self._fleet.is_mesh or not is_decider or bool(self.desk.pools)
         )
         link.asked_ms = now_ms
-        link.send(messages.Ping(now_ms, wants_news))
+        link.send(self._write_ping(wants_news))
 
     def _run_ticks(self) -> None:
         for tick in itertools.count():
             gevent.sleep(TICK_MS / MILLISECONDS_PER_SECOND)
+            self._current_deciders.clear()
             known = max(1, self._fleet.count_known())
             self.desk.limits.reached_part = self._fleet.count_alive() / known
             self._local.limits.reached_part = 1 / known
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -17,10 +17,13 @@
 in a mesh: three questions without an answer."""
 SPARSE_ALIVE_MS = 1_800
 """The same for peers that are asked in a larger fleet."""
-RUMOUR_ALIVE_MS = 10_000
-"""The same for instances that are only heard of; with 20 names in an answer
-and six answers a second, 420 instances are heard of every 4 s."""
+RUMOUR_ALIVE_MS = 12_000
+"""The same for instances that are only heard of."""
 RUMOURS_AN_ANSWER = 20
+"""Least number of instances that an answer tells of."""
+INSTANCES_A_RUMOUR = 12
+"""Instances for each of which an answer tells of one more; at 420 instances
+an answer has about 1.3 KB, and some eight come in a second."""
 FORGET_MS = 60_000
 """Time after which an instance out of reach no longer counts in the parts
 of limits; a cut of a minute or more is refilled by then."""
@@ -100,6 +103,16 @@
         )
         self._note_rumours(pong.rumours)
 
+    def note_caller(
+        self, address: str, failure_domain: str, uptime_ms: int
+    ) -> None:
+        """Take in that a peer has asked this instance for a sign of life."""
+        now_ms = self._clock.now_ms()
+        self._note_rumours(
+            [messages.WireMember(address, failure_domain, 0, uptime_ms, False)]
+        )
+        self._known[address] = now_ms
+
     def note_stopped(self, address: str) -> None:
         """Note that no process listens at an address any more.
 
@@ -152,8 +165,9 @@
         """Return some instances that live, for an answer."""
         now_ms = self._clock.now_ms()
         alive = list(self.list_alive())
-        if len(alive) > RUMOURS_AN_ANSWER:
-            alive = random.sample(alive, RUMOURS_AN_ANSWER)
+        count = max(RUMOURS_AN_ANSWER, len(self._known) // INSTANCES_A_RUMOUR)
+        if len(alive) > count:
+            alive = random.sample(alive, count)
         return [
             messages.WireMember(
                 sighting.address,
@@ -269,8 +283,13 @@
 
     def _rank(self, key: str) -> list[str]:
         """Return the known instances by their score for a key."""
-        alive = {sighting.address for sighting in self.list_alive()}
-        names = alive or set(self._known)
+        now_ms = self._clock.now_ms()
+        names = [
+            address
+            for address, heard_ms in self._known.items()
+            if now_ms - heard_ms < FORGET_MS
+            and self._unreached.get(address, 0) <= now_ms
+        ]
         return sorted(
             names,
             key=lambda name: score_candidate(name, key),
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -19,7 +19,6 @@
     protocol: int
     address: str
     failure_domain: str
-    incarnation: str
 
 
 class WireMember(msgspec.Struct, array_like=True):
@@ -43,6 +42,7 @@
     """
 
     sent_ms: int
+    uptime_ms: int
     wants_news: bool
 
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_link.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_link.py
@@ -30,6 +30,7 @@
     :param on_open: called with the link once it is open.
     :param on_lost: called with the link when it is lost.
     :param on_stopped: called when no process listens at the address.
+    :param on_unreached: called when the address can't be reached.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         on_open: Callable[['PeerLink'], None],
         on_lost: Callable[['PeerLink'], None],
         on_stopped: Callable[[str], None],
+        on_unreached: Callable[[str], None],
     ) -> None:
         self.address = address
         self.heard_ms = 0
@@ -53,6 +55,7 @@
         self._on_open = on_open
         self._on_lost = on_lost
         self._on_stopped = on_stopped
+        self._on_unreached = on_unreached
         self._channel: message_channel.MessageChannel | None = None
 
     @property
@@ -95,7 +98,7 @@
             if error.errno == errno.ECONNREFUSED:
                 self._on_stopped(self.address)
             else:
-                self._on_lost(self)
+                self._on_unreached(self.address)
             return
         sock.settimeout(None)
         self._channel = message_channel.MessageChannel(sock)
--- /dev/null
+++ b/tests/unit/test_large_fleet.py
@@ -0,0 +1,109 @@
+"""Pattern: many instances, of which each asks only a few."""
+
+import unittest
+
+from lagoonbend.clock import PausedClock
+from lagoonbend_entry._internal.coordination import fleet as fleet_module
+from lagoonbend_entry._internal.coordination.messages import Pong
+
+POOLS = ('chat#0/3', 'chat#1/3', 'chat#2/3')
+STEP_MS = 1_000
+
+
+class LargeFleetWorld:
+    """Instances that ask those that they want links to, each second."""
+
+    def __init__(self, count: int) -> None:
+        self.clock = PausedClock(1_000_000)
+        self.names = [f'10.0.{n // 200}.{n % 200}:80' for n in range(count)]
+        self.fleets = {
+            name: fleet_module.Fleet(
+                name, f'd{n % 4}', self.names[:3], self.clock
+            )
+            for n, name in enumerate(self.names)
+        }
+        self.cut: set[str] = set()
+        self.greatest_links = 0
+        self.pongs = 0
+
+    def advance(self, seconds: int) -> None:
+        """Let time pass, with questions between those that are joined."""
+        for _ in range(seconds):
+            self.clock.advance(STEP_MS)
+            for name, fleet in self.fleets.items():
+                self._ask_all(name, fleet)
+
+    def _ask_all(self, name: str, fleet: fleet_module.Fleet) -> None:
+        links = fleet.list_links([], [])
+        if not fleet.is_mesh:
+            self.greatest_links = max(self.greatest_links, len(links))
+        for peer in links:
+            if (name in self.cut) != (peer in self.cut):
+                fleet.drop(peer)
+                continue
+            asked = self.fleets[peer]
+            asked.note_caller(name, fleet.failure_domain, fleet.uptime_ms)
+            self.pongs += 1
+            fleet.note_pong(
+                Pong(
+                    self.clock.now_ms(),
+                    peer,
+                    asked.failure_domain,
+                    'x',
+                    asked.uptime_ms,
+                    False,
+                    [],
+                    asked.list_rumours(),
+                    0,
+                    None,
+                    {},
+                )
+            )
+
+    def count_reached(self, names: list[str]) -> list[int]:
+        """Return the instances within reach of each."""
+        return [self.fleets[name].count_alive() for name in names]
+
+
+class LargeFleetTest(unittest.TestCase):
+    """Everybody is heard of at a bounded price."""
+
+    def test_every_instance_hears_of_all_from_three_seeds(self) -> None:
+        """At 84 and at 420 instances, within seconds."""
+        for count, seconds in ((84, 12), (420, 25)):
+            with self.subTest(count=count):
+                world = LargeFleetWorld(count)
+                world.advance(seconds)
+                reached = world.count_reached(world.names)
+                self.assertGreaterEqual(min(reached), 0.9 * count)
+                self.assertLessEqual(world.greatest_links, 16)
+
+    def test_all_choose_the_same_deciders(self) -> None:
+        """Nearly all instances ask the same one for a pool."""
+        world = LargeFleetWorld(84)
+        world.advance(15)
+        for pool in POOLS:
+            chosen = [
+                fleet.find_decider(pool, decides=False, is_leaving=False)
+                for fleet in world.fleets.values()
+            ]
+            most = max(chosen.count(name) for name in set(chosen))
+            self.assertGreaterEqual(most, 76)
+
+    def test_cut_is_noticed_and_heals(self) -> None:
+        """Parts of limits follow the instances within reach."""
+        world = LargeFleetWorld(84)
+        world.advance(15)
+        world.cut = set(world.names[::4])
+        world.advance(16)
+        near = [name for name in world.names if name not in world.cut]
+        self.assertLessEqual(max(world.count_reached(near)), 66)
+        self.assertLessEqual(max(world.count_reached(list(world.cut))), 24)
+        self.assertGreaterEqual(world.fleets[near[0]].count_known(), 80)
+        world.cut = set()
+        world.advance(20)
+        self.assertGreaterEqual(min(world.count_reached(world.names)), 74)
+
+
+if __name__ == '__main__':
+    unittest.main()
