Explain a request from collected logs, and demonstrate the platform's path

Found by the demonstration: a call that every target had turned away waited a second for nothing; it is refused at once now, with a test.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 
 demo: setup
 	$(BIN)/python -m lagoonbend_devkit demo
+	$(BIN)/python -m lagoonbend_devkit published-demo
 
 test: setup
 	$(BIN)/python -m tests
--- /dev/null
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Follows a request through collected logs."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/__main__.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/__main__.py
@@ -1,6 +1,7 @@
 """``python -m lagoonbend_devkit``: the demonstration, or a stand-in.
 
-``demo`` runs the demonstration; ``platform PORT``, ``service PORT``,
+``demo`` runs the demonstration, ``published-demo`` the one on stand-ins of
+the users' platform; ``platform PORT``, ``service PORT``,
 ``engine-old PORT`` and ``engine-new PORT`` run a stand-in; ``measure NAME``
 runs an experiment and prints its table; ``worlds FIRST LAST STEPS`` makes long
 seeded runs.
@@ -10,6 +11,7 @@
 
 from lagoonbend_devkit._internal.demo.demo import run_demo
 from lagoonbend_devkit._internal.experiments.commands import EXPERIMENTS
+from lagoonbend_devkit._internal.published import published_demo
 from lagoonbend_devkit._internal.standins.engine import build_engine
 from lagoonbend_devkit._internal.standins.engine_core import EngineSpeed
 from lagoonbend_devkit._internal.standins.platform import build_platform
@@ -21,18 +23,28 @@
     'engine-old': EngineSpeed(40, 128, 32),
     'engine-new': EngineSpeed(10, 256, 128),
 }
+STANDINS = ('platform', 'service', *SPEEDS)
+EXIT_USAGE = 2
 
 
 def main(arguments: list[str]) -> int:
     """Do what the command line says; return the exit code."""
+    if not arguments or arguments[0] in ('-h', '--help'):
+        print(__doc__)
+        return 0 if arguments else EXIT_USAGE
     if arguments == ['demo']:
         return run_demo()
+    if arguments == ['published-demo']:
+        return published_demo.run_published_demo()
     if arguments[0] == 'measure':
         print(EXPERIMENTS[arguments[1]]())
         return 0
     if arguments[0] == 'worlds':
         first, last, steps = map(int, arguments[1:])
         return min(1, run_worlds(first, last, steps))
+    if arguments[0] not in STANDINS or len(arguments) != 2:
+        print(__doc__, file=sys.stderr)
+        return EXIT_USAGE
     kind, port = arguments[0], int(arguments[1])
     if kind == 'platform':
         app = build_platform()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -33,10 +33,8 @@
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
+from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry._internal.platform import refusal_headers
-from lagoonbend_entry._internal.platform.call_headers import (
-    decode_call_headers,
-)
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 
@@ -355,7 +353,7 @@
         self._metrics.count_call('', reason.label, 0, 0)
         log_event(
             Event.CALL_NOT_ADMITTED,
-            request=decode_call_headers(request.values).attempt,
+            request=call_headers.decode_call_headers(request.values).attempt,
             reason=reason.label,
             path=request.path[:80],
             version=self._facts.version,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
@@ -9,6 +9,7 @@
 from lagoonbend.exceptions import SettingsError
 from lagoonbend.routing import POLICIES
 from lagoonbend.scheduling import RANK_ORDERS
+from lagoonbend_entry._internal.settings import gateway_settings
 from lagoonbend_entry._internal.settings.field_kind import find_kind
 from lagoonbend_entry._internal.settings.settings import Settings
 
@@ -27,6 +28,21 @@
     return read_sections(path, Settings)
 
 
+def is_gateway_file(path: pathlib.Path) -> bool:
+    """Return True for settings of an instance on a published platform."""
+    return _parse_file(path).has_section('listen')
+
+
+def read_gateway_settings(
+    path: pathlib.Path,
+) -> gateway_settings.GatewaySettings:
+    """Read the settings of an instance on a published platform.
+
+    :raises SettingsError: on the first fault, with file, section and key.
+    """
+    return read_sections(path, gateway_settings.GatewaySettings)
+
+
 def read_sections(path: pathlib.Path, cls: type[Sections]) -> Sections:
     """Read settings whose fields are sections.
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/settings.py
@@ -1,7 +1,17 @@
-"""Settings of an instance, for tools that check them."""
+"""Settings files of the daemon."""
 
+from lagoonbend_entry._internal.settings import settings_reader
 from lagoonbend_entry._internal.settings.settings import Settings
-from lagoonbend_entry._internal.settings.settings_reader import read_sections
-from lagoonbend_entry._internal.settings.settings_reader import read_settings
 
-__all__ = ['Settings', 'read_sections', 'read_settings']
+is_gateway_file = settings_reader.is_gateway_file
+read_gateway_settings = settings_reader.read_gateway_settings
+read_sections = settings_reader.read_sections
+read_settings = settings_reader.read_settings
+
+__all__ = [
+    'Settings',
+    'is_gateway_file',
+    'read_gateway_settings',
+    'read_sections',
+    'read_settings',
+]
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -135,7 +135,7 @@
     ) -> Iterator[PlaceDecision]:
         """Take in a call; yield what is decided at once."""
         now_ms = self._clock.now_ms()
-        if not self._loads:
+        if not set(self._usable).difference(request.excluded):
             yield self._deny(request, Denial.NO_TARGET, NO_TARGET_RETRY_MS)
             return
         arrived_ms = now_ms - request.waited_ms
--- a/tests/unit/test_cut_between_domains.py
+++ b/tests/unit/test_cut_between_domains.py
@@ -3,6 +3,7 @@
 import unittest
 
 from lagoonbend.clock import PausedClock
+from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import PlaceEnd
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.coordination.messages import Pong
@@ -181,6 +182,17 @@
             world.end(record.request.call, PlaceEnd.SILENT)
             world.run(10)
 
+    def test_call_that_all_targets_have_failed_is_denied_at_once(self) -> None:
+        """It has nothing to wait for."""
+        world = PoolWorld(targets=1)
+        first = world.arrive(CALL)
+        assert first.decision is not None
+        request = first.request._replace(
+            call='again', excluded=(first.decision.target,)
+        )
+        decisions = list(world.scheduler.submit(request, None))
+        self.assertEqual([Denial.NO_TARGET], [d.denial for d in decisions])
+
     def test_lost_instance_frees_its_places(self) -> None:
         """And those that wait get them."""
         world = PoolWorld(targets=1, slots=2)
--- /dev/null
+++ b/tests/unit/test_explain.py
@@ -0,0 +1,54 @@
+"""``lagoonbend explain`` over collected logs."""
+
+import json
+import unittest
+
+from lagoonbend_cli._internal.explain.timeline import explain_request
+from lagoonbend_cli._internal.explain.timeline import parse_lines
+
+
+def write_line(time_s: float, number: str, **fields: object) -> str:
+    """Return a line as a collector hands it on, with a prefix."""
+    body = {
+        'message_type': number,
+        'timestamp': time_s,
+        'meaning': 'something',
+        'severity': 'info',
+        'instance': 'one',
+        **fields,
+    }
+    return f'{time_s:9.3f} host {json.dumps(body)}\n'
+
+
+class ExplainTest(unittest.TestCase):
+    """Which lines belong to a request."""
+
+    def test_own_lines_and_beliefs_around_them_are_kept(self) -> None:
+        """In order of time, without those of others."""
+        texts = [
+            write_line(99.0, 'LB0603', service='chat'),
+            write_line(100.5, 'LB0605', service='chat', instance='two'),
+            write_line(100.6, 'LB0605', service='desk', instance='two'),
+            write_line(100.0, 'LB0203', request='other', service='chat'),
+            write_line(
+                100.9, 'LB0203', request='mine', service='chat', total_ms=500
+            ),
+            write_line(100.8, 'LB0508', instance='two'),
+            write_line(200.0, 'LB0603', service='chat'),
+            'no event at all\n',
+            '{broken json\n',
+        ]
+        timeline = explain_request(parse_lines(texts), 'mine')
+        self.assertEqual(
+            ['LB0603', 'LB0605', 'LB0203'], [line.number for line in timeline]
+        )
+        self.assertEqual('mine', timeline[-1].fields['request'])
+
+    def test_unknown_request_has_no_timeline(self) -> None:
+        """Nothing is made up."""
+        texts = [write_line(1.0, 'LB0603', service='chat')]
+        self.assertEqual([], explain_request(parse_lines(texts), 'mine'))
+
+
+if __name__ == '__main__':
+    unittest.main()
