Choose a pool by its wait, and give up an instance that leaves calls unanswered

Change: decisions tell the expected wait of their pool, calls leave a pool whose wait is longer; two unanswered calls without any sign of life end the link.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -19,6 +19,7 @@
 from lagoonbend.scheduling import PlaceDecision
 from lagoonbend.scheduling import PlaceEnd
 from lagoonbend.scheduling import PlaceRequest
+from lagoonbend.scheduling import PoolLoads
 from lagoonbend.scheduling import PromptPart
 from lagoonbend_entry._internal.coordination import message_channel
 from lagoonbend_entry._internal.coordination import messages
@@ -43,6 +44,9 @@
 ACK_MS = 200
 """Time for the deciding instance to say that a call waits; a round trip
 between domains takes about 3 ms. Later the instance decides by itself."""
+GREATEST_STRIKES = 2
+"""Calls that an instance leaves unanswered, without any other sign of life,
+before another one is asked to decide."""
 GREATEST_MOVES = 3
 """Times that a call is sent on between instances that disagree on who
 decides, before its own instance does."""
@@ -82,6 +86,8 @@
         self._held: dict[str, tuple[PlaceRequest, HeldPlace, str]] = {}
         self._deciders: dict[str, str] = {}
         self._hints: dict[str, str] = {}
+        self._loads = PoolLoads()
+        self._strikes: dict[str, int] = {}
         self._current_deciders: dict[str, str] = {}
         self.desk = ServiceDesk(
             facts, clock, SharedLimits(tolerance), invariants, self._deliver
@@ -116,6 +122,11 @@
                 decider = LOCAL
             decision = self._ask(current, rule, decider, left_ms)
             if decision is not None:
+                self._loads.note(
+                    request.pool,
+                    decision.pool_wait_ms,
+                    self._clock.now_ms(),
+                )
                 return decision
         return PlaceDecision(
             request.call,
@@ -192,7 +203,10 @@
         targets = self._facts.directory.list_service(service)
         self._sequence += 1
         key = f'{self._fleet.address}/{self._sequence}'
-        return choose_pool(service, targets, prompt, key).name
+        if prompt:
+            key = prompt[-1].part
+        now_ms = self._clock.now_ms()
+        return choose_pool(service, targets, key, self._loads, now_ms).name
 
     def count_waiting(self) -> dict[str, int]:
         """Return the calls that wait for each service decided here."""
@@ -256,10 +270,25 @@
                     decider=pending.decider,
                     service=request.pool,
                 )
+                self._suspect(pending.decider)
                 return self._ask(request, pending.rule, LOCAL, left_ms)
             decision = pending.wait(max(1, left_ms - ACK_MS))
         return self._take(decision, request, pending.decider)
 
+    def _suspect(self, decider: str) -> None:
+        """Give up an instance that leaves several calls unanswered."""
+        link = self._links.get(decider)
+        if link is None:
+            return
+        if self._clock.now_ms() - link.heard_ms < ACK_MS:
+            self._strikes.pop(decider, None)
+            return
+        strikes = self._strikes.get(decider, 0) + 1
+        self._strikes[decider] = strikes
+        if strikes >= GREATEST_STRIKES:
+            self._strikes.pop(decider, None)
+            link.close()
+
     def _take(
         self, decision: PlaceDecision | None, request: PlaceRequest, where: str
     ) -> PlaceDecision | None:
@@ -357,7 +386,7 @@
                 denial,
                 decision.retry_after_ms,
                 decision.waited_ms,
-                decision.queue_length,
+                decision.pool_wait_ms,
             )
         )
 
@@ -576,7 +605,7 @@
                 Denial(message.denial) if message.denial else None,
                 message.retry_after_ms,
                 message.waited_ms,
-                message.queue_length,
+                message.pool_wait_ms,
             )
         )
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -139,7 +139,7 @@
     denial: str
     retry_after_ms: int
     waited_ms: int
-    queue_length: int
+    pool_wait_ms: int
 
 
 class Withdraw(Message):
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_decision.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_decision.py
@@ -15,7 +15,7 @@
     :param denial: None if there is a place.
     :param retry_after_ms: when room is likely, if denied.
     :param waited_ms: time that the call has waited for the decision.
-    :param queue_length: calls that wait after the decision.
+    :param pool_wait_ms: expected wait of a newcomer of the same rank.
     """
 
     call: str
@@ -25,4 +25,4 @@
     denial: Denial | None = None
     retry_after_ms: int = 0
     waited_ms: int = 0
-    queue_length: int = 0
+    pool_wait_ms: int = 0
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pools.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pools.py
@@ -10,12 +10,15 @@
 from typing import NamedTuple
 
 from lagoonbend._internal.facts.listed_target import ListedTarget
-from lagoonbend._internal.scheduling.prompt_part import PromptPart
 from lagoonbend._internal.utils.rendezvous import score_candidate
 
 PLACES_A_POOL = 120
 """Places that one scheduler gives; at the sheets' rates an instance of half
 a core spends a tenth of it on that."""
+NEWS_HALF_LIFE_MS = 500
+"""Time in which the news of a wait loses half of its weight."""
+AWAY_MS = 60.0
+"""Wait that a call accepts in its own pool before it goes to another."""
 HASH_RANGE = float(2**64)
 
 
@@ -71,15 +74,36 @@
     return max(1, math.ceil(places / PLACES_A_POOL))
 
 
+class PoolLoads:
+    """What decisions have told of the waits in pools."""
+
+    def __init__(self) -> None:
+        self._waits: dict[str, tuple[int, int]] = {}
+
+    def note(self, pool: str, wait_ms: int, now_ms: int) -> None:
+        """Take in the expected wait in a pool."""
+        self._waits[pool] = (wait_ms, now_ms)
+
+    def estimate_wait_ms(self, pool: str, now_ms: int) -> float:
+        """Return the expected wait, which fades as the news ages."""
+        wait_ms, noted_ms = self._waits.get(pool, (0, now_ms))
+        age_ms = max(0, now_ms - noted_ms)
+        return float(wait_ms) * 0.5 ** (age_ms / NEWS_HALF_LIFE_MS)
+
+
 def choose_pool(
     service: str,
     targets: Sequence[ListedTarget],
-    prompt: Sequence[PromptPart],
-    call: str,
+    key: str,
+    loads: PoolLoads,
+    now_ms: int,
 ) -> Pool:
     """Return the pool of a call, in proportion to the pools' places.
 
-    Calls of one session go to the same pool, where their prompt is kept.
+    Calls with one key go to the same pool, where their prompt is kept,
+    unless the wait there is longer than it would be elsewhere.
+
+    :param key: session or call.
     """
     count = count_parts(targets)
     if count == 1:
@@ -87,10 +111,17 @@
     places = [0] * count
     for target in targets:
         places[find_part(target.target, count)] += target.slots
-    key = prompt[-1].part if prompt else call
 
     def weigh(index: int) -> float:
         fraction = (score_candidate(str(index), key) + 1) / (HASH_RANGE + 2)
         return -places[index] / math.log(fraction)
 
-    return Pool(service, max(range(count), key=weigh), count)
+    home = max(range(count), key=weigh)
+
+    def estimate_cost_ms(index: int) -> float:
+        pool = Pool(service, index, count)
+        cost_ms = loads.estimate_wait_ms(pool.name, now_ms)
+        return cost_ms + (0.0 if index == home else AWAY_MS)
+
+    usable = [index for index in range(count) if places[index]]
+    return Pool(service, min(usable, key=estimate_cost_ms), count)
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -302,7 +302,7 @@
             load.listed.target,
             expected_ms,
             waited_ms=now_ms - waiting.arrived_ms,
-            queue_length=len(self._queue),
+            pool_wait_ms=self._estimate_wait_ms(request.rank, now_ms),
         )
 
     def _enqueue(
@@ -461,9 +461,8 @@
         if first_ms:
             load.learn(place.expected_ms, first_ms)
 
-    @staticmethod
     def _deny(
-        request: PlaceRequest, denial: Denial, retry_after_ms: int
+        self, request: PlaceRequest, denial: Denial, retry_after_ms: int
     ) -> PlaceDecision:
         bounded_ms = min(
             max(retry_after_ms, LEAST_RETRY_MS), GREATEST_RETRY_MS
@@ -473,4 +472,7 @@
             request.instance,
             denial=denial,
             retry_after_ms=bounded_ms,
+            pool_wait_ms=self._estimate_wait_ms(
+                request.rank, self._clock.now_ms()
+            ),
         )
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -7,6 +7,7 @@
 from lagoonbend._internal.scheduling.place_request import PlaceRequest
 from lagoonbend._internal.scheduling.pools import choose_pool
 from lagoonbend._internal.scheduling.pools import Pool
+from lagoonbend._internal.scheduling.pools import PoolLoads
 from lagoonbend._internal.scheduling.prompt_part import PromptPart
 from lagoonbend._internal.scheduling.ranks import RANK_ORDERS
 from lagoonbend._internal.scheduling.ranks import RankOrder
@@ -20,6 +21,7 @@
     'PlaceEnd',
     'PlaceRequest',
     'Pool',
+    'PoolLoads',
     'PromptPart',
     'RankOrder',
     'ServiceScheduler',
