--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -263,11 +263,24 @@
             True,
         )
         step = decide_next_step(facts)
-        if step is not NextStep.RETRY:
-            return step
-        if progress.sends and not share.spend():
-            return decide_next_step(facts._replace(has_budget=False))
-        self._exclude(progress, report)
+        if step is NextStep.RETRY and progress.sends and not share.spend():
+            facts = facts._replace(has_budget=False)
+            step = decide_next_step(facts)
+        log_event(
+            Event.ATTEMPT_FAILED,
+            request=call.headers.attempt,
+            service=call.service,
+            target=report.target,
+            end=report.end.label,
+            verdict=report.end.verdict.value,
+            detail=report.detail,
+            first_ms=report.first_ms,
+            left_ms=left_ms,
+            has_budget=facts.has_budget,
+            next=step.value,
+        )
+        if step is NextStep.RETRY:
+            self._exclude(progress, report)
         return step
 
     @staticmethod
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -46,6 +46,11 @@
         'info',
         'The rules in force do not admit a request.',
     )
+    ATTEMPT_FAILED = (
+        'LB0205',
+        'info',
+        'An attempt at a target brought no whole answer.',
+    )
     DISPATCH_FAILED = ('LB0300', 'warning', 'A dispatch failed.')
     ANSWER_INCOMPLETE = (
         'LB0301',
