Keep the number of pools while targets come and go; ask for less

Change: a power of two pools of about 65 places; counters in place of sums over the queue; no acknowledgement with an instant decision.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -535,8 +535,10 @@
             tuple(message.excluded),
         )
         rule = self._find_rule(message.customer)
-        channel.send(messages.Queued(message.call))
         self.desk.submit(request, rule)
+        scheduler = self.desk.find(message.pool)
+        if scheduler is not None and scheduler.is_waiting(peer, message.call):
+            channel.send(messages.Queued(message.call))
 
     def _answer_withdraw(self, peer: str, message: messages.Withdraw) -> None:
         scheduler = self.desk.find(message.pool)
@@ -724,6 +726,8 @@
                 self._register(held, service)
 
     def _note_lost(self, link: PeerLink) -> None:
+        if not link.is_wanted:
+            return
         log_event(Event.PEER_LOST, peer=link.address)
         self._fleet.drop(link.address)
         self._current_deciders.clear()
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pools.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pools.py
@@ -12,9 +12,9 @@
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.utils.rendezvous import score_candidate
 
-PLACES_A_POOL = 120
-"""Places that one scheduler gives; at the sheets' rates an instance of half
-a core spends a tenth of it on that."""
+PLACES_A_POOL = 65
+"""Places that one scheduler gives, within a factor of 1.4; at the sheets'
+rates an instance of half a core spends a tenth of it on that."""
 NEWS_HALF_LIFE_MS = 500
 """Time in which the news of a wait loses half of its weight."""
 AWAY_MS = 60.0
@@ -69,9 +69,14 @@
 
 
 def count_parts(targets: Sequence[ListedTarget]) -> int:
-    """Return the number of pools that a service is divided into."""
+    """Return the number of pools that a service is divided into.
+
+    A power of two, so that it stays when some targets come or go.
+    """
     places = sum(target.slots for target in targets)
-    return max(1, math.ceil(places / PLACES_A_POOL))
+    if places <= PLACES_A_POOL:
+        return 1
+    return int(2 ** round(math.log2(places / PLACES_A_POOL)))
 
 
 class PoolLoads:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -91,6 +91,7 @@
         self._loads: dict[str, TargetLoad] = {}
         self._usable: dict[str, ListedTarget] = {}
         self._hold_ms = INITIAL_HOLD_MS
+        self._on_time: dict[int, int] = {}
 
     def __len__(self) -> int:
         return len(self._queue)
@@ -240,6 +241,10 @@
                 return
             yield from self._decide(waiter.item, choice[0], now_ms)
 
+    def is_waiting(self, instance: str, call: str) -> bool:
+        """Return True if a call waits for its place."""
+        return (instance, call) in self._waiters
+
     def list_waiting(self) -> Iterator[PlaceRequest]:
         """Yield all calls that wait."""
         for waiter in list(self._queue):
@@ -274,14 +279,28 @@
         return ''.join(mark for mark, is_set in marks.items() if is_set)
 
     def _dequeue(self, instance: str, call: str) -> bool:
-        waiter = self._waiters.pop((instance, call), None)
+        waiter = self._forget(instance, call)
         return waiter is not None and self._queue.remove(waiter)
 
+    def _forget(self, instance: str, call: str) -> Waiter[_Waiting] | None:
+        """Drop a waiter from all but the queue itself."""
+        waiter = self._waiters.pop((instance, call), None)
+        if waiter is not None and waiter.deadline_ms < LATE_ORDER_MS:
+            self._on_time[waiter.rank] -= 1
+        return waiter
+
+    def _remember(self, waiter: Waiter[_Waiting]) -> None:
+        request = waiter.item.request
+        self._waiters[request.instance, request.call] = waiter
+        if waiter.deadline_ms < LATE_ORDER_MS:
+            count = self._on_time.get(waiter.rank, 0)
+            self._on_time[waiter.rank] = count + 1
+
     def _decide(
         self, waiting: _Waiting, load: TargetLoad, now_ms: int
     ) -> Iterator[PlaceDecision]:
         request = waiting.request
-        self._waiters.pop((request.instance, request.call), None)
+        self._forget(request.instance, request.call)
         expected_ms = int(load.estimate_first_ms(request, now_ms))
         load.note_reading(request, now_ms)
         load.hold(
@@ -314,12 +333,12 @@
         request = waiting.request
         offer = self._queue.offer(waiting, request.rank, order_ms)
         if offer.accepted is not None:
-            self._waiters[request.instance, request.call] = offer.accepted
+            self._remember(offer.accepted)
         else:
             yield self._deny(request, Denial.OVERLOADED, GREATEST_RETRY_MS)
         if offer.displaced is not None:
             lost = offer.displaced.item.request
-            self._waiters.pop((lost.instance, lost.call), None)
+            self._forget(lost.instance, lost.call)
             yield self._deny(lost, Denial.OVERLOADED, GREATEST_RETRY_MS)
 
     def _expire(self, now_ms: int) -> Iterator[PlaceDecision]:
@@ -394,15 +413,12 @@
     def _estimate_wait_ms(self, rank: int, now_ms: int) -> int:
         """Return the expected wait of a newcomer of a rank.
 
-        Calls that are late already let it pass.
+        Only calls that can still be on time count; late ones let it pass.
         """
         if self._has_free_place():
             return 0
         ahead = sum(
-            1
-            for waiter in self._queue
-            if waiter.rank < rank
-            or (waiter.rank == rank and waiter.deadline_ms < LATE_ORDER_MS)
+            count for other, count in self._on_time.items() if other <= rank
         )
         if not ahead:
             return 0
--- a/tests/unit/test_pools_of_a_large_service.py
+++ b/tests/unit/test_pools_of_a_large_service.py
@@ -32,6 +32,14 @@
             ]
             self.assertEqual(sorted(t.target for t in targets), sorted(chosen))
 
+    def test_number_of_pools_outlives_the_loss_of_a_quarter(self) -> None:
+        """Otherwise every target would change its pool in a bad moment."""
+        for size in (45, 56):
+            whole = pools.count_parts(list_targets(size))
+            left = pools.count_parts(list_targets(size - size // 4))
+            self.assertEqual((4, 4), (whole, left))
+        self.assertEqual(1, pools.count_parts(list_targets(9)))
+
     def test_names_travel_whole(self) -> None:
         """Also of a service with a sign in its name."""
         for service in ('chat', 'a#b', 'x/1'):
