Let one failed connection speak for all targets of a silent domain

Change: if no instance of a domain is heard, a failed connection to one of its targets marks all of them.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -778,8 +778,9 @@
             self._local.limits.reached_part = 1 / known
             for service in self.desk.pools:
                 self._find_decider(service)
-            self.desk.advance(1.0)
-            self._local.advance(1 / known)
+            silent = self._fleet.list_silent_domains()
+            self.desk.advance(1.0, silent)
+            self._local.advance(1 / known, silent)
             self._facts.expire()
             if tick % TICKS_A_SUMMARY == 0:
                 self._log_loads()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -66,6 +66,7 @@
         self._known: dict[str, int] = {}
         self._sightings: dict[str, Sighting] = {}
         self._unreached: dict[str, int] = {}
+        self._domains: dict[str, str] = {}
         self.learn(seeds)
 
     @property
@@ -92,6 +93,7 @@
         """Take in a sign of life."""
         self._known[pong.address] = self._clock.now_ms()
         self._unreached.pop(pong.address, None)
+        self._domains[pong.address] = pong.failure_domain
         self._sightings[pong.address] = Sighting(
             pong.address,
             pong.failure_domain,
@@ -119,6 +121,7 @@
         It may use no part of a limit, unlike one that is out of reach.
         """
         self.drop(address)
+        self._domains.pop(address, None)
         self._known[address] = self._clock.now_ms() - FORGET_MS
 
     def drop(self, address: str) -> None:
@@ -179,6 +182,17 @@
             for sighting in alive
         ]
 
+    def list_silent_domains(self) -> frozenset[str]:
+        """Return the domains of which no known instance is within reach."""
+        now_ms = self._clock.now_ms()
+        known = {
+            domain
+            for address, domain in self._domains.items()
+            if now_ms - self._known.get(address, 0) < FORGET_MS
+        }
+        alive = {sighting.failure_domain for sighting in self.list_alive()}
+        return frozenset(known - alive - {self.failure_domain})
+
     def count_alive(self) -> int:
         """Return the number of instances within reach, with this one."""
         return 1 + sum(1 for _ in self.list_alive())
@@ -245,6 +259,7 @@
             if rumour.address == self.address:
                 continue
             self._known.setdefault(rumour.address, now_ms)
+            self._domains[rumour.address] = rumour.failure_domain
             if self.is_mesh:
                 continue
             heard_ms = now_ms - rumour.age_ms
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/service_desk.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/service_desk.py
@@ -88,13 +88,15 @@
         for pool, scheduler in self._schedulers.items():
             self._feed(pool, scheduler)
 
-    def advance(self, share: float) -> None:
+    def advance(self, share: float, silent_domains: frozenset[str]) -> None:
         """Let time pass.
 
         :param share: part of the places that may be used here.
+        :param silent_domains: domains of which no instance is heard.
         """
         for scheduler in list(self._schedulers.values()):
             scheduler.share = share
+            scheduler.silent_domains = silent_domains
             if share < 1.0:
                 places = math.ceil(scheduler.place_count * share)
                 scheduler.place_limit = max(1, places)
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -82,6 +82,7 @@
         self.service = service
         self.share = 1.0
         self.place_limit: int | None = None
+        self.silent_domains: frozenset[str] = frozenset()
         self._clock = clock
         self._limits = limits
         self._queue: TierQueue[_Waiting] = TierQueue(
@@ -461,7 +462,7 @@
     ) -> None:
         now_ms = self._clock.now_ms()
         if end is PlaceEnd.NOT_REACHED:
-            load.faults.note_unreached(failure_domain, now_ms)
+            self._note_unreached(load, failure_domain, now_ms)
             return
         if end is PlaceEnd.TURNED_AWAY:
             load.full_until_ms = now_ms + FULL_PAUSE_MS
@@ -477,6 +478,24 @@
         if first_ms:
             load.learn(place.expected_ms, first_ms)
 
+    def _note_unreached(
+        self, load: TargetLoad, failure_domain: str, now_ms: int
+    ) -> None:
+        """Keep a domain from a target that it could not reach.
+
+        If no instance of the target's domain is heard either, the domain is
+        cut off, and the other targets there would not be reached.
+        """
+        lost = [load]
+        if load.listed.failure_domain in self.silent_domains:
+            lost = [
+                other
+                for other in self._loads.values()
+                if other.listed.failure_domain == load.listed.failure_domain
+            ]
+        for other in lost:
+            other.faults.note_unreached(failure_domain, now_ms)
+
     def _deny(
         self, request: PlaceRequest, denial: Denial, retry_after_ms: int
     ) -> PlaceDecision:
--- a/tests/unit/test_cut_between_domains.py
+++ b/tests/unit/test_cut_between_domains.py
@@ -134,6 +134,23 @@
     return {record.decision.target for record in records if record.decision}
 
 
+class SilentDomainTest(unittest.TestCase):
+    """Which domains count as cut off."""
+
+    def test_domain_without_any_sign_of_life_is_silent(self) -> None:
+        """Not one whose instances stopped, and never the own."""
+        world = FleetWorld(6)
+        near = [name for name in world.names if name.split('.')[2] in '024']
+        fleet = world.fleets[near[0]]
+        self.assertEqual(frozenset(), fleet.list_silent_domains())
+        world.sides = [set(near), set(world.names) - set(near)]
+        world.advance(1_250)
+        self.assertEqual(frozenset({'d1'}), fleet.list_silent_domains())
+        for name in set(world.names) - set(near):
+            fleet.note_stopped(name)
+        self.assertEqual(frozenset(), fleet.list_silent_domains())
+
+
 class SickTargetTest(unittest.TestCase):
     """What answers tell of targets."""
 
@@ -151,6 +168,30 @@
         )
         self.assertIn(lost, {r.decision and r.decision.target for r in far})
 
+    def test_cut_off_domain_is_avoided_after_one_failed_connection(
+        self,
+    ) -> None:
+        """If none of its instances is heard, its other targets are lost."""
+        world = PoolWorld(targets=6, slots=50, is_engine=False)
+        far = {t.target for t in world.listed if t.failure_domain == 'd1'}
+        world.scheduler.silent_domains = frozenset({'d1'})
+        first = world.arrive(CALL, failure_domain='d1')
+        assert first.decision is not None
+        self.assertIn(first.decision.target, far)
+        request = first.request._replace(failure_domain='d0')
+        list(
+            world.scheduler.release(
+                request.instance,
+                request.call,
+                first.decision.target,
+                PlaceEnd.NOT_REACHED,
+                0,
+                'd0',
+            )
+        )
+        records = [world.arrive(CALL, failure_domain='d0') for _ in range(60)]
+        self.assertFalse(far & list_targets(records))
+
     def test_failing_target_is_set_aside_and_tried_again(self) -> None:
         """It gets few calls while it fails, and more once it is sound."""
         world = PoolWorld(targets=4, slots=10, is_engine=False)
