Outlive unexpected errors: every loop goes on, every request gets its answer

An error in a loop of the coordinator or the store watch would have ended it for good, one in a request would have closed the connection without an answer.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -1,7 +1,5 @@
 """Gets places for calls, and gives them where this instance decides."""
 
-import itertools
-
 import gevent
 import gevent.server
 import gevent.socket
@@ -31,6 +29,7 @@
 from lagoonbend_entry._internal.gateway.stream_socket import set_options
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
+from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
 
 PING_MS = 250
 """Time between questions to a peer in a mesh."""
@@ -76,6 +75,7 @@
     ) -> None:
         self.is_leaving = False
         self._sequence = 0
+        self._tick_count = 0
         self._fleet = fleet
         self._facts = facts
         self._clock = clock
@@ -100,8 +100,8 @@
 
     def start(self) -> None:
         """Open links to the known peers and start the loops."""
-        gevent.spawn(self._run_pings)
-        gevent.spawn(self._run_ticks)
+        gevent.spawn(run_guarded, 'signs of life', self._ping)
+        gevent.spawn(run_guarded, 'tick', self._tick)
 
     def acquire(
         self, request: PlaceRequest, rule: CustomerRule | None, wait_ms: int
@@ -735,13 +735,12 @@
             if pending.decider == link.address:
                 pending.move()
 
-    def _run_pings(self) -> None:
-        while True:
-            self._choose_links()
-            deciders = set(self._deciders.values())
-            for link in list(self._links.values()):
-                self._ask_sign_of_life(link, link.address in deciders)
-            gevent.sleep(PING_MS / MILLISECONDS_PER_SECOND)
+    def _ping(self) -> None:
+        self._choose_links()
+        deciders = set(self._deciders.values())
+        for link in list(self._links.values()):
+            self._ask_sign_of_life(link, link.address in deciders)
+        gevent.sleep(PING_MS / MILLISECONDS_PER_SECOND)
 
     def _choose_links(self) -> None:
         """Open the links that are wanted and close the others."""
@@ -769,21 +768,22 @@
         link.asked_ms = now_ms
         link.send(self._write_ping(wants_news))
 
-    def _run_ticks(self) -> None:
-        for tick in itertools.count():
-            gevent.sleep(TICK_MS / MILLISECONDS_PER_SECOND)
-            self._current_deciders.clear()
-            known = max(1, self._fleet.count_known())
-            self.desk.limits.reached_part = self._fleet.count_alive() / known
-            self._local.limits.reached_part = 1 / known
-            for service in self.desk.pools:
-                self._find_decider(service)
-            silent = self._fleet.list_silent_domains()
-            self.desk.advance(1.0, silent)
-            self._local.advance(1 / known, silent)
-            self._facts.expire()
-            if tick % TICKS_A_SUMMARY == 0:
-                self._log_loads()
+    def _tick(self) -> None:
+        gevent.sleep(TICK_MS / MILLISECONDS_PER_SECOND)
+        self._current_deciders.clear()
+        known = max(1, self._fleet.count_known())
+        reached = self._fleet.count_alive()
+        self.desk.limits.reached_part = reached / known
+        self._local.limits.reached_part = 1 / known
+        for pool in self.desk.pools:
+            self._find_decider(pool)
+        silent = self._fleet.list_silent_domains()
+        self.desk.advance(1.0, silent)
+        self._local.advance(1 / known, silent)
+        self._facts.expire()
+        self._tick_count += 1
+        if self._tick_count % TICKS_A_SUMMARY == 0:
+            self._log_loads()
 
     def _log_loads(self) -> None:
         for scheduler in self.desk.schedulers:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -37,6 +37,7 @@
 from lagoonbend_entry._internal.platform import refusal_headers
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
+from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 
 DEFAULT_RETRY_MS = 1_000
 """When to come back where nothing better is known."""
@@ -139,6 +140,11 @@
         self.active_count += 1
         try:
             self._serve(request, reply)
+        except Exception as error:
+            log_failure('call', error)
+            if not reply.has_begun:
+                refused = Refused(RefusalReason.INTERNAL)
+                self._send_refusal(request, reply, refused)
         finally:
             self.active_count -= 1
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -40,6 +40,7 @@
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.event_log import open_event_log
+from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
 
 FACT_SHARE = 0.72
 """Part of the bound on revoked keys up to which facts are good enough for a
@@ -55,8 +56,8 @@
 BACKLOG = 1_024
 HTTP_UNAVAILABLE = 503
 METRICS_PATH = b'/metrics'
-SETTINGS_CHECK_S = 1.0
-EXPIRE_S = 1.0
+UPKEEP_S = 1.0
+"""Time between looks at kept connections and at the settings file."""
 POLL_S = 0.05
 
 
@@ -72,6 +73,7 @@
     ) -> None:
         self._settings = settings
         self._path = path
+        self._modified = self._read_modified()
         self._clock = RuntimeClock()
         self._invariants = Invariants(report=self._report_violation)
         self._stop = gevent.event.Event()
@@ -148,7 +150,7 @@
         self._listen(listen.metrics_endpoint, self._metrics_server.serve)
         self._coordinator.start()
         gevent.spawn(self._watcher.run)
-        gevent.spawn(self._run_upkeep)
+        gevent.spawn(run_guarded, 'upkeep', self._keep_up)
         log_event(
             Event.STARTED,
             failure_domain=self._settings.instance.failure_domain,
@@ -274,15 +276,13 @@
             gevent.sleep(POLL_S)
         log_event(Event.DRAIN_ENDED, active=self._handler.active_count)
 
-    def _run_upkeep(self) -> None:
-        modified = self._read_modified()
-        while True:
-            gevent.sleep(EXPIRE_S)
-            self._pool.expire()
-            current = self._read_modified()
-            if current != modified:
-                modified = current
-                self._reload()
+    def _keep_up(self) -> None:
+        gevent.sleep(UPKEEP_S)
+        self._pool.expire()
+        current = self._read_modified()
+        if current != self._modified:
+            self._modified = current
+            self._reload()
 
     def _read_modified(self) -> int:
         try:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
@@ -11,6 +11,7 @@
 from lagoonbend_entry._internal.platform.store_client import StoreClient
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
+from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
 
 WATCH_MS = 1_800
 """Time that one watch waits: its answer proves that the facts are the
@@ -58,20 +59,22 @@
 
     def run(self) -> None:
         """Watch until killed."""
-        while True:
-            age_ms = self._facts.age_ms()
-            is_stale = age_ms is None or age_ms >= STALE_MS
-            if not is_stale and not self._is_reader():
-                _sleep(IDLE_CHECK_MS)
-                continue
-            try:
-                self._read_once()
-            except HistoryGoneError:
-                self._needs_listing = True
-            except PlatformError as error:
-                self._note_failure(error)
-                _sleep(self._retry_ms)
-                self._retry_ms = min(2 * self._retry_ms, LONGEST_RETRY_MS)
+        run_guarded('store watch', self._step)
+
+    def _step(self) -> None:
+        age_ms = self._facts.age_ms()
+        is_stale = age_ms is None or age_ms >= STALE_MS
+        if not is_stale and not self._is_reader():
+            _sleep(IDLE_CHECK_MS)
+            return
+        try:
+            self._read_once()
+        except HistoryGoneError:
+            self._needs_listing = True
+        except PlatformError as error:
+            self._note_failure(error)
+            _sleep(self._retry_ms)
+            self._retry_ms = min(2 * self._retry_ms, LONGEST_RETRY_MS)
 
     def _read_once(self) -> None:
         sent_ms = self._clock.now_ms()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -14,7 +14,7 @@
     HANDLER_FAILED = (
         'LB0006',
         'error',
-        'A request ended in an unexpected error.',
+        'An unexpected error ended a request or a step of a loop.',
     )
     INVARIANT_BROKEN = (
         'LB0100',
