Split the coordinator: deciders, links and wire codec on their own

Also mends what the split showed: the word of a peer on who decides was believed for ever and by the asked instance itself, so that two could each name the other; it counts for 1.5 s and only for those that ask. A new decider's link is opened at once.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -7,7 +7,6 @@
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import PeerError
 from lagoonbend.facts import CustomerRule
-from lagoonbend.facts import PublishedItem
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
@@ -21,8 +20,11 @@
 from lagoonbend.scheduling import PromptPart
 from lagoonbend_entry._internal.coordination import message_channel
 from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.coordination import wire_codec
+from lagoonbend_entry._internal.coordination.deciders import Deciders
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.coordination.peer_link import PeerLink
+from lagoonbend_entry._internal.coordination.peer_links import PeerLinks
 from lagoonbend_entry._internal.coordination.pending_call import PendingCall
 from lagoonbend_entry._internal.coordination.service_desk import ServiceDesk
 from lagoonbend_entry._internal.gateway.facts_keeper import FactsKeeper
@@ -32,11 +34,7 @@
 from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
 
 PING_MS = 250
-"""Time between questions to a peer in a mesh."""
-SPARSE_PING_MS = 500
-"""The same in a larger fleet, to those that decide."""
-NEWS_PING_MS = 1_000
-"""Time between questions for news in a larger fleet."""
+"""Time between looks at which signs of life are due."""
 TICK_MS = 50
 TICKS_A_SUMMARY = 20
 """Ticks between two lines on the load of a service."""
@@ -73,22 +71,30 @@
         incarnation: str,
         tolerance: LimitTolerance,
     ) -> None:
-        self.is_leaving = False
         self._sequence = 0
         self._tick_count = 0
         self._fleet = fleet
         self._facts = facts
         self._clock = clock
         self._incarnation = incarnation
-        self._links: dict[str, PeerLink] = {}
         self._channels: dict[str, message_channel.MessageChannel] = {}
         self._pending: dict[str, PendingCall] = {}
         self._held: dict[str, tuple[PlaceRequest, HeldPlace, str]] = {}
-        self._deciders: dict[str, str] = {}
-        self._hints: dict[str, str] = {}
         self._loads = PoolLoads()
         self._strikes: dict[str, int] = {}
-        self._current_deciders: dict[str, str] = {}
+        self._links = PeerLinks(
+            fleet,
+            clock,
+            on_message=self._hear,
+            on_open=self._tell_places,
+            on_lost=self._note_lost,
+        )
+        self._deciders = Deciders(
+            fleet,
+            clock,
+            lambda pool: self.desk.find(pool) is not None,
+            self._note_decider,
+        )
         self.desk = ServiceDesk(
             facts, clock, SharedLimits(tolerance), invariants, self._deliver
         )
@@ -117,7 +123,7 @@
             if left_ms <= 0:
                 break
             current = request._replace(waited_ms=request.waited_ms + waited_ms)
-            decider = self._find_decider(request.pool)
+            decider = self._deciders.find(request.pool)
             if move == GREATEST_MOVES:
                 decider = LOCAL
             decision = self._ask(current, rule, decider, left_ms)
@@ -143,24 +149,15 @@
         if held is None:
             return
         where = held[2]
-        now_there = self._deciders.get(request.pool, self._fleet.address)
+        now_there = self._deciders.get_last(request.pool)
         if where == LOCAL:
             self._release_at(self._local, request, target, end, first_ms)
         if now_there == self._fleet.address:
             self._release_at(self.desk, request, target, end, first_ms)
             return
-        link = self._links.get(now_there)
-        if link is not None:
-            link.send(
-                messages.Done(
-                    request.call,
-                    request.pool,
-                    target,
-                    request.failure_domain,
-                    end.value,
-                    first_ms,
-                )
-            )
+        self._links.send(
+            now_there, wire_codec.encode_end(request, target, end, first_ms)
+        )
 
     def serve_peer(
         self, sock: gevent.socket.socket, address: tuple[str, int]
@@ -225,8 +222,8 @@
 
     def leave(self) -> None:
         """Stop deciding, for the instance is to stop."""
-        self.is_leaving = True
-        self._current_deciders.clear()
+        self._deciders.is_leaving = True
+        self._deciders.refresh()
         for service in self.desk.pools:
             self._step_down(service)
 
@@ -244,7 +241,9 @@
                 self._local.submit(request, rule)
             elif decider == self._fleet.address:
                 self.desk.submit(request, rule)
-            elif not self._send_ask(request, decider):
+            elif not self._links.send(
+                decider, wire_codec.encode_request(request)
+            ):
                 return self._ask(request, rule, LOCAL, left_ms)
             else:
                 return self._wait_remote(pending, left_ms)
@@ -277,7 +276,7 @@
 
     def _suspect(self, decider: str) -> None:
         """Give up an instance that leaves several calls unanswered."""
-        link = self._links.get(decider)
+        link = self._links.find(decider)
         if link is None:
             return
         if self._clock.now_ms() - link.heard_ms < ACK_MS:
@@ -305,32 +304,9 @@
             )
             self._held[request.call] = (request, place, where)
             if where == LOCAL:
-                self._register([(request, place)], request.pool)
+                self._register([place], request.pool)
         return decision
 
-    def _send_ask(self, request: PlaceRequest, decider: str) -> bool:
-        link = self._links.get(decider)
-        if link is None:
-            return False
-        return link.send(
-            messages.Ask(
-                request.call,
-                request.pool,
-                request.failure_domain,
-                request.rank,
-                request.level,
-                request.customer,
-                request.cost_units,
-                request.waited_ms,
-                request.objective_ms,
-                request.deadline_ms,
-                [messages.WirePart(*part) for part in request.prompt],
-                request.output_tokens,
-                request.body_bytes,
-                list(request.excluded),
-            )
-        )
-
     def _withdraw(self, request: PlaceRequest, decider: str) -> None:
         """Forget a call that is no longer waited for, if it still waits."""
         if request.call in self._held:
@@ -343,9 +319,9 @@
                     scheduler.withdraw(request.instance, request.call)
                 )
             return
-        link = self._links.get(decider)
-        if link is not None:
-            link.send(messages.Withdraw(request.call, request.pool))
+        self._links.send(
+            decider, messages.Withdraw(request.call, request.pool)
+        )
 
     def _release_at(
         self,
@@ -375,91 +351,46 @@
                 pending.decide(decision)
             return
         channel = self._channels.get(decision.instance)
-        if channel is None:
-            return
-        denial = decision.denial.value if decision.denial else ''
-        channel.send(
-            messages.Decision(
-                decision.call,
-                decision.target,
-                decision.expected_ms,
-                denial,
-                decision.retry_after_ms,
-                decision.waited_ms,
-                decision.pool_wait_ms,
-            )
-        )
+        if channel is not None:
+            channel.send(wire_codec.encode_decision(decision))
 
-    def _find_decider(self, service: str) -> str:
-        """Return who decides; looked up anew after each tick and loss."""
-        current = self._current_deciders.get(service)
-        if current is not None:
-            return current
-        decider = self._fleet.find_decider(
-            service,
-            decides=self.desk.find(service) is not None,
-            is_leaving=self.is_leaving,
-            hint=self._hints.get(service, ''),
-        )
-        before = self._deciders.get(service)
-        if decider != before:
-            self._deciders[service] = decider
-            self._note_decider(service, before, decider)
-        self._current_deciders[service] = decider
-        return decider
-
-    def _note_decider(
-        self, service: str, before: str | None, decider: str
-    ) -> None:
+    def _note_decider(self, pool: str, before: str, decider: str) -> None:
         log_event(
             Event.DECIDER_CHANGED,
-            service=service,
-            before=before or '',
+            service=pool,
+            before=before,
             decider=decider,
             alive=self._fleet.count_alive(),
             known=self._fleet.count_known(),
         )
         if before == self._fleet.address:
-            self._step_down(service)
+            self._step_down(pool)
         if decider == self._fleet.address:
-            self.desk.open(service)
-        held = [
-            (request, place)
+            self.desk.open(pool)
+        elif self._links.find(decider) is None:
+            self._choose_links()
+        self._register(self._list_held(pool), pool)
+
+    def _list_held(self, pool: str) -> list[HeldPlace]:
+        return [
+            place
             for request, place, _ in self._held.values()
-            if request.pool == service
+            if request.pool == pool
         ]
-        self._register(held, service)
 
-    def _register(
-        self, held: list[tuple[PlaceRequest, HeldPlace]], service: str
-    ) -> None:
+    def _register(self, held: list[HeldPlace], pool: str) -> None:
         """Tell the instance that decides of places in use."""
-        if not held:
-            return
-        decider = self._deciders.get(service, self._fleet.address)
-        if decider == self._fleet.address:
-            scheduler = self.desk.find(service)
-            for _, place in held:
-                if scheduler is not None:
-                    scheduler.register(place)
-            return
-        link = self._links.get(decider)
-        if link is None:
+        decider = self._deciders.get_last(pool)
+        if decider != self._fleet.address:
+            if held:
+                now_ms = self._clock.now_ms()
+                message = wire_codec.encode_places(pool, held, now_ms)
+                self._links.send(decider, message)
             return
-        now_ms = self._clock.now_ms()
-        places = [
-            messages.WirePlace(
-                place.call,
-                place.target,
-                place.rank,
-                [messages.WirePart(*part) for part in place.prompt],
-                place.tokens,
-                now_ms - place.started_ms,
-                place.expected_ms,
-            )
-            for _, place in held
-        ]
-        link.send(messages.Holding(service, places))
+        scheduler = self.desk.find(pool)
+        for place in held:
+            if scheduler is not None:
+                scheduler.register(place)
 
     def _step_down(self, service: str) -> None:
         scheduler = self.desk.close(service)
@@ -513,27 +444,11 @@
         channel: message_channel.MessageChannel,
         message: messages.Ask,
     ) -> None:
-        decider = self._find_decider(message.pool)
+        decider = self._deciders.find_first_hand(message.pool)
         if decider != self._fleet.address:
             channel.send(messages.Moved(message.call, message.pool, decider))
             return
-        request = PlaceRequest(
-            message.call,
-            peer,
-            message.failure_domain,
-            message.pool,
-            message.rank,
-            message.level,
-            message.customer,
-            message.cost_units,
-            message.waited_ms,
-            message.objective_ms,
-            message.deadline_ms,
-            tuple(PromptPart(p.part, p.tokens) for p in message.prompt),
-            message.output_tokens,
-            message.body_bytes,
-            tuple(message.excluded),
-        )
+        request = wire_codec.decode_request(peer, message)
         rule = self._find_rule(message.customer)
         self.desk.submit(request, rule)
         scheduler = self.desk.find(message.pool)
@@ -546,23 +461,13 @@
             self.desk.deliver(scheduler.withdraw(peer, message.call))
 
     def _answer_holding(self, peer: str, message: messages.Holding) -> None:
-        if self._find_decider(message.pool) != self._fleet.address:
+        decider = self._deciders.find_first_hand(message.pool)
+        if decider != self._fleet.address:
             return
         scheduler = self.desk.open(message.pool)
         now_ms = self._clock.now_ms()
-        for place in message.places:
-            scheduler.register(
-                HeldPlace(
-                    place.call,
-                    peer,
-                    place.target,
-                    place.rank,
-                    tuple(PromptPart(p.part, p.tokens) for p in place.prompt),
-                    place.tokens,
-                    now_ms - place.age_ms,
-                    place.expected_ms,
-                )
-            )
+        for place in wire_codec.decode_places(peer, message, now_ms):
+            scheduler.register(place)
 
     def _find_rule(self, customer: str) -> CustomerRule | None:
         rules = self._facts.rules
@@ -582,8 +487,7 @@
                 if pending is not None:
                     pending.is_queued = True
             case messages.Moved():
-                self._hints[message.pool] = message.decider
-                self._current_deciders.clear()
+                self._deciders.note_hint(message.pool, message.decider)
                 pending = self._pending.get(message.call)
                 if pending is not None:
                     pending.move()
@@ -599,32 +503,22 @@
                 self._give_back(link, message)
             return
         pending.decide(
-            PlaceDecision(
-                message.call,
-                self._fleet.address,
-                message.target,
-                message.expected_ms,
-                Denial(message.denial) if message.denial else None,
-                message.retry_after_ms,
-                message.waited_ms,
-                message.pool_wait_ms,
-            )
+            wire_codec.decode_decision(self._fleet.address, message)
         )
 
     def _give_back(self, link: PeerLink, message: messages.Decision) -> None:
         """Return a place that came after the call was given up."""
-        for service, decider in self._deciders.items():
-            if decider == link.address:
-                link.send(
-                    messages.Done(
-                        message.call,
-                        service,
-                        message.target,
-                        self._fleet.failure_domain,
-                        PlaceEnd.CALLER_LEFT.value,
-                        0,
-                    )
+        for pool in self._deciders.list_pools(link.address):
+            link.send(
+                messages.Done(
+                    call=message.call,
+                    pool=pool,
+                    target=message.target,
+                    failure_domain=self._fleet.failure_domain,
+                    end=PlaceEnd.CALLER_LEFT.value,
+                    first_ms=0,
                 )
+            )
 
     def _hear_pong(self, link: PeerLink, pong: messages.Pong) -> None:
         is_new = not self._fleet.is_alive(pong.address)
@@ -652,17 +546,12 @@
         if message.proof_age_ms is None:
             return
         self._facts.take_changes(
-            [PublishedItem(i.key, i.revision, i.value) for i in message.items],
+            wire_codec.decode_items(message),
             message.revision,
             message.sent_ms - message.proof_age_ms,
             'peer',
         )
 
-    def _write_ping(self, wants_news: bool) -> messages.Ping:
-        return messages.Ping(
-            self._clock.now_ms(), self._fleet.uptime_ms, wants_news
-        )
-
     def _write_pong(self, ping: messages.Ping) -> messages.Pong:
         return messages.Pong(
             ping.sent_ms,
@@ -670,7 +559,7 @@
             self._fleet.failure_domain,
             self._incarnation,
             self._fleet.uptime_ms,
-            self.is_leaving,
+            self._deciders.is_leaving,
             self.desk.pools,
             self._fleet.list_rumours() if ping.wants_news else [],
             self._facts.book.complete_revision,
@@ -686,97 +575,43 @@
 
     def _write_items(self, message: messages.ItemsWanted) -> messages.Items:
         book = self._facts.book
-        return messages.Items(
-            message.sent_ms,
-            [
-                messages.WireItem(item.key, item.revision, item.value)
-                for item in book.list_since(message.since)
-            ],
+        return wire_codec.encode_items(
+            message,
+            book.list_since(message.since),
             book.complete_revision,
             self._facts.age_ms(),
         )
 
-    def _open_link(self, address: str) -> None:
-        link = PeerLink(
-            address,
-            messages.Greeting(
-                messages.PROTOCOL_VERSION,
-                self._fleet.address,
-                self._fleet.failure_domain,
-            ),
-            self._clock,
-            on_message=self._hear,
-            on_open=self._greet,
-            on_lost=self._note_lost,
-            on_stopped=self._fleet.note_stopped,
-            on_unreached=self._fleet.drop,
-        )
-        self._links[address] = link
-        gevent.spawn(link.run)
-
-    def _greet(self, link: PeerLink) -> None:
-        link.send(self._write_ping(True))
-        for service, decider in self._deciders.items():
-            if decider == link.address:
-                held = [
-                    (request, place)
-                    for request, place, _ in self._held.values()
-                    if request.pool == service
-                ]
-                self._register(held, service)
-
-    def _note_lost(self, link: PeerLink) -> None:
-        if not link.is_wanted:
-            return
-        log_event(Event.PEER_LOST, peer=link.address)
-        self._fleet.drop(link.address)
-        self._current_deciders.clear()
+    def _tell_places(self, link: PeerLink) -> None:
+        """Tell an instance that decides of places in use."""
+        for pool in self._deciders.list_pools(link.address):
+            self._register(self._list_held(pool), pool)
+
+    def _note_lost(self, address: str) -> None:
+        self._deciders.refresh()
         for pending in list(self._pending.values()):
-            if pending.decider == link.address:
+            if pending.decider == address:
                 pending.move()
 
     def _ping(self) -> None:
         self._choose_links()
-        deciders = set(self._deciders.values())
-        for link in list(self._links.values()):
-            self._ask_sign_of_life(link, link.address in deciders)
+        self._links.ask_all(
+            self._deciders.list_last(), wants_news=bool(self.desk.pools)
+        )
         gevent.sleep(PING_MS / MILLISECONDS_PER_SECOND)
 
     def _choose_links(self) -> None:
-        """Open the links that are wanted and close the others."""
-        wanted = self._fleet.list_links(
-            self._deciders.values(), self.desk.pools
-        )
-        for address in wanted - set(self._links):
-            self._open_link(address)
-        for address in set(self._links) - wanted:
-            link = self._links.pop(address)
-            link.is_wanted = False
-            link.close()
-
-    def _ask_sign_of_life(self, link: PeerLink, is_decider: bool) -> None:
-        now_ms = self._clock.now_ms()
-        interval_ms = PING_MS
-        if not self._fleet.is_mesh:
-            interval_ms = SPARSE_PING_MS if is_decider else NEWS_PING_MS
-        if not link.is_open or now_ms - link.asked_ms < interval_ms - 10:
-            return
-        link.check(interval_ms)
-        wants_news = (
-            self._fleet.is_mesh or not is_decider or bool(self.desk.pools)
-        )
-        link.asked_ms = now_ms
-        link.send(self._write_ping(wants_news))
+        self._links.choose(self._deciders.list_last(), self.desk.pools)
 
     def _tick(self) -> None:
         gevent.sleep(TICK_MS / MILLISECONDS_PER_SECOND)
-        self._current_deciders.clear()
+        self._deciders.refresh()
         known = max(1, self._fleet.count_known())
         reached = self._fleet.count_alive()
         self.desk.limits.reached_part = reached / known
         self._local.limits.reached_part = 1 / known
         for pool in self.desk.pools:
-            self._find_decider(pool)
+            self._deciders.find(pool)
         silent = self._fleet.list_silent_domains()
         self.desk.advance(1.0, silent)
         self._local.advance(1 / known, silent)
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/deciders.py
@@ -0,0 +1,88 @@
+"""Which instance decides for each pool."""
+
+from collections.abc import Callable
+
+from lagoonbend.clock import Clock
+from lagoonbend_entry._internal.coordination.fleet import Fleet
+
+HINT_MS = 1_500
+"""Time for which the word of another instance on who decides counts."""
+
+
+class Deciders:
+    """Finds who decides, and tells when that changes.
+
+    :param fleet: membership.
+    :param clock: clock of the instance.
+    :param decides: returns True for a pool that this instance decides for.
+    :param on_change: called with pool, the former decider and the new one.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        decides: Callable[[str], bool],
+        on_change: Callable[[str, str, str], None],
+    ) -> None:
+        self.is_leaving = False
+        self._fleet = fleet
+        self._clock = clock
+        self._decides = decides
+        self._on_change = on_change
+        self._last: dict[str, str] = {}
+        self._current: dict[str, str] = {}
+        self._hints: dict[str, tuple[str, int]] = {}
+
+    def find(self, pool: str) -> str:
+        """Return who decides; looked up anew after ``refresh``."""
+        current = self._current.get(pool)
+        if current is None:
+            current = self._look_up(pool, self._find_hint(pool))
+        return current
+
+    def find_first_hand(self, pool: str) -> str:
+        """Return who decides without the word of others.
+
+        Two instances that each name the other would never decide.
+        """
+        return self._look_up(pool, '')
+
+    def get_last(self, pool: str) -> str:
+        """Return who decided when last asked; '' if never asked."""
+        return self._last.get(pool, '')
+
+    def list_last(self) -> set[str]:
+        """Return all instances that decided when last asked."""
+        return set(self._last.values())
+
+    def list_pools(self, decider: str) -> list[str]:
+        """Return the pools that an instance decides for."""
+        return [pool for pool, name in self._last.items() if name == decider]
+
+    def note_hint(self, pool: str, decider: str) -> None:
+        """Take in the word of an instance on who decides."""
+        self._hints[pool] = (decider, self._clock.now_ms() + HINT_MS)
+        self._current.pop(pool, None)
+
+    def refresh(self) -> None:
+        """Look all up anew."""
+        self._current.clear()
+
+    def _find_hint(self, pool: str) -> str:
+        hint, until_ms = self._hints.get(pool, ('', 0))
+        return hint if self._clock.now_ms() < until_ms else ''
+
+    def _look_up(self, pool: str, hint: str) -> str:
+        decider = self._fleet.find_decider(
+            pool,
+            decides=self._decides(pool),
+            is_leaving=self.is_leaving,
+            hint=hint,
+        )
+        self._current[pool] = decider
+        before = self._last.get(pool, '')
+        if decider != before:
+            self._last[pool] = decider
+            self._on_change(pool, before, decider)
+        return decider
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
@@ -0,0 +1,127 @@
+"""The links that an instance keeps to others."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import gevent
+
+from lagoonbend.clock import Clock
+from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.coordination.fleet import Fleet
+from lagoonbend_entry._internal.coordination.peer_link import PeerLink
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+
+PING_MS = 250
+"""Time between questions to a peer in a mesh."""
+SPARSE_PING_MS = 500
+"""The same in a larger fleet, to those that decide."""
+NEWS_PING_MS = 1_000
+"""Time between questions for news in a larger fleet."""
+TIMER_SLACK_MS = 10
+
+
+class PeerLinks:
+    """Opens and closes links, and asks for signs of life.
+
+    :param fleet: membership.
+    :param clock: clock of the instance.
+    :param on_message: called with the link and each message.
+    :param on_open: called with the link once it is open.
+    :param on_lost: called with the address of a link that was lost.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        clock: Clock,
+        *,
+        on_message: Callable[[PeerLink, messages.AnyMessage], None],
+        on_open: Callable[[PeerLink], None],
+        on_lost: Callable[[str], None],
+    ) -> None:
+        self._fleet = fleet
+        self._clock = clock
+        self._on_message = on_message
+        self._on_open = on_open
+        self._on_lost = on_lost
+        self._links: dict[str, PeerLink] = {}
+
+    def find(self, address: str) -> PeerLink | None:
+        """Return the link to an instance, if there is one."""
+        return self._links.get(address)
+
+    def send(self, address: str, message: messages.Message) -> bool:
+        """Send a message soon; return False if the link is down."""
+        link = self._links.get(address)
+        return link is not None and link.send(message)
+
+    def choose(self, deciders: Iterable[str], own: Iterable[str]) -> None:
+        """Open the links that are wanted and close the others.
+
+        :param deciders: instances that decide for pools in use here.
+        :param own: pools that this instance decides for.
+        """
+        wanted = self._fleet.list_links(deciders, own)
+        for address in wanted - set(self._links):
+            self._open(address)
+        for address in set(self._links) - wanted:
+            link = self._links.pop(address)
+            link.is_wanted = False
+            link.close()
+
+    def ask_all(self, deciders: set[str], *, wants_news: bool) -> None:
+        """Ask for signs of life where that is due.
+
+        :param deciders: instances that are asked more often.
+        :param wants_news: True if news of those is wanted too.
+        """
+        for link in list(self._links.values()):
+            self._ask(link, link.address in deciders, wants_news)
+
+    def _ask(self, link: PeerLink, is_decider: bool, wants_news: bool) -> None:
+        now_ms = self._clock.now_ms()
+        is_mesh = self._fleet.is_mesh
+        interval_ms = PING_MS
+        if not is_mesh:
+            interval_ms = SPARSE_PING_MS if is_decider else NEWS_PING_MS
+        is_due = now_ms - link.asked_ms >= interval_ms - TIMER_SLACK_MS
+        if not link.is_open or not is_due:
+            return
+        link.check(interval_ms)
+        link.asked_ms = now_ms
+        link.send(self._write_ping(is_mesh or not is_decider or wants_news))
+
+    def _open(self, address: str) -> None:
+        link = PeerLink(
+            address,
+            messages.Greeting(
+                messages.PROTOCOL_VERSION,
+                self._fleet.address,
+                self._fleet.failure_domain,
+            ),
+            self._clock,
+            on_message=self._on_message,
+            on_open=self._greet,
+            on_lost=self._note_lost,
+            on_stopped=self._fleet.note_stopped,
+            on_unreached=self._fleet.drop,
+        )
+        self._links[address] = link
+        gevent.spawn(link.run)
+
+    def _greet(self, link: PeerLink) -> None:
+        link.send(self._write_ping(True))
+        self._on_open(link)
+
+    def _note_lost(self, link: PeerLink) -> None:
+        if not link.is_wanted:
+            return
+        log_event(Event.PEER_LOST, peer=link.address)
+        self._fleet.drop(link.address)
+        self._on_lost(link.address)
+
+    def _write_ping(self, wants_news: bool) -> messages.Ping:
+        return messages.Ping(
+            self._clock.now_ms(), self._fleet.uptime_ms, wants_news
+        )
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
@@ -0,0 +1,165 @@
+"""Turns wishes, decisions and places into messages and back."""
+
+from collections.abc import Iterable
+
+from lagoonbend.facts import PublishedItem
+from lagoonbend.scheduling import Denial
+from lagoonbend.scheduling import HeldPlace
+from lagoonbend.scheduling import PlaceDecision
+from lagoonbend.scheduling import PlaceEnd
+from lagoonbend.scheduling import PlaceRequest
+from lagoonbend.scheduling import PromptPart
+from lagoonbend_entry._internal.coordination import messages
+
+
+def encode_request(request: PlaceRequest) -> messages.Ask:
+    """Return the message that asks for a place."""
+    return messages.Ask(
+        call=request.call,
+        pool=request.pool,
+        failure_domain=request.failure_domain,
+        rank=request.rank,
+        level=request.level,
+        customer=request.customer,
+        cost_units=request.cost_units,
+        waited_ms=request.waited_ms,
+        objective_ms=request.objective_ms,
+        deadline_ms=request.deadline_ms,
+        prompt=[messages.WirePart(*part) for part in request.prompt],
+        output_tokens=request.output_tokens,
+        body_bytes=request.body_bytes,
+        excluded=list(request.excluded),
+    )
+
+
+def decode_request(instance: str, message: messages.Ask) -> PlaceRequest:
+    """Return the wish of an instance."""
+    return PlaceRequest(
+        call=message.call,
+        instance=instance,
+        failure_domain=message.failure_domain,
+        pool=message.pool,
+        rank=message.rank,
+        level=message.level,
+        customer=message.customer,
+        cost_units=message.cost_units,
+        waited_ms=message.waited_ms,
+        objective_ms=message.objective_ms,
+        deadline_ms=message.deadline_ms,
+        prompt=_decode_prompt(message.prompt),
+        output_tokens=message.output_tokens,
+        body_bytes=message.body_bytes,
+        excluded=tuple(message.excluded),
+    )
+
+
+def encode_decision(decision: PlaceDecision) -> messages.Decision:
+    """Return the message that tells a decision."""
+    return messages.Decision(
+        call=decision.call,
+        target=decision.target,
+        expected_ms=decision.expected_ms,
+        denial=decision.denial.value if decision.denial else '',
+        retry_after_ms=decision.retry_after_ms,
+        waited_ms=decision.waited_ms,
+        pool_wait_ms=decision.pool_wait_ms,
+    )
+
+
+def decode_decision(
+    instance: str, message: messages.Decision
+) -> PlaceDecision:
+    """Return the decision on a call of an instance."""
+    return PlaceDecision(
+        call=message.call,
+        instance=instance,
+        target=message.target,
+        expected_ms=message.expected_ms,
+        denial=Denial(message.denial) if message.denial else None,
+        retry_after_ms=message.retry_after_ms,
+        waited_ms=message.waited_ms,
+        pool_wait_ms=message.pool_wait_ms,
+    )
+
+
+def encode_end(
+    request: PlaceRequest, target: str, end: PlaceEnd, first_ms: int
+) -> messages.Done:
+    """Return the message that gives a place back."""
+    return messages.Done(
+        call=request.call,
+        pool=request.pool,
+        target=target,
+        failure_domain=request.failure_domain,
+        end=end.value,
+        first_ms=first_ms,
+    )
+
+
+def encode_places(
+    pool: str, places: Iterable[HeldPlace], now_ms: int
+) -> messages.Holding:
+    """Return the message that tells of places in use."""
+    return messages.Holding(
+        pool,
+        [
+            messages.WirePlace(
+                call=place.call,
+                target=place.target,
+                rank=place.rank,
+                prompt=[messages.WirePart(*part) for part in place.prompt],
+                tokens=place.tokens,
+                age_ms=now_ms - place.started_ms,
+                expected_ms=place.expected_ms,
+            )
+            for place in places
+        ],
+    )
+
+
+def decode_places(
+    instance: str, message: messages.Holding, now_ms: int
+) -> list[HeldPlace]:
+    """Return the places that an instance uses."""
+    return [
+        HeldPlace(
+            call=place.call,
+            instance=instance,
+            target=place.target,
+            rank=place.rank,
+            prompt=_decode_prompt(place.prompt),
+            tokens=place.tokens,
+            started_ms=now_ms - place.age_ms,
+            expected_ms=place.expected_ms,
+        )
+        for place in message.places
+    ]
+
+
+def encode_items(
+    wanted: messages.ItemsWanted,
+    items: Iterable[PublishedItem],
+    revision: int,
+    proof_age_ms: int | None,
+) -> messages.Items:
+    """Return the message that brings published items."""
+    return messages.Items(
+        wanted.sent_ms,
+        [messages.WireItem(*item) for item in items],
+        revision,
+        proof_age_ms,
+    )
+
+
+def decode_items(message: messages.Items) -> list[PublishedItem]:
+    """Return the published items of a message."""
+    return [
+        PublishedItem(item.key, item.revision, item.value)
+        for item in message.items
+    ]
+
+
+def _decode_prompt(
+    parts: Iterable[messages.WirePart],
+) -> tuple[PromptPart, ...]:
+    return tuple(PromptPart(part.part, part.tokens) for part in parts)
