--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -5,7 +5,6 @@
 import gevent.socket
 
 from lagoonbend.clock import Clock
-from lagoonbend.exceptions import PeerError
 from lagoonbend.facts import CustomerRule
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
@@ -18,17 +17,16 @@
 from lagoonbend.scheduling import PlaceRequest
 from lagoonbend.scheduling import PoolLoads
 from lagoonbend.scheduling import PromptPart
-from lagoonbend_entry._internal.coordination import message_channel
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import wire_codec
 from lagoonbend_entry._internal.coordination.deciders import Deciders
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.coordination.peer_link import PeerLink
 from lagoonbend_entry._internal.coordination.peer_links import PeerLinks
+from lagoonbend_entry._internal.coordination.peer_service import PeerService
 from lagoonbend_entry._internal.coordination.pending_call import PendingCall
 from lagoonbend_entry._internal.coordination.service_desk import ServiceDesk
 from lagoonbend_entry._internal.gateway.facts_keeper import FactsKeeper
-from lagoonbend_entry._internal.gateway.stream_socket import set_options
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
@@ -76,8 +74,6 @@
         self._fleet = fleet
         self._facts = facts
         self._clock = clock
-        self._incarnation = incarnation
-        self._channels: dict[str, message_channel.MessageChannel] = {}
         self._pending: dict[str, PendingCall] = {}
         self._held: dict[str, tuple[PlaceRequest, HeldPlace, str]] = {}
         self._loads = PoolLoads()
@@ -101,6 +97,14 @@
         self._local = ServiceDesk(
             facts, clock, SharedLimits(tolerance), invariants, self._deliver
         )
+        self.peers = PeerService(
+            fleet,
+            facts,
+            clock,
+            self._deciders,
+            (self.desk, self._local),
+            incarnation,
+        )
         facts.on_change.append(self.desk.feed)
         facts.on_change.append(self._local.feed)
 
@@ -159,42 +163,6 @@
             now_there, wire_codec.encode_end(request, target, end, first_ms)
         )
 
-    def serve_peer(
-        self, sock: gevent.socket.socket, address: tuple[str, int]
-    ) -> None:
-        """Answer a peer that has connected, until it closes."""
-        try:
-            set_options(sock)
-        except OSError:
-            sock.close()
-            return
-        channel = message_channel.MessageChannel(sock)
-        peer = ''
-        failure_domain = ''
-        try:
-            for message in channel.receive():
-                if isinstance(message, messages.Greeting):
-                    if message.protocol != messages.PROTOCOL_VERSION:
-                        break
-                    peer = message.address
-                    failure_domain = message.failure_domain
-                    self._channels[peer] = channel
-                    self.learn([peer])
-                elif peer:
-                    if isinstance(message, messages.Ping):
-                        self._fleet.note_caller(
-                            peer, failure_domain, message.uptime_ms
-                        )
-                    self._answer(peer, channel, message)
-        except PeerError as error:
-            log_event(Event.PEER_REJECTED, peer=peer, reason=str(error))
-        finally:
-            channel.close()
-            if peer and self._channels.get(peer) is channel:
-                del self._channels[peer]
-                for scheduler in list(self.desk.schedulers):
-                    self.desk.deliver(scheduler.drop_instance(peer))
-
     def choose_pool(self, service: str, prompt: tuple[PromptPart, ...]) -> str:
         """Return the name of the pool that a call goes to."""
         targets = self._facts.directory.list_service(service)
@@ -350,9 +318,9 @@
             if pending is not None:
                 pending.decide(decision)
             return
-        channel = self._channels.get(decision.instance)
-        if channel is not None:
-            channel.send(wire_codec.encode_decision(decision))
+        self.peers.send(
+            decision.instance, wire_codec.encode_decision(decision)
+        )
 
     def _note_decider(self, pool: str, before: str, decider: str) -> None:
         log_event(
@@ -402,78 +370,8 @@
                 if pending is not None:
                     pending.move()
                 continue
-            channel = self._channels.get(request.instance)
-            if channel is not None:
-                channel.send(messages.Moved(request.call, service, ''))
-
-    def _answer(
-        self,
-        peer: str,
-        channel: message_channel.MessageChannel,
-        message: messages.AnyMessage,
-    ) -> None:
-        """Answer a message of a peer that has connected here."""
-        match message:
-            case messages.Ping():
-                channel.send(self._write_pong(message))
-            case messages.ItemsWanted():
-                channel.send(self._write_items(message))
-            case messages.Ask():
-                self._answer_ask(peer, channel, message)
-            case messages.Withdraw():
-                self._answer_withdraw(peer, message)
-            case messages.Done():
-                scheduler = self.desk.find(message.pool)
-                if scheduler is not None:
-                    self.desk.deliver(
-                        scheduler.release(
-                            peer,
-                            message.call,
-                            message.target,
-                            PlaceEnd(message.end),
-                            message.first_ms,
-                            message.failure_domain,
-                        )
-                    )
-            case messages.Holding():
-                self._answer_holding(peer, message)
-
-    def _answer_ask(
-        self,
-        peer: str,
-        channel: message_channel.MessageChannel,
-        message: messages.Ask,
-    ) -> None:
-        decider = self._deciders.find_first_hand(message.pool)
-        if decider != self._fleet.address:
-            channel.send(messages.Moved(message.call, message.pool, decider))
-            return
-        request = wire_codec.decode_request(peer, message)
-        rule = self._find_rule(message.customer)
-        self.desk.submit(request, rule)
-        scheduler = self.desk.find(message.pool)
-        if scheduler is not None and scheduler.is_waiting(peer, message.call):
-            channel.send(messages.Queued(message.call))
-
-    def _answer_withdraw(self, peer: str, message: messages.Withdraw) -> None:
-        scheduler = self.desk.find(message.pool)
-        if scheduler is not None:
-            self.desk.deliver(scheduler.withdraw(peer, message.call))
-
-    def _answer_holding(self, peer: str, message: messages.Holding) -> None:
-        decider = self._deciders.find_first_hand(message.pool)
-        if decider != self._fleet.address:
-            return
-        scheduler = self.desk.open(message.pool)
-        now_ms = self._clock.now_ms()
-        for place in wire_codec.decode_places(peer, message, now_ms):
-            scheduler.register(place)
-
-    def _find_rule(self, customer: str) -> CustomerRule | None:
-        rules = self._facts.rules
-        if rules is None or not customer:
-            return None
-        return rules.find_customer(customer)
+            moved = messages.Moved(request.call, service, '')
+            self.peers.send(request.instance, moved)
 
     def _hear(self, link: PeerLink, message: messages.AnyMessage) -> None:
         """Take an answer of a peer that this instance has called."""
@@ -552,36 +450,6 @@
             'peer',
         )
 
-    def _write_pong(self, ping: messages.Ping) -> messages.Pong:
-        return messages.Pong(
-            ping.sent_ms,
-            self._fleet.address,
-            self._fleet.failure_domain,
-            self._incarnation,
-            self._fleet.uptime_ms,
-            self._deciders.is_leaving,
-            self.desk.pools,
-            self._fleet.list_rumours() if ping.wants_news else [],
-            self._facts.book.complete_revision,
-            self._facts.age_ms(),
-            self._sum_used() if ping.wants_news else {},
-        )
-
-    def _sum_used(self) -> dict[str, float]:
-        used = dict(self.desk.limits.list_used())
-        for customer, units in self._local.limits.list_used().items():
-            used[customer] = used.get(customer, 0.0) + units
-        return used
-
-    def _write_items(self, message: messages.ItemsWanted) -> messages.Items:
-        book = self._facts.book
-        return wire_codec.encode_items(
-            message,
-            book.list_since(message.since),
-            book.complete_revision,
-            self._facts.age_ms(),
-        )
-
     def _tell_places(self, link: PeerLink) -> None:
         """Tell an instance that decides of places in use."""
         for pool in self._deciders.list_pools(link.address):
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -0,0 +1,191 @@
+"""Answers other instances that have connected here."""
+
+import gevent.socket
+
+from lagoonbend.clock import Clock
+from lagoonbend.exceptions import PeerError
+from lagoonbend.facts import CustomerRule
+from lagoonbend.scheduling import PlaceEnd
+from lagoonbend_entry._internal.coordination import message_channel
+from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.coordination import wire_codec
+from lagoonbend_entry._internal.coordination.deciders import Deciders
+from lagoonbend_entry._internal.coordination.fleet import Fleet
+from lagoonbend_entry._internal.coordination.service_desk import ServiceDesk
+from lagoonbend_entry._internal.gateway.facts_keeper import FactsKeeper
+from lagoonbend_entry._internal.gateway.stream_socket import set_options
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+
+
+class PeerService:
+    """Tells signs of life, facts and decisions to those who ask.
+
+    :param fleet: membership.
+    :param facts: rules and targets.
+    :param clock: clock of the instance.
+    :param deciders: who decides for each pool.
+    :param desks: schedulers of the pools decided here, first, and those
+        that are used while no decider answers.
+    :param incarnation: identity of this life of the process.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        facts: FactsKeeper,
+        clock: Clock,
+        deciders: Deciders,
+        desks: tuple[ServiceDesk, ServiceDesk],
+        incarnation: str,
+    ) -> None:
+        self._fleet = fleet
+        self._facts = facts
+        self._clock = clock
+        self._deciders = deciders
+        self._desk = desks[0]
+        self._desks = desks
+        self._incarnation = incarnation
+        self._channels: dict[str, message_channel.MessageChannel] = {}
+
+    def send(self, address: str, message: messages.Message) -> None:
+        """Send a message to an instance, if it is connected here."""
+        channel = self._channels.get(address)
+        if channel is not None:
+            channel.send(message)
+
+    def serve(
+        self, sock: gevent.socket.socket, address: tuple[str, int]
+    ) -> None:
+        """Answer a peer that has connected, until it closes."""
+        try:
+            set_options(sock)
+        except OSError:
+            sock.close()
+            return
+        channel = message_channel.MessageChannel(sock)
+        peer = ''
+        failure_domain = ''
+        try:
+            for message in channel.receive():
+                if isinstance(message, messages.Greeting):
+                    if message.protocol != messages.PROTOCOL_VERSION:
+                        break
+                    peer = message.address
+                    failure_domain = message.failure_domain
+                    self._channels[peer] = channel
+                    self._fleet.learn([peer])
+                elif peer:
+                    if isinstance(message, messages.Ping):
+                        self._fleet.note_caller(
+                            peer, failure_domain, message.uptime_ms
+                        )
+                    self._answer(peer, channel, message)
+        except PeerError as error:
+            log_event(Event.PEER_REJECTED, peer=peer, reason=str(error))
+        finally:
+            channel.close()
+            if peer and self._channels.get(peer) is channel:
+                del self._channels[peer]
+                for scheduler in list(self._desk.schedulers):
+                    self._desk.deliver(scheduler.drop_instance(peer))
+
+    def _answer(
+        self,
+        peer: str,
+        channel: message_channel.MessageChannel,
+        message: messages.AnyMessage,
+    ) -> None:
+        """Answer a message of a peer that has connected here."""
+        match message:
+            case messages.Ping():
+                channel.send(self._write_pong(message))
+            case messages.ItemsWanted():
+                channel.send(self._write_items(message))
+            case messages.Ask():
+                self._answer_ask(peer, channel, message)
+            case messages.Withdraw():
+                self._answer_withdraw(peer, message)
+            case messages.Done():
+                scheduler = self._desk.find(message.pool)
+                if scheduler is not None:
+                    self._desk.deliver(
+                        scheduler.release(
+                            peer,
+                            message.call,
+                            message.target,
+                            PlaceEnd(message.end),
+                            message.first_ms,
+                            message.failure_domain,
+                        )
+                    )
+            case messages.Holding():
+                self._answer_holding(peer, message)
+
+    def _answer_ask(
+        self,
+        peer: str,
+        channel: message_channel.MessageChannel,
+        message: messages.Ask,
+    ) -> None:
+        decider = self._deciders.find_first_hand(message.pool)
+        if decider != self._fleet.address:
+            channel.send(messages.Moved(message.call, message.pool, decider))
+            return
+        request = wire_codec.decode_request(peer, message)
+        rule = self._find_rule(message.customer)
+        self._desk.submit(request, rule)
+        scheduler = self._desk.find(message.pool)
+        if scheduler is not None and scheduler.is_waiting(peer, message.call):
+            channel.send(messages.Queued(message.call))
+
+    def _answer_withdraw(self, peer: str, message: messages.Withdraw) -> None:
+        scheduler = self._desk.find(message.pool)
+        if scheduler is not None:
+            self._desk.deliver(scheduler.withdraw(peer, message.call))
+
+    def _answer_holding(self, peer: str, message: messages.Holding) -> None:
+        decider = self._deciders.find_first_hand(message.pool)
+        if decider != self._fleet.address:
+            return
+        scheduler = self._desk.open(message.pool)
+        now_ms = self._clock.now_ms()
+        for place in wire_codec.decode_places(peer, message, now_ms):
+            scheduler.register(place)
+
+    def _find_rule(self, customer: str) -> CustomerRule | None:
+        rules = self._facts.rules
+        if rules is None or not customer:
+            return None
+        return rules.find_customer(customer)
+
+    def _write_pong(self, ping: messages.Ping) -> messages.Pong:
+        return messages.Pong(
+            ping.sent_ms,
+            self._fleet.address,
+            self._fleet.failure_domain,
+            self._incarnation,
+            self._fleet.uptime_ms,
+            self._deciders.is_leaving,
+            self._desk.pools,
+            self._fleet.list_rumours() if ping.wants_news else [],
+            self._facts.book.complete_revision,
+            self._facts.age_ms(),
+            self._sum_used() if ping.wants_news else {},
+        )
+
+    def _sum_used(self) -> dict[str, float]:
+        used: dict[str, float] = {}
+        for desk in self._desks:
+            for customer, units in desk.limits.list_used().items():
+                used[customer] = used.get(customer, 0.0) + units
+        return used
+
+    def _write_items(self, message: messages.ItemsWanted) -> messages.Items:
+        book = self._facts.book
+        return wire_codec.encode_items(
+            message,
+            book.list_since(message.since),
+            book.complete_revision,
+            self._facts.age_ms(),
+        )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -146,7 +146,7 @@
         readiness = TextServer(names.READINESS_PATH, self._answer_readiness)
         callers = self._listen(listen.callers_endpoint, self._serve_caller)
         self._listen(listen.readiness_endpoint, readiness.serve)
-        self._listen(listen.peers_endpoint, self._coordinator.serve_peer)
+        self._listen(listen.peers_endpoint, self._coordinator.peers.serve)
         self._listen(listen.metrics_endpoint, self._metrics_server.serve)
         self._coordinator.start()
         gevent.spawn(self._watcher.run)
