Take no request on a kept connection once the instance drains

The head of a stream had gone without Connection: close before the drain began, and the next request on that connection was read as the stream ended. Ruled out: the listener (closed at 2.5 s), idle connections (closed then too). Change: whether a connection goes on is asked as a head is written and again as an answer ends; what follows is not read, so that callers may repeat it. Failing first: test_request_after_a_stream_on_a_draining_instance_is_not_taken.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_target.py
@@ -13,7 +13,7 @@
 STAMP = 'stamp'
 FAULT_HEADER = 'x-fault'
 EVENT_S = 0.005
-SILENCE_S = 30.0
+SLOW_EVENT_S = 0.3
 NO_LINGER = struct.pack('ii', 1, 0)
 
 
@@ -93,6 +93,9 @@
             + b'Content-Type: text/event-stream\r\n'
             + b'Transfer-Encoding: chunked\r\n\r\n'
         )
+        pause_s = EVENT_S
+        if request.values.get(FAULT_HEADER) == 'slow':
+            pause_s = SLOW_EVENT_S
         for number in range(first, count + 1):
             event = f'id: {number}\ndata: piece {number}\n\n'.encode()
             try:
@@ -100,7 +103,7 @@
             except OSError:
                 self.left_attempts.append(request.values['attempt-id'])
                 raise
-            gevent.sleep(EVENT_S)
+            gevent.sleep(pause_s)
         if cut:
             sock.sendall(b'9\r\nid: 99\nda\r\n')
             return False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
@@ -117,20 +117,23 @@
     def _answer(self, parser: RequestParser) -> bool:
         """Serve the next request; True if the connection goes on."""
         request = parser.requests.popleft()
-        keeps = request.keeps_connection and not self._is_draining()
         reply = ReplyWriter(
             self._sock,
-            keeps_connection=keeps,
+            keeps_connection=request.keeps_connection,
             takes_chunks=request.takes_chunks,
             is_head=request.method == 'HEAD',
+            may_keep=lambda: not self._is_draining(),
         )
         self._sock.settimeout(None)
         watch = CallerWatch(self._sock)
         with watch:
             self._serve(request, reply)
-        if watch.is_gone or not reply.is_whole or not reply.keeps_connection:
-            if reply.is_whole:
-                self._linger()
+        if watch.is_gone or not reply.is_whole:
+            return False
+        if not reply.keeps_connection or self._is_draining():
+            # The head of a stream may have gone before the drain began. A
+            # request that follows is not read, so its caller may repeat it.
+            self._linger()
             return False
         if watch.ahead:
             parser.feed(bytes(watch.ahead))
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
@@ -1,5 +1,6 @@
 """Writes one answer to a caller."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import http
 
@@ -18,6 +19,8 @@
     :param keeps_connection: True if the connection goes on afterwards.
     :param takes_chunks: False for a caller of HTTP/1.0.
     :param is_head: True if the caller wants no body.
+    :param may_keep: asked as the head is written; returns False if the
+        connection must end after this answer.
     """
 
     def __init__(
@@ -27,8 +30,10 @@
         keeps_connection: bool,
         takes_chunks: bool,
         is_head: bool = False,
+        may_keep: Callable[[], bool] = lambda: True,
     ) -> None:
         self.keeps_connection = keeps_connection
+        self._may_keep = may_keep
         self.has_begun = False
         self.is_whole = False
         self._sock = sock
@@ -84,6 +89,8 @@
     def _encode_head(
         self, status: int, reason: bytes, headers: list[tuple[str, str]]
     ) -> bytes:
+        if self.keeps_connection and not self._may_keep():
+            self.keeps_connection = False
         phrase = reason or find_phrase(status)
         lines = [f'HTTP/1.1 {status} {phrase.decode("latin-1")}']
         lines.extend(f'{name}: {value}' for name, value in headers)
--- a/tests/functional/test_gateway_lifecycle.py
+++ b/tests/functional/test_gateway_lifecycle.py
@@ -47,6 +47,32 @@
             self.assertEqual(0, fleet.processes[0].wait(9.0))
             self.assertEqual(200, call(fleet, 'stream', instance=1)[1].status)
 
+    def test_request_after_a_stream_on_a_draining_instance_is_not_taken(
+        self,
+    ) -> None:
+        """It could not come to its end; its caller may repeat it."""
+        head = (
+            b'POST /%b/x HTTP/1.1\r\nHost: calls.example\r\n'
+            b'Attempt-Id: %b\r\nAuthorization: Bearer k-first\r\n'
+            b'X-Fault: slow\r\nContent-Length: 0\r\n\r\n'
+        )
+        with published_fleet.PublishedFleet() as fleet:
+            sock = gevent.socket.create_connection(
+                ('127.0.0.1', fleet.callers_port(0))
+            )
+            sock.settimeout(4.0)
+            sock.sendall(head % (b'stream', b'first'))
+            received = sock.recv(65_536)
+            self.assertNotIn(b'Connection: close', received)
+            fleet.processes[0].send(signal.SIGTERM)
+            while not received.endswith(b'0\r\n\r\n'):
+                received += sock.recv(65_536)
+            sock.sendall(head % (b'booking', b'second'))
+            self.assertEqual(b'', sock.recv(65_536))
+            sock.close()
+            attempts = [run.attempt for run in fleet.runs]
+            self.assertEqual(['first'], attempts)
+
     def test_killed_instance_that_decides_is_replaced(self) -> None:
         """Calls go on through the others, and again after the restart."""
         with published_fleet.PublishedFleet(instance_count=3) as fleet:
