Look customers up by name, remember targets' pools, drop what nothing uses

Read as a newcomer: a decider searched all keys for a customer at each call (30,000 customers are planned for), and each call hashed every target of its service for its pool. Behaviour, bounds and assertions stay.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_fleet.py
@@ -184,11 +184,6 @@
             },
         )
 
-    def read_log(self, number: int) -> str:
-        """Return what an instance has logged."""
-        path = self.processes[number].log_path
-        return path.read_text(encoding='utf-8')
-
     def _write_settings(self, number: int) -> str:
         callers, readiness, peers, metrics = self._ports[number]
         return SETTINGS.format(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -157,7 +157,7 @@
         rules = self._facts.rules
         if rules is None or not customer:
             return None
-        return rules.find_customer(customer)
+        return rules.customers_by_name.get(customer)
 
     def _write_pong(self, ping: messages.Ping) -> messages.Pong:
         return messages.Pong(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -286,13 +286,8 @@
             next=step.value,
         )
         if step is NextStep.RETRY:
-            self._exclude(progress, report)
-        return step
-
-    @staticmethod
-    def _exclude(progress: Progress, report: AttemptReport) -> None:
-        if report.target:
             progress.excluded.append(report.target)
+        return step
 
     @staticmethod
     def _relay(reply: ReplyWriter, report: AttemptReport) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_keeper.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_keeper.py
@@ -125,7 +125,7 @@
             revision=item.revision,
             customers=[
                 f'{rule.name} {rule.rank} {rule.rate_per_s:.0f}'
-                for rule in set(rules.customers_by_key.values())
+                for rule in rules.customers_by_name.values()
             ],
         )
         self.rules = rules
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -14,8 +14,6 @@
 """Not usage: tokens of the prompt and the greatest length of the answer."""
 HEADER_NOT_RUN = 'not-executed'
 HEADER_STAMP = 'server-stamp'
-HEADER_LOAD = 'server-load'
-HEADER_RETRY_AFTER = 'retry-after'
 
 SET_BY_INSTANCES = frozenset(
     (
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/rules_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/rules_codec.py
@@ -49,6 +49,7 @@
         },
         {service.name: service for service in services},
         customers,
+        {rule.name: rule for rule in customers.values()},
         'tenants' in fields,
         _read_bounds(fields['limits']),
     )
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/ruleset.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/ruleset.py
@@ -16,6 +16,7 @@
     :param routes_by_host: routes of a host, longest path prefix first.
     :param services: services by name.
     :param customers_by_key: customers by the keys that name them.
+    :param customers_by_name: the same customers by their names.
     :param requires_keys: True if requests to routes that are not public
         need a key.
     :param bounds: bounds on callers.
@@ -25,6 +26,7 @@
     routes_by_host: Mapping[str, tuple[Route, ...]]
     services: Mapping[str, ServiceProfile]
     customers_by_key: Mapping[str, CustomerRule]
+    customers_by_name: Mapping[str, CustomerRule]
     requires_keys: bool
     bounds: CallerBounds
 
@@ -34,10 +36,3 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
-
-    def find_customer(self, name: str) -> CustomerRule | None:
-        """Return the customer with a name."""
-        for rule in self.customers_by_key.values():
-            if rule.name == name:
-                return rule
-        return None
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pools.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pools.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Sequence
+import functools
 import math
 from typing import NamedTuple
 
@@ -19,6 +20,9 @@
 """Time in which the news of a wait loses half of its weight."""
 AWAY_MS = 60.0
 """Wait that a call accepts in its own pool before it goes to another."""
+PARTS_KEPT = 4_096
+"""Targets whose part is remembered, since each call asks for all of a
+service."""
 HASH_RANGE = float(2**64)
 
 
@@ -61,6 +65,7 @@
         )
 
 
+@functools.lru_cache(PARTS_KEPT)
 def find_part(target: str, count: int) -> int:
     """Return the part that a target belongs to, of ``count`` parts."""
     return max(
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -107,11 +107,6 @@
         """Number of places of all targets."""
         return sum(load.listed.slots for load in self._loads.values())
 
-    @property
-    def loads(self) -> Iterable[TargetLoad]:
-        """What is known of each target."""
-        return self._loads.values()
-
     def set_targets(
         self, profile: ServiceProfile, targets: Iterable[ListedTarget]
     ) -> Iterator[PlaceDecision]:
@@ -251,11 +246,6 @@
         for waiter in list(self._queue):
             yield waiter.item.request
 
-    def list_held(self) -> Iterator[HeldPlace]:
-        """Yield all places in use."""
-        for load in self._loads.values():
-            yield from load.held.values()
-
     def describe_targets(self) -> list[str]:
         """Return a short text for each target, for logs.
 
