Give each test fleet ports that no other process takes; log why a listener failed

Cause of the listed test_paused_home_runs_a_ticket_once_on_waking: fleets drew their ports from the range of outgoing connections and let go of them before their processes bound them. Two suites could draw the same port: an instance ended, and the operators' port that the test asked belonged to the other suite, so the fleet counted as ready and the first call met nobody (status 0). Ruled out: the order of listeners (callers' first), geventhttpclient (no error in 416 ticket calls that met an instance). Found with it: the ended instance left an empty log, for LB0005 waited in the writer; both daemons flush it now, and the platform's one exits with 3. Change: ports come in blocks below that range; the first of a block stays bound by the process that uses the others.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/ports.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/ports.py
@@ -1,16 +1,68 @@
 """Free TCP ports on loopback."""
 
+import random
 import socket
 
 LOOPBACK = '127.0.0.1'
+FIRST_PORT = 12_000
+"""Lowest port that is given out."""
+LAST_PORT = 32_000
+"""Ports from here on may be taken by outgoing connections; the range that
+Linux draws those from begins at 32768."""
+BLOCK_PORTS = 64
+"""Ports of a block; the first one is held by the process that uses the
+others. A fleet of four instances takes 17."""
+TRIES = 200
 
+_guards: list[socket.socket] = []
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind((LOOPBACK, 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
-    return ports
+
+class NoPortsError(RuntimeError):
+    """No block of free ports was found."""
+
+
+def find_free_ports(
+    count: int, choose: random.Random | None = None
+) -> list[int]:
+    """Return free ports that no other process is given meanwhile.
+
+    They come from a block whose first port stays bound until this process
+    ends, and from below the range of outgoing connections.
+
+    :param count: at most ``BLOCK_PORTS - 1``.
+    :param choose: draws the block.
+    :raises NoPortsError: if no block is free.
+    """
+    if count >= BLOCK_PORTS:
+        raise ValueError(f'{count} ports asked of blocks of {BLOCK_PORTS}')
+    source = choose or random.Random()
+    blocks = (LAST_PORT - FIRST_PORT) // BLOCK_PORTS
+    for _ in range(TRIES):
+        first = FIRST_PORT + BLOCK_PORTS * source.randrange(blocks)
+        guard = _bind(first)
+        if guard is None:
+            continue
+        ports = list(range(first + 1, first + 1 + count))
+        if all(_is_free(port) for port in ports):
+            _guards.append(guard)
+            return ports
+        guard.close()
+    raise NoPortsError(f'no block of {count} ports in {TRIES} tries')
+
+
+def _is_free(port: int) -> bool:
+    sock = _bind(port)
+    if sock is None:
+        return False
+    sock.close()
+    return True
+
+
+def _bind(port: int) -> socket.socket | None:
+    sock = socket.socket()
+    try:
+        sock.bind((LOOPBACK, port))
+    except OSError:
+        sock.close()
+        return None
+    return sock
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/commands/run_command.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/commands/run_command.py
@@ -36,10 +36,12 @@
         except SettingsError as error:
             self.line_error(str(error))
             return EXIT_SETTINGS
-        open_event_log(settings.instance.name)
+        writer = open_event_log(settings.instance.name)
         try:
             Instance.from_config(settings).run()
         except OSError as error:
             log_event(Event.LISTENER_FAILED, reason=str(error))
             return EXIT_LISTENER
+        finally:
+            writer.flush()
         return 0
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -137,8 +137,20 @@
         return cls(settings, path)
 
     def run(self) -> None:
-        """Serve until SIGTERM has drained the instance."""
+        """Serve until SIGTERM has drained the instance.
+
+        :raises OSError: if a listener can't be opened.
+        """
         writer = open_event_log(self._settings.instance.name)
+        try:
+            self._serve()
+        except OSError as error:
+            log_event(Event.LISTENER_FAILED, reason=str(error))
+            raise
+        finally:
+            writer.flush()
+
+    def _serve(self) -> None:
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal.signal(number, self._on_stop)
         gevent.signal.signal(signal.SIGHUP, self._on_reload)
@@ -159,7 +171,6 @@
         )
         self._stop.wait()
         self._drain(callers)
-        writer.flush()
 
     def _listen(
         self, endpoint: str, handle: object
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/gateway.py
@@ -15,6 +15,7 @@
 
 SETTINGS_VARIABLE = 'LAGOONBEND_SETTINGS'
 EXIT_SETTINGS = 2
+EXIT_LISTENER = 3
 
 
 def main() -> int:
@@ -25,7 +26,10 @@
     except SettingsError as error:
         sys.stderr.write(f'{error}\n')
         return EXIT_SETTINGS
-    Gateway.from_config(settings, path).run()
+    try:
+        Gateway.from_config(settings, path).run()
+    except OSError:
+        return EXIT_LISTENER
     return 0
 
 
--- a/tests/functional/test_command_line.py
+++ b/tests/functional/test_command_line.py
@@ -1,6 +1,7 @@
 """The operators' command line, the settings and the examples."""
 
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
@@ -8,6 +9,7 @@
 
 import msgspec
 
+from lagoonbend_devkit.fleet import find_free_ports
 from lagoonbend_devkit.fleet import LocalFleet
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -121,6 +123,32 @@
             )
             self.assertEqual(0, done.returncode, done.stderr)
 
+    def test_a_listener_that_cannot_be_opened_is_logged(self) -> None:
+        """The last line says why, although the process ends at once."""
+        (port,) = find_free_ports(1)
+        with socket.socket() as taken, tempfile.TemporaryDirectory() as folder:
+            taken.bind(('127.0.0.1', port))
+            taken.listen()
+            settings = pathlib.Path(folder) / 'instance.ini'
+            settings.write_text(
+                (ROOT / 'samples/lakeshore.ini')
+                .read_text()
+                .replace('address = 10.0.0.4', 'address = 127.0.0.1')
+                .replace('port = 8080', f'port = {port}')
+            )
+            result = subprocess.run(
+                [
+                    *(sys.executable, '-m', 'lagoonbend_entry'),
+                    *('run', '--settings', str(settings)),
+                ],
+                capture_output=True,
+                text=True,
+                timeout=30,
+            )
+        self.assertEqual(3, result.returncode, result.stderr)
+        last = msgspec.json.decode(result.stdout.splitlines()[-1])
+        self.assertEqual('LB0005', last['message_type'])
+
 
 def _run(*arguments: str) -> tuple[int, str]:
     done = subprocess.run(
