Count the use of a limit that is heard late only as far as the limit remembers

In a larger fleet an instance hears what deciders have let through only while it decides itself; the first news after that told the use of 28 s, all of which was taken off its bucket of about one second. Ruled out: parts of a cut (reached 82 to 84 of 84), START_LEVEL (0.3 of a burst passes 70 urgent calls at once). Change: of what a peer let through since it was last heard, the part of the newest second counts. In a mesh, and between deciders, news comes at least each 500 ms, so nothing changes there. Test failing first: test_use_of_long_ago_is_no_debt (0 of 40 calls passed).

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -435,7 +435,9 @@
         is_new = not self._fleet.is_alive(pong.address)
         self._fleet.note_pong(pong)
         for desk in (self.desk, self._local):
-            desk.limits.note_used(pong.incarnation, pong.used)
+            desk.limits.note_used(
+                pong.incarnation, pong.used, self._clock.now_ms()
+            )
         if is_new:
             log_event(
                 Event.PEER_REACHED,
--- a/packages/lagoonbend/src/lagoonbend/_internal/limits/shared_limits.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/limits/shared_limits.py
@@ -23,6 +23,10 @@
 an eighth of what the tolerated overshoot of a window of 8 s amounts to."""
 GREATEST_RETURN_MS = 5_000
 """Longest time after which a refused call is asked to return."""
+NEWS_SPAN_MS = 1_000
+"""Time for whose use of a limit a bucket has room: it holds about a second
+of the rate. Twice the time between two questions to an instance that
+decides."""
 MARGIN = 0.95
 """Part of the tolerance that both sides of a cut may use together."""
 GREATEST_MINORITY = 0.5
@@ -46,7 +50,7 @@
         self._buckets: dict[str, DebtBucket] = {}
         self._returns: dict[str, float] = {}
         self._used: dict[str, float] = {}
-        self._heard: dict[tuple[str, str], float] = {}
+        self._heard: dict[str, tuple[int, Mapping[str, float]]] = {}
 
     def take(
         self, rule: CustomerRule, units: float, level: int, now_ms: int
@@ -84,18 +88,30 @@
         """Return the units let through here since the start."""
         return self._used
 
-    def note_used(self, incarnation: str, used: Mapping[str, float]) -> None:
+    def note_used(
+        self, incarnation: str, used: Mapping[str, float], now_ms: int
+    ) -> None:
         """Take in what another instance has let through since its start.
 
+        Of what it let through since it was last heard, the part of the
+        newest ``NEWS_SPAN_MS`` counts, for the limit has refilled since.
+
         :param incarnation: identity of one life of that instance.
+        :param used: empty if the news was left out.
         """
+        if not used:
+            return
+        heard = self._heard.get(incarnation)
+        self._heard[incarnation] = (now_ms, used)
+        if heard is None:
+            return
+        heard_ms, before = heard
+        newest = min(1.0, NEWS_SPAN_MS / max(1, now_ms - heard_ms))
         for customer, total in used.items():
-            key = (incarnation, customer)
-            before = self._heard.get(key)
-            self._heard[key] = total
             bucket = self._buckets.get(customer)
-            if bucket is not None and before is not None:
-                bucket.spend(max(0.0, total - before))
+            if bucket is not None and customer in before:
+                spent = max(0.0, total - before[customer])
+                bucket.spend(newest * spent)
 
     def find_share(self, rule: CustomerRule) -> float:
         """Return the part of a limit that may be used here."""
--- a/tests/unit/test_hot_customer.py
+++ b/tests/unit/test_hot_customer.py
@@ -88,9 +88,27 @@
         """What a peer let through is taken off here."""
         limits = SharedLimits(TOLERANCE)
         limits.take(HOT, 1.0, 0, 0)
-        limits.note_used('peer', {'hot': 0.0})
-        limits.note_used('peer', {'hot': 500_000.0})
-        self.assertGreater(limits.take(HOT, 1.0, 0, 100), 0)
+        limits.note_used('peer', {'hot': 0.0}, 0)
+        limits.note_used('peer', {'hot': 500_000.0}, 500)
+        self.assertGreater(limits.take(HOT, 1.0, 0, 600), 0)
+
+    def test_use_of_long_ago_is_no_debt(self) -> None:
+        """An instance that decides anew hears of what others let through.
+
+        They kept within half of the limit for 28 s; nothing is owed.
+        """
+        limits = SharedLimits(TOLERANCE)
+        per_s = HOT.rate_per_s / 2
+        limits.note_used('peer', {'hot': per_s}, 1_000)
+        limits.take(HOT, 1.0, 0, 29_000)
+        limits.note_used('peer', {'hot': 29 * per_s}, 29_000)
+        passed = sum(
+            1_000.0
+            for step in range(40)
+            if not limits.take(HOT, 1_000.0, 0, 29_100 + 100 * step)
+        )
+        self.assertGreaterEqual(passed, 4 * per_s / 2)
+        self.assertEqual(0, limits.take(HOT, 1_000.0, 0, 33_200))
 
     def test_refused_calls_are_asked_to_return_one_after_the_other(
         self,
