Leave out a target whose address refuses connections, for all domains at once

Change: these ends are told apart (gone) from connections that time out. One takes the target out for all domains, 1 s and doubling to 4 s, then one call at a time tries it; such targets count neither as free nor as places. A caller that leaves no longer counts as a sign that its target was reached. The world of the tests no longer ends a call twice.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -81,7 +81,9 @@
             connection = self._pool.take(address, may_repeat=may_repeat)
         except target_error.NotConnectedError as error:
             return AttemptReport(
-                AttemptEnd.NOT_CONNECTED, detail=error.message
+                AttemptEnd.NOT_CONNECTED,
+                detail=error.message,
+                is_gone=isinstance(error, target_error.TargetGoneError),
             )
         is_finished = False
         try:
@@ -167,7 +169,11 @@
             self._drain(connection, answer)
         except NetworkError:
             connection.close()
-        return AttemptReport(end, detail=f'status {answer.status}')
+        return AttemptReport(
+            end,
+            detail=f'status {answer.status}',
+            is_gone=facts.is_wrong_target,
+        )
 
     def _read_whole(
         self, connection: target_connection.TargetConnection, answer: Answer
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
@@ -16,6 +16,7 @@
     :param body: body of that answer.
     :param first_ms: time to the first bytes; 0 if there were none.
     :param detail: cause, for the logs.
+    :param is_gone: True if the target doesn't live at its address any more.
     """
 
     end: AttemptEnd
@@ -24,3 +25,4 @@
     body: bytes = b''
     first_ms: int = 0
     detail: str = ''
+    is_gone: bool = False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -48,7 +48,7 @@
     AttemptEnd.WHOLE_ANSWER: PlaceEnd.ANSWERED,
     AttemptEnd.ERROR_ANSWER: PlaceEnd.TARGET_ERROR,
     AttemptEnd.TURNED_AWAY: PlaceEnd.TURNED_AWAY,
-    AttemptEnd.WRONG_TARGET: PlaceEnd.NOT_REACHED,
+    AttemptEnd.WRONG_TARGET: PlaceEnd.GONE,
     AttemptEnd.NOT_CONNECTED: PlaceEnd.NOT_REACHED,
     AttemptEnd.RESET: PlaceEnd.BAD_ANSWER,
     AttemptEnd.BAD_ANSWER: PlaceEnd.BAD_ANSWER,
@@ -218,10 +218,12 @@
         attempt: Attempt | None = None
         try:
             if target is None or target.service != progress.call.service:
+                end = PlaceEnd.GONE
                 return AttemptReport(
                     AttemptEnd.NOT_CONNECTED,
                     target=decision.target,
                     detail='target not listed here',
+                    is_gone=True,
                 )
             attempt = Attempt(
                 progress.call,
@@ -234,6 +236,8 @@
             )
             report = attempt.run()._replace(target=decision.target)
             end = PLACE_ENDS[report.end]
+            if report.is_gone:
+                end = PlaceEnd.GONE
             first_ms = report.first_ms
             return report
         finally:
@@ -243,6 +247,7 @@
                 is_not_run = end in (
                     PlaceEnd.TURNED_AWAY,
                     PlaceEnd.NOT_REACHED,
+                    PlaceEnd.GONE,
                 )
                 if not is_not_run:
                     progress.runs += 1
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
@@ -15,6 +15,7 @@
 from lagoonbend_entry._internal.gateway.target_error import ConnectionLostError
 from lagoonbend_entry._internal.gateway.target_error import NotConnectedError
 from lagoonbend_entry._internal.gateway.target_error import SilentTargetError
+from lagoonbend_entry._internal.gateway.target_error import TargetGoneError
 
 READ_BYTES = 65_536
 WATCHED_SEND_BYTES = 16_384
@@ -46,10 +47,15 @@
     ) -> 'TargetConnection':
         """Open a connection.
 
+        :raises TargetGoneError: if nothing listens there.
         :raises NotConnectedError: if that fails in time.
         """
         try:
             sock = open_stream(address, timeout_ms)
+        except ConnectionRefusedError as error:
+            raise TargetGoneError(
+                'connection refused', context='{}:{}'.format(*address)
+            ) from error
         except OSError as error:
             raise NotConnectedError(
                 str(error) or type(error).__name__,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_error.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_error.py
@@ -7,6 +7,10 @@
     """No connection could be opened; nothing was sent."""
 
 
+class TargetGoneError(NotConnectedError):
+    """No process listens at the target's address."""
+
+
 class ConnectionLostError(NetworkError):
     """The connection ended before the answer was whole."""
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/fault_record.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/fault_record.py
@@ -21,6 +21,9 @@
     def __init__(self) -> None:
         self.rate = 0.0
         self.ejected_until_ms = 0
+        self.is_on_trial = False
+        self._gone_until_ms = 0
+        self._gone_ms = EJECT_MS
         self._eject_ms = EJECT_MS
         self._unreached: dict[str, tuple[int, int]] = {}
 
@@ -39,6 +42,22 @@
         self.rate = EJECT_RATE
         return True
 
+    def note_gone(self, now_ms: int) -> None:
+        """Note that the target doesn't live at its address any more.
+
+        That holds for every domain. It is left out for a while, and then
+        tried with one call at a time.
+        """
+        if now_ms < self._gone_until_ms:
+            return
+        self.is_on_trial = True
+        self._gone_until_ms = now_ms + self._gone_ms
+        self._gone_ms = min(2 * self._gone_ms, LONGEST_EJECT_MS)
+
+    def is_gone(self, now_ms: int) -> bool:
+        """Return True while the target is left out as gone."""
+        return now_ms < self._gone_until_ms
+
     def note_unreached(self, failure_domain: str, now_ms: int) -> None:
         """Note that an instance of a domain could not connect."""
         _, span_ms = self._unreached.get(failure_domain, (0, UNREACHED_MS))
@@ -49,6 +68,9 @@
     def note_reached(self, failure_domain: str) -> None:
         """Note that an instance of a domain has reached the target."""
         self._unreached.pop(failure_domain, None)
+        self.is_on_trial = False
+        self._gone_until_ms = 0
+        self._gone_ms = EJECT_MS
 
     def is_unreached(self, failure_domain: str, now_ms: int) -> bool:
         """Return True while a domain should not try the target."""
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_end.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_end.py
@@ -11,6 +11,7 @@
     BAD_ANSWER = 'bad_answer'
     SILENT = 'silent'
     NOT_REACHED = 'not_reached'
+    GONE = 'gone'
     TURNED_AWAY = 'turned_away'
     CALLER_LEFT = 'caller_left'
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -258,8 +258,8 @@
         """Return a short text for each target, for logs.
 
         ``name held/slots slowness`` and marks: ``-`` no longer listed,
-        ``e`` set aside for faults, ``f`` said to be full, ``u`` not reached
-        from some domain.
+        ``g`` gone from its address, ``e`` set aside for faults, ``f`` said
+        to be full, ``u`` not reached from some domain.
         """
         now_ms = self._clock.now_ms()
         return [
@@ -271,6 +271,7 @@
     def _mark(self, name: str, load: TargetLoad, now_ms: int) -> str:
         marks = {
             '-': name not in self._usable,
+            'g': load.faults.is_gone(now_ms),
             'e': load.faults.is_ejected(now_ms),
             'f': now_ms < load.full_until_ms,
             'u': load.faults.is_unreached_anywhere(now_ms),
@@ -379,7 +380,9 @@
         listed = [
             load
             for name, load in self._loads.items()
-            if name in self._usable and name not in request.excluded
+            if name in self._usable
+            and name not in request.excluded
+            and not load.faults.is_gone(now_ms)
         ]
         sound = [
             load
@@ -412,11 +415,17 @@
         if limit is not None and self.held_count >= limit:
             return False
         return any(
-            len(load.held) < max(1, int(load.listed.slots * self.share))
-            for name, load in self._loads.items()
-            if name in self._usable
+            len(load.held) < load.count_places(self.share)
+            for load in self._list_present()
         )
 
+    def _list_present(self) -> Iterator[TargetLoad]:
+        """Yield the targets that are listed and live at their address."""
+        now_ms = self._clock.now_ms()
+        for name, load in self._loads.items():
+            if name in self._usable and not load.faults.is_gone(now_ms):
+                yield load
+
     def _estimate_wait_ms(self, rank: int, now_ms: int) -> int:
         """Return the expected wait of a newcomer of a rank.
 
@@ -433,8 +442,10 @@
         for other, count in self._late.items():
             if other < rank:
                 ahead_ms += count * self._demand.get_hold_ms(other)
-        places = max(1.0, self.place_count * self.share)
-        left = self._demand.estimate_left(rank, places, now_ms)
+        places = sum(
+            load.listed.slots * self.share for load in self._list_present()
+        )
+        left = self._demand.estimate_left(rank, max(1.0, places), now_ms)
         return int(ahead_ms / left)
 
     def _estimate_least_first_ms(
@@ -487,11 +498,14 @@
         if end is PlaceEnd.NOT_REACHED:
             self._note_unreached(load, failure_domain, now_ms)
             return
+        if end is PlaceEnd.GONE:
+            load.faults.note_gone(now_ms)
+            return
         if end is PlaceEnd.TURNED_AWAY:
             load.full_until_ms = now_ms + FULL_PAUSE_MS
             return
-        load.faults.note_reached(failure_domain)
         if end is not PlaceEnd.CALLER_LEFT:
+            load.faults.note_reached(failure_domain)
             load.faults.note_answer(end.is_fault, now_ms)
         if place is None:
             return
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
@@ -53,8 +53,7 @@
 
         :param share: part of the target's places that may be used.
         """
-        places = max(1, int(self.listed.slots * share))
-        if len(self.held) >= places:
+        if len(self.held) >= self.count_places(share):
             return False
         if not self.memory_tokens or not self.held:
             return True
@@ -62,6 +61,15 @@
         tokens += request.output_tokens
         return tokens <= MEMORY_SHARE * self.memory_tokens
 
+    def count_places(self, share: float) -> int:
+        """Return the number of calls that the target may run at once.
+
+        :param share: part of the target's places that may be used.
+        """
+        if self.faults.is_on_trial:
+            return 1
+        return max(1, int(self.listed.slots * share))
+
     def estimate_first_ms(self, request: PlaceRequest, now_ms: int) -> float:
         """Return the expected time to the first bytes of an answer."""
         if not self.is_engine:
--- a/tests/lib/pool_world.py
+++ b/tests/lib/pool_world.py
@@ -55,6 +55,7 @@
         self.arrived_ms = arrived_ms
         self.decision: PlaceDecision | None = None
         self.decided_ms = 0
+        self.has_ended = False
 
     @property
     def is_on_time(self) -> bool:
@@ -149,10 +150,11 @@
                 self.clock.advance(1)
 
     def end(self, call: str, end: PlaceEnd = PlaceEnd.ANSWERED) -> None:
-        """End a call at its target."""
+        """End a call at its target, unless it has ended."""
         record = self.records[call]
-        if record.decision is None:
+        if record.decision is None or record.has_ended:
             return
+        record.has_ended = True
         request = record.request
         self._take(
             self.scheduler.release(
--- a/tests/unit/test_cut_between_domains.py
+++ b/tests/unit/test_cut_between_domains.py
@@ -192,6 +192,36 @@
         records = [world.arrive(CALL, failure_domain='d0') for _ in range(60)]
         self.assertFalse(far & list_targets(records))
 
+    def test_crashed_target_attracts_no_calls(self) -> None:
+        """Empty, it looks best; one refused connection tells all domains."""
+        world = PoolWorld(targets=4, slots=10, is_engine=False)
+        hits = 0
+        for number in range(100):
+            record = world.arrive(CALL, failure_domain=f'd{number % 4}')
+            assert record.decision is not None
+            if record.decision.target == 't0':
+                hits += 1
+                world.end(record.request.call, PlaceEnd.GONE)
+            world.run(20)
+        self.assertIn(hits, range(1, 5))
+
+    def test_crashed_target_is_tried_with_one_call_at_a_time(self) -> None:
+        """Many at once would all be lost if it is still down."""
+        world = PoolWorld(targets=2, slots=10, is_engine=False)
+        lost = world.arrive(CALL)
+        assert lost.decision is not None
+        name = lost.decision.target
+        world.end(lost.request.call, PlaceEnd.GONE)
+        world.run(1_050)
+        records = [world.arrive(CALL) for _ in range(11)]
+        tried = [
+            r for r in records if r.decision and r.decision.target == name
+        ]
+        self.assertEqual(1, len(tried))
+        world.end(tried[0].request.call)
+        more = [world.arrive(CALL) for _ in range(9)]
+        self.assertIn(name, list_targets(more))
+
     def test_failing_target_is_set_aside_and_tried_again(self) -> None:
         """It gets few calls while it fails, and more once it is sound."""
         world = PoolWorld(targets=4, slots=10, is_engine=False)
