Divide a large service by failure domain first, and offer a refused call once more

Ways weighed: pools by domain with calls that overflow by wait (chosen); an extra price on distance within mixed pools (the decider still sits elsewhere, and a quarter of the targets is near); handing over the call (bodies cross). Change: a service of more than one pool is divided by domain, then in powers of two; calls stay in their domain up to its share of the places, by their key, and are spread in proportion beyond it; pools of silent domains are left out; the instance that decides stands in the domain of its targets while one lives there; a call that its pool refuses for overload is offered to one other pool whose known wait is shorter. A service of one pool is as before.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -8,13 +8,15 @@
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
-from lagoonbend.scheduling import choose_pool
+from lagoonbend.scheduling import CallOrigin
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import HeldPlace
 from lagoonbend.scheduling import PlaceDecision
 from lagoonbend.scheduling import PlaceEnd
 from lagoonbend.scheduling import PlaceRequest
+from lagoonbend.scheduling import Pool
 from lagoonbend.scheduling import PoolLoads
+from lagoonbend.scheduling import PoolPlan
 from lagoonbend.scheduling import PromptPart
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import wire_codec
@@ -47,6 +49,11 @@
 GREATEST_MOVES = 3
 """Times that a call is sent on between instances that disagree on who
 decides, before its own instance does."""
+GREATEST_POOLS = 2
+"""Pools that a call is offered to before it is refused; a third costs more
+messages just when all have much to do."""
+POOL_DENIALS = (Denial.OVERLOADED, Denial.NO_TARGET)
+"""Denials for which another pool of the service may have room."""
 MILLISECONDS_PER_SECOND = 1000
 LOCAL = 'local'
 
@@ -79,6 +86,7 @@
         self._pending: dict[str, PendingCall] = {}
         self._held: dict[str, tuple[PlaceRequest, HeldPlace, str]] = {}
         self._loads = PoolLoads()
+        self._plans: dict[str, PoolPlan] = {}
         self._strikes: dict[str, int] = {}
         self._has_waiting = gevent.event.Event()
         self._links = PeerLinks(
@@ -118,6 +126,7 @@
             (self.desk, self._local),
             incarnation,
         )
+        facts.on_change.append(self._plans.clear)
         facts.on_change.append(self.desk.feed)
         facts.on_change.append(self._local.feed)
 
@@ -131,8 +140,29 @@
     ) -> PlaceDecision:
         """Return a place or a denial; waits until there is one.
 
+        A call that its pool refuses for overload is offered to another one
+        where less is waiting.
+
         :param wait_ms: greatest time to wait.
         """
+        asked_ms = self._clock.now_ms()
+        tried: tuple[str, ...] = ()
+        while True:
+            now_ms = self._clock.now_ms()
+            spent_ms = now_ms - asked_ms
+            current = request._replace(waited_ms=request.waited_ms + spent_ms)
+            decision = self._acquire_in_pool(current, rule, wait_ms - spent_ms)
+            tried = (*tried, request.pool)
+            other = None
+            if decision.denial in POOL_DENIALS and len(tried) < GREATEST_POOLS:
+                other = self._find_other_pool(request, decision, tried)
+            if other is None:
+                return decision
+            request = request._replace(pool=other)
+
+    def _acquire_in_pool(
+        self, request: PlaceRequest, rule: CustomerRule | None, wait_ms: int
+    ) -> PlaceDecision:
         asked_ms = self._clock.now_ms()
         for move in range(GREATEST_MOVES + 1):
             waited_ms = self._clock.now_ms() - asked_ms
@@ -158,6 +188,21 @@
             retry_after_ms=MILLISECONDS_PER_SECOND,
         )
 
+    def _find_other_pool(
+        self,
+        request: PlaceRequest,
+        decision: PlaceDecision,
+        tried: tuple[str, ...],
+    ) -> str | None:
+        """Return a pool that may take a refused call, if there is one."""
+        service = Pool.parse(request.pool).service
+        pool = self._choose_pool(service, request.prompt, tried)
+        if pool is None:
+            return None
+        now_ms = self._clock.now_ms()
+        wait_ms = self._loads.estimate_wait_ms(pool, now_ms)
+        return pool if wait_ms < decision.retry_after_ms else None
+
     def release(
         self, request: PlaceRequest, target: str, end: PlaceEnd, first_ms: int
     ) -> None:
@@ -165,7 +210,7 @@
         held = self._held.pop(request.call, None)
         if held is None:
             return
-        where = held[2]
+        request, _, where = held
         now_there = self._deciders.get_last(request.pool)
         if where == LOCAL:
             self._release_at(self._local, request, target, end, first_ms)
@@ -178,13 +223,38 @@
 
     def choose_pool(self, service: str, prompt: tuple[PromptPart, ...]) -> str:
         """Return the name of the pool that a call goes to."""
-        targets = self._facts.directory.list_service(service)
+        pool = self._choose_pool(service, prompt, ())
+        return pool or Pool(service).name
+
+    def _choose_pool(
+        self,
+        service: str,
+        prompt: tuple[PromptPart, ...],
+        tried: tuple[str, ...],
+    ) -> str | None:
         self._sequence += 1
         key = f'{self._fleet.address}/{self._sequence}'
         if prompt:
             key = prompt[-1].part
-        now_ms = self._clock.now_ms()
-        return choose_pool(service, targets, key, self._loads, now_ms).name
+        origin = CallOrigin(
+            key,
+            self._fleet.failure_domain,
+            self._fleet.list_silent_domains(),
+            tried,
+        )
+        pool = self._find_plan(service).choose(
+            origin, self._loads, self._clock.now_ms()
+        )
+        return pool.name if pool else None
+
+    def _find_plan(self, service: str) -> PoolPlan:
+        """Return the pools of a service, worked out once for each list."""
+        plan = self._plans.get(service)
+        if plan is None:
+            targets = self._facts.directory.list_service(service)
+            plan = PoolPlan(service, targets)
+            self._plans[service] = plan
+        return plan
 
     def count_waiting(self) -> dict[str, int]:
         """Return the calls that wait for each service decided here."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -1,11 +1,13 @@
 """The instances that an instance knows, and those that it reaches."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
 import random
 
 from lagoonbend.clock import Clock
 from lagoonbend.rendezvous import score_candidate
+from lagoonbend.scheduling import Pool
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination.reach import Reach
 from lagoonbend_entry._internal.coordination.sighting import Sighting
@@ -155,7 +157,7 @@
         names.update(near[:READERS_A_DOMAIN])
         names.update(self._rank(self.address)[:NEIGHBOURS])
         for pool in own:
-            names.update(self._rank(pool)[:CANDIDATES])
+            names.update(self._rank_for(pool)[:CANDIDATES])
         names.discard(self.address)
         return names
 
@@ -212,8 +214,9 @@
         """Return the address of the instance that decides for a pool.
 
         One that decides keeps on while it lives. Of several, as after a
-        cut, the one with the greatest score stays. Without any, the
-        greatest score among the settled instances is chosen.
+        cut, the first in the order stays. Without any, the first of the
+        settled instances is chosen. The order is by score, instances of
+        the domain of the pool's targets before all others.
 
         :param decides: True if this instance decides for it now.
         :param is_leaving: True if this instance is to stop.
@@ -245,7 +248,7 @@
             names = [sighting.address for sighting in alive]
             if not is_leaving or not names:
                 names.append(self.address)
-        return max(names, key=lambda name: score_candidate(name, pool))
+        return max(names, key=self._make_order(pool))
 
     def _find_reach(self) -> Reach:
         """Return who is within reach, worked out lately."""
@@ -349,15 +352,33 @@
 
     def _rank(self, key: str) -> list[str]:
         """Return the known instances by their score for a key."""
+        return sorted(
+            self._list_known(),
+            key=lambda name: score_candidate(name, key),
+            reverse=True,
+        )
+
+    def _rank_for(self, pool: str) -> list[str]:
+        """Return the known instances in the order to decide for a pool."""
+        order = self._make_order(pool)
+        return sorted(self._list_known(), key=order, reverse=True)
+
+    def _make_order(self, pool: str) -> Callable[[str], tuple[bool, int]]:
+        domain = Pool.parse(pool).domain
+
+        def order(name: str) -> tuple[bool, int]:
+            stands_in = self._domains.get(name, '')
+            if name == self.address:
+                stands_in = self.failure_domain
+            return stands_in == domain, score_candidate(name, pool)
+
+        return order
+
+    def _list_known(self) -> list[str]:
         now_ms = self._clock.now_ms()
-        names = [
+        return [
             address
             for address, heard_ms in self._known.items()
             if now_ms - heard_ms < FORGET_MS
             and self._unreached.get(address, 0) <= now_ms
         ]
-        return sorted(
-            names,
-            key=lambda name: score_candidate(name, key),
-            reverse=True,
-        )
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pools.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pools.py
@@ -1,7 +1,9 @@
 """Divides the targets of a large service among several schedulers.
 
-A pool is named ``SERVICE#INDEX/COUNT``. Each target belongs to one pool, and
-all instances that know the same targets agree on which.
+A service of one pool has targets of all failure domains in it. Those of a
+larger one are divided by domain first, so that calls and decisions stay in
+their domain, and then into parts. Each target belongs to one pool, and all
+instances that know the same targets agree on which.
 """
 
 from collections.abc import Iterable
@@ -9,6 +11,7 @@
 import functools
 import math
 from typing import NamedTuple
+import urllib.parse
 
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.utils.rendezvous import score_candidate
@@ -18,50 +21,54 @@
 rates an instance of half a core spends a tenth of it on that."""
 NEWS_HALF_LIFE_MS = 500
 """Time in which the news of a wait loses half of its weight."""
-AWAY_MS = 60.0
-"""Wait that a call accepts in its own pool before it goes to another."""
 PARTS_KEPT = 4_096
 """Targets whose part is remembered, since each call asks for all of a
 service."""
-HASH_RANGE = float(2**64)
 
 
 class Pool(NamedTuple):
     """A part of a service's targets.
 
     :param service: the service.
-    :param part: number of the part, from 0.
-    :param parts: number of parts.
+    :param domain: failure domain of the targets; empty for all domains.
+    :param part: number of the part within the domain, from 0.
+    :param parts: number of parts of the domain.
     """
 
     service: str
-    part: int
-    parts: int
+    domain: str = ''
+    part: int = 0
+    parts: int = 1
 
     @property
     def name(self) -> str:
         """Name that travels between instances."""
-        return f'{self.service}#{self.part}/{self.parts}'
+        domain = urllib.parse.quote(self.domain, safe='')
+        return f'{self.service}#{domain}#{self.part}/{self.parts}'
 
     @classmethod
     def parse(cls, name: str) -> 'Pool':
         """Return the pool with a name; a bare service is one pool."""
-        service, _, part = name.rpartition('#')
+        rest, _, part = name.rpartition('#')
+        service, _, domain = rest.rpartition('#')
         index, _, count = part.partition('/')
         if not service or not index.isdecimal() or not count.isdecimal():
-            return cls(name, 0, 1)
-        return cls(service, int(index), int(count))
+            return cls(name)
+        domain = urllib.parse.unquote(domain)
+        return cls(service, domain, int(index), int(count))
 
     def select(
         self, targets: Iterable[ListedTarget]
     ) -> tuple[ListedTarget, ...]:
         """Return the targets of this pool."""
-        if self.parts <= 1:
-            return tuple(targets)
         return tuple(
             target
             for target in targets
-            if find_part(target.target, self.parts) == self.part
+            if self.domain in ('', target.failure_domain)
+            and (
+                self.parts <= 1
+                or find_part(target.target, self.parts) == self.part
+            )
         )
 
 
@@ -74,7 +81,7 @@
 
 
 def count_parts(targets: Sequence[ListedTarget]) -> int:
-    """Return the number of pools that a service is divided into.
+    """Return the number of parts that targets are divided into.
 
     A power of two, so that it stays when some targets come or go.
     """
@@ -99,39 +106,3 @@
         wait_ms, noted_ms = self._waits.get(pool, (0, now_ms))
         age_ms = max(0, now_ms - noted_ms)
         return float(wait_ms) * 0.5 ** (age_ms / NEWS_HALF_LIFE_MS)
-
-
-def choose_pool(
-    service: str,
-    targets: Sequence[ListedTarget],
-    key: str,
-    loads: PoolLoads,
-    now_ms: int,
-) -> Pool:
-    """Return the pool of a call, in proportion to the pools' places.
-
-    Calls with one key go to the same pool, where their prompt is kept,
-    unless the wait there is longer than it would be elsewhere.
-
-    :param key: session or call.
-    """
-    count = count_parts(targets)
-    if count == 1:
-        return Pool(service, 0, 1)
-    places = [0] * count
-    for target in targets:
-        places[find_part(target.target, count)] += target.slots
-
-    def weigh(index: int) -> float:
-        fraction = (score_candidate(str(index), key) + 1) / (HASH_RANGE + 2)
-        return -places[index] / math.log(fraction)
-
-    home = max(range(count), key=weigh)
-
-    def estimate_cost_ms(index: int) -> float:
-        pool = Pool(service, index, count)
-        cost_ms = loads.estimate_wait_ms(pool.name, now_ms)
-        return cost_ms + (0.0 if index == home else AWAY_MS)
-
-    usable = [index for index in range(count) if places[index]]
-    return Pool(service, min(usable, key=estimate_cost_ms), count)
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -5,7 +5,8 @@
 from lagoonbend._internal.scheduling.place_decision import PlaceDecision
 from lagoonbend._internal.scheduling.place_end import PlaceEnd
 from lagoonbend._internal.scheduling.place_request import PlaceRequest
-from lagoonbend._internal.scheduling.pools import choose_pool
+from lagoonbend._internal.scheduling.pool_plan import CallOrigin
+from lagoonbend._internal.scheduling.pool_plan import PoolPlan
 from lagoonbend._internal.scheduling.pools import Pool
 from lagoonbend._internal.scheduling.pools import PoolLoads
 from lagoonbend._internal.scheduling.prompt_part import PromptPart
@@ -14,6 +15,8 @@
 from lagoonbend._internal.scheduling.service_scheduler import ServiceScheduler
 
 __all__ = [
+    'CallOrigin',
+    'PoolPlan',
     'RANK_ORDERS',
     'Denial',
     'HeldPlace',
@@ -25,5 +28,4 @@
     'PromptPart',
     'RankOrder',
     'ServiceScheduler',
-    'choose_pool',
 ]
--- a/tests/unit/test_large_fleet.py
+++ b/tests/unit/test_large_fleet.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from lagoonbend.clock import PausedClock
+from lagoonbend.scheduling import Pool
 from lagoonbend_entry._internal.coordination import fleet as fleet_module
 from lagoonbend_entry._internal.coordination.messages import Pong
 
@@ -94,6 +95,20 @@
             most = max(chosen.count(name) for name in set(chosen))
             self.assertGreaterEqual(most, 76)
 
+    def test_decider_stands_in_the_domain_of_its_targets(self) -> None:
+        """So that it goes on with them when the domain is cut off."""
+        world = LargeFleetWorld(84)
+        world.advance(15)
+        for number in range(4):
+            pool = Pool('chat', f'd{number}').name
+            near = [
+                fleet.find_decider(pool, decides=False, is_leaving=False)
+                for fleet in world.fleets.values()
+                if fleet.failure_domain == f'd{number}'
+            ]
+            domains = {world.fleets[name].failure_domain for name in near}
+            self.assertEqual({f'd{number}'}, domains)
+
     def test_cut_is_noticed_and_heals(self) -> None:
         """Parts of limits follow the instances within reach."""
         world = LargeFleetWorld(84)
