--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -137,7 +137,8 @@
     ) -> Iterator[PlaceDecision]:
         """Take in a call; yield what is decided at once."""
         now_ms = self._clock.now_ms()
-        if not set(self._usable).difference(request.excluded):
+        present = {load.listed.target for load in self._list_present()}
+        if not present.difference(request.excluded):
             yield self._deny(request, Denial.NO_TARGET, NO_TARGET_RETRY_MS)
             return
         arrived_ms = now_ms - request.waited_ms
--- a/tests/unit/test_cut_between_domains.py
+++ b/tests/unit/test_cut_between_domains.py
@@ -222,6 +222,22 @@
         more = [world.arrive(CALL) for _ in range(9)]
         self.assertIn(name, list_targets(more))
 
+    def test_service_whose_targets_are_all_gone_is_refused_at_once(
+        self,
+    ) -> None:
+        """Another pool may have some; and it is tried again soon."""
+        world = PoolWorld(targets=2, slots=10, is_engine=False)
+        for _ in range(2):
+            record = world.arrive(CALL)
+            world.end(record.request.call, PlaceEnd.GONE)
+        refused = world.arrive(CALL)
+        assert refused.decision is not None
+        self.assertIs(Denial.NO_TARGET, refused.decision.denial)
+        world.run(1_050)
+        again = world.arrive(CALL)
+        assert again.decision is not None
+        self.assertIsNone(again.decision.denial)
+
     def test_failing_target_is_set_aside_and_tried_again(self) -> None:
         """It gets few calls while it fails, and more once it is sound."""
         world = PoolWorld(targets=4, slots=10, is_engine=False)
