Send calls that must not run twice on connections used within 200 ms

Up to a second old connections carried such calls, and a reset there ends as 'may have run', which the caller can't repeat. Found by reading.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/connection_pool.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/connection_pool.py
@@ -8,10 +8,10 @@
 IDLE_LIMIT_MS = 4_000
 """Idle time after which a kept connection is closed; below the idle
 time-outs that targets tell."""
-FRESH_IDLE_MS = 1_000
+FRESH_IDLE_MS = 200
 """Idle time up to which a kept connection may carry a request that must not
 run twice: the target could close it as the request is on its way, and then
-nobody knows whether it ran."""
+nobody knows whether it ran. Targets may forget connections after 300 ms."""
 CONNECT_TIMEOUT_MS = 400
 """Time to connect; a round trip between failure domains takes 2 to 3 ms,
 a lost packet is sent again after about 200 ms."""
