Count places out of reach neither as free nor as room; give back unused charges

Change: the expected wait and the test for a free place look at the targets that the call may be sent to; once no target has a place for a domain the rest of its calls are passed over; a call that leaves the queue without a place gives back its charge. Two changes in one commit: both are in the path of a refused call. Tests failing first: test_places_out_of_reach_are_no_room (0 of 100 refused) and test_call_that_got_no_place_is_not_charged (4,000 units counted for 500 sent).

--- a/packages/lagoonbend/src/lagoonbend/_internal/limits/shared_limits.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/limits/shared_limits.py
@@ -84,6 +84,13 @@
         self._returns[rule.name] = return_ms
         return int(return_ms - now_ms)
 
+    def give_back(self, rule: CustomerRule, units: float) -> None:
+        """Take back the count of a call that was let through but not sent."""
+        bucket = self._buckets.get(rule.name)
+        if bucket is not None:
+            bucket.spend(-units)
+            self._used[rule.name] = self._used.get(rule.name, 0.0) - units
+
     def list_used(self) -> Mapping[str, float]:
         """Return the units let through here since the start."""
         return self._used
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/service_scheduler.py
@@ -153,7 +153,7 @@
             arrived_ms + request.objective_ms - int(first_ms),
             arrived_ms + self._find_patience_ms(request),
         )
-        wait_ms = self._estimate_wait_ms(request.rank, now_ms)
+        wait_ms = self._estimate_wait_ms(request, request.rank, now_ms)
         if wait_ms and wait_ms >= self._find_greatest_wait_ms(waiting, now_ms):
             yield self._deny(request, Denial.OVERLOADED, wait_ms)
             return
@@ -173,7 +173,9 @@
 
         It may have got its place as it was given up.
         """
-        if self._dequeue(instance, call):
+        waiting = self._dequeue(instance, call)
+        if waiting is not None:
+            self._refund(waiting)
             return
         for load in self._loads.values():
             load.release(instance, call)
@@ -214,7 +216,9 @@
             for key in [key for key in load.held if key[0] == instance]:
                 load.release(*key)
         for key in [key for key in self._waiters if key[0] == instance]:
-            self._dequeue(*key)
+            waiting = self._dequeue(*key)
+            if waiting is not None:
+                self._refund(waiting)
         yield from self.advance()
 
     def expire(self) -> Iterator[PlaceDecision]:
@@ -228,17 +232,25 @@
     def advance(self) -> Iterator[PlaceDecision]:
         """Yield what free places allow to decide."""
         now_ms = self._clock.now_ms()
+        full_domains: set[str] = set()
         while len(self._queue):
-            if not self._has_free_place():
+            if not self._may_have_free_place():
                 return
             choice: list[TargetLoad] = []
 
             def is_runnable(
                 waiting: _Waiting, choice: list[TargetLoad] = choice
             ) -> bool:
-                load = self._choose(waiting.request, now_ms)
+                request = waiting.request
+                if request.failure_domain in full_domains:
+                    return False
+                load = self._choose(request, now_ms)
                 if load is not None:
                     choice.append(load)
+                elif not request.excluded and not self._has_free_place(
+                    request, now_ms
+                ):
+                    full_domains.add(request.failure_domain)
                 return load is not None
 
             waiter = self._queue.take(is_runnable)
@@ -279,9 +291,17 @@
         }
         return ''.join(mark for mark, is_set in marks.items() if is_set)
 
-    def _dequeue(self, instance: str, call: str) -> bool:
+    def _dequeue(self, instance: str, call: str) -> _Waiting | None:
+        """Take a call out of the queue; return it if it was there."""
         waiter = self._forget(instance, call)
-        return waiter is not None and self._queue.remove(waiter)
+        if waiter is None or not self._queue.remove(waiter):
+            return None
+        return waiter.item
+
+    def _refund(self, waiting: _Waiting) -> None:
+        """Give back what a call that got no place was charged."""
+        if waiting.rule is not None and waiting.request.cost_units:
+            self._limits.give_back(waiting.rule, waiting.request.cost_units)
 
     def _forget(self, instance: str, call: str) -> Waiter[_Waiting] | None:
         """Drop a waiter from all but the queue itself."""
@@ -326,7 +346,7 @@
             load.listed.target,
             expected_ms,
             waited_ms=now_ms - waiting.arrived_ms,
-            pool_wait_ms=self._estimate_wait_ms(request.rank, now_ms),
+            pool_wait_ms=self._estimate_wait_ms(request, request.rank, now_ms),
         )
 
     def _enqueue(
@@ -340,10 +360,12 @@
         if offer.accepted is not None:
             self._remember(offer.accepted)
         else:
+            self._refund(waiting)
             yield self._deny(request, Denial.OVERLOADED, GREATEST_RETRY_MS)
         if offer.displaced is not None:
             lost = offer.displaced.item.request
             self._forget(lost.instance, lost.call)
+            self._refund(offer.displaced.item)
             yield self._deny(lost, Denial.OVERLOADED, GREATEST_RETRY_MS)
 
     def _expire(self, now_ms: int) -> Iterator[PlaceDecision]:
@@ -352,12 +374,16 @@
             request = waiting.request
             if now_ms >= waiting.give_up_ms:
                 self._dequeue(request.instance, request.call)
-                wait_ms = self._estimate_wait_ms(request.rank, now_ms)
+                self._refund(waiting)
+                wait_ms = self._estimate_wait_ms(request, request.rank, now_ms)
                 yield self._deny(request, Denial.NO_TIME_LEFT, wait_ms)
             elif waiter.deadline_ms < now_ms:
                 self._dequeue(request.instance, request.call)
-                wait_ms = self._estimate_wait_ms(request.rank + 1, now_ms)
+                wait_ms = self._estimate_wait_ms(
+                    request, request.rank + 1, now_ms
+                )
                 if now_ms + wait_ms >= waiting.give_up_ms:
+                    self._refund(waiting)
                     yield self._deny(request, Denial.NO_TIME_LEFT, wait_ms)
                 else:
                     yield from self._enqueue(waiting, now_ms)
@@ -411,7 +437,8 @@
             cost_ms += DISTANCE_MS_PER_KB * request.body_bytes / 1024
         return cost_ms * (1.0 + 2.0 * load.faults.rate)
 
-    def _has_free_place(self) -> bool:
+    def _may_have_free_place(self) -> bool:
+        """Return False if no target has a place for any call."""
         limit = self.place_limit
         if limit is not None and self.held_count >= limit:
             return False
@@ -420,6 +447,15 @@
             for load in self._list_present()
         )
 
+    def _has_free_place(self, request: PlaceRequest, now_ms: int) -> bool:
+        """Return True if a target that may serve a call has a place."""
+        if not self._may_have_free_place():
+            return False
+        return any(
+            len(load.held) < load.count_places(self.share)
+            for load in self._list_sound(request, now_ms)
+        )
+
     def _list_present(self) -> Iterator[TargetLoad]:
         """Yield the targets that are listed and live at their address."""
         now_ms = self._clock.now_ms()
@@ -427,14 +463,16 @@
             if name in self._usable and not load.faults.is_gone(now_ms):
                 yield load
 
-    def _estimate_wait_ms(self, rank: int, now_ms: int) -> int:
-        """Return the expected wait of a newcomer of a rank.
+    def _estimate_wait_ms(
+        self, request: PlaceRequest, rank: int, now_ms: int
+    ) -> int:
+        """Return the expected wait of a call that arrives with a rank.
 
         Calls before it are all of more urgent ranks and those of its own
         that can still be on time. They share what the arrivals of more
         urgent ranks leave of the places.
         """
-        if self._has_free_place():
+        if self._has_free_place(request, now_ms):
             return 0
         ahead_ms = 0.0
         for other, count in self._on_time.items():
@@ -444,7 +482,8 @@
             if other < rank:
                 ahead_ms += count * self._demand.get_hold_ms(other)
         places = sum(
-            load.listed.slots * self.share for load in self._list_present()
+            load.listed.slots * self.share
+            for load in self._list_sound(request, now_ms)
         )
         left = self._demand.estimate_left(rank, max(1.0, places), now_ms)
         return int(ahead_ms / left)
@@ -546,6 +585,6 @@
             denial=denial,
             retry_after_ms=bounded_ms,
             pool_wait_ms=self._estimate_wait_ms(
-                request.rank, self._clock.now_ms()
+                request, request.rank, self._clock.now_ms()
             ),
         )
--- a/tests/unit/test_cut_between_domains.py
+++ b/tests/unit/test_cut_between_domains.py
@@ -1,10 +1,12 @@
 """Pattern: failure domains lose each other, targets or instances die."""
 
 import unittest
+from unittest import mock
 
 from lagoonbend.clock import PausedClock
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import PlaceEnd
+from lagoonbend.scheduling import ServiceScheduler
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.coordination.messages import Pong
 from tests.lib.pool_world import CallKind
@@ -238,6 +240,23 @@
         assert again.decision is not None
         self.assertIsNone(again.decision.denial)
 
+    def test_places_out_of_reach_are_no_room(self) -> None:
+        """Calls are refused by the wait at the targets that are reached."""
+        world = PoolWorld(targets=4, slots=2, is_engine=False)
+        for target in ('t1', 't3'):
+            load = world.scheduler._loads[target]
+            load.faults.note_unreached('d0', world.clock.now_ms())
+        with mock.patch.object(
+            ServiceScheduler,
+            '_choose',
+            autospec=True,
+            side_effect=ServiceScheduler._choose,
+        ) as choose:
+            records = [world.arrive(CALL) for _ in range(100)]
+        denials = [r.decision and r.decision.denial for r in records]
+        self.assertGreater(denials.count(Denial.OVERLOADED), 80)
+        self.assertLessEqual(choose.call_count, 2 * len(records))
+
     def test_failing_target_is_set_aside_and_tried_again(self) -> None:
         """It gets few calls while it fails, and more once it is sound."""
         world = PoolWorld(targets=4, slots=10, is_engine=False)
--- a/tests/unit/test_hot_customer.py
+++ b/tests/unit/test_hot_customer.py
@@ -92,6 +92,19 @@
         limits.note_used('peer', {'hot': 500_000.0}, 500)
         self.assertGreater(limits.take(HOT, 1.0, 0, 600), 0)
 
+    def test_call_that_got_no_place_is_not_charged(self) -> None:
+        """A limit counts what reaches targets, not what waited in vain."""
+        world = PoolWorld(targets=1, slots=1)
+        rule = CustomerRule('hot', rate_per_s=10_000.0, burst=10_000.0)
+        kind = CallKind(rank=0, hold_ms=60_000)
+        world.arrive(kind)
+        for _ in range(40):
+            world.arrive(kind, rule=rule, cost_units=500)
+            world.run(100)
+        used = world.limits.list_used().get('hot', 0.0)
+        waiting = len(world.scheduler)
+        self.assertEqual(500.0 * waiting, used)
+
     def test_use_of_long_ago_is_no_debt(self) -> None:
         """An instance that decides anew hears of what others let through.
 
