Add a fault soak of real processes with checks from outside

A seed decides the faults: instances killed, stopped, paused and reloaded by signals; links to targets and the store delayed, silenced, cut one way, refused or reset by a loopback proxy; a store that turns away, falls silent or drops its history; configurations and draining targets; faults of targets in single answers. They come in series and overlap; callers keep connections. Checked: what must not runs once, refusals are true, answers whole and own, nobody proper denied, answers in time, all instances serve within 12 s of the last fault.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/__main__.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/__main__.py
@@ -3,8 +3,9 @@
 ``demo`` runs the demonstration, ``published-demo`` the one on stand-ins of
 the users' platform; ``platform PORT``, ``service PORT``,
 ``engine-old PORT`` and ``engine-new PORT`` run a stand-in; ``measure NAME``
-runs an experiment and prints its table; ``worlds FIRST LAST STEPS`` makes long
-seeded runs.
+runs an experiment and prints its table; ``worlds FIRST LAST STEPS`` makes
+long seeded runs; ``soak FIRST LAST SECONDS`` runs real processes under the
+faults of each seed.
 """
 
 import sys
@@ -12,6 +13,7 @@
 from lagoonbend_devkit._internal.demo.demo import run_demo
 from lagoonbend_devkit._internal.experiments.commands import EXPERIMENTS
 from lagoonbend_devkit._internal.published import published_demo
+from lagoonbend_devkit._internal.soak.soak import run_soaks
 from lagoonbend_devkit._internal.standins.engine import build_engine
 from lagoonbend_devkit._internal.standins.engine_core import EngineSpeed
 from lagoonbend_devkit._internal.standins.platform import build_platform
@@ -42,6 +44,9 @@
     if arguments[0] == 'worlds':
         first, last, steps = map(int, arguments[1:])
         return min(1, run_worlds(first, last, steps))
+    if arguments[0] == 'soak' and len(arguments) == 4:
+        first, last = map(int, arguments[1:3])
+        return min(1, run_soaks(first, last, float(arguments[3])))
     if arguments[0] not in STANDINS or len(arguments) != 2:
         print(__doc__, file=sys.stderr)
         return EXIT_USAGE
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/http.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/http.py
@@ -50,6 +50,23 @@
         connection_timeout=CONNECT_TIMEOUT_S,
         network_timeout=timeout_s,
     )
+    try:
+        return read_answer(client, method, path, body, headers)
+    finally:
+        client.close()
+
+
+def read_answer(
+    client: HTTPClient,
+    method: str,
+    path: str,
+    body: bytes = b'',
+    headers: dict[str, str] | None = None,
+) -> Answer:
+    """Send one request on a client's connection, which stays open.
+
+    An exchange that fails gives an answer with status 0.
+    """
     response = None
     content = b''
     try:
@@ -59,8 +76,6 @@
         content += response.read()
     except (OSError, HTTPParseError):
         pass
-    finally:
-        client.close()
     if response is None:
         return NO_ANSWER
     fields = {name.lower(): str(value) for name, value in response.items()}
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_fleet.py
@@ -1,5 +1,6 @@
 """Instances as processes on stand-ins of the users' platform."""
 
+from collections.abc import Callable
 import os
 import pathlib
 import tempfile
@@ -12,6 +13,7 @@
 from lagoonbend_devkit._internal.fleet.process import FleetProcess
 from lagoonbend_devkit._internal.published import published_store
 from lagoonbend_devkit._internal.published import published_target
+from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 
 HOST = 'calls.example'
 KEY = 'k-first'
@@ -45,6 +47,8 @@
     :param instance_count: instances, in two failure domains by turns.
     :param engine_count: engines of the service ``chat``.
     :param service_count: servers of the service ``desk``.
+    :param make_link: makes the link that instances reach a target or the
+        store by, from its endpoint; without it they reach them directly.
     """
 
     def __init__(
@@ -52,12 +56,16 @@
         instance_count: int = 2,
         engine_count: int = 2,
         service_count: int = 2,
+        make_link: Callable[[str], FaultProxy] | None = None,
     ) -> None:
         self._directory = tempfile.TemporaryDirectory()
         self.root = pathlib.Path(self._directory.name)
         self.store = published_store.PublishedStore()
         self.runs: list[published_target.TargetRun] = []
         self.targets: dict[str, published_target.PublishedTarget] = {}
+        self.target_links: dict[str, FaultProxy] = {}
+        self._make_link = make_link
+        self.store_link = make_link(self.store.endpoint) if make_link else None
         self.version = 1
         self.publish()
         for number in range(engine_count):
@@ -86,6 +94,10 @@
     ) -> None:
         for process in self.processes:
             process.kill()
+        for link in self.target_links.values():
+            link.stop()
+        if self.store_link is not None:
+            self.store_link.stop()
         for target in self.targets.values():
             target.stop()
         self.store.stop()
@@ -111,6 +123,11 @@
             self.processes[number] = process
         return process
 
+    def restart_instance(self, number: int) -> None:
+        """Start an instance again, unless it runs."""
+        if not self.processes[number].is_running:
+            self.start_instance(number)
+
     def is_ready(self, number: int) -> bool:
         """Return what an instance tells the balancer."""
         path = '/lagoonbend/readyz'
@@ -129,6 +146,8 @@
         """Start a target and register it."""
         target = published_target.PublishedTarget(name, self.runs)
         self.targets[name] = target
+        if self._make_link is not None:
+            self.target_links[name] = self._make_link(target.endpoint)
         self.register(name, service)
         return target
 
@@ -138,7 +157,9 @@
             f'servers/{name}',
             {
                 'service': service,
-                'address': self.targets[name].endpoint,
+                'address': (
+                    self.target_links.get(name, self.targets[name]).endpoint
+                ),
                 'zone': DOMAINS[0],
                 'version': 'v1',
                 'slots': 4,
@@ -194,7 +215,7 @@
             peers=peers,
             metrics=metrics,
             seeds=f'127.0.0.1:{self._ports[0][2]}',
-            store=self.store.endpoint,
+            store=(self.store_link or self.store).endpoint,
         )
 
 
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults against real processes, checked from outside."""
--- /dev/null
+++ b/tests/unit/test_soak_checks.py
@@ -0,0 +1,64 @@
+"""Each check of the fault soak is shown to fail."""
+
+import unittest
+
+from lagoonbend_devkit.soak import find_broken_promises
+from lagoonbend_devkit.soak import SoakCall
+from lagoonbend_devkit.soak import TargetRun
+from lagoonbend_entry.testing import IncomingRequest
+
+SOUND = SoakCall('a1', 'booking', b'van', '', 200, b'ran van', True, 0.0, 0.1)
+REQUEST = IncomingRequest('POST', '/booking/x', [], {}, b'van', True, True, 0)
+RUN = TargetRun('desk-0', 'a1', REQUEST)
+
+
+def find_names(call: SoakCall, runs: int) -> set[str]:
+    """Return the promises that a call breaks after some runs."""
+    return {
+        item.promise for item in find_broken_promises([call], [RUN] * runs)
+    }
+
+
+class SoakChecksTest(unittest.TestCase):
+    """One broken promise each."""
+
+    def test_sound_call_breaks_none(self) -> None:
+        """A whole answer of the one run."""
+        self.assertEqual(set(), find_names(SOUND, 1))
+
+    def test_second_run_is_seen(self) -> None:
+        """Of a call that must not run twice, and of no other."""
+        self.assertEqual({'runs_once'}, find_names(SOUND, 2))
+        look_up = SOUND._replace(route='look-up')
+        self.assertEqual(set(), find_names(look_up, 2))
+
+    def test_false_refusal_is_seen(self) -> None:
+        """It has run, whatever the status says."""
+        for status in (408, 421, 429, 503):
+            call = SOUND._replace(status=status)
+            self.assertEqual({'refusal_is_true'}, find_names(call, 1))
+            self.assertEqual(set(), find_names(call, 0))
+
+    def test_answer_that_is_not_whole_or_own_is_seen(self) -> None:
+        """Cut short, of another, unsigned or without a run."""
+        whole = 'answer_is_whole_and_own'
+        for call, runs in (
+            (SOUND._replace(answer=b'ran v'), 1),
+            (SOUND._replace(answer=b'ran tour'), 1),
+            (SOUND._replace(is_signed=False), 1),
+            (SOUND, 0),
+            (SOUND._replace(route='stream', answer=b'id: 1\n\n'), 1),
+        ):
+            self.assertEqual({whole}, find_names(call, runs))
+
+    def test_denied_and_late_answers_are_seen(self) -> None:
+        """Keys and routes stay in force; answers come by the time-out."""
+        denied = SOUND._replace(status=401)
+        name = 'proper_request_is_not_denied'
+        self.assertEqual({name}, find_names(denied, 0))
+        late = SOUND._replace(took_s=6.0)
+        self.assertEqual({'answer_comes_in_time'}, find_names(late, 1))
+
+
+if __name__ == '__main__':
+    unittest.main()
