--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -580,14 +580,14 @@
 
     def _log_loads(self) -> None:
         for scheduler in self.desk.schedulers:
-            if not scheduler.held_count and not len(scheduler):
+            if not scheduler.targets.held_count and not len(scheduler):
                 continue
             log_event(
                 Event.SERVICE_LOAD,
                 service=scheduler.service.name,
                 waiting=len(scheduler),
-                held=scheduler.held_count,
-                targets=scheduler.describe_targets(),
+                held=scheduler.targets.held_count,
+                targets=scheduler.targets.describe(),
                 reached=self._fleet.count_alive(),
                 known=self._fleet.count_known(),
             )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/service_desk.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/service_desk.py
@@ -105,11 +105,12 @@
         :param silent_domains: domains of which no instance is heard.
         """
         for scheduler in list(self._schedulers.values()):
-            scheduler.share = share
-            scheduler.silent_domains = silent_domains
+            targets = scheduler.targets
+            targets.share = share
+            targets.silent_domains = silent_domains
             if share < 1.0:
-                places = math.ceil(scheduler.place_count * share)
-                scheduler.place_limit = max(1, places)
+                places = math.ceil(targets.place_count * share)
+                targets.place_limit = max(1, places)
             self.deliver(scheduler.expire())
 
     def _feed(self, pool: str, scheduler: ServiceScheduler) -> None:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_end.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_end.py
@@ -23,3 +23,12 @@
             PlaceEnd.BAD_ANSWER,
             PlaceEnd.SILENT,
         )
+
+    @property
+    def is_outside_target(self) -> bool:
+        """True if the call has not come to the target."""
+        return self in (
+            PlaceEnd.NOT_REACHED,
+            PlaceEnd.GONE,
+            PlaceEnd.TURNED_AWAY,
+        )
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -13,6 +13,7 @@
 from lagoonbend._internal.scheduling.ranks import RANK_ORDERS
 from lagoonbend._internal.scheduling.ranks import RankOrder
 from lagoonbend._internal.scheduling.service_scheduler import ServiceScheduler
+from lagoonbend._internal.scheduling.target_set import TargetSet
 
 __all__ = [
     'CallOrigin',
@@ -28,4 +29,5 @@
     'PromptPart',
     'RankOrder',
     'ServiceScheduler',
+    'TargetSet',
 ]
--- a/tests/lib/pool_world.py
+++ b/tests/lib/pool_world.py
@@ -184,5 +184,5 @@
                 heapq.heappush(
                     self._ends, (end_ms, next(self._numbers), decision.call)
                 )
-        held = self.scheduler.held_count
+        held = self.scheduler.targets.held_count
         self.largest_held = max(self.largest_held, held)
--- a/tests/unit/test_cut_between_domains.py
+++ b/tests/unit/test_cut_between_domains.py
@@ -6,7 +6,7 @@
 from lagoonbend.clock import PausedClock
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import PlaceEnd
-from lagoonbend.scheduling import ServiceScheduler
+from lagoonbend.scheduling import TargetSet
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.coordination.messages import Pong
 from tests.lib.pool_world import CallKind
@@ -176,7 +176,7 @@
         """If none of its instances is heard, its other targets are lost."""
         world = PoolWorld(targets=6, slots=50, is_engine=False)
         far = {t.target for t in world.listed if t.failure_domain == 'd1'}
-        world.scheduler.silent_domains = frozenset({'d1'})
+        world.scheduler.targets.silent_domains = frozenset({'d1'})
         first = world.arrive(CALL, failure_domain='d1')
         assert first.decision is not None
         self.assertIn(first.decision.target, far)
@@ -244,13 +244,14 @@
         """Calls are refused by the wait at the targets that are reached."""
         world = PoolWorld(targets=4, slots=2, is_engine=False)
         for target in ('t1', 't3'):
-            load = world.scheduler._loads[target]
+            load = world.scheduler.targets.find(target)
+            assert load is not None
             load.faults.note_unreached('d0', world.clock.now_ms())
         with mock.patch.object(
-            ServiceScheduler,
-            '_choose',
+            TargetSet,
+            'choose',
             autospec=True,
-            side_effect=ServiceScheduler._choose,
+            side_effect=TargetSet.choose,
         ) as choose:
             records = [world.arrive(CALL) for _ in range(100)]
         denials = [r.decision and r.decision.denial for r in records]
