--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -8,16 +8,11 @@
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
-from lagoonbend.scheduling import CallOrigin
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import HeldPlace
 from lagoonbend.scheduling import PlaceDecision
 from lagoonbend.scheduling import PlaceEnd
 from lagoonbend.scheduling import PlaceRequest
-from lagoonbend.scheduling import Pool
-from lagoonbend.scheduling import PoolLoads
-from lagoonbend.scheduling import PoolPlan
-from lagoonbend.scheduling import PromptPart
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import wire_codec
 from lagoonbend_entry._internal.coordination.deciders import Deciders
@@ -26,6 +21,7 @@
 from lagoonbend_entry._internal.coordination.peer_links import PeerLinks
 from lagoonbend_entry._internal.coordination.peer_service import PeerService
 from lagoonbend_entry._internal.coordination.pending_call import PendingCall
+from lagoonbend_entry._internal.coordination.pool_chooser import PoolChooser
 from lagoonbend_entry._internal.coordination.service_desk import ServiceDesk
 from lagoonbend_entry._internal.gateway.facts_keeper import FactsKeeper
 from lagoonbend_entry._internal.utils.event import Event
@@ -78,15 +74,13 @@
         incarnation: str,
         tolerance: LimitTolerance,
     ) -> None:
-        self._sequence = 0
         self._summary_ms = 0
         self._fleet = fleet
         self._facts = facts
         self._clock = clock
         self._pending: dict[str, PendingCall] = {}
         self._held: dict[str, tuple[PlaceRequest, HeldPlace, str]] = {}
-        self._loads = PoolLoads()
-        self._plans: dict[str, PoolPlan] = {}
+        self.pools = PoolChooser(fleet, facts, clock)
         self._strikes: dict[str, int] = {}
         self._has_waiting = gevent.event.Event()
         self._links = PeerLinks(
@@ -126,7 +120,6 @@
             (self.desk, self._local),
             incarnation,
         )
-        facts.on_change.append(self._plans.clear)
         facts.on_change.append(self.desk.feed)
         facts.on_change.append(self._local.feed)
 
@@ -155,7 +148,7 @@
             tried = (*tried, request.pool)
             other = None
             if decision.denial in POOL_DENIALS and len(tried) < GREATEST_POOLS:
-                other = self._find_other_pool(request, decision, tried)
+                other = self.pools.choose_other(request, decision, tried)
             if other is None:
                 return decision
             request = request._replace(pool=other)
@@ -175,11 +168,7 @@
                 decider = LOCAL
             decision = self._ask(current, rule, decider, left_ms)
             if decision is not None:
-                self._loads.note(
-                    request.pool,
-                    decision.pool_wait_ms,
-                    self._clock.now_ms(),
-                )
+                self.pools.note_wait(request.pool, decision.pool_wait_ms)
                 return decision
         return PlaceDecision(
             request.call,
@@ -188,21 +177,6 @@
             retry_after_ms=MILLISECONDS_PER_SECOND,
         )
 
-    def _find_other_pool(
-        self,
-        request: PlaceRequest,
-        decision: PlaceDecision,
-        tried: tuple[str, ...],
-    ) -> str | None:
-        """Return a pool that may take a refused call, if there is one."""
-        service = Pool.parse(request.pool).service
-        pool = self._choose_pool(service, request.prompt, tried)
-        if pool is None:
-            return None
-        now_ms = self._clock.now_ms()
-        wait_ms = self._loads.estimate_wait_ms(pool, now_ms)
-        return pool if wait_ms < decision.retry_after_ms else None
-
     def release(
         self, request: PlaceRequest, target: str, end: PlaceEnd, first_ms: int
     ) -> None:
@@ -221,41 +195,6 @@
             now_there, wire_codec.encode_end(request, target, end, first_ms)
         )
 
-    def choose_pool(self, service: str, prompt: tuple[PromptPart, ...]) -> str:
-        """Return the name of the pool that a call goes to."""
-        pool = self._choose_pool(service, prompt, ())
-        return pool or Pool(service).name
-
-    def _choose_pool(
-        self,
-        service: str,
-        prompt: tuple[PromptPart, ...],
-        tried: tuple[str, ...],
-    ) -> str | None:
-        self._sequence += 1
-        key = f'{self._fleet.address}/{self._sequence}'
-        if prompt:
-            key = prompt[-1].part
-        origin = CallOrigin(
-            key,
-            self._fleet.failure_domain,
-            self._fleet.list_silent_domains(),
-            tried,
-        )
-        pool = self._find_plan(service).choose(
-            origin, self._loads, self._clock.now_ms()
-        )
-        return pool.name if pool else None
-
-    def _find_plan(self, service: str) -> PoolPlan:
-        """Return the pools of a service, worked out once for each list."""
-        plan = self._plans.get(service)
-        if plan is None:
-            targets = self._facts.directory.list_service(service)
-            plan = PoolPlan(service, targets)
-            self._plans[service] = plan
-        return plan
-
     def count_waiting(self) -> dict[str, int]:
         """Return the calls that wait for each service decided here."""
         return {
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/pool_chooser.py
@@ -0,0 +1,87 @@
+"""Chooses the pool that a call of this instance goes to."""
+
+from lagoonbend.clock import Clock
+from lagoonbend.scheduling import CallOrigin
+from lagoonbend.scheduling import PlaceDecision
+from lagoonbend.scheduling import PlaceRequest
+from lagoonbend.scheduling import Pool
+from lagoonbend.scheduling import PoolLoads
+from lagoonbend.scheduling import PoolPlan
+from lagoonbend.scheduling import PromptPart
+from lagoonbend_entry._internal.coordination.fleet import Fleet
+from lagoonbend_entry._internal.gateway.facts_keeper import FactsKeeper
+
+
+class PoolChooser:
+    """Knows the pools of each service and the waits told of them.
+
+    :param fleet: membership.
+    :param facts: rules and targets.
+    :param clock: clock of the instance.
+    """
+
+    def __init__(self, fleet: Fleet, facts: FactsKeeper, clock: Clock) -> None:
+        self._fleet = fleet
+        self._facts = facts
+        self._clock = clock
+        self._sequence = 0
+        self._loads = PoolLoads()
+        self._plans: dict[str, PoolPlan] = {}
+        facts.on_change.append(self._plans.clear)
+
+    def choose(self, service: str, prompt: tuple[PromptPart, ...]) -> str:
+        """Return the name of the pool that a new call goes to."""
+        pool = self._choose(service, prompt, ())
+        return pool or Pool(service).name
+
+    def choose_other(
+        self,
+        request: PlaceRequest,
+        decision: PlaceDecision,
+        tried: tuple[str, ...],
+    ) -> str | None:
+        """Return a pool that may take a refused call, if there is one.
+
+        :param tried: names of the pools that have refused it.
+        """
+        service = Pool.parse(request.pool).service
+        pool = self._choose(service, request.prompt, tried)
+        if pool is None:
+            return None
+        now_ms = self._clock.now_ms()
+        wait_ms = self._loads.estimate_wait_ms(pool, now_ms)
+        return pool if wait_ms < decision.retry_after_ms else None
+
+    def note_wait(self, pool: str, wait_ms: int) -> None:
+        """Take in the wait that a decision has told of."""
+        self._loads.note(pool, wait_ms, self._clock.now_ms())
+
+    def _choose(
+        self,
+        service: str,
+        prompt: tuple[PromptPart, ...],
+        tried: tuple[str, ...],
+    ) -> str | None:
+        self._sequence += 1
+        key = f'{self._fleet.address}/{self._sequence}'
+        if prompt:
+            key = prompt[-1].part
+        origin = CallOrigin(
+            key,
+            self._fleet.failure_domain,
+            self._fleet.list_silent_domains(),
+            tried,
+        )
+        pool = self._find_plan(service).choose(
+            origin, self._loads, self._clock.now_ms()
+        )
+        return pool.name if pool else None
+
+    def _find_plan(self, service: str) -> PoolPlan:
+        """Return the pools of a service, worked out once for each list."""
+        plan = self._plans.get(service)
+        if plan is None:
+            targets = self._facts.directory.list_service(service)
+            plan = PoolPlan(service, targets)
+            self._plans[service] = plan
+        return plan
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -319,7 +319,7 @@
             call=f'{call.headers.attempt}/{self._sequence}',
             instance=self._address,
             failure_domain=self._failure_domain,
-            pool=self._coordinator.choose_pool(
+            pool=self._coordinator.pools.choose(
                 call.service, call.headers.prompt
             ),
             rank=self._rank_order(
