Notice within seconds that a domain of a larger fleet is cut off

A domain counted as silent once all its instances were out of reach, and in a larger fleet one that is only heard of stays within reach for 12 s. Change: there a domain is silent once the newest sign of life of any of its instances is older than 2.5 s; who is within reach, and so the parts of limits, stays as it was. Test failing first: test_cut_off_domain_is_silent_within_seconds (0 of 63 instances noticed within 4 s; now 60 and more, and none without a cut).

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -22,6 +22,10 @@
 """The same for peers that are asked in a larger fleet."""
 RUMOUR_ALIVE_MS = 12_000
 """The same for instances that are only heard of."""
+SILENT_DOMAIN_MS = 2_500
+"""Age of the newest sign of life of any instance of a domain from which the
+domain counts as cut off in a larger fleet; with 20 instances in a domain the
+newest rumour is rarely older than a second."""
 RUMOURS_AN_ANSWER = 20
 """Least number of instances that an answer tells of."""
 INSTANCES_A_RUMOUR = 12
@@ -276,7 +280,12 @@
             for address, domain in self._domains.items()
             if address in remembered
         }
-        heard = {sighting.failure_domain for sighting in alive}
+        newest_ms = ALIVE_MS if self.is_mesh else SILENT_DOMAIN_MS
+        heard = {
+            sighting.failure_domain
+            for sighting in alive
+            if now_ms - sighting.heard_ms < newest_ms
+        }
         return Reach(
             now_ms,
             alive,
--- a/tests/unit/test_large_fleet.py
+++ b/tests/unit/test_large_fleet.py
@@ -123,6 +123,27 @@
         world.advance(20)
         self.assertGreaterEqual(min(world.count_reached(world.names)), 74)
 
+    def test_cut_off_domain_is_silent_within_seconds(self) -> None:
+        """Long before each of its instances counts as out of reach."""
+        world = LargeFleetWorld(84)
+        world.advance(15)
+        lost = {
+            name
+            for name, fleet in world.fleets.items()
+            if fleet.failure_domain == 'd0'
+        }
+        near = [fleet for n, fleet in world.fleets.items() if n not in lost]
+        for fleet in near:
+            self.assertEqual(frozenset(), fleet.list_silent_domains())
+        world.cut = lost
+        world.advance(4)
+        silent = [fleet.list_silent_domains() for fleet in near]
+        self.assertGreaterEqual(silent.count(frozenset({'d0'})), 60)
+        world.cut = set()
+        world.advance(4)
+        for fleet in near:
+            self.assertEqual(frozenset(), fleet.list_silent_domains())
+
     def test_signs_of_life_without_news_cost_little(self) -> None:
         """Who is within reach is worked out ten times a second at most."""
         world = LargeFleetWorld(84)
