Hold no target for gone when a call demands another version of its weights

Cause, found by reading the diff: a target answers 421 when it isn't the one that was meant, and also when a caller demands a version of the weights that it doesn't have. Change: a 421 to a call that demands a version ends its place as unsuited, which tells nothing of the target. Whether an attempt came to a target is one property of its end now, instead of a list beside it.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_target.py
@@ -11,6 +11,7 @@
 from lagoonbend_entry.testing import IncomingRequest
 
 STAMP = 'stamp'
+MODEL_VERSION = '1'
 FAULT_HEADER = 'x-fault'
 EVENT_S = 0.005
 SLOW_EVENT_S = 0.3
@@ -60,7 +61,8 @@
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
         expected = request.values.get('expect-instance', self.name)
-        if expected != self.name:
+        version = request.values.get('expect-version', MODEL_VERSION)
+        if expected != self.name or version != MODEL_VERSION:
             self._answer(request, sock, 421, b'', stamp='')
             return True
         fault, _, where = request.values.get(FAULT_HEADER, '').partition('@')
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -172,7 +172,8 @@
         return AttemptReport(
             end,
             detail=f'status {answer.status}',
-            is_gone=facts.is_wrong_target,
+            is_gone=facts.is_wrong_target
+            and not self._call.headers.demands_version,
         )
 
     def _read_whole(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -48,7 +48,7 @@
     AttemptEnd.WHOLE_ANSWER: PlaceEnd.ANSWERED,
     AttemptEnd.ERROR_ANSWER: PlaceEnd.TARGET_ERROR,
     AttemptEnd.TURNED_AWAY: PlaceEnd.TURNED_AWAY,
-    AttemptEnd.WRONG_TARGET: PlaceEnd.GONE,
+    AttemptEnd.WRONG_TARGET: PlaceEnd.UNSUITED,
     AttemptEnd.NOT_CONNECTED: PlaceEnd.NOT_REACHED,
     AttemptEnd.RESET: PlaceEnd.BAD_ANSWER,
     AttemptEnd.BAD_ANSWER: PlaceEnd.BAD_ANSWER,
@@ -244,12 +244,7 @@
             if attempt is not None and attempt.is_sent:
                 progress.sends += 1
                 progress.trail.append(f'{decision.target}:{end.value}')
-                is_not_run = end in (
-                    PlaceEnd.TURNED_AWAY,
-                    PlaceEnd.NOT_REACHED,
-                    PlaceEnd.GONE,
-                )
-                if not is_not_run:
+                if not end.is_outside_target:
                     progress.runs += 1
                     progress.may_have_run = True
             progress.first_ms = progress.first_ms or first_ms
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
@@ -36,6 +36,8 @@
     :param prompt_tokens: tokens of the prompt; None if it doesn't tell.
     :param output_tokens: greatest length of the answer in tokens.
     :param likely_tokens: the caller's estimate of that length; 0 if none.
+    :param demands_version: True if the caller accepts one version of the
+        model's weights only; a target with another turns the call away.
     """
 
     attempt: str
@@ -45,6 +47,7 @@
     prompt_tokens: int | None
     output_tokens: int
     likely_tokens: int
+    demands_version: bool = False
 
 
 def decode_call_headers(headers: Mapping[str, str]) -> CallHeaders:
@@ -64,6 +67,7 @@
         output_tokens=output_tokens,
         likely_tokens=_read_whole(headers.get(names.HEADER_LENGTH_HINT, ''))
         or 0,
+        demands_version=names.HEADER_MODEL_VERSION in headers,
     )
 
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -8,6 +8,7 @@
 """Names a target, not one of our instances: its registration's identity."""
 HEADER_LAST_EVENT = 'last-event-id'
 HEADER_LENGTH_HINT = 'length-hint'
+HEADER_MODEL_VERSION = 'expect-version'
 HEADER_PROMPT = 'prefix-hash'
 """Not a hash: the parts of the whole prompt with their lengths."""
 HEADER_TOKENS = 'token-usage'
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_end.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_end.py
@@ -4,7 +4,11 @@
 
 
 class PlaceEnd(enum.Enum):
-    """What the carrying instance saw; the values travel."""
+    """What the carrying instance saw; the values travel.
+
+    ``UNSUITED``: the call demands what the target doesn't offer, which tells
+    nothing of its health.
+    """
 
     ANSWERED = 'answered'
     TARGET_ERROR = 'target_error'
@@ -13,6 +17,7 @@
     NOT_REACHED = 'not_reached'
     GONE = 'gone'
     TURNED_AWAY = 'turned_away'
+    UNSUITED = 'unsuited'
     CALLER_LEFT = 'caller_left'
 
     @property
@@ -31,4 +36,5 @@
             PlaceEnd.NOT_REACHED,
             PlaceEnd.GONE,
             PlaceEnd.TURNED_AWAY,
+            PlaceEnd.UNSUITED,
         )
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -174,7 +174,7 @@
                 load.faults.note_gone(now_ms)
             case PlaceEnd.TURNED_AWAY:
                 load.full_until_ms = now_ms + FULL_PAUSE_MS
-            case PlaceEnd.CALLER_LEFT:
+            case PlaceEnd.CALLER_LEFT | PlaceEnd.UNSUITED:
                 pass
             case _:
                 load.faults.note_reached(failure_domain)
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -125,6 +125,15 @@
         self.assertIn('retry-after', answer.headers)
         self.assertEqual([], self.list_runs(attempt))
 
+    def test_demand_for_another_version_harms_no_target(self) -> None:
+        """Only the call that demands it is turned away."""
+        attempt, answer = call(self.fleet, 'booking', Expect_Version='7')
+        self.assertEqual(503, answer.status)
+        self.assertEqual([], self.list_runs(attempt))
+        attempt, answer = call(self.fleet, 'booking')
+        self.assertEqual(200, answer.status)
+        self.assertEqual(1, len(self.list_runs(attempt)))
+
     def test_own_error_of_a_target_reaches_the_caller(self) -> None:
         """Status, signature and body stay as the target gave them."""
         _, answer = call(self.fleet, 'booking', X_Fault='error')
