--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -150,7 +150,7 @@
             if decision.denial in POOL_DENIALS and len(tried) < GREATEST_POOLS:
                 other = self.pools.choose_other(request, decision, tried)
             if other is None:
-                return decision
+                return decision._replace(pool=request.pool)
             request = request._replace(pool=other)
 
     def _acquire_in_pool(
@@ -518,12 +518,13 @@
             self._log_loads()
 
     def _log_loads(self) -> None:
-        for scheduler in self.desk.schedulers:
+        for pool, scheduler in self.desk.list_pools():
             if not scheduler.targets.held_count and not len(scheduler):
                 continue
             log_event(
                 Event.SERVICE_LOAD,
                 service=scheduler.service.name,
+                pool=pool,
                 waiting=len(scheduler),
                 held=scheduler.targets.held_count,
                 targets=scheduler.targets.describe(),
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/service_desk.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/service_desk.py
@@ -54,6 +54,10 @@
         """All schedulers."""
         return self._schedulers.values()
 
+    def list_pools(self) -> list[tuple[str, ServiceScheduler]]:
+        """Return all pools with their schedulers."""
+        return list(self._schedulers.items())
+
     @property
     def has_waiting(self) -> bool:
         """True while some call waits for a place."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -183,11 +183,11 @@
         share.note_request()
         while True:
             request = self._write_place_request(progress)
-            progress.pool = request.pool
             wait_ms = max(1, call.ends_ms - self._clock.now_ms())
             decision = self._coordinator.acquire(
                 request, call.customer, wait_ms
             )
+            progress.pool = decision.pool
             progress.waited_ms += decision.waited_ms
             if decision.denial is not None:
                 return self._explain_denial(progress, decision)
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_decision.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/place_decision.py
@@ -16,6 +16,7 @@
     :param retry_after_ms: when room is likely, if denied.
     :param waited_ms: time that the call has waited for the decision.
     :param pool_wait_ms: expected wait of a newcomer of the same rank.
+    :param pool: pool that decided; known where the call is carried.
     """
 
     call: str
@@ -26,3 +27,4 @@
     retry_after_ms: int = 0
     waited_ms: int = 0
     pool_wait_ms: int = 0
+    pool: str = ''
