Pass on no request that is read after the own close of its connection

SIGTERM at 28.600 s, a request sent at 31.049 s, on its way to a target at 31.127 s, cut at 31.129 s. 2.5 s after SIGTERM idle connections are closed: one that had a request's bytes unread counted as idle; the bytes were read after the close, the request was passed on, and the close was taken for the caller's. Ruled out: the listener (the connection was accepted), the end of the process (the connection counted as open).

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import select
 import time
 
 import gevent.socket
@@ -44,6 +45,7 @@
         is_draining: Callable[[], bool],
     ) -> None:
         self.is_idle = True
+        self._is_closed = False
         self._sock = sock
         self._clock = clock
         self._find_bounds = find_bounds
@@ -60,10 +62,23 @@
             self._sock.close()
 
     def close_idle(self) -> None:
-        """Close the connection if no request is read or served on it."""
-        if self.is_idle:
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(gevent.socket.SHUT_RDWR)
+        """Close the connection if no request is read or served on it.
+
+        Bytes that have arrived are a request to be served. What arrives
+        after the close isn't passed on, so that its caller may repeat it.
+        """
+        if not self.is_idle or self._is_closed or self._has_unread_bytes():
+            return
+        self._is_closed = True
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(gevent.socket.SHUT_RDWR)
+
+    def _has_unread_bytes(self) -> bool:
+        if self._sock.fileno() < 0:
+            return False
+        poll = select.poll()
+        poll.register(self._sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
 
     def _run(self) -> None:
         bounds = self._find_bounds()
@@ -108,7 +123,7 @@
                 if parser.is_reading:
                     self._reject(408)
                 return False
-            if not data:
+            if not data or self._is_closed:
                 return False
             parser.feed(data)
         self.is_idle = False
