--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_demo.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_demo.py
@@ -91,17 +91,10 @@
     fault: str = '',
     key: str = published_fleet.KEY,
 ) -> Answer:
-    headers = {
-        'Host': published_fleet.HOST,
-        'Attempt-Id': attempt,
-        'Authorization': f'Bearer {key}',
-    }
-    if fault:
-        headers['X-Fault'] = fault
     return exchange(
         fleet.callers_port(instance),
         'POST',
         f'/{route}/demo',
         body=b'van on Friday',
-        headers=headers,
+        headers=published_fleet.write_call_headers(attempt, fault, key),
     )
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/published/published_fleet.py
@@ -219,6 +219,23 @@
         )
 
 
+def write_call_headers(
+    attempt: str, fault: str = '', key: str = KEY
+) -> dict[str, str]:
+    """Return the headers of a caller's request.
+
+    :param fault: fault that a target is asked for; empty for none.
+    """
+    headers = {
+        'Host': HOST,
+        'Attempt-Id': attempt,
+        'Authorization': f'Bearer {key}',
+    }
+    if fault:
+        headers['X-Fault'] = fault
+    return headers
+
+
 def _write_route(
     name: str, service: str, kind: str, resumable: bool
 ) -> dict[str, object]:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -170,13 +170,7 @@
         attempt: str,
         fault: str = '',
     ) -> SoakCall:
-        headers = {
-            'Host': published_fleet.HOST,
-            'Attempt-Id': attempt,
-            'Authorization': f'Bearer {published_fleet.KEY}',
-        }
-        if fault:
-            headers['X-Fault'] = fault
+        headers = published_fleet.write_call_headers(attempt, fault)
         body = f'body of {attempt}'.encode()
         sent_s = time.monotonic()
         answer = read_answer(client, 'POST', f'/{route}/x', body, headers)
