Log calls and requests that end without an answer

Three hypotheses stand for a whole request without an answer; for the third one (a connection is closed with requests that were read) there is no log line, and for the first one the cause has to be pieced together from two.

LB0206 names a call that was read and got no complete answer, with the cause, its targets and the time that was left, also for each call that is still active when a draining instance exits. LB0207 reports requests that were read from a connection and not served, or bytes that were read and thrown away, and why the connection ended; an OSError there was swallowed before. A counter by cause goes with it. No decision changes.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -72,7 +72,8 @@
     """State of a call across its attempts.
 
     ``attempt_history`` has an entry ``target:outcome`` for each attempt that
-    was sent; ``excluded`` lists the targets not to be tried again.
+    was sent; ``excluded`` lists the targets not to be tried again;
+    ``failure`` says why the call has no answer yet.
 
     :param call: admitted call.
     """
@@ -88,6 +89,7 @@
         self.may_have_run = False
         self.waited_ms = 0
         self.first_byte_ms = 0
+        self.failure = ''
 
 
 class GatewayRefusal(NamedTuple):
@@ -140,11 +142,20 @@
         self._address, self._failure_domain = instance
         self._retry_shares: dict[str, RetryShare] = {}
         self._slot_request_count = 0
-        self.active_count = 0
+        self._active_calls: set[CallProgress] = set()
+
+    @property
+    def active_count(self) -> int:
+        """Number of calls that have been read and not answered."""
+        return len(self._active_calls)
+
+    def report_unanswered(self, cause: str) -> None:
+        """Log each active call, whose answer the instance can't complete."""
+        for progress in self._active_calls:
+            self._record_unanswered(progress, cause)
 
     def serve(self, request: IncomingRequest, reply: ReplyWriter) -> None:
         """Answer a request completely, unless the caller disconnects."""
-        self.active_count += 1
         try:
             self._serve(request, reply)
         except Exception as error:
@@ -152,8 +163,6 @@
             if not reply.has_begun:
                 refusal = GatewayRefusal(RefusalReason.INTERNAL)
                 self._send_refusal(request, reply, refusal)
-        finally:
-            self.active_count -= 1
 
     def _serve(self, request: IncomingRequest, reply: ReplyWriter) -> None:
         admitted = self._admission.admit(request)
@@ -161,6 +170,16 @@
             self._refuse_unadmitted(request, reply, admitted)
             return
         progress = CallProgress(admitted)
+        self._active_calls.add(progress)
+        try:
+            self._serve_admitted(progress, reply)
+        finally:
+            self._active_calls.discard(progress)
+
+    def _serve_admitted(
+        self, progress: CallProgress, reply: ReplyWriter
+    ) -> None:
+        admitted = progress.call
         left_ms = admitted.expires_at_ms - self._clock.now_ms()
         timer = gevent.Timeout.start_new(
             max(1, left_ms) / 1000, DeadlineExceededError()
@@ -170,6 +189,7 @@
         try:
             refusal = self._run_attempts(progress, reply)
         except DeadlineExceededError:
+            progress.failure = 'time is up'
             refusal = self._build_deadline_refusal(progress)
         except CallerGoneError:
             outcome = 'caller_left'
@@ -182,6 +202,7 @@
                 self._refuse(progress, reply, refusal)
             elif refusal is not None:
                 outcome = 'stream_broken'
+                self._record_unanswered(progress, progress.failure)
             self._record_outcome(progress, outcome, refusal)
 
     def _run_attempts(
@@ -200,8 +221,12 @@
             progress.pool = decision.pool
             progress.waited_ms += decision.waited_ms
             if decision.denial is not None:
+                progress.failure = (
+                    f'{progress.failure}; {decision.denial.value}'
+                )
                 return self._build_denial_refusal(progress, decision)
             report = self._run_attempt(progress, reply, request, decision)
+            progress.failure = f'{report.outcome.label}: {report.detail}'
             step = self._choose_next_step(progress, reply, report, retry_share)
             if step is NextStep.RELAY:
                 self._relay(reply, report)
@@ -441,6 +466,22 @@
         body = msgspec.json.encode({'reason': reason.label})
         reply.send_answer(reason.status, b'', headers, body)
 
+    def _record_unanswered(self, progress: CallProgress, cause: str) -> None:
+        call = progress.call
+        self._metrics.count_unanswered(cause.partition(':')[0])
+        log_event(
+            Event.CALL_UNANSWERED,
+            request=call.headers.attempt,
+            cause=cause,
+            route=call.route.name,
+            service=call.service,
+            targets=progress.attempt_history,
+            last_event=progress.position.last_id or '',
+            total_ms=self._clock.now_ms() - call.request.received_ms,
+            left_ms=call.expires_at_ms - self._clock.now_ms(),
+            version=self._facts.version,
+        )
+
     def _record_outcome(
         self,
         progress: CallProgress,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
@@ -8,11 +8,15 @@
 import gevent.socket
 
 from lagoonbend.clock import Clock
+from lagoonbend.exceptions import CallerGoneError
 from lagoonbend.facts import CallerBounds
 from lagoonbend_entry._internal.gateway.caller_watch import CallerWatch
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.request_parser import RequestParser
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 
 READ_BYTES = 65_536
 LINGERING_CLOSE_MS = 500
@@ -21,6 +25,8 @@
 BODY_IDLE_TIMEOUT_MS = 5_000
 """Maximum pause between two reads of a request body."""
 MILLISECONDS_PER_SECOND = 1000
+MAX_LOGGED_PATH = 80
+"""Characters of a path that are logged."""
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 Serve = Callable[[IncomingRequest, ReplyWriter], None]
@@ -46,6 +52,7 @@
     ) -> None:
         self.is_idle = True
         self._is_closed = False
+        self._unparsed_bytes = 0
         self._sock = sock
         self._clock = clock
         self._get_bounds = get_bounds
@@ -54,12 +61,33 @@
 
     def run(self) -> None:
         """Serve requests until the caller or the instance closes."""
+        bounds = self._get_bounds()
+        parser = RequestParser(self._clock, bounds)
+        cause = ''
         try:
-            self._run()
-        except OSError:
-            pass
+            cause = self._run(parser, bounds)
+        except (OSError, CallerGoneError) as error:
+            cause = f'{type(error).__name__}: {error}'
+        except Exception as error:
+            cause = f'{type(error).__name__}: {error}'
+            log_failure('caller connection', error)
         finally:
             self._sock.close()
+            self._report_dropped(parser, cause)
+
+    def _report_dropped(self, parser: RequestParser, cause: str) -> None:
+        """Log the requests that were read and will not be served."""
+        if not parser.requests and not self._unparsed_bytes:
+            return
+        log_event(
+            Event.REQUESTS_DROPPED,
+            cause=cause,
+            requests=[
+                request.path[:MAX_LOGGED_PATH] for request in parser.requests
+            ],
+            unparsed_bytes=self._unparsed_bytes,
+            draining=self._is_draining(),
+        )
 
     def close_idle(self) -> None:
         """Close the connection if no request is being read or served on it.
@@ -81,17 +109,17 @@
         poll.register(self._sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
-    def _run(self) -> None:
-        bounds = self._get_bounds()
-        parser = RequestParser(self._clock, bounds)
+    def _run(self, parser: RequestParser, bounds: CallerBounds) -> str:
+        """Serve requests; return why the connection ends."""
         while True:
             if not self._read_request(parser, bounds):
-                break
+                return 'no further request'
             if not parser.requests:
                 self._reject(parser.error_status)
-                break
-            if not self._serve_next(parser):
-                break
+                return 'malformed request'
+            end_cause = self._serve_next(parser)
+            if end_cause:
+                return end_cause
 
     def _read_request(
         self, parser: RequestParser, bounds: CallerBounds
@@ -125,13 +153,14 @@
                     self._reject(408)
                 return False
             if not data or self._is_closed:
+                self._unparsed_bytes += len(data)
                 return False
             parser.feed(data)
         self.is_idle = False
         return True
 
-    def _serve_next(self, parser: RequestParser) -> bool:
-        """Serve the next request; return True if the connection stays open."""
+    def _serve_next(self, parser: RequestParser) -> str:
+        """Serve the next request; return why the connection ends, or none."""
         request = parser.requests.popleft()
         reply = ReplyWriter(
             self._sock,
@@ -144,17 +173,21 @@
         watch = CallerWatch(self._sock)
         with watch:
             self._serve(request, reply)
-        if watch.has_disconnected or not reply.is_complete:
-            return False
+        self._unparsed_bytes = len(watch.read_ahead)
+        if watch.has_disconnected:
+            return 'caller left'
+        if not reply.is_complete:
+            return 'answer incomplete'
         if not reply.keeps_connection or self._is_draining():
             # The head of a stream may have been sent without Connection:
             # close before the drain began. A further request isn't read,
             # so its caller may repeat it.
             self._lingering_close()
-            return False
+            return 'last answer sent'
         if watch.read_ahead:
+            self._unparsed_bytes = 0
             parser.feed(bytes(watch.read_ahead))
-        return True
+        return ''
 
     def _reject(self, status: int) -> None:
         self._sock.settimeout(LINGERING_CLOSE_MS / MILLISECONDS_PER_SECOND)
@@ -174,7 +207,9 @@
                 return
             self._sock.settimeout(left_s)
             try:
-                if not self._sock.recv(READ_BYTES):
-                    return
+                data = self._sock.recv(READ_BYTES)
             except TimeoutError:
                 return
+            if not data:
+                return
+            self._unparsed_bytes += len(data)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -304,6 +304,7 @@
                 if not self._caller_connections:
                     break
             gevent.sleep(DRAIN_POLL_S)
+        self._call_handler.report_unanswered('instance stopped')
         log_event(Event.DRAIN_ENDED, active=self._call_handler.active_count)
 
     def _run_maintenance(self) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
@@ -23,6 +23,10 @@
         self._attempt_counter = self._add_counter(
             'lagoonbend_attempts_total', 'Attempts by target and end.'
         )
+        self._unanswered_counter = self._add_counter(
+            'lagoonbend_unanswered_calls_total',
+            'Calls that were read and got no complete answer, by cause.',
+        )
         self._first_byte_histogram = self._add_histogram(
             'lagoonbend_first_bytes_seconds',
             'Time from the send to the first bytes of an answer, by route.',
@@ -57,6 +61,10 @@
                 labels, total_ms / MILLISECONDS_PER_SECOND
             )
 
+    def count_unanswered(self, cause: str) -> None:
+        """Count a call that was read and got no complete answer."""
+        self._unanswered_counter.inc({'cause': cause})
+
     def count_attempt(self, target: str, outcome: str) -> None:
         """Count an attempt by target and outcome."""
         self._attempt_counter.inc({'target': target, 'end': outcome})
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -58,6 +58,16 @@
         'info',
         'An attempt at a target gave no complete answer.',
     )
+    CALL_UNANSWERED = (
+        'LB0206',
+        'warning',
+        'A call that was read ended without a complete answer.',
+    )
+    REQUESTS_DROPPED = (
+        'LB0207',
+        'warning',
+        'A connection ended with requests that were read and not served.',
+    )
     DISPATCH_FAILED = ('LB0300', 'warning', 'A dispatch failed.')
     ANSWER_INCOMPLETE = (
         'LB0301',
