Reproduce answers cut short by a pause of a sound target

Four tests with real instances, whose targets pause for 2.3 s in the middle of an answer and then go on to its end, well within deadline and route timeout. All four fail on this code:

- a stream at the only target, and one on a route with one attempt, end without their end after 1.6 s (LB0206 names the cause "broken_stream: timed out waiting for the answer", followed by no_target in the first case);
- a repeatable call at the only target gets 502 after 1 s without a head and after 2 s without a further byte of the body.

Ruled out for these: a change of the configuration or a signal; there is none in the tests.

The stand-in fleet can register a server that it didn't start, and set the attempts of its routes.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -162,13 +162,18 @@
         self, name: str, service: str, state: str = 'ready'
     ) -> None:
         """Write the registration of a target to the store."""
+        endpoint = self.target_proxies.get(name, self.targets[name]).endpoint
+        self.register_endpoint(name, service, endpoint, state)
+
+    def register_endpoint(
+        self, name: str, service: str, endpoint: str, state: str = 'ready'
+    ) -> None:
+        """Write the registration of a server at ``ip:port`` to the store."""
         self.store.put(
             f'servers/{name}',
             {
                 'service': service,
-                'address': (
-                    self.target_proxies.get(name, self.targets[name]).endpoint
-                ),
+                'address': endpoint,
                 'zone': DOMAINS[0],
                 'version': 'v1',
                 'slots': 4,
@@ -179,7 +184,11 @@
         )
 
     def publish_configuration(
-        self, *, keys: tuple[str, ...] = (API_KEY,), rate_per_s: int = 0
+        self,
+        *,
+        keys: tuple[str, ...] = (API_KEY,),
+        rate_per_s: int = 0,
+        attempt_limit: int = 2,
     ) -> None:
         """Write the next version of the configuration to the store."""
         self.configuration_version += 3
@@ -188,10 +197,8 @@
             {
                 'version': self.configuration_version,
                 'routes': [
-                    _build_route('stream', 'chat', 'streaming', True),
-                    _build_route('once-stream', 'chat', 'streaming', False),
-                    _build_route('booking', 'desk', 'unsafe', False),
-                    _build_route('look-up', 'desk', 'safe', False),
+                    {**route, 'max-attempts': attempt_limit}
+                    for route in ROUTES
                 ],
                 'services': [
                     {'name': 'chat', 'engine': {'kv-capacity': 100_000}},
@@ -259,9 +266,16 @@
         'target-latency-ms': 300,
         'priority': 0,
         'service': service,
-        'max-attempts': 2,
         'public': False,
         'sticky': False,
         'resumable': resumable,
         'gap-target-ms': 400,
     }
+
+
+ROUTES = (
+    _build_route('stream', 'chat', 'streaming', True),
+    _build_route('once-stream', 'chat', 'streaming', False),
+    _build_route('booking', 'desk', 'unsafe', False),
+    _build_route('look-up', 'desk', 'safe', False),
+)
--- /dev/null
+++ b/tests/functional/test_silent_targets.py
@@ -0,0 +1,95 @@
+"""Sound targets that are silent for a while, under real instances.
+
+Guards against answers that end because a target paused for a second or two:
+only the caller's deadline and the route's timeout limit the wait, unless
+another target takes the call over.
+"""
+
+import unittest
+
+import gevent
+
+from lagoonbend_devkit._internal.fleet.http import Answer
+from lagoonbend_devkit._internal.gateway import gateway_fleet
+from tests.functional.test_gateway_answers import call
+from tests.lib.pausing_target import build_whole_body
+from tests.lib.pausing_target import PausingTarget
+
+CHANGE_SPREAD_S = 1.0
+PAUSE_S = 2.3
+"""Longer than each time-out for a silent target, shorter than the deadline of
+the calls by the time that they need besides."""
+
+
+def call_paused(
+    route: str,
+    *,
+    target_count: int = 1,
+    attempt_limit: int = 2,
+    is_before_head: bool = False,
+) -> tuple[list[PausingTarget], str, Answer]:
+    """Send one call to a fleet whose targets all pause in their answers."""
+    service = 'chat' if 'stream' in route else 'desk'
+    targets = [
+        PausingTarget(PAUSE_S, is_before_head=is_before_head)
+        for _ in range(target_count)
+    ]
+    try:
+        with gateway_fleet.GatewayFleet(
+            1, engine_count=0, service_count=0
+        ) as fleet:
+            fleet.publish_configuration(attempt_limit=attempt_limit)
+            for number, target in enumerate(targets):
+                fleet.register_endpoint(
+                    f'{service}-{number}', service, target.endpoint
+                )
+            gevent.sleep(CHANGE_SPREAD_S)
+            attempt, answer = call(
+                fleet, route, method='GET', Deadline_Ms='2900'
+            )
+    finally:
+        for target in targets:
+            target.stop()
+    return targets, attempt, answer
+
+
+class SilentTargetTest(unittest.TestCase):
+    """Each test starts a fleet of one instance before pausing targets."""
+
+    # Guards against a stream that is cut because its target paused and no
+    # other target could take it over.
+    def test_stream_at_the_only_target_outlasts_its_pause(self) -> None:
+        """The caller gets all events from the target that began."""
+        targets, attempt, answer = call_paused('stream')
+        self.assertEqual(200, answer.status)
+        self.assertEqual(build_whole_body(), answer.body)
+        self.assertEqual([attempt], targets[0].attempts)
+
+    # Guards against a stream that is cut because the target that took it over
+    # paused as well and no attempt was left.
+    def test_stream_outlasts_pauses_when_its_attempts_are_used_up(
+        self,
+    ) -> None:
+        """The last permitted attempt isn't given up."""
+        _, _, answer = call_paused('stream', target_count=2, attempt_limit=1)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(build_whole_body(), answer.body)
+
+    # Guards against a 502 while the only target was about to answer.
+    def test_answer_of_the_only_target_is_awaited(self) -> None:
+        """A pause before the head does not end a repeatable call."""
+        targets, attempt, answer = call_paused('look-up', is_before_head=True)
+        self.assertEqual(200, answer.status)
+        self.assertEqual([attempt], targets[0].attempts)
+
+    # Guards against a 502 in place of the rest of an answer.
+    def test_rest_of_a_body_is_awaited(self) -> None:
+        """A pause within the body does not end a repeatable call."""
+        targets, attempt, answer = call_paused('look-up')
+        self.assertEqual(200, answer.status)
+        self.assertEqual(build_whole_body(), answer.body)
+        self.assertEqual([attempt], targets[0].attempts)
+
+
+if __name__ == '__main__':
+    unittest.main()
