Wait for a silent target until another one takes over

What callers saw: a stream that ended without its end, or 502 to a repeatable call, although the target was sound, the deadline was far and nothing had broken off.

Cause: three limits on silence (first byte, body, events) ended the attempt first and asked for another target afterwards. With the route's attempts used up, the retry budget empty, no other target or no free slot, nothing could follow and the caller lost its answer. The class: an answer that can't be replaced yet is given up on a suspicion. Beside a change of the configuration or a signal it counts as lost; the change itself plays no part.

Ruled out: the change removes what the call rests on (the tests need none); a reset of the connection (the log says "timed out waiting").

Change: the limits now only start a search for another target, in a greenlet of its own, while the call goes on reading. The attempt ends once a slot elsewhere is granted and paid for from the retry budget, and the target is still silent; if it goes on, the search ends and a slot that was granted is released. Only the deadline and the route's timeout end the wait. Why it works: no way is left on which silence ends an attempt without a granted slot. A call that must not run twice waits as before.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -16,6 +16,7 @@
 from lagoonbend_entry._internal.gateway.event_splitter import split_events
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
+from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
 from lagoonbend_entry._internal.gateway.target_connection import encode_request
 from lagoonbend_entry._internal.platform import answer_headers
 from lagoonbend_entry._internal.platform import call_headers
@@ -26,18 +27,21 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Limit on the body of an answer that is buffered before it is relayed."""
 BODY_IDLE_TIMEOUT_MS = 2_000
-"""Maximum pause between two reads of a buffered answer if the call may be
-repeated."""
+"""Pause between two reads of a buffered answer after which another target is
+looked for if the call may be repeated."""
 MIN_FIRST_BYTE_TIMEOUT_MS = 1_000
-"""Minimum time to first byte that a target is allowed before a repeatable
-call is sent to another target."""
+"""Minimum time to first byte that a target is allowed before another target
+is looked for."""
 FIRST_BYTE_TIMEOUT_FACTOR = 3
 """Multiple of the route's objective, or of the expected time to first byte
-if that is longer, after which a repeatable call is sent to another target."""
+if that is longer, after which another target is looked for."""
 EVENT_GAP_FACTOR = 4
-"""Multiple of the route's objective for the gap between events after which a
-silent stream is resumed at another target; callers give up at a multiple of
-eight."""
+"""Multiple of the route's objective for the gap between events after which
+another target is looked for that resumes the stream; callers give up at a
+multiple of eight."""
+SEARCH_POLL_MS = 50
+"""Interval at which a call at a silent target checks whether another target
+has been found."""
 SERVER_ERROR_STATUS = 500
 SUCCESS_STATUS_END = 300
 
@@ -52,6 +56,7 @@
     :param reply: writes the answer to the caller.
     :param connection_pool: open connections to targets.
     :param clock: clock of the instance.
+    :param search: finds another target while this one is silent.
     """
 
     def __init__(
@@ -63,6 +68,7 @@
         reply: ReplyWriter,
         connection_pool: ConnectionPool,
         clock: Clock,
+        search: SuccessorSearch,
     ) -> None:
         self.is_sent = False
         self._call = call
@@ -72,7 +78,9 @@
         self._reply = reply
         self._connection_pool = connection_pool
         self._clock = clock
+        self._search = search
         self._sent_ms = 0
+        self._last_read_ms = 0
         self._first_byte_ms = 0
 
     def run(self) -> AttemptReport:
@@ -122,7 +130,7 @@
     def _exchange(
         self, connection: target_connection.TargetConnection
     ) -> AttemptReport:
-        self._sent_ms = self._clock.now_ms()
+        self._sent_ms = self._last_read_ms = self._clock.now_ms()
         self.is_sent = True
         connection.send(self._encode_request(), self._left_ms())
         answer, answer_facts = self._read_matching_head(connection)
@@ -160,10 +168,9 @@
         self, connection: target_connection.TargetConnection
     ) -> tuple[Answer, AnswerHeaders]:
         """Return the answer to this call; discard answers to earlier calls."""
-        end_ms = self._clock.now_ms() + self._get_first_byte_timeout_ms()
+        patience_ms = self._get_first_byte_patience_ms()
         while True:
-            left_ms = end_ms - self._clock.now_ms()
-            answer = connection.read_head(max(1, left_ms))
+            answer = self._read_head(connection, patience_ms)
             answer_facts = answer_headers.decode_answer_headers(
                 answer.status, answer.header_map
             )
@@ -175,9 +182,66 @@
                 raise target_error.BadAnswerError(
                     'answer has no attempt identity'
                 )
-            for _ in connection.read_body(answer, max(1, left_ms)):
+            for _ in self._read_chunks(connection, answer, patience_ms):
                 continue
 
+    def _read_head(
+        self, connection: target_connection.TargetConnection, patience_ms: int
+    ) -> Answer:
+        wait_ms = patience_ms
+        while True:
+            try:
+                answer = connection.read_head(wait_ms)
+            except target_error.TargetTimeoutError:
+                if self._is_given_up(patience_ms):
+                    raise
+                wait_ms = SEARCH_POLL_MS
+                continue
+            self._search.cancel()
+            return answer
+
+    def _read_chunks(
+        self,
+        connection: target_connection.TargetConnection,
+        answer: Answer,
+        patience_ms: int,
+    ) -> Iterator[bytes]:
+        """Yield the chunks of a body; a pause ends it only if given up."""
+        self._last_read_ms = self._clock.now_ms()
+        wait_ms = patience_ms
+        while True:
+            try:
+                for chunk in connection.read_body(answer, wait_ms):
+                    self._search.cancel()
+                    self._last_read_ms = self._clock.now_ms()
+                    yield chunk
+                    if wait_ms != patience_ms:
+                        wait_ms = patience_ms
+                        break
+                else:
+                    return
+            except target_error.TargetTimeoutError:
+                if self._is_given_up(patience_ms):
+                    raise
+                wait_ms = SEARCH_POLL_MS
+
+    def _is_given_up(self, patience_ms: int) -> bool:
+        """Return True if the silent target is to be given up.
+
+        That is so once another target can take the call over, or no time is
+        left. The silence alone is no reason: the target may be sound.
+
+        :param patience_ms: silence after which another target is looked for.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._call.expires_at_ms:
+            return True
+        if not self._call.route.may_repeat:
+            return False
+        if now_ms - self._last_read_ms >= patience_ms:
+            self._search.start()
+        return self._search.has_slot
+
     def _read_rejection(
         self,
         connection: target_connection.TargetConnection,
@@ -188,7 +252,9 @@
         if answer_facts.is_wrong_target:
             outcome = AttemptOutcome.WRONG_TARGET
         try:
-            self._read_body(connection, answer)
+            for _ in connection.read_body(answer, BODY_IDLE_TIMEOUT_MS):
+                continue
+            self._release_connection(connection, answer)
         except NetworkError:
             connection.close()
         return AttemptReport(
@@ -216,11 +282,11 @@
     def _read_body(
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> bytes:
-        gap_ms = self._left_ms()
+        patience_ms = self._left_ms()
         if self._call.route.may_repeat:
-            gap_ms = min(gap_ms, BODY_IDLE_TIMEOUT_MS)
+            patience_ms = min(patience_ms, BODY_IDLE_TIMEOUT_MS)
         body = bytearray()
-        for chunk in connection.read_body(answer, gap_ms):
+        for chunk in self._read_chunks(connection, answer, patience_ms):
             body += chunk
             if len(body) > MAX_BODY_BYTES:
                 raise target_error.BadAnswerError('answer body too large')
@@ -269,11 +335,14 @@
     def _read_new_events(
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> Iterator[bytes]:
-        gap_ms = self._left_ms()
+        patience_ms = self._left_ms()
         route = self._call.route
         if route.may_repeat and route.gap_objective_ms:
-            gap_ms = min(gap_ms, EVENT_GAP_FACTOR * route.gap_objective_ms)
-        for event in split_events(connection.read_body(answer, gap_ms)):
+            patience_ms = min(
+                patience_ms, EVENT_GAP_FACTOR * route.gap_objective_ms
+            )
+        chunks = self._read_chunks(connection, answer, patience_ms)
+        for event in split_events(chunks):
             if not is_complete_event(event):
                 raise target_error.BadAnswerError(
                     'stream ended inside an event'
@@ -300,8 +369,8 @@
             )
         self._position.record_sent(event)
 
-    def _get_first_byte_timeout_ms(self) -> int:
-        """Return the time to wait for the first byte of the answer."""
+    def _get_first_byte_patience_ms(self) -> int:
+        """Return the silence before the first byte that is no concern."""
         left_ms = self._left_ms()
         route = self._call.route
         if not route.may_repeat or route.attempt_limit < 2:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -33,6 +33,8 @@
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
+from lagoonbend_entry._internal.gateway.successor_search import GrantedSlot
+from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
 from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry._internal.platform import refusal_headers
 from lagoonbend_entry._internal.utils.event import Event
@@ -73,7 +75,8 @@
 
     ``attempt_history`` has an entry ``target:outcome`` for each attempt that
     was sent; ``excluded`` lists the targets not to be tried again;
-    ``failure`` says why the call has no answer yet.
+    ``target`` is the one of the current attempt; ``failure`` says why the
+    call has no answer yet.
 
     :param call: admitted call.
     """
@@ -84,6 +87,7 @@
         self.attempt_history: list[str] = []
         self.excluded: list[str] = []
         self.pool = ''
+        self.target = ''
         self.send_count = 0
         self.run_count = 0
         self.may_have_run = False
@@ -212,12 +216,27 @@
         call = progress.call
         retry_share = self._get_retry_share(call.service)
         retry_share.record_request()
-        while True:
-            request = self._build_slot_request(progress)
-            wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
-            decision = self._coordinator.acquire(
-                request, call.customer, wait_ms
+        search = SuccessorSearch(
+            lambda: self._acquire_successor(progress, retry_share),
+            self._release_unused,
+        )
+        try:
+            return self._run_attempts_with(
+                progress, reply, retry_share, search
             )
+        finally:
+            search.cancel()
+
+    def _run_attempts_with(
+        self,
+        progress: CallProgress,
+        reply: ReplyWriter,
+        retry_share: RetryShare,
+        search: SuccessorSearch,
+    ) -> GatewayRefusal | None:
+        call = progress.call
+        while True:
+            request, decision = search.take() or self._acquire(progress)
             progress.pool = decision.pool
             progress.waited_ms += decision.waited_ms
             if decision.denial is not None:
@@ -225,9 +244,13 @@
                     f'{progress.failure}; {decision.denial.value}'
                 )
                 return self._build_denial_refusal(progress, decision)
-            report = self._run_attempt(progress, reply, request, decision)
+            report = self._run_attempt(
+                progress, reply, request, decision, search
+            )
             progress.failure = f'{report.outcome.label}: {report.detail}'
-            step = self._choose_next_step(progress, reply, report, retry_share)
+            step = self._choose_next_step(
+                progress, reply, report, retry_share, search
+            )
             if step is NextStep.RELAY:
                 self._relay(reply, report)
                 return None
@@ -250,8 +273,10 @@
         reply: ReplyWriter,
         request: SlotRequest,
         decision: SlotDecision,
+        search: SuccessorSearch,
     ) -> AttemptReport:
         """Run one attempt in a granted slot and release the slot."""
+        progress.target = decision.target
         target = self._facts.target_directory.find(decision.target)
         slot_outcome = SlotOutcome.CALLER_LEFT
         first_byte_ms = 0
@@ -273,6 +298,7 @@
                 reply,
                 self._connection_pool,
                 self._clock,
+                search,
             )
             report = attempt.run()._replace(target=decision.target)
             slot_outcome = SLOT_OUTCOMES[report.outcome]
@@ -281,6 +307,8 @@
             first_byte_ms = report.first_byte_ms
             return report
         finally:
+            if not search.has_slot:
+                search.cancel()
             if attempt is not None and attempt.is_sent:
                 progress.send_count += 1
                 progress.attempt_history.append(
@@ -294,16 +322,56 @@
                 request, decision.target, slot_outcome, first_byte_ms
             )
 
+    def _acquire(self, progress: CallProgress) -> GrantedSlot:
+        """Request a slot and return the decision, which may be a denial."""
+        call = progress.call
+        request = self._build_slot_request(
+            progress, is_sent=progress.send_count > 0
+        )
+        wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
+        decision = self._coordinator.acquire(request, call.customer, wait_ms)
+        return GrantedSlot(request, decision)
+
+    def _acquire_successor(
+        self, progress: CallProgress, retry_share: RetryShare
+    ) -> GrantedSlot | None:
+        """Request a slot at another target than the one that is silent."""
+        call = progress.call
+        left_ms = call.expires_at_ms - self._clock.now_ms()
+        if (
+            progress.run_count + 1 >= call.route.attempt_limit
+            or left_ms < MIN_ATTEMPT_MS
+        ):
+            return None
+        request = self._build_slot_request(
+            progress, is_sent=True, excluded=(progress.target,)
+        )
+        decision = self._coordinator.acquire(request, call.customer, left_ms)
+        if decision.denial is not None:
+            return None
+        slot = GrantedSlot(request, decision)
+        if not retry_share.spend():
+            self._release_unused(slot)
+            return None
+        return slot
+
+    def _release_unused(self, slot: GrantedSlot) -> None:
+        self._coordinator.release(
+            slot.request, slot.decision.target, SlotOutcome.CALLER_LEFT, 0
+        )
+
     def _choose_next_step(
         self,
         progress: CallProgress,
         reply: ReplyWriter,
         report: AttemptReport,
         retry_share: RetryShare,
+        search: SuccessorSearch,
     ) -> NextStep:
         """Return what follows an attempt.
 
-        Once the call has been sent, a retry must fit the retry budget.
+        Once the call has been sent, a retry must fit the retry budget. That
+        of a successor that was found has been taken from it already.
         """
         call = progress.call
         if report.outcome is AttemptOutcome.WHOLE_ANSWER:
@@ -322,6 +390,7 @@
         if (
             step is NextStep.RETRY
             and progress.send_count
+            and not search.has_slot
             and not retry_share.spend()
         ):
             retry_context = retry_context._replace(has_budget=False)
@@ -354,11 +423,18 @@
             report.body,
         )
 
-    def _build_slot_request(self, progress: CallProgress) -> SlotRequest:
+    def _build_slot_request(
+        self,
+        progress: CallProgress,
+        *,
+        is_sent: bool,
+        excluded: tuple[str, ...] = (),
+    ) -> SlotRequest:
         """Return a slot request for the next attempt.
 
-        A call that has been sent already costs no units of its customer's
-        limit again.
+        :param is_sent: True if the call has been sent already; it costs no
+            units of its customer's limit again.
+        :param excluded: further targets that are not to be tried.
         """
         call = progress.call
         self._slot_request_count += 1
@@ -382,9 +458,7 @@
             route_rank=call.route.rank,
             customer=customer.name if customer else '',
             cost_units=(
-                0.0
-                if progress.send_count
-                else count_cost_units(customer, call.headers)
+                0.0 if is_sent else count_cost_units(customer, call.headers)
             ),
             waited_ms=now_ms - call.request.received_ms,
             objective_ms=call.route.objective_ms,
@@ -392,7 +466,7 @@
             prompt=call.headers.prompt,
             output_tokens=output_tokens,
             body_bytes=len(call.request.body),
-            excluded=tuple(progress.excluded),
+            excluded=(*progress.excluded, *excluded),
         )
 
     def _get_retry_share(self, service: str) -> RetryShare:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/testing.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/testing.py
@@ -1,6 +1,13 @@
-"""Request parsing, for tests and for simulated services."""
+"""Parts of the data path, for tests and for simulated services."""
 
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.request_parser import RequestParser
+from lagoonbend_entry._internal.gateway.successor_search import GrantedSlot
+from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
 
-__all__ = ['IncomingRequest', 'RequestParser']
+__all__ = [
+    'GrantedSlot',
+    'IncomingRequest',
+    'RequestParser',
+    'SuccessorSearch',
+]
