Reproduce calls that a stopping instance reads and drops

Four tests send requests to an instance that has got SIGTERM; all four fail:

- a request after a stream whose head had kept the connection open, and one that was read ahead while the stream ran, are read and dropped;
- calls at a silent target at the end of the grace time end with their connection when the process exits;
- a request that can't be completed in the grace time is dropped in the same way instead of being refused.

One test is replaced: test_request_after_a_stream_on_a_draining_instance_is_not_taken asked for a close without an answer. Its reason was that the request has not run, so that its caller may repeat it; but a caller repeats a request that must not run twice only if it wasn't read, and this one was read. The new test of the same case asks for the whole answer, which is stricter, and that it announces the end of the connection.

--- a/tests/functional/test_gateway_lifecycle.py
+++ b/tests/functional/test_gateway_lifecycle.py
@@ -16,9 +16,12 @@
 from lagoonbend_devkit._internal.fleet.http import exchange
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from tests.functional.test_gateway_answers import call
+from tests.lib.pausing_target import PausingTarget
 
 KEY_REVOCATION_BOUND_S = 5.0
 CHANGE_SPREAD_S = 2.0
+LONG_PAUSE_S = 2.8
+"""Pause within a stream that ends just before the timeout of its route."""
 
 
 def send_raw(port: int, data: bytes, timeout_s: float = 3.0) -> bytes:
@@ -35,6 +38,34 @@
     return received
 
 
+REQUEST_HEAD = (
+    b'POST /%b/x HTTP/1.1\r\nHost: calls.example\r\n'
+    b'Attempt-Id: %b\r\nAuthorization: Bearer k-first\r\n'
+    b'%bContent-Length: 0\r\n\r\n'
+)
+
+
+def open_stream(fleet: gateway_fleet.GatewayFleet) -> gevent.socket.socket:
+    """Connect to instance 0 and request a stream that takes 1.5 s."""
+    sock = gevent.socket.create_connection(
+        ('127.0.0.1', fleet.callers_port(0))
+    )
+    sock.settimeout(4.0)
+    sock.sendall(REQUEST_HEAD % (b'stream', b'first', b'X-Fault: slow\r\n'))
+    return sock
+
+
+def read_to_end(sock: gevent.socket.socket) -> bytes:
+    """Read until the connection ends, and close it."""
+    received = b''
+    try:
+        while data := sock.recv(65_536):
+            received += data
+    finally:
+        sock.close()
+    return received
+
+
 class GatewayLifecycleTest(unittest.TestCase):
     """Each test starts a fleet of its own."""
 
@@ -52,35 +83,96 @@
             self.assertEqual(0, fleet.processes[0].wait(9.0))
             self.assertEqual(200, call(fleet, 'stream', instance=1)[1].status)
 
-    def test_request_after_a_stream_on_a_draining_instance_is_not_taken(
+    # Guards against a request that an instance reads while it stops and then
+    # drops with its connection.
+    def test_request_after_a_stream_on_a_draining_instance_is_answered(
         self,
     ) -> None:
-        """The connection is closed without an answer to the request.
+        """The head of the stream did not announce that the connection ends.
 
-        The request could not be completed before the instance stops. It has
-        not run, so the caller may repeat it.
+        The next answer does, and the connection ends after it.
         """
-        head = (
-            b'POST /%b/x HTTP/1.1\r\nHost: calls.example\r\n'
-            b'Attempt-Id: %b\r\nAuthorization: Bearer k-first\r\n'
-            b'X-Fault: slow\r\nContent-Length: 0\r\n\r\n'
-        )
         with gateway_fleet.GatewayFleet() as fleet:
-            sock = gevent.socket.create_connection(
-                ('127.0.0.1', fleet.callers_port(0))
-            )
-            sock.settimeout(4.0)
-            sock.sendall(head % (b'stream', b'first'))
+            sock = open_stream(fleet)
             received = sock.recv(65_536)
             self.assertNotIn(b'Connection: close', received)
             fleet.processes[0].send(signal.SIGTERM)
             while not received.endswith(b'0\r\n\r\n'):
                 received += sock.recv(65_536)
-            sock.sendall(head % (b'booking', b'second'))
-            self.assertEqual(b'', sock.recv(65_536))
-            sock.close()
+            sock.sendall(REQUEST_HEAD % (b'booking', b'second', b''))
+            answer = read_to_end(sock)
+            self.assertEqual(b'200', answer[9:12])
+            self.assertIn(b'Connection: close', answer)
             attempts = [run.attempt for run in fleet.runs]
-            self.assertEqual(['first'], attempts)
+            self.assertEqual(['first', 'second'], attempts)
+
+    # Guards against a request that was read ahead while a stream ran and is
+    # dropped when the stream ends on a stopping instance.
+    def test_request_read_ahead_on_a_draining_instance_is_answered(
+        self,
+    ) -> None:
+        """A pipelined request is answered after the stream before it."""
+        with gateway_fleet.GatewayFleet() as fleet:
+            sock = open_stream(fleet)
+            received = sock.recv(65_536)
+            sock.sendall(REQUEST_HEAD % (b'booking', b'second', b''))
+            fleet.processes[0].send(signal.SIGTERM)
+            received += read_to_end(sock)
+            stream, _, answer = received.partition(b'0\r\n\r\n')
+            self.assertIn(b'piece 5', stream)
+            self.assertEqual(b'200', answer[9:12])
+
+    # Guards against calls whose connections are cut when the grace time of a
+    # stopping instance ends.
+    def test_each_call_is_answered_before_the_instance_exits(self) -> None:
+        """A waiting call has not run; one at a silent target may have."""
+        with gateway_fleet.GatewayFleet(service_count=1) as fleet:
+            path = fleet.root / 'instance-0.ini'
+            settings = path.read_text(encoding='utf-8')
+            path.write_text(settings + '[bounds]\ngrace_s = 3\n')
+            fleet.processes[0].send(signal.SIGHUP)
+            gevent.sleep(0.2)
+            fleet.processes[0].send(signal.SIGTERM)
+            gevent.sleep(0.3)
+            calls = [
+                gevent.spawn(
+                    call,
+                    fleet,
+                    'booking',
+                    X_Fault='silent',
+                    Deadline_Ms='3000',
+                )
+                for _ in range(5)
+            ]
+            statuses = [greenlet.get()[1].status for greenlet in calls]
+            self.assertEqual([502, 502, 502, 502, 503], sorted(statuses))
+            self.assertEqual(4, len(fleet.runs))
+            self.assertEqual(0, fleet.processes[0].wait(3.0))
+
+    # Guards against a call that is begun on a stopping instance and cut at
+    # the end of its grace time.
+    def test_call_that_could_outlast_the_grace_time_is_refused(self) -> None:
+        """It is refused at once, with the truth that it has not run."""
+        target = PausingTarget(LONG_PAUSE_S, is_before_head=False)
+        self.addCleanup(target.stop)
+        with gateway_fleet.GatewayFleet(engine_count=0) as fleet:
+            fleet.register_endpoint('chat-0', 'chat', target.endpoint)
+            gevent.sleep(CHANGE_SPREAD_S)
+            sock = open_stream(fleet)
+            received = sock.recv(65_536)
+            path = fleet.root / 'instance-0.ini'
+            settings = path.read_text(encoding='utf-8')
+            path.write_text(settings + '[bounds]\ngrace_s = 5\n')
+            fleet.processes[0].send(signal.SIGHUP)
+            gevent.sleep(0.1)
+            fleet.processes[0].send(signal.SIGTERM)
+            gevent.sleep(2.6)
+            sock.sendall(REQUEST_HEAD % (b'booking', b'second', b''))
+            received += read_to_end(sock)
+            answer = received.partition(b'0\r\n\r\n')[2]
+            self.assertEqual(b'503', answer[9:12])
+            self.assertIn(b'Connection: close', answer)
+            self.assertEqual([], fleet.runs)
 
     def test_killed_instance_that_decides_is_replaced(self) -> None:
         """The others still serve calls, and so does it after a restart."""
