Answer every call that a stopping instance has read

What callers saw: on a connection that an instance kept open, the next request ended without an answer once the instance had got SIGTERM; calls that still waited or ran at the end of the grace time ended with the process.

Cause: a draining instance ended each connection after the current answer, also where the head of that answer had promised to keep it and a further request was read already; and the process exited without regard to the calls that it still had.

Ruled out: a request that crosses the close unread (the instance checks for unread bytes before it closes an idle connection).

Change: a connection ends only after an answer that announces it, or when it is idle. The announcement is left out while a further request is being read. From the moment at which the listener closes, a call whose deadline lies beyond the end of the drain is refused at once with 503. At that end, each active call gets its final answer: 503 if it was never sent, else 502; only a stream that has begun can't be completed, and is logged. Why it works: there is no way left from a read request to the close of its connection but through an answer that announces it.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -40,9 +40,13 @@
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import log_failure
+from lagoonbend_entry._internal.utils.interrupt import Interrupt
 
 DEFAULT_RETRY_AFTER_MS = 1_000
 """``Retry-After`` of a refusal for which no better value is known."""
+STOPPING_RETRY_AFTER_MS = 100
+"""``Retry-After`` of a stopping instance: other instances serve at once, on a
+new connection."""
 MIN_ATTEMPT_MS = 50
 """Remaining time below which no further attempt is made: an answer could
 not arrive in time."""
@@ -70,19 +74,25 @@
     """The route's timeout or the caller's deadline has passed."""
 
 
+class InstanceStoppingError(Exception):
+    """The instance exits before the call can be completed."""
+
+
 class CallProgress:
     """State of a call across its attempts.
 
     ``attempt_history`` has an entry ``target:outcome`` for each attempt that
     was sent; ``excluded`` lists the targets not to be tried again;
     ``target`` is the one of the current attempt; ``failure`` says why the
-    call has no answer yet.
+    call has no answer yet. ``interrupt`` raises an error in the greenlet that
+    serves the call.
 
     :param call: admitted call.
     """
 
     def __init__(self, call: AdmittedCall) -> None:
         self.call = call
+        self.interrupt = Interrupt()
         self.position = StreamPosition()
         self.attempt_history: list[str] = []
         self.excluded: list[str] = []
@@ -111,6 +121,9 @@
 class CallHandler:
     """Admits calls, obtains slots at targets and forwards calls to them.
 
+    ``latest_end_ms`` is the time on the instance's clock by which a call that
+    is read from now on must end; None if there is no such time.
+
     :param facts: configuration and target list as last read.
     :param admission: applies the rules to a request.
     :param coordinator: obtains slots for calls.
@@ -146,6 +159,7 @@
         self._address, self._failure_domain = instance
         self._retry_shares: dict[str, RetryShare] = {}
         self._slot_request_count = 0
+        self.latest_end_ms: int | None = None
         self._active_calls: set[CallProgress] = set()
 
     @property
@@ -153,6 +167,11 @@
         """Number of calls that have been read and not answered."""
         return len(self._active_calls)
 
+    def end_calls(self) -> None:
+        """Give each active call its final answer, before the process exits."""
+        for progress in self._active_calls:
+            progress.interrupt.throw(InstanceStoppingError())
+
     def report_unanswered(self, cause: str) -> None:
         """Log each active call, whose answer the instance can't complete."""
         for progress in self._active_calls:
@@ -170,6 +189,8 @@
 
     def _serve(self, request: IncomingRequest, reply: ReplyWriter) -> None:
         admitted = self._admission.admit(request)
+        if isinstance(admitted, AdmittedCall) and self._is_too_late(admitted):
+            admitted = RefusalReason.STOPPING
         if isinstance(admitted, RefusalReason):
             self._refuse_unadmitted(request, reply, admitted)
             return
@@ -178,8 +199,16 @@
         try:
             self._serve_admitted(progress, reply)
         finally:
+            progress.interrupt.is_over = True
             self._active_calls.discard(progress)
 
+    def _is_too_late(self, call: AdmittedCall) -> bool:
+        """Return True if the process may exit before the call has ended."""
+        return (
+            self.latest_end_ms is not None
+            and call.expires_at_ms > self.latest_end_ms
+        )
+
     def _serve_admitted(
         self, progress: CallProgress, reply: ReplyWriter
     ) -> None:
@@ -195,6 +224,9 @@
         except DeadlineExceededError:
             progress.failure = 'time is up'
             refusal = self._build_deadline_refusal(progress)
+        except InstanceStoppingError:
+            progress.failure = 'instance stops'
+            refusal = self._build_stop_refusal(progress)
         except CallerGoneError:
             outcome = 'caller_left'
             return
@@ -496,6 +528,14 @@
             RefusalReason.NO_TIME_LEFT, DEFAULT_RETRY_AFTER_MS
         )
 
+    @staticmethod
+    def _build_stop_refusal(progress: CallProgress) -> GatewayRefusal:
+        if progress.may_have_run:
+            return GatewayRefusal(
+                RefusalReason.MAY_HAVE_RUN, DEFAULT_RETRY_AFTER_MS
+            )
+        return GatewayRefusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER_MS)
+
     def _refuse_unadmitted(
         self,
         request: IncomingRequest,
@@ -505,6 +545,8 @@
         retry_after_ms = (
             DEFAULT_RETRY_AFTER_MS if reason.status == 503 else None
         )
+        if reason is RefusalReason.STOPPING:
+            retry_after_ms = STOPPING_RETRY_AFTER_MS
         self._metrics.count_call('', reason.label, 0, 0)
         log_event(
             Event.CALL_NOT_ADMITTED,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
@@ -162,15 +162,19 @@
     def _serve_next(self, parser: RequestParser) -> str:
         """Serve the next request; return why the connection ends, or none."""
         request = parser.requests.popleft()
+        watch = CallerWatch(self._sock)
         reply = ReplyWriter(
             self._sock,
             keeps_connection=request.keeps_connection,
             accepts_chunked=request.accepts_chunked,
             is_head=request.method == 'HEAD',
-            may_keep_connection=lambda: not self._is_draining(),
+            may_keep_connection=lambda: (
+                not self._is_draining()
+                or bool(parser.requests or watch.read_ahead)
+                or parser.is_reading
+            ),
         )
         self._sock.settimeout(None)
-        watch = CallerWatch(self._sock)
         with watch:
             self._serve(request, reply)
         self._unparsed_bytes = len(watch.read_ahead)
@@ -178,10 +182,7 @@
             return 'caller left'
         if not reply.is_complete:
             return 'answer incomplete'
-        if not reply.keeps_connection or self._is_draining():
-            # The head of a stream may have been sent without Connection:
-            # close before the drain began. A further request isn't read,
-            # so its caller may repeat it.
+        if not reply.keeps_connection:
             self._lingering_close()
             return 'last answer sent'
         if watch.read_ahead:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -53,9 +53,13 @@
 every second and acts on the second failed check."""
 DRAIN_GRACE_SHARE = 0.93
 """Share of ``grace_s`` after which a draining process exits by itself."""
+FINAL_ANSWERS_S = 0.25
+"""Time at the end of a drain in which calls that are still active get their
+final answer."""
 BACKLOG = 1_024
 """Connections that the system queues for a listener."""
 HTTP_UNAVAILABLE = 503
+MILLISECONDS_PER_SECOND = 1000
 METRICS_PATH = b'/metrics'
 MAINTENANCE_INTERVAL_S = 1.0
 """Interval of checks for expired connections and a changed settings file."""
@@ -298,15 +302,31 @@
         close_listener_s = started_s + DRAIN_NOTICE_S
         while time.monotonic() < drain_deadline_s:
             if time.monotonic() >= close_listener_s:
+                left_s = drain_deadline_s - time.monotonic()
+                self._call_handler.latest_end_ms = self._clock.now_ms() + int(
+                    left_s * MILLISECONDS_PER_SECOND
+                )
                 caller_server.stop_accepting()
-                for connection in list(self._caller_connections):
-                    connection.close_idle()
-                if not self._caller_connections:
+                if self._close_idle_connections():
                     break
             gevent.sleep(DRAIN_POLL_S)
+        self._end_calls()
         self._call_handler.report_unanswered('instance stopped')
         log_event(Event.DRAIN_ENDED, active=self._call_handler.active_count)
 
+    def _close_idle_connections(self) -> bool:
+        """Close connections without a request; True if none is left."""
+        for connection in list(self._caller_connections):
+            connection.close_idle()
+        return not self._caller_connections
+
+    def _end_calls(self) -> None:
+        """Give the calls that are left their final answers."""
+        self._call_handler.end_calls()
+        end_s = time.monotonic() + FINAL_ANSWERS_S
+        while self._call_handler.active_count and time.monotonic() < end_s:
+            gevent.sleep(DRAIN_POLL_S)
+
     def _run_maintenance(self) -> None:
         gevent.sleep(MAINTENANCE_INTERVAL_S)
         self._connection_pool.close_expired()
