Close the listener of a draining instance

What callers saw: a connection to an instance that was about to exit was established by its system and never accepted; a request on it waited until the process exited, seconds later.

Cause: the drain stopped accepting and left the listening socket open.

Change: the socket is closed after the notice time, so that a new connection is refused at once and the caller goes elsewhere.

Measured: the new test fails before (no refusal) and passes now.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -306,7 +306,7 @@
                 self._call_handler.latest_end_ms = self._clock.now_ms() + int(
                     left_s * MILLISECONDS_PER_SECOND
                 )
-                caller_server.stop_accepting()
+                caller_server.close()
                 if self._close_idle_connections():
                     break
             gevent.sleep(DRAIN_POLL_S)
--- a/tests/functional/test_gateway_lifecycle.py
+++ b/tests/functional/test_gateway_lifecycle.py
@@ -149,6 +149,23 @@
             self.assertEqual(4, len(fleet.runs))
             self.assertEqual(0, fleet.processes[0].wait(3.0))
 
+    # Guards against connections that a stopping instance never accepts, on
+    # which callers wait until the process exits.
+    def test_connection_to_a_draining_instance_is_refused(self) -> None:
+        """A caller learns at once that it has to go elsewhere."""
+        with gateway_fleet.GatewayFleet() as fleet:
+            stream = open_stream(fleet)
+            stream.recv(65_536)
+            fleet.processes[0].send(signal.SIGTERM)
+            gevent.sleep(1.0)
+            waiting = gevent.spawn(
+                call, fleet, 'booking', X_Fault='silent', Deadline_Ms='2500'
+            )
+            gevent.sleep(1.9)
+            with self.assertRaises(ConnectionRefusedError):
+                open_stream(fleet)
+            self.assertEqual(504, waiting.get()[1].status)
+
     # Guards against a call that is begun on a stopping instance and cut at
     # the end of its grace time.
     def test_call_that_could_outlast_the_grace_time_is_refused(self) -> None:
