Apply changed bounds on callers to open connections

What callers saw: on a connection that was opened before a change of the configuration, the bounds of before held on: 413 for a body that the configuration in force allows, and an end of the connection after the shorter idle time of before, into which a request may fall.

Cause: a connection read the bounds once, when it was opened. Found while looking through what a call rests on that a change may move.

Change: the bounds are read for each read, and the idle time is judged again when a wait ends. A request that arrives in the moment in which the idle time passes is read.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
@@ -24,6 +24,8 @@
 Closing it with unread input would reset it, and the answer could be lost."""
 BODY_IDLE_TIMEOUT_MS = 5_000
 """Maximum pause between two reads of a request body."""
+MIN_READ_TIMEOUT_S = 0.01
+"""Timeout of a read for bytes that have arrived already."""
 MILLISECONDS_PER_SECOND = 1000
 MAX_LOGGED_PATH = 80
 """Characters of a path that are logged."""
@@ -61,11 +63,10 @@
 
     def run(self) -> None:
         """Serve requests until the caller or the instance closes."""
-        bounds = self._get_bounds()
-        parser = RequestParser(self._clock, bounds)
+        parser = RequestParser(self._clock, self._get_bounds())
         cause = ''
         try:
-            cause = self._run(parser, bounds)
+            cause = self._run(parser)
         except (OSError, CallerGoneError) as error:
             cause = f'{type(error).__name__}: {error}'
         except Exception as error:
@@ -109,10 +110,10 @@
         poll.register(self._sock.fileno(), select.POLLIN)
         return bool(poll.poll(0))
 
-    def _run(self, parser: RequestParser, bounds: CallerBounds) -> str:
+    def _run(self, parser: RequestParser) -> str:
         """Serve requests; return why the connection ends."""
         while True:
-            if not self._read_request(parser, bounds):
+            if not self._read_request(parser):
                 return 'no further request'
             if not parser.requests:
                 self._reject(parser.error_status)
@@ -121,14 +122,14 @@
             if end_cause:
                 return end_cause
 
-    def _read_request(
-        self, parser: RequestParser, bounds: CallerBounds
-    ) -> bool:
+    def _read_request(self, parser: RequestParser) -> bool:
         """Read a request or detect an error; return False to close."""
         head_deadline_s: float | None = None
         has_sent_continue = False
+        idle_since_s = time.monotonic()
         while not parser.requests and not parser.error_status:
             self.is_idle = not parser.is_reading
+            bounds = self._get_bounds()
             if parser.is_reading and not parser.is_head_complete:
                 if head_deadline_s is None:
                     head_deadline_s = time.monotonic() + (
@@ -141,17 +142,22 @@
                     has_sent_continue = True
                     self._sock.sendall(CONTINUE)
             else:
-                timeout_s = bounds.idle_timeout_ms / MILLISECONDS_PER_SECOND
-            if timeout_s <= 0:
+                timeout_s = self._find_idle_left_s(idle_since_s)
+            if timeout_s <= 0 and parser.is_reading:
                 self._reject(408)
                 return False
-            self._sock.settimeout(timeout_s)
+            if timeout_s <= 0 and not self._has_unread_bytes():
+                return False
+            self._sock.settimeout(max(timeout_s, MIN_READ_TIMEOUT_S))
             try:
                 data = self._sock.recv(READ_BYTES)
             except TimeoutError:
-                if parser.is_reading:
-                    self._reject(408)
+                if self.is_idle:
+                    # The bound may have changed while the connection was idle.
+                    continue
+                self._reject(408)
                 return False
+            parser.bounds = self._get_bounds()
             if not data or self._is_closed:
                 self._unparsed_bytes += len(data)
                 return False
@@ -159,6 +165,13 @@
         self.is_idle = False
         return True
 
+    def _find_idle_left_s(self, idle_since_s: float) -> float:
+        """Return how much longer the connection may be idle."""
+        idle_timeout_s = (
+            self._get_bounds().idle_timeout_ms / MILLISECONDS_PER_SECOND
+        )
+        return idle_since_s + idle_timeout_s - time.monotonic()
+
     def _serve_next(self, parser: RequestParser) -> str:
         """Serve the next request; return why the connection ends, or none."""
         request = parser.requests.popleft()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/request_parser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/request_parser.py
@@ -18,7 +18,7 @@
 
     ``error_status`` is the status to send for a malformed request or one
     beyond the bounds, 0 if there is none. Complete requests before it are
-    served first.
+    served first. ``bounds`` may be replaced between two calls of ``feed``.
 
     :param clock: clock of the instance.
     :param bounds: maximum sizes of heads and bodies.
@@ -32,7 +32,7 @@
         self.is_head_complete = False
         self.wants_continue = False
         self._clock = clock
-        self._bounds = bounds
+        self.bounds = bounds
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._incomplete_head_bytes = 0
@@ -54,7 +54,7 @@
             self._reject(400)
         if self.is_reading and not self.is_head_complete:
             self._incomplete_head_bytes += len(data)
-            if self._incomplete_head_bytes > 2 * self._bounds.header_bytes:
+            if self._incomplete_head_bytes > 2 * self.bounds.header_bytes:
                 self._reject(431)
 
     def on_message_begin(self) -> None:
@@ -98,7 +98,7 @@
         if not self._url.startswith(b'/') or 'host' not in self._header_map:
             self._reject(400)
         length = self._header_map.get('content-length', '')
-        if length.isdecimal() and int(length) > self._bounds.body_bytes:
+        if length.isdecimal() and int(length) > self.bounds.body_bytes:
             self._reject(413)
         expected = self._header_map.get('expect', '').lower()
         self.wants_continue = expected == '100-continue'
@@ -108,7 +108,7 @@
         if self.error_status:
             return
         self._body += body
-        if len(self._body) > self._bounds.body_bytes:
+        if len(self._body) > self.bounds.body_bytes:
             self._body = bytearray()
             self._reject(413)
 
@@ -134,7 +134,7 @@
 
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
-        if self._head_bytes > self._bounds.header_bytes:
+        if self._head_bytes > self.bounds.header_bytes:
             self._reject(431)
 
     def _reject(self, status: int) -> None:
