Log software versions of targets and what a call continues

The lines LB0203 and LB0205 named targets without the versions of their software, and not the identity of the attempt whose stream a call continues, so that the hypotheses on streams of two versions couldn't be told apart. Both are decoded now (the registration's version, the caller's header) and logged; LB0507 lists the services whose listed targets have several versions. A version that is missing or unreadable is that of no other target. No decision changes.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -82,7 +82,8 @@
     """State of a call across its attempts.
 
     ``attempt_history`` has an entry ``target:outcome`` for each attempt that
-    was sent; ``excluded`` lists the targets not to be tried again;
+    was sent, and ``versions`` the version of that target's software;
+    ``excluded`` lists the targets not to be tried again;
     ``target`` is the one of the current attempt; ``failure`` says why the
     call has no answer yet. ``interrupt`` raises an error in the greenlet that
     serves the call.
@@ -95,6 +96,7 @@
         self.interrupt = Interrupt()
         self.position = StreamPosition()
         self.attempt_history: list[str] = []
+        self.versions: list[str] = []
         self.excluded: list[str] = []
         self.pool = ''
         self.target = ''
@@ -341,8 +343,9 @@
         finally:
             if not search.has_slot:
                 search.cancel()
-            if attempt is not None and attempt.is_sent:
+            if target is not None and attempt is not None and attempt.is_sent:
                 progress.send_count += 1
+                progress.versions.append(target.software_version or '')
                 progress.attempt_history.append(
                     f'{decision.target}:{slot_outcome.value}'
                 )
@@ -432,6 +435,7 @@
             request=call.headers.attempt,
             service=call.service,
             target=report.target,
+            software=self._find_version(report.target),
             end=report.outcome.label,
             verdict=report.outcome.verdict.value,
             detail=report.detail,
@@ -444,6 +448,10 @@
             progress.excluded.append(report.target)
         return step
 
+    def _find_version(self, name: str) -> str:
+        target = self._facts.target_directory.find(name)
+        return (target.software_version if target else None) or ''
+
     @staticmethod
     def _relay(reply: ReplyWriter, report: AttemptReport) -> None:
         if report.answer is None:
@@ -622,6 +630,8 @@
             customer=call.customer.name if call.customer else '',
             pool=progress.pool,
             targets=progress.attempt_history,
+            software=progress.versions,
+            continues=call.headers.continued_attempt,
             last_event=progress.position.last_id or '',
             waited_ms=progress.waited_ms,
             first_ms=progress.first_byte_ms,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -100,6 +100,7 @@
             items=len(updates),
             removed=sum(item.value is None for item in updates),
             targets=len(self.target_directory),
+            mixed_services=self.target_directory.list_mixed_services(),
             age_ms=self.age_ms(),
         )
         self._notify()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
@@ -40,6 +40,10 @@
         given.
     :param requires_model_version: True if the caller accepts only one version
         of the model's weights; a target with another rejects the call.
+    :param continued_attempt: identity of the attempt that began the stream
+        which the caller continues; empty if not given.
+    :param last_event: identity of the last event of that stream that the
+        caller has received; empty if it has received none.
     """
 
     attempt: str
@@ -50,6 +54,8 @@
     output_tokens: int
     estimated_output_tokens: int
     requires_model_version: bool = False
+    continued_attempt: str = ''
+    last_event: str = ''
 
 
 def decode_call_headers(headers: Mapping[str, str]) -> CallHeaders:
@@ -72,6 +78,8 @@
         )
         or 0,
         requires_model_version=names.HEADER_MODEL_VERSION in headers,
+        continued_attempt=headers.get(names.HEADER_RESUMES, ''),
+        last_event=headers.get(names.HEADER_LAST_EVENT, ''),
     )
 
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -8,6 +8,9 @@
 """The value is the identity of a target's registration. Unlike elsewhere in
 this code, "instance" means a target here."""
 HEADER_LAST_EVENT = 'last-event-id'
+HEADER_RESUMES = 'resumes'
+"""The value is the identity of the attempt that brought the first event of the
+stream that the caller continues."""
 HEADER_LENGTH_HINT = 'length-hint'
 HEADER_MODEL_VERSION = 'expect-version'
 HEADER_PROMPT = 'prefix-hash'
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
@@ -19,6 +19,7 @@
     zone: str
     slots: int
     state: str
+    version: object = None
 
 
 def decode_target(item: PublishedItem) -> ListedTarget | None:
@@ -42,4 +43,9 @@
         failure_domain=entry.zone,
         slots=entry.slots,
         is_leaving=entry.state != 'ready',
+        software_version=_read_version(entry.version),
     )
+
+
+def _read_version(value: object) -> str | None:
+    return value if isinstance(value, str) and value else None
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
@@ -13,6 +13,8 @@
     :param failure_domain: failure domain in which it runs.
     :param slots: number of requests that it runs at once.
     :param is_leaving: True once it accepts no new requests.
+    :param software_version: version of its software; None if it isn't known,
+        which is the same as that of no other target.
     """
 
     target: str
@@ -22,3 +24,4 @@
     failure_domain: str
     slots: int
     is_leaving: bool
+    software_version: str | None = None
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -31,6 +31,8 @@
         self._usable: dict[str, ListedTarget] = {}
         self._lapsed_until_ms: dict[str, int] = {}
         self._outage_ended_ms: int | None = None
+        self._versions: dict[str, set[str | None]] = {}
+        self._gone_versions: dict[str, dict[str | None, int]] = {}
         self.change_count = 0
 
     def __len__(self) -> int:
@@ -44,7 +46,7 @@
         """Apply changed items."""
         for item in items:
             self._apply_item(item, now_ms)
-        self._rebuild()
+        self._rebuild(now_ms)
 
     def expire(self, now_ms: int) -> None:
         """Remove lapsed targets that did not register again in time."""
@@ -57,7 +59,7 @@
             del self._lapsed_until_ms[name]
             self._targets.pop(name, None)
         if expired:
-            self._rebuild()
+            self._rebuild(now_ms)
 
     def find(self, name: str) -> ListedTarget | None:
         """Return a target that may receive calls."""
@@ -67,6 +69,42 @@
         """Return the targets of a service that may receive calls."""
         return self._by_service.get(service, ())
 
+    def list_versions(
+        self, service: str, now_ms: int, window_ms: int
+    ) -> set[str | None]:
+        """Return the software versions of a service, draining ones included.
+
+        :param window_ms: time for which the version of targets that are gone
+            is still returned.
+        """
+        gone = self._gone_versions.get(service, {})
+        recent = {
+            version
+            for version, gone_ms in gone.items()
+            if now_ms - gone_ms < window_ms
+        }
+        return self._versions.get(service, set()) | recent
+
+    def list_mixed_services(self) -> list[str]:
+        """Return the services whose listed targets have several versions."""
+        return sorted(
+            service
+            for service, versions in self._versions.items()
+            if len(versions) > 1
+        )
+
+    def _record_versions(self, now_ms: int) -> None:
+        versions: dict[str, set[str | None]] = {}
+        for target in self._targets.values():
+            versions.setdefault(target.service, set()).add(
+                target.software_version
+            )
+        for service, previous in self._versions.items():
+            gone = self._gone_versions.setdefault(service, {})
+            for version in previous - versions.get(service, set()):
+                gone[version] = now_ms
+        self._versions = versions
+
     def _apply_item(self, item: PublishedItem, now_ms: int) -> None:
         name = item.key
         if item.value is not None:
@@ -91,8 +129,9 @@
         else:
             del self._targets[name]
 
-    def _rebuild(self) -> None:
+    def _rebuild(self, now_ms: int) -> None:
         self.change_count += 1
+        self._record_versions(now_ms)
         self._usable = {
             target.target: target
             for target in self._targets.values()
