Reproduce streams that hold events of two versions

Seven tests with three real instances before engines of two versions: an answer that goes on after its target has failed, a stream that its caller takes up at the same or another instance, after its instance was killed, after a release has begun, of an unknown identity, and of a version that is gone.

The stand-in fleet registers targets with a version.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -18,6 +18,8 @@
 HOST = 'calls.example'
 API_KEY = 'k-first'
 CUSTOMER = 'first-customer'
+FIRST_VERSION = 'v1'
+"""Version of the software of a target, unless another one is given."""
 READY_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
 DOMAINS = ('domain-a', 'domain-b')
@@ -148,25 +150,34 @@
                 gevent.sleep(POLL_INTERVAL_S)
 
     def add_target(
-        self, name: str, service: str
+        self, name: str, service: str, version: str = FIRST_VERSION
     ) -> standin_target.StandinTarget:
         """Start a target and register it in the store."""
         target = standin_target.StandinTarget(name, self.runs)
         self.targets[name] = target
         if self._create_proxy is not None:
             self.target_proxies[name] = self._create_proxy(target.endpoint)
-        self.register_target(name, service)
+        self.register_target(name, service, version=version)
         return target
 
     def register_target(
-        self, name: str, service: str, state: str = 'ready'
+        self,
+        name: str,
+        service: str,
+        state: str = 'ready',
+        version: str = FIRST_VERSION,
     ) -> None:
         """Write the registration of a target to the store."""
         endpoint = self.target_proxies.get(name, self.targets[name]).endpoint
-        self.register_endpoint(name, service, endpoint, state)
+        self.register_endpoint(name, service, endpoint, state, version)
 
     def register_endpoint(
-        self, name: str, service: str, endpoint: str, state: str = 'ready'
+        self,
+        name: str,
+        service: str,
+        endpoint: str,
+        state: str = 'ready',
+        version: str = FIRST_VERSION,
     ) -> None:
         """Write the registration of a server at ``ip:port`` to the store."""
         self.store.put(
@@ -175,7 +186,7 @@
                 'service': service,
                 'address': endpoint,
                 'zone': DOMAINS[0],
-                'version': 'v1',
+                'version': version,
                 'slots': 4,
                 'state': state,
                 'cold-remaining-ms': 0,
--- a/tests/functional/test_gateway_lifecycle.py
+++ b/tests/functional/test_gateway_lifecycle.py
@@ -45,10 +45,12 @@
 )
 
 
-def open_stream(fleet: gateway_fleet.GatewayFleet) -> gevent.socket.socket:
-    """Connect to instance 0 and request a stream that takes 1.5 s."""
+def open_stream(
+    fleet: gateway_fleet.GatewayFleet, instance: int = 0
+) -> gevent.socket.socket:
+    """Connect to an instance and request a stream that takes 1.5 s."""
     sock = gevent.socket.create_connection(
-        ('127.0.0.1', fleet.callers_port(0))
+        ('127.0.0.1', fleet.callers_port(instance))
     )
     sock.settimeout(4.0)
     sock.sendall(REQUEST_HEAD % (b'stream', b'first', b'X-Fault: slow\r\n'))
--- /dev/null
+++ b/tests/functional/test_versions_of_streams.py
@@ -0,0 +1,178 @@
+"""Streams of a service whose targets run two versions of their software.
+
+Guards against a stream that holds events of two versions, in one answer or
+over the tries of its caller.
+"""
+
+import time
+import unittest
+
+import gevent
+import gevent.socket
+
+from lagoonbend_devkit._internal.gateway import gateway_fleet
+from tests.functional.test_gateway_answers import call
+from tests.functional.test_gateway_lifecycle import open_stream
+
+CHANGE_SPREAD_S = 1.0
+ENGINES = {
+    'chat-0': 'v1',
+    'chat-1': 'v2',
+    'chat-2': 'v2',
+    'chat-3': 'v2',
+    'chat-4': 'v1',
+}
+"""Engines and their versions, where there are two of each."""
+REFUSED_AT_ONCE_S = 0.5
+
+
+class VersionsOfStreamsTest(unittest.TestCase):
+    """Three instances, whose engines run the versions v1 and v2."""
+
+    def setUp(self) -> None:
+        """Start a fleet without engines."""
+        self.fleet = gateway_fleet.GatewayFleet(3, engine_count=0)
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__, None, None, None)
+
+    def add_engines(self, *versions: str) -> None:
+        """Start an engine of each version."""
+        for number, version in enumerate(versions):
+            self.fleet.add_target(f'chat-{number}', 'chat', version)
+        gevent.sleep(CHANGE_SPREAD_S)
+
+    def begin_stream(self, instance: int = 0) -> str:
+        """Let a caller receive the first event; return the target's name."""
+        sock = open_stream(self.fleet, instance)
+        self.addCleanup(sock.close)
+        received = b''
+        while b'piece 1' not in received:
+            received += sock.recv(4_096)
+        return next(r.target for r in self.fleet.runs if r.attempt == 'first')
+
+    def drain(self, name: str) -> None:
+        """Let a target drain, so that its streams go on elsewhere."""
+        self.fleet.register_target(name, 'chat', 'draining', ENGINES[name])
+        gevent.sleep(CHANGE_SPREAD_S)
+
+    def take_up(
+        self, instance: int, resumes: str = 'first'
+    ) -> tuple[int, list[str]]:
+        """Take the stream up after its first event.
+
+        Returns the status of the answer and the targets that ran the call.
+        """
+        attempt, answer = call(
+            self.fleet,
+            'stream',
+            instance=instance,
+            Last_Event_Id='1',
+            Resumes=resumes,
+        )
+        runs = [r.target for r in self.fleet.runs if r.attempt == attempt]
+        return answer.status, runs
+
+    # Guards against an answer that another version goes on with after the
+    # first target has failed.
+    def test_answer_is_not_continued_by_another_version(self) -> None:
+        """It ends without its end, since no target of the version is left."""
+        self.add_engines('v1', 'v2')
+        for name in ('chat-0', 'chat-1'):
+            attempt, answer = call(
+                self.fleet, 'stream', X_Fault=f'cut-stream@{name}'
+            )
+            runs = [r.target for r in self.fleet.runs if r.attempt == attempt]
+            self.assertEqual(1, len(runs))
+            self.assertEqual(200 if runs != [name] else 0, answer.status)
+
+    # Guards against a broken answer while its version could go on.
+    def test_answer_is_continued_by_its_own_version(self) -> None:
+        """The other target of the version goes on, whichever began."""
+        self.add_engines(*ENGINES.values())
+        for name in ENGINES:
+            for _ in range(4):
+                attempt, answer = call(
+                    self.fleet, 'stream', X_Fault=f'cut-stream@{name}'
+                )
+                self.assertEqual(200, answer.status)
+                runs = [
+                    ENGINES[r.target]
+                    for r in self.fleet.runs
+                    if r.attempt == attempt
+                ]
+                self.assertEqual(1, len(set(runs)), runs)
+
+    # Guards against a stream that a caller takes up at another instance and
+    # that another version goes on with.
+    def test_stream_taken_up_elsewhere_keeps_its_version(self) -> None:
+        """Each instance sends it to a target of the version that began it."""
+        self.add_engines(*ENGINES.values())
+        name = self.begin_stream()
+        self.drain(name)
+        began = ENGINES[name]
+        for instance in (1, 2, 0, 1, 2, 0):
+            status, runs = self.take_up(instance)
+            self.assertEqual(200, status)
+            self.assertEqual([began], [ENGINES[name] for name in runs])
+
+    # Guards against a version that is forgotten with the instance at which
+    # the stream began, which is why its caller takes it up elsewhere.
+    def test_version_is_known_after_its_instance_was_killed(self) -> None:
+        """The instances that are left know it."""
+        self.add_engines(*ENGINES.values())
+        for killed in (0, 1):
+            del self.fleet.runs[:]
+            name = self.begin_stream(killed)
+            began = ENGINES[name]
+            self.fleet.processes[killed].kill()
+            self.drain(name)
+            for _ in range(3):
+                status, runs = self.take_up(2)
+                self.assertEqual(200, status)
+                self.assertEqual([began], [ENGINES[name] for name in runs])
+            self.fleet.register_target(name, 'chat', version=began)
+            self.fleet.start_instance(killed)
+            self.fleet.wait_ready(killed)
+
+    # Guards against a stream that began before its service had a second
+    # version, of which nobody was told then.
+    def test_version_is_known_of_streams_before_a_release(self) -> None:
+        """The instance tells the others once a second version is listed."""
+        self.add_engines('v1', 'v1')
+        name = self.begin_stream()
+        for number in (2, 3, 4):
+            self.fleet.add_target(f'a-chat-{number}', 'chat', 'v2')
+        self.fleet.register_target(name, 'chat', 'draining')
+        gevent.sleep(CHANGE_SPREAD_S)
+        self.fleet.processes[0].kill()
+        for _ in range(4):
+            status, runs = self.take_up(1)
+            self.assertEqual(200, status)
+            self.assertIn(runs, (['chat-0'], ['chat-1']))
+
+    # Guards against a guess at the version of a stream.
+    def test_unknown_stream_is_refused_while_two_versions_serve(self) -> None:
+        """It is refused at once, and taken up while one version serves."""
+        self.add_engines('v1')
+        status, runs = self.take_up(0, 'nobody')
+        self.assertEqual((200, ['chat-0']), (status, runs))
+        self.fleet.add_target('chat-1', 'chat', 'v2')
+        gevent.sleep(CHANGE_SPREAD_S)
+        for resumes in ('nobody', ''):
+            start_s = time.monotonic()
+            self.assertEqual((503, []), self.take_up(0, resumes))
+            self.assertLess(time.monotonic() - start_s, REFUSED_AT_ONCE_S)
+
+    # Guards against a wait for targets of a version that is gone.
+    def test_stream_of_a_version_that_is_gone_is_refused_at_once(self) -> None:
+        """Draining targets of the version don't take it up either."""
+        self.add_engines('v1', 'v2')
+        name = self.begin_stream()
+        self.drain(name)
+        start_s = time.monotonic()
+        self.assertEqual((503, []), self.take_up(1))
+        self.assertLess(time.monotonic() - start_s, REFUSED_AT_ONCE_S)
+
+
+if __name__ == '__main__':
+    unittest.main()
