--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -145,8 +145,10 @@
         self.fleet.register_target(name, 'chat', 'draining')
         gevent.sleep(CHANGE_SPREAD_S)
         self.fleet.processes[0].kill()
-        for _ in range(4):
-            status, runs = self.take_up(1)
+        # More than one target runs at once.
+        calls = [gevent.spawn(self.take_up, 1) for _ in range(8)]
+        for greenlet in calls:
+            status, runs = greenlet.get()
             self.assertEqual(200, status)
             self.assertIn(runs, (['chat-0'], ['chat-1']))
 
