Continue an answer only at a target of the same version

What callers saw: a stream whose target failed went on at a target of another software version, with events that don't fit together, and ended as whole.

Cause: the version in a target's registration was not read, and after a failure any other target of the service was as good as the first. The class: an answer is joined from two sources that are assumed to be alike.

Change: once an answer has begun, the call is bound to the version of its target.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -1,6 +1,7 @@
 """Handles a caller's request from receipt to the final answer."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 from typing import NamedTuple
 
@@ -9,6 +10,7 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import CallerGoneError
+from lagoonbend.facts import VersionBinding
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.outcomes import decide_next_step
 from lagoonbend.outcomes import NextStep
@@ -82,10 +84,11 @@
     """State of a call across its attempts.
 
     ``attempt_history`` has an entry ``target:outcome`` for each attempt that
-    was sent, and ``versions`` the version of that target's software;
-    ``excluded`` lists the targets not to be tried again;
-    ``target`` is the one of the current attempt; ``failure`` says why the
-    call has no answer yet. ``interrupt`` raises an error in the greenlet that
+    was sent, and ``versions`` the software version of that target.
+    ``excluded`` lists the targets not to be tried again. ``target`` and
+    ``version`` are those of the current attempt; ``binding`` is the version
+    to which a stream that has begun is bound. ``failure`` says why the call
+    has no answer yet. ``interrupt`` raises an error in the greenlet that
     serves the call.
 
     :param call: admitted call.
@@ -100,6 +103,8 @@
         self.excluded: list[str] = []
         self.pool = ''
         self.target = ''
+        self.version: str | None = None
+        self.binding: VersionBinding | None = None
         self.send_count = 0
         self.run_count = 0
         self.may_have_run = False
@@ -251,7 +256,7 @@
         retry_share = self._get_retry_share(call.service)
         retry_share.record_request()
         search = SuccessorSearch(
-            lambda: self._acquire_successor(progress, retry_share),
+            lambda: self._acquire_successor(progress, reply, retry_share),
             self._release_unused,
         )
         try:
@@ -324,6 +329,14 @@
                     detail='target not listed for the service',
                     is_target_absent=True,
                 )
+            if progress.binding and not progress.binding.allows(target):
+                slot_outcome = SlotOutcome.UNSUITED
+                return AttemptReport(
+                    AttemptOutcome.WRONG_TARGET,
+                    target=decision.target,
+                    detail='target has another software version',
+                )
+            progress.version = target.software_version
             attempt = Attempt(
                 progress.call,
                 target,
@@ -346,6 +359,7 @@
             if target is not None and attempt is not None and attempt.is_sent:
                 progress.send_count += 1
                 progress.versions.append(target.software_version or '')
+                self._bind_stream(progress, reply)
                 progress.attempt_history.append(
                     f'{decision.target}:{slot_outcome.value}'
                 )
@@ -357,6 +371,21 @@
                 request, decision.target, slot_outcome, first_byte_ms
             )
 
+    def _bind_stream(self, progress: CallProgress, reply: ReplyWriter) -> None:
+        """Bind a stream that has begun to the version of its target."""
+        if reply.has_begun and progress.binding is None:
+            progress.binding = VersionBinding(progress.version)
+
+    def _list_excluded(self, progress: CallProgress) -> Iterator[str]:
+        """Yield the targets that must not run the call."""
+        yield from progress.excluded
+        if progress.binding is None:
+            return
+        service = progress.call.service
+        for target in self._facts.target_directory.list_service(service):
+            if not progress.binding.allows(target):
+                yield target.target
+
     def _acquire(self, progress: CallProgress) -> GrantedSlot:
         """Request a slot and return the decision, which may be a denial."""
         call = progress.call
@@ -368,7 +397,10 @@
         return GrantedSlot(request, decision)
 
     def _acquire_successor(
-        self, progress: CallProgress, retry_share: RetryShare
+        self,
+        progress: CallProgress,
+        reply: ReplyWriter,
+        retry_share: RetryShare,
     ) -> GrantedSlot | None:
         """Request a slot at another target than the one that is silent."""
         call = progress.call
@@ -378,6 +410,7 @@
             or left_ms < MIN_ATTEMPT_MS
         ):
             return None
+        self._bind_stream(progress, reply)
         request = self._build_slot_request(
             progress, is_sent=True, excluded=(progress.target,)
         )
@@ -506,7 +539,7 @@
             prompt=call.headers.prompt,
             output_tokens=output_tokens,
             body_bytes=len(call.request.body),
-            excluded=(*progress.excluded, *excluded),
+            excluded=(*self._list_excluded(progress), *excluded),
         )
 
     def _get_retry_share(self, service: str) -> RetryShare:
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -9,6 +9,7 @@
 from lagoonbend._internal.facts.ruleset import RuleSet
 from lagoonbend._internal.facts.service_profile import ServiceProfile
 from lagoonbend._internal.facts.target_directory import TargetDirectory
+from lagoonbend._internal.facts.version_binding import VersionBinding
 from lagoonbend._internal.facts.weighted_service import WeightedService
 
 __all__ = [
@@ -21,5 +22,6 @@
     'RuleSet',
     'ServiceProfile',
     'TargetDirectory',
+    'VersionBinding',
     'WeightedService',
 ]
