Take a stream up only at the version that began it

What callers saw: a stream taken up at an instance, with Resumes and Last-Event-Id, went on at a target of any software version.

Cause: the instance treated such a call as a new one. Which version began the stream was known only to the instance at which it began, and often that one's end is why the caller comes back.

Chosen: in fleets up to 16 instances, where all are linked, each instance tells all others when a stream is sent (20 ms batches, the first one at once); in larger ones the store readers of its domain and the deciders of its pools. Nothing is sent while the listed targets, and those gone within the longest timeout of a route, have one version; when a second one appears, each instance sends the streams that it has.

An unknown stream is refused at once with 503 while there are several versions; also while there is one, if the facts are older than 3 s and no peer answers. Keys hold customer and service, so that a caller can't name another's stream. The memory is bounded in number and time. Peers get the new messages only if their pongs say that they understand them.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -17,6 +17,7 @@
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.coordination import origin_exchange
 from lagoonbend_entry._internal.coordination import wire_codec
 from lagoonbend_entry._internal.coordination.deciders import Deciders
 from lagoonbend_entry._internal.coordination.fleet import Fleet
@@ -124,6 +125,12 @@
             self._deliver,
             self._waiting_signal.set,
         )
+        self.origins = origin_exchange.OriginExchange(
+            clock,
+            lambda: fleet.list_origin_keepers(self._deciders.list_last()),
+            self._links.send,
+            lambda service: len(facts.list_versions(service)) > 1,
+        )
         self.peers = PeerService(
             fleet,
             facts,
@@ -131,7 +138,9 @@
             self._deciders,
             (self.pool_schedulers, self._fallback_schedulers),
             incarnation,
+            self.origins,
         )
+        facts.on_change.append(self.origins.apply_facts)
         facts.on_change.append(self.pool_schedulers.apply_facts)
         facts.on_change.append(self._fallback_schedulers.apply_facts)
 
@@ -139,6 +148,7 @@
         """Open links to the known peers and start the loops."""
         gevent.spawn(run_guarded, 'heartbeats', self._send_pings)
         gevent.spawn(run_guarded, 'tick', self._run_cycle)
+        self.origins.start()
 
     def acquire(
         self, request: SlotRequest, rule: CustomerRule | None, wait_ms: int
@@ -476,6 +486,8 @@
                     pending.request_again()
             case messages.Decision():
                 self._handle_decision(link, message)
+            case messages.OriginFound():
+                self.origins.handle_answer(link.address, message)
 
     def _handle_decision(
         self, link: PeerLink, message: messages.Decision
@@ -513,6 +525,8 @@
                 pong.incarnation, pong.used, self._clock.now_ms()
             )
         if is_newly_reached:
+            if pong.keeps_origins:
+                self.origins.send_all(pong.address)
             log_event(
                 Event.PEER_REACHED,
                 peer=pong.address,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -123,6 +123,7 @@
                 pong.is_leaving,
                 frozenset(pong.decides),
                 True,
+                pong.keeps_origins,
             )
         )
         self._record_relayed(pong.rumours)
@@ -228,6 +229,27 @@
             in self._list_domain_members()[:STORE_READERS_PER_DOMAIN]
         )
 
+    def list_origin_keepers(self, deciders: set[str]) -> list[str]:
+        """Return the peers that keep the origins of this domain's streams.
+
+        Those are all peers of a small fleet. In a larger one they are the
+        store readers of the domain, to which callers return, and deciders.
+
+        :param deciders: deciders of the pools in use here.
+        """
+        readers = self._list_domain_members()[:STORE_READERS_PER_DOMAIN]
+        return [
+            heartbeat.address
+            for heartbeat in self.list_alive()
+            if heartbeat.is_direct
+            and heartbeat.keeps_origins
+            and (
+                self.is_full_mesh
+                or heartbeat.address in readers
+                or heartbeat.address in deciders
+            )
+        ]
+
     def find_decider(
         self, pool: str, *, decides: bool, is_leaving: bool, hint: str = ''
     ) -> str:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
@@ -13,6 +13,8 @@
     :param is_leaving: True if it is about to stop.
     :param decides: pools that it decides for; empty if relayed.
     :param is_direct: False if another instance relayed the heartbeat.
+    :param keeps_origins: True if it understands messages on the origins of
+        streams; False if relayed.
     """
 
     address: str
@@ -22,3 +24,4 @@
     is_leaving: bool
     decides: frozenset[str]
     is_direct: bool
+    keeps_origins: bool = False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -50,7 +50,9 @@
     """Answer to a ping: the heartbeat of an instance.
 
     ``sent_ms`` is copied from the ping, so that the receiver counts the age of
-    the contents from its own ping and by its own clock.
+    the contents from its own ping and by its own clock. ``keeps_origins`` is
+    True if the instance understands messages on the origins of streams; the
+    field is missing in pongs of earlier versions, which ignore it.
     """
 
     sent_ms: int
@@ -64,6 +66,7 @@
     revision: int
     proof_age_ms: int | None
     used: dict[str, float]
+    keeps_origins: bool = False
 
 
 class ItemsWanted(Message):
@@ -183,6 +186,36 @@
     places: list[WirePlace]
 
 
+class WireOrigin(msgspec.Struct, array_like=True):
+    """The software version that began a stream.
+
+    ``left_ms`` is the time for which the stream can still be taken up.
+    """
+
+    key: int
+    version: str
+    left_ms: int
+
+
+class Origins(Message):
+    """Reports streams that have begun at the sender."""
+
+    origins: list[WireOrigin]
+
+
+class OriginWanted(Message):
+    """Asks for the origin of a stream."""
+
+    key: int
+
+
+class OriginFound(Message):
+    """Answer to ``OriginWanted``; without an origin if it isn't known."""
+
+    key: int
+    origins: list[WireOrigin]
+
+
 AnyMessage = (
     Greeting
     | Ping
@@ -196,4 +229,7 @@
     | Withdraw
     | Done
     | Holding
+    | Origins
+    | OriginWanted
+    | OriginFound
 )
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
@@ -0,0 +1,185 @@
+"""Shares the origins of streams with other instances.
+
+A caller takes a stream up at any instance, also after the one at which the
+stream began was killed. While a service has one software version, any of its
+targets can continue a stream, and nothing is sent.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import gevent
+import gevent.event
+
+from lagoonbend.clock import Clock
+from lagoonbend.facts import StreamOrigin
+from lagoonbend.facts import StreamOrigins
+from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.coordination import wire_codec
+from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
+
+BATCH_INTERVAL_S = 0.02
+"""Minimum time between two batches. The first origin after a pause is sent at
+once. Later ones arrive before the first event of their stream, which takes at
+least the time to read the prompt."""
+ANSWER_TIMEOUT_MS = 150
+"""Time for peers to answer a question; a round trip between failure domains
+takes about 3 ms."""
+MAX_BATCH = 500
+"""Origins in one message."""
+MILLISECONDS_PER_SECOND = 1000
+
+Send = Callable[[str, messages.Message], bool]
+
+
+class OriginAnswer(NamedTuple):
+    """Result of a question to the peers.
+
+    :param origin: origin of the stream; None if no peer knows it.
+    :param is_answered: True if at least one peer has answered.
+    """
+
+    origin: StreamOrigin | None
+    is_answered: bool
+
+
+class _Question:
+    """A question whose answers have not all arrived.
+
+    :param peers: peers that were asked.
+    """
+
+    def __init__(self, peers: set[str]) -> None:
+        self.peers = peers
+        self.is_answered = False
+        self.result: gevent.event.AsyncResult = gevent.event.AsyncResult()
+
+
+class OriginExchange:
+    """Keeps the origins of streams and shares them.
+
+    :param clock: clock of the instance.
+    :param list_keepers: returns the peers to which origins are sent, and that
+        are asked for them.
+    :param send: sends a message to a peer; returns False if it can't.
+    :param is_mixed: returns True if targets of a service have, or had lately,
+        several software versions.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        list_keepers: Callable[[], list[str]],
+        send: Send,
+        is_mixed: Callable[[str], bool],
+    ) -> None:
+        self._clock = clock
+        self._list_keepers = list_keepers
+        self._send = send
+        self._is_mixed = is_mixed
+        self._origins = StreamOrigins(clock)
+        self._own_origins: dict[str, StreamOrigins] = {}
+        self._mixed_services: set[str] = set()
+        self._outbox: list[StreamOrigin] = []
+        self._has_outgoing = gevent.event.Event()
+        self._questions: dict[int, _Question] = {}
+
+    def start(self) -> None:
+        """Start to send origins in batches."""
+        gevent.spawn(run_guarded, 'stream origins', self._send_batch)
+
+    def record(self, service: str, origin: StreamOrigin) -> None:
+        """Record the origin of a stream of this instance."""
+        self._origins.add([origin])
+        own_origins = self._own_origins.get(service)
+        if own_origins is None:
+            own_origins = StreamOrigins(self._clock)
+            self._own_origins[service] = own_origins
+            self.apply_facts()
+        own_origins.add([origin])
+        if service in self._mixed_services:
+            self._queue([origin])
+
+    def find(self, key: int) -> StreamOrigin | None:
+        """Return the origin of a stream, if it is known here."""
+        return self._origins.find(key)
+
+    def ask(self, key: int) -> OriginAnswer:
+        """Ask the peers for the origin of a stream, and wait for an answer."""
+        question = self._questions.get(key)
+        if question is None:
+            question = _Question(set(self._list_keepers()))
+            self._questions[key] = question
+            for peer in list(question.peers):
+                if not self._send(peer, messages.OriginWanted(key)):
+                    question.peers.discard(peer)
+        try:
+            if question.peers:
+                question.result.wait(
+                    ANSWER_TIMEOUT_MS / MILLISECONDS_PER_SECOND
+                )
+        finally:
+            if self._questions.get(key) is question:
+                del self._questions[key]
+        return OriginAnswer(self.find(key), question.is_answered)
+
+    def apply_facts(self) -> None:
+        """Share the streams of services that have become mixed."""
+        for service, own_origins in self._own_origins.items():
+            is_mixed = self._is_mixed(service)
+            if is_mixed and service not in self._mixed_services:
+                self._mixed_services.add(service)
+                self._queue(own_origins.list_live())
+            elif not is_mixed:
+                self._mixed_services.discard(service)
+
+    def send_all(self, peer: str) -> None:
+        """Send the origins of mixed services to a peer that has come back."""
+        for service in self._mixed_services:
+            self._send_origins(peer, self._own_origins[service].list_live())
+
+    def handle_origins(self, message: messages.Origins) -> None:
+        """Store the origins that a peer has sent."""
+        now_ms = self._clock.now_ms()
+        self._origins.add(wire_codec.decode_origins(message, now_ms))
+
+    def build_answer(self, wanted: messages.OriginWanted) -> messages.Message:
+        """Return the answer to the question of a peer."""
+        origin = self.find(wanted.key)
+        return wire_codec.encode_origin_answer(
+            wanted.key, origin, self._clock.now_ms()
+        )
+
+    def handle_answer(self, peer: str, message: messages.OriginFound) -> None:
+        """Store an answer, and wake those who wait for it."""
+        now_ms = self._clock.now_ms()
+        self._origins.add(wire_codec.decode_origin_answer(message, now_ms))
+        question = self._questions.get(message.key)
+        if question is None:
+            return
+        question.is_answered = True
+        question.peers.discard(peer)
+        if message.origins or not question.peers:
+            question.result.set(None)
+
+    def _queue(self, origins: Iterable[StreamOrigin]) -> None:
+        self._outbox.extend(origins)
+        self._has_outgoing.set()
+
+    def _send_batch(self) -> None:
+        self._has_outgoing.wait()
+        self._has_outgoing.clear()
+        batch, self._outbox = self._outbox, []
+        for peer in self._list_keepers():
+            self._send_origins(peer, batch)
+        gevent.sleep(BATCH_INTERVAL_S)
+
+    def _send_origins(
+        self, peer: str, origins: Iterable[StreamOrigin]
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        batch = list(origins)
+        for start in range(0, len(batch), MAX_BATCH):
+            part = batch[start : start + MAX_BATCH]
+            self._send(peer, wire_codec.encode_origins(part, now_ms))
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -8,6 +8,7 @@
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend_entry._internal.coordination import message_channel
 from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.coordination import origin_exchange
 from lagoonbend_entry._internal.coordination import wire_codec
 from lagoonbend_entry._internal.coordination.deciders import Deciders
 from lagoonbend_entry._internal.coordination.fleet import Fleet
@@ -28,6 +29,7 @@
     :param all_schedulers: schedulers of the pools that this instance decides
         for, and those that it uses while no decider answers.
     :param incarnation: identity of this start of the process.
+    :param origins: origins of streams.
     """
 
     def __init__(
@@ -38,6 +40,7 @@
         deciders: Deciders,
         all_schedulers: tuple[PoolSchedulers, PoolSchedulers],
         incarnation: str,
+        origins: origin_exchange.OriginExchange,
     ) -> None:
         self._fleet = fleet
         self._facts = facts
@@ -46,6 +49,7 @@
         self._pool_schedulers = all_schedulers[0]
         self._all_schedulers = all_schedulers
         self._incarnation = incarnation
+        self._origins = origins
         self._channels: dict[str, message_channel.MessageChannel] = {}
 
     def send(self, address: str, message: messages.Message) -> None:
@@ -123,6 +127,10 @@
                     )
             case messages.Holding():
                 self._handle_holding(peer, message)
+            case messages.Origins():
+                self._origins.handle_origins(message)
+            case messages.OriginWanted():
+                channel.send(self._origins.build_answer(message))
 
     def _handle_ask(
         self,
@@ -176,6 +184,7 @@
             self._facts.item_cache.complete_revision,
             self._facts.age_ms(),
             self._sum_used_units() if ping.wants_news else {},
+            keeps_origins=True,
         )
 
     def _sum_used_units(self) -> dict[str, float]:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from lagoonbend.facts import PublishedItem
+from lagoonbend.facts import StreamOrigin
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import HeldSlot
 from lagoonbend.scheduling import PromptBlock
@@ -161,3 +162,42 @@
     blocks: Iterable[messages.WirePart],
 ) -> tuple[PromptBlock, ...]:
     return tuple(PromptBlock(block.part, block.tokens) for block in blocks)
+
+
+def encode_origins(
+    origins: Iterable[StreamOrigin], now_ms: int
+) -> messages.Origins:
+    """Return the message that reports streams."""
+    return messages.Origins([_encode_origin(o, now_ms) for o in origins])
+
+
+def decode_origins(
+    message: messages.Origins, now_ms: int
+) -> list[StreamOrigin]:
+    """Return the origins of the streams that a peer reports."""
+    return [_decode_origin(origin, now_ms) for origin in message.origins]
+
+
+def encode_origin_answer(
+    key: int, origin: StreamOrigin | None, now_ms: int
+) -> messages.OriginFound:
+    """Return the answer to a question for the origin of a stream."""
+    found = [] if origin is None else [_encode_origin(origin, now_ms)]
+    return messages.OriginFound(key, found)
+
+
+def decode_origin_answer(
+    message: messages.OriginFound, now_ms: int
+) -> list[StreamOrigin]:
+    """Return the origin in an answer, in a list that may be empty."""
+    return [_decode_origin(origin, now_ms) for origin in message.origins]
+
+
+def _encode_origin(origin: StreamOrigin, now_ms: int) -> messages.WireOrigin:
+    return messages.WireOrigin(
+        origin.key, origin.version, origin.expires_ms - now_ms
+    )
+
+
+def _decode_origin(origin: messages.WireOrigin, now_ms: int) -> StreamOrigin:
+    return StreamOrigin(origin.key, origin.version, now_ms + origin.left_ms)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -10,6 +10,8 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import CallerGoneError
+from lagoonbend.facts import compute_origin_key
+from lagoonbend.facts import StreamOrigin
 from lagoonbend.facts import VersionBinding
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.outcomes import decide_next_step
@@ -46,6 +48,16 @@
 
 DEFAULT_RETRY_AFTER_MS = 1_000
 """``Retry-After`` of a refusal for which no better value is known."""
+MAX_ISOLATED_FACT_AGE_MS = 3_000
+"""Age of the facts from which an instance that reaches no peer can't tell
+whether a service has a second version. While the platform's store answers,
+the last confirmation is at most 2.8 s old."""
+ORIGIN_GRACE_MS = 1_000
+"""Time by which the origin of a stream is kept longer than its caller may
+take the stream up, for clocks and delays."""
+MAX_ORIGIN_MS = 60_000
+"""Bound on the time for which an origin is kept; callers set their deadlines
+themselves, at 15 s at most in the users' deployments."""
 STOPPING_RETRY_AFTER_MS = 100
 """``Retry-After`` of a stopping instance: other instances serve at once, on a
 new connection."""
@@ -255,6 +267,13 @@
         call = progress.call
         retry_share = self._get_retry_share(call.service)
         retry_share.record_request()
+        if call.route.is_streaming and call.headers.last_event:
+            progress.binding = self._find_origin_binding(call)
+            if progress.binding is None:
+                progress.failure = 'origin of the stream is not known'
+                return GatewayRefusal(
+                    RefusalReason.UNKNOWN_ORIGIN, DEFAULT_RETRY_AFTER_MS
+                )
         search = SuccessorSearch(
             lambda: self._acquire_successor(progress, reply, retry_share),
             self._release_unused,
@@ -337,6 +356,8 @@
                     detail='target has another software version',
                 )
             progress.version = target.software_version
+            if not reply.has_begun:
+                self._record_origin(progress.call, progress.version)
             attempt = Attempt(
                 progress.call,
                 target,
@@ -371,6 +392,67 @@
                 request, decision.target, slot_outcome, first_byte_ms
             )
 
+    def _find_origin_binding(
+        self, call: AdmittedCall
+    ) -> VersionBinding | None:
+        """Return the version of the stream that a caller takes up.
+
+        While a service has one version, that one began the stream. Otherwise
+        the version must be known, here or at a peer.
+
+        :returns: None if it isn't known.
+        """
+        origins = self._coordinator.origins
+        key = self._compute_origin_key(call)
+        origin = origins.find(key) if key is not None else None
+        if origin is not None:
+            return VersionBinding(origin.version)
+        versions = self._facts.list_versions(call.service)
+        is_mixed = len(versions) != 1
+        age_ms = self._facts.age_ms()
+        is_current = age_ms is not None and age_ms < MAX_ISOLATED_FACT_AGE_MS
+        if is_mixed or not is_current:
+            if key is None:
+                return None
+            answer = origins.ask(key)
+            if answer.origin is not None:
+                return VersionBinding(answer.origin.version)
+            if is_mixed or not answer.is_answered:
+                return None
+        return VersionBinding(next(iter(versions)))
+
+    def _record_origin(self, call: AdmittedCall, version: str | None) -> None:
+        """Record the version of a stream that its caller may take up."""
+        key = self._compute_origin_key(call)
+        is_resumable = call.route.is_streaming and call.route.is_resumable
+        if key is None or not is_resumable:
+            return
+        wait_ms = min(
+            call.headers.deadline_ms or call.route.timeout_ms, MAX_ORIGIN_MS
+        )
+        self._coordinator.origins.record(
+            call.service,
+            StreamOrigin(
+                key,
+                version or '',
+                call.request.received_ms + wait_ms + ORIGIN_GRACE_MS,
+            ),
+        )
+
+    @staticmethod
+    def _compute_origin_key(call: AdmittedCall) -> int | None:
+        """Return the key of the stream that a call begins or continues.
+
+        :returns: None if the caller doesn't name the attempt.
+        """
+        attempt = call.headers.attempt
+        if call.headers.last_event:
+            attempt = call.headers.continued_attempt
+        if not attempt:
+            return None
+        customer = call.customer.name if call.customer else ''
+        return compute_origin_key(customer, call.service, attempt)
+
     def _bind_stream(self, progress: CallProgress, reply: ReplyWriter) -> None:
         """Bind a stream that has begun to the version of its target."""
         if reply.has_begun and progress.binding is None:
@@ -665,6 +747,7 @@
             targets=progress.attempt_history,
             software=progress.versions,
             continues=call.headers.continued_attempt,
+            bound_to=progress.binding.version if progress.binding else None,
             last_event=progress.position.last_id or '',
             waited_ms=progress.waited_ms,
             first_ms=progress.first_byte_ms,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -60,6 +60,17 @@
         """Return the time since the facts were last confirmed as current."""
         return self.item_cache.age_ms(self._clock.now_ms())
 
+    def list_versions(self, service: str) -> set[str | None]:
+        """Return the software versions that may have begun a stream.
+
+        They are those of the listed targets and of targets that have gone
+        since the longest timeout of a route.
+        """
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
+        return self.target_directory.list_versions(
+            service, self._clock.now_ms(), longest_ms
+        )
+
     def apply_listing(
         self, items: Iterable[PublishedItem], revision: int, at_ms: int
     ) -> None:
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/ruleset.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/ruleset.py
@@ -30,6 +30,18 @@
     requires_keys: bool
     bounds: CallerBounds
 
+    @property
+    def longest_timeout_ms(self) -> int:
+        """Longest timeout of all routes."""
+        return max(
+            (
+                route.timeout_ms
+                for routes in self.routes_by_host.values()
+                for route in routes
+            ),
+            default=0,
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest match of the path."""
         for route in self.routes_by_host.get(host, ()):
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -8,6 +8,9 @@
 from lagoonbend._internal.facts.route import Route
 from lagoonbend._internal.facts.ruleset import RuleSet
 from lagoonbend._internal.facts.service_profile import ServiceProfile
+from lagoonbend._internal.facts.stream_origin import StreamOrigin
+from lagoonbend._internal.facts.stream_origins import compute_origin_key
+from lagoonbend._internal.facts.stream_origins import StreamOrigins
 from lagoonbend._internal.facts.target_directory import TargetDirectory
 from lagoonbend._internal.facts.version_binding import VersionBinding
 from lagoonbend._internal.facts.weighted_service import WeightedService
@@ -21,7 +24,10 @@
     'Route',
     'RuleSet',
     'ServiceProfile',
+    'StreamOrigin',
+    'StreamOrigins',
     'TargetDirectory',
     'VersionBinding',
     'WeightedService',
+    'compute_origin_key',
 ]
--- /dev/null
+++ b/tests/unit/test_stream_origins.py
@@ -0,0 +1,131 @@
+"""Origins of streams that callers take up, as instances remember them.
+
+Guards against a stream that goes on at another software version because its
+origin is lost or taken for that of another stream, and against a memory that
+grows without a bound.
+"""
+
+import unittest
+
+import gevent
+
+from lagoonbend.clock import PausedClock
+from lagoonbend.facts import compute_origin_key
+from lagoonbend.facts import StreamOrigin
+from lagoonbend.facts import StreamOrigins
+from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.coordination import origin_exchange
+
+KEY = compute_origin_key('first', 'chat', 'a1')
+PEERS = ('peer-1', 'peer-2')
+
+
+class StreamOriginsTest(unittest.TestCase):
+    """The memory of one instance, on a paused clock."""
+
+    def setUp(self) -> None:
+        """Create an empty memory."""
+        self.clock = PausedClock()
+        self.origins = StreamOrigins(self.clock)
+
+    def test_customers_may_use_one_identity(self) -> None:
+        """Each finds the stream of its own, in the service of its own."""
+        other_keys = (
+            compute_origin_key('second', 'chat', 'a1'),
+            compute_origin_key('first', 'desk', 'a1'),
+            compute_origin_key('firstc', 'hat', 'a1'),
+        )
+        self.origins.add([StreamOrigin(KEY, 'v1', 1_000)])
+        for key in other_keys:
+            self.assertIsNone(self.origins.find(key))
+        found = self.origins.find(KEY)
+        self.assertEqual('v1', found.version if found else None)
+
+    def test_origin_ends_with_the_time_of_its_stream(self) -> None:
+        """It isn't found any more, and its memory is freed."""
+        now_ms = self.clock.now_ms()
+        self.origins.add([StreamOrigin(KEY, 'v1', now_ms + 1_000)])
+        self.clock.advance(1_000)
+        self.assertIsNone(self.origins.find(KEY))
+        self.origins.add([StreamOrigin(1, 'v1', now_ms + 9_000)])
+        self.assertEqual(1, len(self.origins))
+
+    def test_memory_is_bounded(self) -> None:
+        """The oldest origins are dropped first."""
+        self.origins.add(StreamOrigin(n, 'v1', 10**9) for n in range(30_000))
+        self.assertEqual(20_000, len(self.origins))
+        self.assertIsNone(self.origins.find(9_999))
+        self.assertIsNotNone(self.origins.find(10_000))
+
+
+class OriginExchangeTest(unittest.TestCase):
+    """One instance with two peers, which the test plays."""
+
+    def setUp(self) -> None:
+        """Create an exchange for a service with one version."""
+        self.clock = PausedClock()
+        self.sent: list[tuple[str, messages.Message]] = []
+        self.is_mixed = False
+        self.unreachable: set[str] = set()
+        self.exchange = origin_exchange.OriginExchange(
+            self.clock, lambda: list(PEERS), self.send, lambda _: self.is_mixed
+        )
+        self.exchange.start()
+        self.origin = StreamOrigin(KEY, 'v1', self.clock.now_ms() + 9_000)
+
+    def send(self, peer: str, message: messages.Message) -> bool:
+        """Record a message."""
+        self.sent.append((peer, message))
+        return peer not in self.unreachable
+
+    def test_nothing_is_sent_while_a_service_has_one_version(self) -> None:
+        """Any target can continue its streams."""
+        self.exchange.record('chat', self.origin)
+        gevent.sleep(0.05)
+        self.assertEqual([], self.sent)
+
+    def test_streams_that_run_are_sent_once_a_second_one_appears(self) -> None:
+        """They began before anyone had to remember their version."""
+        self.exchange.record('chat', self.origin)
+        self.is_mixed = True
+        self.exchange.apply_facts()
+        gevent.sleep(0.05)
+        self.assertEqual(list(PEERS), [peer for peer, _ in self.sent])
+
+    def test_origin_is_sent_before_an_event_can_arrive(self) -> None:
+        """The first one after a pause doesn't wait for a batch."""
+        self.is_mixed = True
+        self.exchange.record('chat', self.origin)
+        gevent.sleep(0)
+        gevent.sleep(0)
+        self.assertEqual(list(PEERS), [peer for peer, _ in self.sent])
+
+    def test_first_peer_that_knows_a_stream_is_enough(self) -> None:
+        """The instance doesn't wait for the others."""
+        asking = gevent.spawn(self.exchange.ask, KEY)
+        gevent.sleep(0)
+        left = messages.WireOrigin(KEY, 'v1', 9_000)
+        self.exchange.handle_answer(
+            'peer-2', messages.OriginFound(KEY, [left])
+        )
+        answer = asking.get(timeout=0.1)
+        self.assertEqual('v1', answer.origin.version)
+
+    def test_stream_that_no_peer_knows_is_unknown_at_once(self) -> None:
+        """The answers of all peers end the wait."""
+        asking = gevent.spawn(self.exchange.ask, KEY)
+        gevent.sleep(0)
+        for peer in PEERS:
+            self.exchange.handle_answer(peer, messages.OriginFound(KEY, []))
+        answer = asking.get(timeout=0.1)
+        self.assertEqual((None, True), answer)
+
+    def test_instance_without_peers_has_no_answer(self) -> None:
+        """It learns that it is alone, and doesn't wait."""
+        self.unreachable = set(PEERS)
+        answer = self.exchange.ask(KEY)
+        self.assertEqual((None, False), answer)
+
+
+if __name__ == '__main__':
+    unittest.main()
