Reproduce an answer given up for a target that rejects the call

The first target pauses, the slot at the second one is granted, the first connection is closed, the second target turns the call away, and nothing is left: the stream ends without its end, a look-up gets 502.

--- a/tests/functional/test_silent_targets.py
+++ b/tests/functional/test_silent_targets.py
@@ -16,6 +16,7 @@
 from tests.lib.pausing_target import PausingTarget
 
 CHANGE_SPREAD_S = 1.0
+HANG_S = 60.0
 PAUSE_S = 2.3
 """Longer than each time-out for a silent target, shorter than the deadline of
 the calls by the time that they need besides."""
@@ -53,6 +54,51 @@
     return targets, attempt, answer
 
 
+def call_pair(
+    route: str, *, is_sound: bool, is_before_head: bool = False
+) -> tuple[list[PausingTarget], Answer]:
+    """Send one call; the target that gets it pauses.
+
+    The other one answers at once if it is sound, and else rejects the call.
+    """
+    service = 'chat' if 'stream' in route else 'desk'
+    first: list[str] = []
+
+    def is_rejected(attempt: str) -> bool:
+        return bool(first) and not is_sound
+
+    class FirstPauses(PausingTarget):
+        """Pauses if it is the first target that gets a call."""
+
+        def find_pause_s(self) -> float:
+            """Return the pause of the first target, else none."""
+            first.append('')
+            return self._pause_s if len(first) == 1 else 0.0
+
+    targets: list[PausingTarget] = [
+        FirstPauses(
+            HANG_S if is_sound else PAUSE_S,
+            is_before_head=is_before_head,
+            is_rejected=is_rejected,
+        )
+        for _ in range(2)
+    ]
+    try:
+        with gateway_fleet.GatewayFleet(
+            1, engine_count=0, service_count=0
+        ) as fleet:
+            for number, target in enumerate(targets):
+                fleet.register_endpoint(
+                    f'{service}-{number}', service, target.endpoint
+                )
+            gevent.sleep(CHANGE_SPREAD_S)
+            _, answer = call(fleet, route, method='GET', Deadline_Ms='2900')
+    finally:
+        for target in targets:
+            target.stop()
+    return targets, answer
+
+
 class SilentTargetTest(unittest.TestCase):
     """Each test starts a fleet of one instance before pausing targets."""
 
@@ -90,6 +136,40 @@
         self.assertEqual(build_whole_body(), answer.body)
         self.assertEqual([attempt], targets[0].attempts)
 
+    # Guards against an answer that is given up for a target which then
+    # rejects the call.
+    def test_rejected_takeover_leaves_the_answer_at_its_target(self) -> None:
+        """The paused target goes on after the other one has rejected."""
+        for route, is_before_head in (
+            ('stream', False),
+            ('look-up', False),
+            ('look-up', True),
+        ):
+            with self.subTest(route=route, is_before_head=is_before_head):
+                targets, answer = call_pair(
+                    route, is_sound=False, is_before_head=is_before_head
+                )
+                self.assertEqual(200, answer.status)
+                self.assertEqual(build_whole_body(), answer.body)
+                rejected = [t.rejected for t in targets]
+                self.assertIn([], rejected)
+                self.assertNotEqual([[], []], rejected)
+
+    # Guards against a call that stays at a target that hangs for good.
+    def test_hung_target_is_replaced(self) -> None:
+        """The other target takes the call over, in each part of an answer."""
+        for route, is_before_head in (
+            ('stream', False),
+            ('look-up', False),
+            ('look-up', True),
+        ):
+            with self.subTest(route=route, is_before_head=is_before_head):
+                _, answer = call_pair(
+                    route, is_sound=True, is_before_head=is_before_head
+                )
+                self.assertEqual(200, answer.status)
+                self.assertEqual(build_whole_body(), answer.body)
+
 
 if __name__ == '__main__':
     unittest.main()
