Leave a silent target only once another one has accepted the call

Cause: a granted slot was taken for a replacement. The connection to the silent target was closed before the other one had accepted the call, and the silent one was excluded from further attempts.

Change: the search for a successor sends the call itself and waits up to 200 ms for a rejection, while the call still reads from the silent target, which is closed only after that; both work for less than the 400 ms that the platform allows. A rejection, a refused connection or a reset leaves the call where it is. If the silent target goes on meanwhile, the other attempt is closed.

Ruled out: closing later for a stream only; look-ups failed in the same way.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -1,6 +1,9 @@
 """One attempt to run a call at a target."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
+from typing import Any
+from typing import TypeVar
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import NetworkError
@@ -23,6 +26,8 @@
 from lagoonbend_entry._internal.platform.answer_headers import AnswerHeaders
 from lagoonbend_entry._internal.platform.call_headers import CONNECTION_HEADERS
 
+Report = TypeVar('Report', AttemptReport, AttemptReport | None)
+
 EVENT_STREAM = 'text/event-stream'
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Limit on the body of an answer that is buffered before it is relayed."""
@@ -68,7 +73,7 @@
         reply: ReplyWriter,
         connection_pool: ConnectionPool,
         clock: Clock,
-        search: SuccessorSearch,
+        search: SuccessorSearch[Any],
     ) -> None:
         self.is_sent = False
         self._call = call
@@ -79,17 +84,38 @@
         self._connection_pool = connection_pool
         self._clock = clock
         self._search = search
+        self._connection: target_connection.TargetConnection | None = None
         self._sent_ms = 0
         self._last_read_ms = 0
         self._first_byte_ms = 0
 
+    def begin(self, wait_ms: int) -> AttemptReport | None:
+        """Send the call, and wait for a rejection.
+
+        :param wait_ms: time to wait.
+        :returns: a report if the attempt has failed; None if the target
+            seems to accept the call, in which case ``run`` completes it.
+        """
+        return self._connect() or self._exchange_guarded(
+            lambda: self._read_early_rejection(wait_ms)
+        )
+
     def run(self) -> AttemptReport:
         """Run the attempt; errors of the target are returned as a report."""
-        address = (self._target.ip, self._target.port)
-        may_repeat = self._call.route.may_repeat
+        report = None if self._connection else self._connect()
+        return report or self._exchange_guarded(self._exchange)
+
+    def close(self) -> None:
+        """Close the connection of an attempt that is not completed."""
+        if self._connection is not None:
+            self._connection.close()
+
+    def _connect(self) -> AttemptReport | None:
+        """Open a connection; return a report if that fails."""
         try:
-            connection = self._connection_pool.acquire(
-                address, may_repeat=may_repeat
+            self._connection = self._connection_pool.acquire(
+                (self._target.ip, self._target.port),
+                may_repeat=self._call.route.may_repeat,
             )
         except target_error.NotConnectedError as error:
             return AttemptReport(
@@ -99,9 +125,16 @@
                     error, target_error.TargetAbsentError
                 ),
             )
+        return None
+
+    def _exchange_guarded(self, exchange: Callable[[], Report]) -> Report:
+        """Run a part of the exchange; return errors of the target as a report.
+
+        An error closes the connection.
+        """
         is_exchange_complete = False
         try:
-            report = self._exchange(connection)
+            report = exchange()
             is_exchange_complete = True
         except target_error.TargetTimeoutError as error:
             report = self._build_error_report(
@@ -117,7 +150,7 @@
             )
         finally:
             if not is_exchange_complete:
-                connection.close()
+                self.close()
         return report
 
     def _build_error_report(
@@ -127,12 +160,32 @@
             outcome, first_byte_ms=self._first_byte_ms, detail=detail
         )
 
-    def _exchange(
-        self, connection: target_connection.TargetConnection
-    ) -> AttemptReport:
-        self._sent_ms = self._last_read_ms = self._clock.now_ms()
-        self.is_sent = True
-        connection.send(self._encode_request(), self._left_ms())
+    def _send(self) -> target_connection.TargetConnection:
+        """Send the call, unless it has been sent; return the connection."""
+        connection = self._connection
+        assert connection is not None, 'the attempt has no connection'
+        if not self.is_sent:
+            self._sent_ms = self._last_read_ms = self._clock.now_ms()
+            self.is_sent = True
+            connection.send(self._encode_request(), self._left_ms())
+        return connection
+
+    def _read_early_rejection(self, wait_ms: int) -> AttemptReport | None:
+        connection = self._send()
+        try:
+            answer = connection.read_head(wait_ms)
+        except target_error.TargetTimeoutError:
+            return None
+        answer_facts = answer_headers.decode_answer_headers(
+            answer.status, answer.header_map
+        )
+        is_own = answer_facts.attempt in ('', self._call.headers.attempt)
+        if not is_own or not answer_facts.is_not_run:
+            return None
+        return self._read_rejection(connection, answer, answer_facts)
+
+    def _exchange(self) -> AttemptReport:
+        connection = self._send()
         answer, answer_facts = self._read_matching_head(connection)
         self._first_byte_ms = max(1, self._clock.now_ms() - self._sent_ms)
         if answer_facts.is_encoded:
@@ -240,7 +293,7 @@
             return False
         if now_ms - self._last_read_ms >= patience_ms:
             self._search.start()
-        return self._search.has_slot
+        return self._search.has_found
 
     def _read_rejection(
         self,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -34,10 +34,10 @@
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
+from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
-from lagoonbend_entry._internal.gateway.successor_search import GrantedSlot
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
 from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry._internal.platform import refusal_headers
@@ -61,6 +61,10 @@
 STOPPING_RETRY_AFTER_MS = 100
 """``Retry-After`` of a stopping instance: other instances serve at once, on a
 new connection."""
+HANDOVER_MS = 200
+"""Time for which a silent target keeps a call after it has been sent to
+another one. A target that is full rejects a call at once; the platform allows
+400 ms in which both work."""
 MIN_ATTEMPT_MS = 50
 """Remaining time below which no further attempt is made: an answer could
 not arrive in time."""
@@ -274,9 +278,9 @@
                 return GatewayRefusal(
                     RefusalReason.UNKNOWN_ORIGIN, DEFAULT_RETRY_AFTER_MS
                 )
-        search = SuccessorSearch(
-            lambda: self._acquire_successor(progress, reply, retry_share),
-            self._release_unused,
+        search: SuccessorSearch[OpenAttempt] = SuccessorSearch(
+            lambda: self._open_successor(progress, reply, retry_share, search),
+            lambda successor: self._drop_successor(progress, successor),
         )
         try:
             return self._run_attempts_with(
@@ -290,21 +294,27 @@
         progress: CallProgress,
         reply: ReplyWriter,
         retry_share: RetryShare,
-        search: SuccessorSearch,
+        search: SuccessorSearch[OpenAttempt],
     ) -> GatewayRefusal | None:
         call = progress.call
         while True:
-            request, decision = search.take() or self._acquire(progress)
-            progress.pool = decision.pool
-            progress.waited_ms += decision.waited_ms
-            if decision.denial is not None:
-                progress.failure = (
-                    f'{progress.failure}; {decision.denial.value}'
+            opened: OpenAttempt | AttemptReport | None = search.take()
+            if opened is None:
+                request, decision = self._acquire(progress)
+                progress.pool = decision.pool
+                progress.waited_ms += decision.waited_ms
+                if decision.denial is not None:
+                    progress.failure = (
+                        f'{progress.failure}; {decision.denial.value}'
+                    )
+                    return self._build_denial_refusal(progress, decision)
+                opened = self._open_attempt(
+                    progress, reply, request, decision, search
                 )
-                return self._build_denial_refusal(progress, decision)
-            report = self._run_attempt(
-                progress, reply, request, decision, search
-            )
+            if isinstance(opened, AttemptReport):
+                report = opened
+            else:
+                report = self._run_attempt(progress, reply, opened, search)
             progress.failure = f'{report.outcome.label}: {report.detail}'
             step = self._choose_next_step(
                 progress, reply, report, retry_share, search
@@ -325,72 +335,151 @@
                     RefusalReason.NOT_SENT, DEFAULT_RETRY_AFTER_MS
                 )
 
-    def _run_attempt(
+    def _open_attempt(
         self,
         progress: CallProgress,
         reply: ReplyWriter,
         request: SlotRequest,
         decision: SlotDecision,
-        search: SuccessorSearch,
-    ) -> AttemptReport:
-        """Run one attempt in a granted slot and release the slot."""
-        progress.target = decision.target
+        search: SuccessorSearch[OpenAttempt],
+    ) -> OpenAttempt | AttemptReport:
+        """Return the attempt for a granted slot, or why there is none."""
         target = self._facts.target_directory.find(decision.target)
+        if target is None or target.service != progress.call.service:
+            self._coordinator.release(
+                request, decision.target, SlotOutcome.GONE, 0
+            )
+            return AttemptReport(
+                AttemptOutcome.NOT_CONNECTED,
+                target=decision.target,
+                detail='target not listed for the service',
+                is_target_absent=True,
+            )
+        if progress.binding and not progress.binding.allows(target):
+            self._coordinator.release(
+                request, decision.target, SlotOutcome.UNSUITED, 0
+            )
+            return AttemptReport(
+                AttemptOutcome.WRONG_TARGET,
+                target=decision.target,
+                detail='target has another software version',
+            )
+        attempt = Attempt(
+            progress.call,
+            target,
+            decision.expected_ms,
+            progress.position,
+            reply,
+            self._connection_pool,
+            self._clock,
+            search,
+        )
+        return OpenAttempt(request, decision, target, attempt)
+
+    def _run_attempt(
+        self,
+        progress: CallProgress,
+        reply: ReplyWriter,
+        opened: OpenAttempt,
+        search: SuccessorSearch[OpenAttempt],
+    ) -> AttemptReport:
+        """Run an attempt to its end and release its slot."""
+        progress.target = opened.target.target
+        progress.version = opened.target.software_version
+        if not reply.has_begun:
+            self._record_origin(progress.call, progress.version)
+        report: AttemptReport | None = None
+        try:
+            report = opened.attempt.run()._replace(target=progress.target)
+            return report
+        finally:
+            if not search.has_found:
+                search.cancel()
+            self._bind_stream(progress, reply)
+            self._close_attempt(progress, opened, report)
+
+    def _close_attempt(
+        self,
+        progress: CallProgress,
+        opened: OpenAttempt,
+        report: AttemptReport | None,
+    ) -> None:
+        """Count an attempt and release its slot.
+
+        :param report: None if the attempt was interrupted.
+        """
         slot_outcome = SlotOutcome.CALLER_LEFT
         first_byte_ms = 0
-        attempt: Attempt | None = None
-        try:
-            if target is None or target.service != progress.call.service:
-                slot_outcome = SlotOutcome.GONE
-                return AttemptReport(
-                    AttemptOutcome.NOT_CONNECTED,
-                    target=decision.target,
-                    detail='target not listed for the service',
-                    is_target_absent=True,
-                )
-            if progress.binding and not progress.binding.allows(target):
-                slot_outcome = SlotOutcome.UNSUITED
-                return AttemptReport(
-                    AttemptOutcome.WRONG_TARGET,
-                    target=decision.target,
-                    detail='target has another software version',
-                )
-            progress.version = target.software_version
-            if not reply.has_begun:
-                self._record_origin(progress.call, progress.version)
-            attempt = Attempt(
-                progress.call,
-                target,
-                decision.expected_ms,
-                progress.position,
-                reply,
-                self._connection_pool,
-                self._clock,
-                search,
-            )
-            report = attempt.run()._replace(target=decision.target)
+        if report is not None:
             slot_outcome = SLOT_OUTCOMES[report.outcome]
+            first_byte_ms = report.first_byte_ms
             if report.is_target_absent:
                 slot_outcome = SlotOutcome.GONE
-            first_byte_ms = report.first_byte_ms
-            return report
-        finally:
-            if not search.has_slot:
-                search.cancel()
-            if target is not None and attempt is not None and attempt.is_sent:
-                progress.send_count += 1
-                progress.versions.append(target.software_version or '')
-                self._bind_stream(progress, reply)
-                progress.attempt_history.append(
-                    f'{decision.target}:{slot_outcome.value}'
-                )
-                if not slot_outcome.is_not_run:
-                    progress.run_count += 1
-                    progress.may_have_run = True
-            progress.first_byte_ms = progress.first_byte_ms or first_byte_ms
-            self._coordinator.release(
-                request, decision.target, slot_outcome, first_byte_ms
+        target = opened.target
+        if opened.attempt.is_sent:
+            progress.send_count += 1
+            progress.versions.append(target.software_version or '')
+            progress.attempt_history.append(
+                f'{target.target}:{slot_outcome.value}'
             )
+            if not slot_outcome.is_not_run:
+                progress.run_count += 1
+                progress.may_have_run = True
+        progress.first_byte_ms = progress.first_byte_ms or first_byte_ms
+        self._coordinator.release(
+            opened.request, target.target, slot_outcome, first_byte_ms
+        )
+
+    def _open_successor(
+        self,
+        progress: CallProgress,
+        reply: ReplyWriter,
+        retry_share: RetryShare,
+        search: SuccessorSearch[OpenAttempt],
+    ) -> OpenAttempt | None:
+        """Send a call whose target is silent to another one.
+
+        :returns: the attempt if the other target accepts the call.
+        """
+        call = progress.call
+        left_ms = call.expires_at_ms - self._clock.now_ms()
+        if (
+            progress.run_count + 1 >= call.route.attempt_limit
+            or left_ms < MIN_ATTEMPT_MS
+            or not retry_share.can_spend()
+        ):
+            return None
+        self._bind_stream(progress, reply)
+        request = self._build_slot_request(
+            progress, is_sent=True, excluded=(progress.target,)
+        )
+        decision = self._coordinator.acquire(request, call.customer, left_ms)
+        if decision.denial is not None:
+            return None
+        opened = self._open_attempt(progress, reply, request, decision, search)
+        if isinstance(opened, AttemptReport):
+            progress.excluded.append(decision.target)
+            return None
+        report: AttemptReport | None = None
+        is_accepted = False
+        try:
+            if retry_share.spend():
+                report = opened.attempt.begin(HANDOVER_MS)
+                is_accepted = report is None
+        finally:
+            if not is_accepted:
+                self._close_attempt(progress, opened, report)
+        if report is not None:
+            self._log_attempt(progress, report, 'stay')
+            progress.excluded.append(decision.target)
+        return opened if is_accepted else None
+
+    def _drop_successor(
+        self, progress: CallProgress, successor: OpenAttempt
+    ) -> None:
+        """End an attempt that is not needed: the silent target has gone on."""
+        successor.attempt.close()
+        self._close_attempt(progress, successor, None)
 
     def _find_origin_binding(
         self, call: AdmittedCall
@@ -468,7 +557,9 @@
             if not progress.binding.allows(target):
                 yield target.target
 
-    def _acquire(self, progress: CallProgress) -> GrantedSlot:
+    def _acquire(
+        self, progress: CallProgress
+    ) -> tuple[SlotRequest, SlotDecision]:
         """Request a slot and return the decision, which may be a denial."""
         call = progress.call
         request = self._build_slot_request(
@@ -476,39 +567,7 @@
         )
         wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
         decision = self._coordinator.acquire(request, call.customer, wait_ms)
-        return GrantedSlot(request, decision)
-
-    def _acquire_successor(
-        self,
-        progress: CallProgress,
-        reply: ReplyWriter,
-        retry_share: RetryShare,
-    ) -> GrantedSlot | None:
-        """Request a slot at another target than the one that is silent."""
-        call = progress.call
-        left_ms = call.expires_at_ms - self._clock.now_ms()
-        if (
-            progress.run_count + 1 >= call.route.attempt_limit
-            or left_ms < MIN_ATTEMPT_MS
-        ):
-            return None
-        self._bind_stream(progress, reply)
-        request = self._build_slot_request(
-            progress, is_sent=True, excluded=(progress.target,)
-        )
-        decision = self._coordinator.acquire(request, call.customer, left_ms)
-        if decision.denial is not None:
-            return None
-        slot = GrantedSlot(request, decision)
-        if not retry_share.spend():
-            self._release_unused(slot)
-            return None
-        return slot
-
-    def _release_unused(self, slot: GrantedSlot) -> None:
-        self._coordinator.release(
-            slot.request, slot.decision.target, SlotOutcome.CALLER_LEFT, 0
-        )
+        return request, decision
 
     def _choose_next_step(
         self,
@@ -516,7 +575,7 @@
         reply: ReplyWriter,
         report: AttemptReport,
         retry_share: RetryShare,
-        search: SuccessorSearch,
+        search: SuccessorSearch[OpenAttempt],
     ) -> NextStep:
         """Return what follows an attempt.
 
@@ -540,11 +599,30 @@
         if (
             step is NextStep.RETRY
             and progress.send_count
-            and not search.has_slot
+            and not search.has_found
             and not retry_share.spend()
         ):
             retry_context = retry_context._replace(has_budget=False)
             step = decide_next_step(retry_context)
+        self._log_attempt(
+            progress,
+            report,
+            step.value,
+            has_budget=retry_context.has_budget,
+        )
+        if step is NextStep.RETRY:
+            progress.excluded.append(report.target)
+        return step
+
+    def _log_attempt(
+        self,
+        progress: CallProgress,
+        report: AttemptReport,
+        next_step: str,
+        *,
+        has_budget: bool = True,
+    ) -> None:
+        call = progress.call
         log_event(
             Event.ATTEMPT_FAILED,
             request=call.headers.attempt,
@@ -555,13 +633,10 @@
             verdict=report.outcome.verdict.value,
             detail=report.detail,
             first_ms=report.first_byte_ms,
-            left_ms=left_ms,
-            has_budget=retry_context.has_budget,
-            next=step.value,
+            left_ms=call.expires_at_ms - self._clock.now_ms(),
+            has_budget=has_budget,
+            next=next_step,
         )
-        if step is NextStep.RETRY:
-            progress.excluded.append(report.target)
-        return step
 
     def _find_version(self, name: str) -> str:
         target = self._facts.target_directory.find(name)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/testing.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/testing.py
@@ -2,11 +2,9 @@
 
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.request_parser import RequestParser
-from lagoonbend_entry._internal.gateway.successor_search import GrantedSlot
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
 
 __all__ = [
-    'GrantedSlot',
     'IncomingRequest',
     'RequestParser',
     'SuccessorSearch',
--- a/packages/lagoonbend/src/lagoonbend/_internal/retries/retry_share.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/retries/retry_share.py
@@ -41,14 +41,18 @@
         """Record a request of a caller."""
         self._requests.append(self._expire())
 
-    def spend(self) -> bool:
-        """Take one retry from the budget; return False if it is used up."""
-        now_ms = self._expire()
+    def can_spend(self) -> bool:
+        """Return True if the budget permits a retry now."""
+        self._expire()
         allowed = self._ratio * len(self._requests)
         allowed += self._slack / max(1, self.instance_count)
-        if len(self._retries) + 1 > allowed:
+        return len(self._retries) + 1 <= allowed
+
+    def spend(self) -> bool:
+        """Take one retry from the budget; return False if it is used up."""
+        if not self.can_spend():
             return False
-        self._retries.append(now_ms)
+        self._retries.append(self._clock.now_ms())
         return True
 
     def _expire(self) -> int:
--- a/tests/unit/test_successor_search.py
+++ b/tests/unit/test_successor_search.py
@@ -9,15 +9,10 @@
 import gevent
 import gevent.event
 
-from lagoonbend.scheduling import SlotDecision
-from lagoonbend.scheduling import SlotRequest
-from lagoonbend_entry.testing import GrantedSlot
 from lagoonbend_entry.testing import SuccessorSearch
 
-SLOT = GrantedSlot(
-    SlotRequest('c1', 'i1', 'd1', 'p1', 0, 0, '', 0.0, 0, 300, 3_000),
-    SlotDecision('c1', 'i1', target='t1'),
-)
+RETRY_TIME_S = 0.8
+SLOT = 'slot at another target'
 
 
 class SuccessorSearchTest(unittest.TestCase):
@@ -26,15 +21,17 @@
     def setUp(self) -> None:
         """Create a search whose request waits for its result."""
         self.result: gevent.event.AsyncResult = gevent.event.AsyncResult()
-        self.released: list[GrantedSlot] = []
-        self.search = SuccessorSearch(self.result.get, self.released.append)
+        self.released: list[str] = []
+        self.search: SuccessorSearch[str] = SuccessorSearch(
+            self.result.get, self.released.append
+        )
 
     def test_granted_slot_is_taken_once(self) -> None:
         """It is not released as well."""
         self.search.start()
         self.result.set(SLOT)
         gevent.sleep(0)
-        self.assertTrue(self.search.has_slot)
+        self.assertTrue(self.search.has_found)
         self.assertIs(SLOT, self.search.take())
         self.search.cancel()
         self.assertIsNone(self.search.take())
@@ -56,7 +53,7 @@
         gevent.sleep(0)
         self.result.set(SLOT)
         gevent.sleep(0)
-        self.assertFalse(self.search.has_slot)
+        self.assertFalse(self.search.has_found)
 
     def test_slot_granted_while_the_search_ends_is_released(self) -> None:
         """The result arrives before the greenlet is ended."""
@@ -65,9 +62,25 @@
         self.result.set(SLOT)
         self.search.cancel()
         gevent.sleep(0)
-        self.assertFalse(self.search.has_slot)
+        self.assertFalse(self.search.has_found)
         self.assertEqual([SLOT], self.released)
 
+    def test_search_goes_on_after_an_unexpected_error(self) -> None:
+        """The error is logged, and the next request is made later."""
+        results = iter([OSError('no descriptors left')])
+
+        def find() -> str:
+            for error in results:
+                raise error
+            return SLOT
+
+        search: SuccessorSearch[str] = SuccessorSearch(
+            find, self.released.append
+        )
+        search.start()
+        gevent.sleep(RETRY_TIME_S)
+        self.assertEqual(SLOT, search.take())
+
 
 if __name__ == '__main__':
     unittest.main()
