Ask each call of the soak without an answer for its excuse

Cause: the soak ended calls with status 0 and no check looked at them. Its callers' library also sent a request again by itself when a kept connection was closed, so that such a close was hidden.

Ruled out: taking the excuse from the log of the instance, which is what is being checked.

Change: the check read_call_is_answered accepts a call without a whole answer only for an excuse that the record shows. Recorded for it: signals, starts of listeners, drains of targets, changes of the configuration, and each connection to a target that was reset, refused or cut. Bounds are those of the users' rules. Callers use a connection of their own that never repeats a request. Each unexcused call is printed with its log lines. The end of the grace period needs no excuse of its own: a request sent up to 3 s after the SIGTERM has reached the time-out of its route before the last sixth begins.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import struct
+import time
 from typing import NamedTuple
 
 import gevent
@@ -27,11 +28,13 @@
     :param target: name of the target.
     :param attempt: identifier of the caller's attempt.
     :param request: request as the target received it.
+    :param started_s: start, on the monotonic clock.
     """
 
     target: str
     attempt: str
     request: IncomingRequest
+    started_s: float = 0.0
 
 
 class StandinTarget:
@@ -82,7 +85,9 @@
             sock.sendall(f'{head}\r\n\r\n'.encode())
             return True
         attempt = request.header_map.get('attempt-id', '')
-        self._runs.append(TargetRun(self.name, attempt, request))
+        self._runs.append(
+            TargetRun(self.name, attempt, request, time.monotonic())
+        )
         if fault in FAULT_HANDLERS:
             return FAULT_HANDLERS[fault](self, request, sock)
         if 'stream/' in request.path:
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/drained_period.py
@@ -0,0 +1,16 @@
+"""A period during which a target was registered as draining."""
+
+from typing import NamedTuple
+
+
+class DrainedPeriod(NamedTuple):
+    """A period during which a target was registered as draining.
+
+    :param target: name of the target.
+    :param start_s: start, on the monotonic clock.
+    :param end_s: end, on the monotonic clock.
+    """
+
+    target: str
+    start_s: float
+    end_s: float
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/fault_proxy.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/fault_proxy.py
@@ -1,12 +1,16 @@
 """TCP proxy on loopback that injects faults into its connections."""
 
 import enum
+import math
 import struct
+import time
 
 import gevent
 import gevent.server
 import gevent.socket
 
+from lagoonbend_devkit._internal.soak.link_fault import LinkFault
+
 READ_SIZE_BYTES = 65_536
 DELAY_S = 0.15
 """Delay of each chunk of bytes in mode DELAY; below 200 ms, after which a lost
@@ -35,7 +39,8 @@
 
     Bytes that arrive while their direction is cut are discarded, and so are
     all later bytes of that connection in that direction, as in a network
-    partition.
+    partition. ``link_faults`` records each connection that was reset, refused
+    or cut.
 
     :param upstream_endpoint: ``ip:port`` of the server.
     """
@@ -44,6 +49,7 @@
         ip, _, port = upstream_endpoint.rpartition(':')
         self._upstream_address = (ip, int(port))
         self.mode = ProxyMode.PASS
+        self.link_faults: list[LinkFault] = []
         self._sockets: set[gevent.socket.socket] = set()
         self._server = gevent.server.StreamServer(
             ('127.0.0.1', 0), self._serve_connection
@@ -58,6 +64,8 @@
 
     def reset_all(self) -> None:
         """Reset all open connections."""
+        if self._sockets:
+            self._record_instant_fault()
         for sock in list(self._sockets):
             sock.setsockopt(
                 gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, ZERO_LINGER
@@ -70,6 +78,7 @@
     ) -> None:
         if self.mode is ProxyMode.REFUSE:
             client.close()
+            self._record_instant_fault()
             return
         server = gevent.socket.create_connection(self._upstream_address)
         self._sockets.update((client, server))
@@ -91,17 +100,33 @@
         cut_mode: ProxyMode,
     ) -> None:
         is_discarding = False
+        fault_number = 0
         try:
             while data := source.recv(READ_SIZE_BYTES):
                 if self.mode is ProxyMode.DELAY:
                     gevent.sleep(DELAY_S)
-                is_discarding = is_discarding or self.mode in (
+                if not is_discarding and self.mode in (
                     ProxyMode.SILENT,
                     cut_mode,
-                )
+                ):
+                    is_discarding = True
+                    fault_number = len(self.link_faults)
+                    self.link_faults.append(
+                        LinkFault(time.monotonic(), math.inf)
+                    )
                 if not is_discarding:
                     destination.sendall(data)
             if not is_discarding:
                 destination.shutdown(gevent.socket.SHUT_WR)
         except OSError:
             return
+        finally:
+            if is_discarding:
+                fault = self.link_faults[fault_number]
+                self.link_faults[fault_number] = fault._replace(
+                    end_s=time.monotonic()
+                )
+
+    def _record_instant_fault(self) -> None:
+        now_s = time.monotonic()
+        self.link_faults.append(LinkFault(now_s, now_s))
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -1,19 +1,23 @@
 """Soak test of real processes under overlapping faults from a seed."""
 
 from collections import Counter
+from collections.abc import Sequence
 import random
 import time
 
 import gevent
-from geventhttpclient import HTTPClient
 
-from lagoonbend_devkit._internal.fleet.http import send_request
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.soak import instance_log
+from lagoonbend_devkit._internal.soak.excuses import find_excuse
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
+from lagoonbend_devkit._internal.soak.instance_watch import InstanceWatch
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
+from lagoonbend_devkit._internal.soak.soak_connection import SoakConnection
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
 from lagoonbend_devkit._internal.soak.soak_faults import SOAK_FAULTS
+from lagoonbend_devkit._internal.soak.soak_history import SoakHistory
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.soak_report import SoakReport
@@ -64,47 +68,102 @@
                 gevent.spawn(self._run_caller, fleet, number)
                 for number in range(CALLER_COUNT)
             ]
-            paused_periods = self._inject_faults(fleet)
+            context = self._build_fault_context(fleet)
+            watch_greenlet = gevent.spawn(
+                InstanceWatch(fleet, context.events).run
+            )
+            self._inject_faults(context)
             is_recovered = self._wait_until_recovered(fleet)
             self._is_stopping = True
             gevent.joinall(caller_greenlets, raise_error=True)
+            watch_greenlet.kill()
+            history = self._build_history(context)
             calls = [
-                self._record_paused_time(call, paused_periods)
+                self._record_paused_time(call, history.paused_periods)
                 for call in self._calls
             ]
-            violations = find_violations(calls, fleet.runs)
+            violations = self._add_log_lines(
+                find_violations(calls, history), calls, fleet
+            )
         if not is_recovered:
             detail = f'not all instances serve after {MAX_RECOVERY_S:.0f} s'
             violations.append(GuaranteeViolation('recovers', '', detail))
-        statuses = Counter(call.status for call in self._calls)
+        statuses = Counter(call.status for call in calls)
+        excuses = Counter(
+            find_excuse(call, history) or 'none'
+            for call in calls
+            if not call.status
+        )
         return SoakReport(
             self._seed,
             dict(sorted(statuses.items())),
             dict(sorted(self._fault_counts.items())),
+            dict(sorted(excuses.items())),
             violations,
         )
 
     @staticmethod
     def _record_paused_time(
-        call: SoakCall, paused_periods: list[PausedPeriod]
+        call: SoakCall, paused_periods: Sequence[PausedPeriod]
     ) -> SoakCall:
-        end_s = call.sent_s + call.duration_s
         paused_s = sum(
-            paused_period.compute_overlap_s(call.sent_s, end_s)
+            paused_period.compute_overlap_s(call.sent_s, call.end_s)
             for paused_period in paused_periods
             if paused_period.instance == call.instance
         )
         return call._replace(paused_s=paused_s)
 
-    def _inject_faults(
+    def _build_fault_context(
         self, fleet: gateway_fleet.GatewayFleet
-    ) -> list[PausedPeriod]:
+    ) -> FaultContext:
         assert fleet.store_proxy is not None, (
             'the soak needs a proxy in front of the store'
         )
-        context = FaultContext(
+        return FaultContext(
             fleet, fleet.target_proxies, fleet.store_proxy, self._seed
         )
+
+    @staticmethod
+    def _build_history(context: FaultContext) -> SoakHistory:
+        return SoakHistory(
+            context.fleet.runs,
+            context.paused_periods,
+            sorted(context.events, key=lambda event: event.at_s),
+            {
+                target: proxy.link_faults
+                for target, proxy in context.target_proxies.items()
+            },
+            context.drained_periods,
+            context.configuration_times_s,
+        )
+
+    @staticmethod
+    def _add_log_lines(
+        violations: list[GuaranteeViolation],
+        calls: list[SoakCall],
+        fleet: gateway_fleet.GatewayFleet,
+    ) -> list[GuaranteeViolation]:
+        """Return the violations with the log lines of their requests."""
+        instances = {call.attempt: call.instance for call in calls}
+        summaries: dict[str, str] = {}
+        for number, process in enumerate(fleet.processes):
+            attempts = [
+                violation.attempt
+                for violation in violations
+                if instances[violation.attempt] == number
+            ]
+            if attempts:
+                summaries |= instance_log.summarize_requests(
+                    process.log_path, attempts
+                )
+        return [
+            violation._replace(
+                detail=violation.detail + summaries[violation.attempt]
+            )
+            for violation in violations
+        ]
+
+    def _inject_faults(self, context: FaultContext) -> None:
         names = sorted(SOAK_FAULTS)
         fault_greenlets = []
         end_s = time.monotonic() + self._fault_period_s
@@ -114,7 +173,6 @@
             fault_greenlets.append(gevent.spawn(SOAK_FAULTS[name], context))
             gevent.sleep(context.rng.expovariate(1 / MEAN_FAULT_INTERVAL_S))
         gevent.joinall(fault_greenlets, raise_error=True)
-        return context.paused_periods
 
     def _wait_until_recovered(self, fleet: gateway_fleet.GatewayFleet) -> bool:
         unrecovered = set(range(len(fleet.processes)))
@@ -123,10 +181,10 @@
         while unrecovered and time.monotonic() < end_s:
             for instance in list(unrecovered):
                 number += 1
-                client = self._connect(fleet, instance)
+                connection = self._connect(fleet, instance)
                 attempt = f'after-{number}'
-                call = self._exchange(client, instance, 'look-up', attempt)
-                client.close()
+                call = self._exchange(connection, instance, 'look-up', attempt)
+                connection.close()
                 if call.status == 200:
                     unrecovered.discard(instance)
             gevent.sleep(CALL_PAUSE_S)
@@ -139,35 +197,34 @@
         number = 0
         while not self._is_stopping:
             instance = rng.randrange(len(fleet.processes))
-            client = self._connect(fleet, instance)
+            connection = self._connect(fleet, instance)
             for _ in range(rng.randrange(1, CONNECTION_CALLS_END)):
+                if not connection.is_usable():
+                    break
                 number += 1
                 fault = ''
                 if rng.random() < TARGET_FAULT_SHARE:
                     fault = rng.choice(TARGET_FAULTS)
                 attempt = f'{caller_number}-{number}'
                 route = rng.choice(ROUTES)
-                call = self._exchange(client, instance, route, attempt, fault)
+                call = self._exchange(
+                    connection, instance, route, attempt, fault
+                )
                 self._calls.append(call)
                 gevent.sleep(CALL_PAUSE_S)
                 if not call.status:
                     break
-            client.close()
+            connection.close()
 
     @staticmethod
     def _connect(
         fleet: gateway_fleet.GatewayFleet, instance: int
-    ) -> HTTPClient:
-        return HTTPClient(
-            '127.0.0.1',
-            fleet.callers_port(instance),
-            connection_timeout=1.0,
-            network_timeout=CALL_TIMEOUT_S,
-        )
+    ) -> SoakConnection:
+        return SoakConnection(fleet.callers_port(instance), CALL_TIMEOUT_S)
 
+    @staticmethod
     def _exchange(
-        self,
-        client: HTTPClient,
+        connection: SoakConnection,
         instance: int,
         route: str,
         attempt: str,
@@ -175,8 +232,10 @@
     ) -> SoakCall:
         headers = gateway_fleet.build_call_headers(attempt, fault)
         body = f'body of {attempt}'.encode()
+        is_reused = connection.request_count > 0
         sent_s = time.monotonic()
-        answer = send_request(client, 'POST', f'/{route}/x', body, headers)
+        connection.send(encode_request(f'/{route}/x', headers, body))
+        answer, failure = connection.read_answer()
         return SoakCall(
             attempt,
             instance,
@@ -188,9 +247,19 @@
             'server-stamp' in answer.headers,
             sent_s,
             time.monotonic() - sent_s,
+            failure=failure,
+            is_connection_reused=is_reused,
+            connection_age_s=sent_s - connection.opened_s,
         )
 
 
+def encode_request(path: str, headers: dict[str, str], body: bytes) -> bytes:
+    """Return the bytes of a POST request."""
+    lines = [f'POST {path} HTTP/1.1', f'Content-Length: {len(body)}']
+    lines.extend(f'{name}: {value}' for name, value in headers.items())
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
 def run_soaks(first_seed: int, last_seed: int, fault_period_s: float) -> int:
     """Run a soak for each seed; return how many violated a guarantee."""
     failed_seed_count = 0
@@ -200,7 +269,8 @@
         print(
             f'seed {seed}: statuses {report.statuses}, faults {report.faults}'
         )
-        for violation in report.violations[:10]:
+        print(f'  without a whole answer, by excuse: {report.excuses}')
+        for violation in report.violations:
             print(
                 f'  BROKEN {violation.guarantee}:'
                 f' {violation.attempt} {violation.detail}'
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
@@ -2,17 +2,17 @@
 
 from collections import Counter
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 from typing import NamedTuple
 
-from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
+from lagoonbend_devkit._internal.soak import excuses
+from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
+from lagoonbend_devkit._internal.soak.soak_history import SoakHistory
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that a request was not run and never will be."""
-AT_MOST_ONCE_ROUTES = ('booking', 'once-stream')
-"""Routes whose requests must not run more than once."""
 STREAM_ROUTES = ('stream', 'once-stream')
 EVENT_COUNT = 5
 FAULT_ANSWER_BODIES = {'foreign': b'mine'}
@@ -35,9 +35,7 @@
     detail: str
 
 
-Check = Callable[
-    [list[SoakCall], 'Counter[str]'], Iterator[tuple[SoakCall, str]]
-]
+Check = Callable[[list[SoakCall], SoakHistory], Iterator[tuple[SoakCall, str]]]
 CHECKS: dict[str, Check] = {}
 
 
@@ -52,36 +50,45 @@
 
 
 def find_violations(
-    calls: list[SoakCall], runs: Iterable[TargetRun]
+    calls: list[SoakCall], history: SoakHistory
 ) -> list[GuaranteeViolation]:
     """Return all violations of guarantees."""
-    run_counts = Counter(run.attempt for run in runs)
     return [
         GuaranteeViolation(guarantee, call.attempt, detail)
         for guarantee, check in CHECKS.items()
-        for call, detail in check(calls, run_counts)
+        for call, detail in check(calls, history)
     ]
 
 
+def count_runs(history: SoakHistory) -> 'Counter[str]':
+    """Return the number of runs of each attempt."""
+    return Counter(run.attempt for run in history.runs)
+
+
 @register_check('runs_once')
 def check_runs_once(
-    calls: list[SoakCall], run_counts: 'Counter[str]'
+    calls: list[SoakCall], history: SoakHistory
 ) -> Iterator[tuple[SoakCall, str]]:
     """Requests of at-most-once routes run at most once."""
+    run_counts = count_runs(history)
     for call in calls:
-        if call.route in AT_MOST_ONCE_ROUTES and run_counts[call.attempt] > 1:
+        if (
+            call.route in excuses.AT_MOST_ONCE_ROUTES
+            and run_counts[call.attempt] > 1
+        ):
             yield call, f'{run_counts[call.attempt]} runs'
 
 
 @register_check('refusal_is_true')
 def check_refusals(
-    calls: list[SoakCall], run_counts: 'Counter[str]'
+    calls: list[SoakCall], history: SoakHistory
 ) -> Iterator[tuple[SoakCall, str]]:
     """A request that was reported as not run has not run."""
+    run_counts = count_runs(history)
     for call in calls:
         is_refused = call.status in NOT_RUN_STATUSES
         if (
-            call.route in AT_MOST_ONCE_ROUTES
+            call.route in excuses.AT_MOST_ONCE_ROUTES
             and is_refused
             and run_counts[call.attempt]
         ):
@@ -93,9 +100,10 @@
 
 @register_check('answer_is_whole_and_own')
 def check_answers(
-    calls: list[SoakCall], run_counts: 'Counter[str]'
+    calls: list[SoakCall], history: SoakHistory
 ) -> Iterator[tuple[SoakCall, str]]:
     """A success is the whole answer of a target to this request."""
+    run_counts = count_runs(history)
     for call in calls:
         if call.status != 200:
             continue
@@ -115,7 +123,7 @@
 
 @register_check('proper_request_is_not_denied')
 def check_denials(
-    calls: list[SoakCall], run_counts: 'Counter[str]'
+    calls: list[SoakCall], history: SoakHistory
 ) -> Iterator[tuple[SoakCall, str]]:
     """No request is denied: its route and key are valid all the time."""
     for call in calls:
@@ -125,7 +133,7 @@
 
 @register_check('answer_comes_in_time')
 def check_times(
-    calls: list[SoakCall], run_counts: 'Counter[str]'
+    calls: list[SoakCall], history: SoakHistory
 ) -> Iterator[tuple[SoakCall, str]]:
     """An answer arrives before the time-out of its route."""
     for call in calls:
@@ -137,3 +145,39 @@
                 call,
                 f'{call.duration_s:.1f} s, paused {call.paused_s:.1f} s',
             )
+
+
+@register_check('read_call_is_answered')
+def check_unanswered(
+    calls: list[SoakCall], history: SoakHistory
+) -> Iterator[tuple[SoakCall, str]]:
+    """A call without a whole answer has an excuse."""
+    for call in calls:
+        if not call.status and not excuses.find_excuse(call, history):
+            yield call, describe_unanswered(call, history)
+
+
+def describe_unanswered(call: SoakCall, history: SoakHistory) -> str:
+    """Return what the record shows of a call without a whole answer."""
+    targets = [run.target for run in history.list_runs(call.attempt)]
+    times = {
+        kind.value: history.list_times_s(call.instance, kind)
+        for kind in InstanceEventKind
+    }
+    times['configuration'] = list(history.configuration_times_s)
+    since = ', '.join(
+        f'{name} {_format_age(call.end_s, times_s)}'
+        for name, times_s in times.items()
+    )
+    return (
+        f'{call.failure.value} after {call.duration_s:.3f} s,'
+        f' connection reused {call.is_connection_reused}'
+        f' age {call.connection_age_s:.2f} s, instance {call.instance},'
+        f' route {call.route}, fault {call.fault or None}, ran at {targets},'
+        f' seconds since: {since}'
+    )
+
+
+def _format_age(now_s: float, times_s: Sequence[float]) -> str:
+    past_times_s = [at_s for at_s in times_s if at_s <= now_s]
+    return f'{now_s - max(past_times_s):.2f}' if past_times_s else 'none'
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -8,8 +8,11 @@
 import gevent
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
+from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
+from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 
 MAX_FAULT_DURATION_S = 2.5
@@ -45,6 +48,13 @@
         self.store_proxy = store_proxy
         self.rng = random.Random(seed)
         self.paused_periods: list[PausedPeriod] = []
+        self.events: list[InstanceEvent] = []
+        self.drained_periods: list[DrainedPeriod] = []
+        self.configuration_times_s: list[float] = []
+
+    def record_event(self, instance: int, kind: InstanceEventKind) -> None:
+        """Record what is about to be done to an instance."""
+        self.events.append(InstanceEvent(instance, kind, time.monotonic()))
 
     def choose_instance(self) -> int:
         """Return the number of a random instance."""
@@ -78,6 +88,7 @@
 def kill_instance(context: FaultContext) -> None:
     """Kill an instance with SIGKILL and start it again."""
     number, duration_s = context.choose_instance(), context.choose_duration_s()
+    context.record_event(number, InstanceEventKind.KILLED)
     context.fleet.processes[number].kill()
     gevent.sleep(duration_s)
     context.fleet.restart_instance(number)
@@ -88,6 +99,7 @@
     """Stop an instance with SIGTERM; start it again once it has ended."""
     number = context.choose_instance()
     process = context.fleet.processes[number]
+    context.record_event(number, InstanceEventKind.STOPPED)
     process.send(signal.SIGTERM)
     while process.is_running:
         gevent.sleep(0.1)
@@ -111,7 +123,9 @@
 @register_fault('reload_instance')
 def reload_instance(context: FaultContext) -> None:
     """Send SIGHUP to an instance."""
-    context.fleet.processes[context.choose_instance()].send(signal.SIGHUP)
+    number = context.choose_instance()
+    context.record_event(number, InstanceEventKind.RELOADED)
+    context.fleet.processes[number].send(signal.SIGHUP)
 
 
 @register_fault('harm_target_link')
@@ -160,6 +174,7 @@
 @register_fault('change_configuration')
 def change_configuration(context: FaultContext) -> None:
     """Publish the next version of the configuration."""
+    context.configuration_times_s.append(time.monotonic())
     context.fleet.publish_configuration()
 
 
@@ -169,6 +184,10 @@
     name = context.rng.choice(sorted(context.target_proxies))
     duration_s = context.choose_duration_s()
     service = name.partition('-')[0]
+    start_s = time.monotonic()
     context.fleet.register_target(name, service, 'draining')
     gevent.sleep(duration_s)
     context.fleet.register_target(name, service)
+    context.drained_periods.append(
+        DrainedPeriod(name, start_s, time.monotonic())
+    )
--- /dev/null
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
@@ -0,0 +1,79 @@
+"""What was done to a fleet in a soak, and what its targets ran."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+from collections.abc import Sequence
+import math
+from typing import NamedTuple
+
+from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
+from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
+from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
+from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
+from lagoonbend_devkit._internal.soak.link_fault import LinkFault
+from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
+
+
+class SoakHistory(NamedTuple):
+    """Runs, faults and signals of a soak.
+
+    :param runs: executions at the targets.
+    :param paused_periods: periods during which instances were paused.
+    :param events: signals to instances and starts of their listeners, in
+        the order of their times.
+    :param link_faults: harmed connections to each target, by its name.
+    :param drained_periods: periods during which targets were draining.
+    :param configuration_times_s: times at which a version of the
+        configuration was published, on the monotonic clock.
+    """
+
+    runs: Sequence[TargetRun] = ()
+    paused_periods: Sequence[PausedPeriod] = ()
+    events: Sequence[InstanceEvent] = ()
+    link_faults: Mapping[str, Sequence[LinkFault]] = {}
+    drained_periods: Sequence[DrainedPeriod] = ()
+    configuration_times_s: Sequence[float] = ()
+
+    def list_runs(self, attempt: str) -> list[TargetRun]:
+        """Return the runs of an attempt."""
+        return [run for run in self.runs if run.attempt == attempt]
+
+    def list_times_s(
+        self, instance: int, kind: InstanceEventKind
+    ) -> list[float]:
+        """Return the times of the events of one kind at an instance."""
+        return [
+            event.at_s
+            for event in self.events
+            if event.instance == instance and event.kind is kind
+        ]
+
+    def is_link_harmed(
+        self, target: str, start_s: float, end_s: float
+    ) -> bool:
+        """Return whether a connection to a target was harmed in a period."""
+        return any(
+            fault.overlaps(start_s, end_s)
+            for fault in self.link_faults.get(target, ())
+        )
+
+    def list_down_periods(
+        self, instance: int
+    ) -> Iterator[tuple[float, float]]:
+        """Yield start and end of each time from a stop to the next start.
+
+        A stop is a SIGTERM or SIGKILL; the next start is the time at which
+        the instance listens again.
+        """
+        start_s = None
+        for event in self.events:
+            if event.instance != instance:
+                continue
+            if event.kind is InstanceEventKind.LISTENING:
+                if start_s is not None:
+                    yield start_s, event.at_s
+                start_s = None
+            elif event.kind is not InstanceEventKind.RELOADED:
+                start_s = event.at_s if start_s is None else start_s
+        if start_s is not None:
+            yield start_s, math.inf
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_record.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_record.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from lagoonbend_devkit._internal.soak.call_failure import CallFailure
+
 
 class SoakCall(NamedTuple):
     """A request of a caller, and its answer.
@@ -17,6 +19,11 @@
     :param sent_s: time of sending, on the monotonic clock.
     :param duration_s: time from sending to the end of the answer.
     :param paused_s: part of that time during which the instance was paused.
+    :param failure: how it ended without a whole answer.
+    :param is_connection_reused: True if the connection had carried an
+        earlier request.
+    :param connection_age_s: time from the opening of the connection to the
+        sending.
     """
 
     attempt: str
@@ -30,6 +37,14 @@
     sent_s: float
     duration_s: float
     paused_s: float = 0.0
+    failure: CallFailure = CallFailure.NONE
+    is_connection_reused: bool = False
+    connection_age_s: float = 0.0
+
+    @property
+    def end_s(self) -> float:
+        """Time of the end of the answer, on the monotonic clock."""
+        return self.sent_s + self.duration_s
 
 
 class PausedPeriod(NamedTuple):
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_report.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_report.py
@@ -12,10 +12,12 @@
     :param statuses: number of calls by HTTP status; status 0 stands for no
         whole answer.
     :param faults: number of injected faults, by name.
+    :param excuses: number of calls without a whole answer, by their excuse.
     :param violations: guarantees that did not hold.
     """
 
     seed: int
     statuses: dict[int, int]
     faults: dict[str, int]
+    excuses: dict[str, int]
     violations: list[GuaranteeViolation]
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
@@ -1,16 +1,30 @@
 """The fault soak and the checks of its results."""
 
 from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
+from lagoonbend_devkit._internal.soak.call_failure import CallFailure
+from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
+from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
+from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
+from lagoonbend_devkit._internal.soak.link_fault import LinkFault
 from lagoonbend_devkit._internal.soak.soak import Soak
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
+from lagoonbend_devkit._internal.soak.soak_history import SoakHistory
+from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.soak_report import SoakReport
 
 __all__ = [
+    'CallFailure',
+    'DrainedPeriod',
     'GuaranteeViolation',
+    'InstanceEvent',
+    'InstanceEventKind',
+    'LinkFault',
+    'PausedPeriod',
     'Soak',
     'SoakCall',
+    'SoakHistory',
     'SoakReport',
     'TargetRun',
     'find_violations',
