Let sound targets of the soak fall silent and go on

Cause: no stand-in played a sound target that is silent for a second or so, which the users' rules call no trouble.

Change: faults pause and pause-stream of a target, and silence_target for all connections of one. Faults are chosen in groups, each from its own source of random choices; the new ones form a second group.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 import gevent
+import gevent.event
 import gevent.socket
 
 from lagoonbend_devkit._internal.gateway import loopback_server
@@ -18,6 +19,11 @@
 FAULT_HEADER = 'x-fault'
 EVENT_INTERVAL_S = 0.005
 SLOW_EVENT_INTERVAL_S = 0.3
+PAUSE_S = 1.2
+"""Silence of fault ``pause``: a sound target may be silent for a second or so
+in the users' rules."""
+PAUSE_EVENT_NUMBER = 2
+"""Event of a stream after which fault ``pause-stream`` is silent."""
 ZERO_LINGER = struct.pack('ii', 1, 0)
 """Option SO_LINGER with which ``close`` resets the connection."""
 
@@ -43,7 +49,8 @@
     A fault that ends with ``@NAME`` applies only to the target of that name.
     ``abandoned_attempts`` lists the attempts whose connection was closed by
     the instance before the answer was complete. Fault ``turned-away`` rejects
-    the request as full.
+    the request as full. Faults ``pause`` and ``pause-stream`` are silent for a
+    while before the head or inside a stream, and then complete the answer.
 
     A function that handles a request returns False to close the connection.
 
@@ -60,6 +67,8 @@
         self.abandoned_attempts: list[str] = []
         self._runs = runs
         self._event_count = event_count
+        self._may_write = gevent.event.Event()
+        self._may_write.set()
         self._server = loopback_server.LoopbackServer(self._handle_request)
         self.endpoint = self._server.endpoint
 
@@ -67,6 +76,16 @@
         """Stop listening and close all connections."""
         self._server.stop()
 
+    def silence(self, duration_s: float) -> None:
+        """Write nothing to any connection for a while, then go on."""
+        self._may_write.clear()
+        gevent.sleep(duration_s)
+        self._may_write.set()
+
+    def _write(self, sock: gevent.socket.socket, data: bytes) -> None:
+        self._may_write.wait()
+        sock.sendall(data)
+
     def _handle_request(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
@@ -82,7 +101,7 @@
             fault = ''
         if fault == 'turned-away':
             head = 'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0'
-            sock.sendall(f'{head}\r\n\r\n'.encode())
+            self._write(sock, f'{head}\r\n\r\n'.encode())
             return True
         attempt = request.header_map.get('attempt-id', '')
         self._runs.append(
@@ -90,8 +109,18 @@
         )
         if fault in FAULT_HANDLERS:
             return FAULT_HANDLERS[fault](self, request, sock)
+        return self._send_whole_answer(request, sock)
+
+    def _send_whole_answer(
+        self,
+        request: IncomingRequest,
+        sock: gevent.socket.socket,
+        pause_after: int = 0,
+    ) -> bool:
         if 'stream/' in request.path:
-            return self._send_stream(request, sock, self._event_count)
+            return self._send_stream(
+                request, sock, self._event_count, pause_after=pause_after
+            )
         self._send_answer(request, sock, 200, b'ran ' + request.body)
         return True
 
@@ -102,12 +131,14 @@
         last_number: int,
         *,
         is_cut: bool = False,
+        pause_after: int = 0,
     ) -> bool:
         first_number = int(request.header_map.get('last-event-id', '0')) + 1
-        sock.sendall(
+        self._write(
+            sock,
             self._build_head(request, 200, SERVER_STAMP)
             + b'Content-Type: text/event-stream\r\n'
-            + b'Transfer-Encoding: chunked\r\n\r\n'
+            + b'Transfer-Encoding: chunked\r\n\r\n',
         )
         interval_s = EVENT_INTERVAL_S
         if request.header_map.get(FAULT_HEADER) == 'slow':
@@ -115,18 +146,20 @@
         for number in range(first_number, last_number + 1):
             event = f'id: {number}\ndata: piece {number}\n\n'.encode()
             try:
-                sock.sendall(b'%x\r\n%b\r\n' % (len(event), event))
+                self._write(sock, b'%x\r\n%b\r\n' % (len(event), event))
             except OSError:
                 self.abandoned_attempts.append(
                     request.header_map['attempt-id']
                 )
                 raise
+            if number == pause_after:
+                gevent.sleep(PAUSE_S)
             gevent.sleep(interval_s)
         if is_cut:
             # A chunk that ends in the middle of an event.
-            sock.sendall(b'9\r\nid: 99\nda\r\n')
+            self._write(sock, b'9\r\nid: 99\nda\r\n')
             return False
-        sock.sendall(b'0\r\n\r\n')
+        self._write(sock, b'0\r\n\r\n')
         return True
 
     def _send_answer(
@@ -138,7 +171,9 @@
         stamp: str = SERVER_STAMP,
     ) -> None:
         length = f'Content-Length: {len(body)}\r\n\r\n'.encode()
-        sock.sendall(self._build_head(request, status, stamp) + length + body)
+        self._write(
+            sock, self._build_head(request, status, stamp) + length + body
+        )
 
     @staticmethod
     def _build_head(
@@ -183,14 +218,14 @@
     def _send_invalid_bytes(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
-        sock.sendall(b'\x00\x01 no answer at all\r\n\r\n')
+        self._write(sock, b'\x00\x01 no answer at all\r\n\r\n')
         return False
 
     def _send_truncated_answer(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
         head = self._build_head(request, 200, SERVER_STAMP)
-        sock.sendall(head + b'Content-Length: 100\r\n\r\nhalf')
+        self._write(sock, head + b'Content-Length: 100\r\n\r\nhalf')
         return False
 
     def _send_answer_twice(
@@ -203,9 +238,10 @@
     def _send_other_answer_first(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
-        sock.sendall(
+        self._write(
+            sock,
             b'HTTP/1.1 200 X\r\nAttempt-Id: another\r\nServer-Stamp: x\r\n'
-            b'Content-Length: 7\r\n\r\nforeign'
+            b'Content-Length: 7\r\n\r\nforeign',
         )
         self._send_answer(request, sock, 200, b'mine')
         return True
@@ -214,7 +250,7 @@
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
         head = self._build_head(request, 200, SERVER_STAMP)
-        sock.sendall(head + b'\r\nunframed')
+        self._write(sock, head + b'\r\nunframed')
         return False
 
     def _send_cut_stream(
@@ -222,6 +258,17 @@
     ) -> bool:
         return self._send_stream(request, sock, 2, is_cut=True)
 
+    def _pause_before_head(
+        self, request: IncomingRequest, sock: gevent.socket.socket
+    ) -> bool:
+        gevent.sleep(PAUSE_S)
+        return self._send_whole_answer(request, sock)
+
+    def _pause_inside_stream(
+        self, request: IncomingRequest, sock: gevent.socket.socket
+    ) -> bool:
+        return self._send_whole_answer(request, sock, PAUSE_EVENT_NUMBER)
+
 
 FaultHandler = Callable[
     [StandinTarget, IncomingRequest, gevent.socket.socket], bool
@@ -237,4 +284,6 @@
     'foreign': StandinTarget._send_other_answer_first,
     'unframed': StandinTarget._send_unframed_answer,
     'cut-stream': StandinTarget._send_cut_stream,
+    'pause': StandinTarget._pause_before_head,
+    'pause-stream': StandinTarget._pause_inside_stream,
 }
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -16,6 +16,8 @@
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
 from lagoonbend_devkit._internal.soak.soak_connection import SoakConnection
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
+from lagoonbend_devkit._internal.soak.soak_faults import SERIES
+from lagoonbend_devkit._internal.soak.soak_faults import SINGLE
 from lagoonbend_devkit._internal.soak.soak_faults import SOAK_FAULTS
 from lagoonbend_devkit._internal.soak.soak_history import SoakHistory
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
@@ -25,9 +27,9 @@
 CALLER_COUNT = 8
 CONNECTION_CALLS_END = 6
 """Exclusive upper bound of the calls that a caller makes on one connection."""
-MEAN_FAULT_INTERVAL_S = 0.6
-"""Mean time between the starts of two faults. Each fault lasts up to 2.5 s, so
-that several overlap."""
+MEAN_FAULT_INTERVALS_S = {SINGLE: 0.6, SERIES: 2.0}
+"""Mean time between the starts of two faults of a group. A single fault lasts
+up to 2.5 s, so that several overlap."""
 CALL_PAUSE_S = 0.05
 TARGET_FAULT_SHARE = 0.15
 TARGET_FAULTS = (
@@ -40,6 +42,8 @@
     'cut-stream',
     'turned-away',
 )
+PAUSE_SHARE = 0.05
+PAUSE_FAULTS = ('pause', 'pause-stream')
 ROUTES = ('stream', 'once-stream', 'booking', 'look-up')
 CALL_TIMEOUT_S = 8.0
 MAX_RECOVERY_S = 12.0
@@ -90,7 +94,7 @@
             violations.append(GuaranteeViolation('recovers', '', detail))
         statuses = Counter(call.status for call in calls)
         excuses = Counter(
-            find_excuse(call, history) or 'none'
+            find_excuse(call, history) or f'none: {call.failure.value}'
             for call in calls
             if not call.status
         )
@@ -164,14 +168,28 @@
         ]
 
     def _inject_faults(self, context: FaultContext) -> None:
-        names = sorted(SOAK_FAULTS)
+        gevent.joinall(
+            [
+                gevent.spawn(self._inject_group, context, SINGLE),
+                gevent.spawn(
+                    self._inject_group, context.with_group(SERIES), SERIES
+                ),
+            ],
+            raise_error=True,
+        )
+
+    def _inject_group(self, context: FaultContext, group: str) -> None:
+        """Inject faults of one group and wait until they are over."""
+        names = sorted(SOAK_FAULTS[group])
         fault_greenlets = []
         end_s = time.monotonic() + self._fault_period_s
         while time.monotonic() < end_s:
             name = context.rng.choice(names)
             self._fault_counts[name] += 1
-            fault_greenlets.append(gevent.spawn(SOAK_FAULTS[name], context))
-            gevent.sleep(context.rng.expovariate(1 / MEAN_FAULT_INTERVAL_S))
+            fault = SOAK_FAULTS[group][name]
+            fault_greenlets.append(gevent.spawn(fault, context))
+            interval_s = MEAN_FAULT_INTERVALS_S[group]
+            gevent.sleep(context.rng.expovariate(1 / interval_s))
         gevent.joinall(fault_greenlets, raise_error=True)
 
     def _wait_until_recovered(self, fleet: gateway_fleet.GatewayFleet) -> bool:
@@ -194,6 +212,7 @@
         self, fleet: gateway_fleet.GatewayFleet, caller_number: int
     ) -> None:
         rng = random.Random(f'{self._seed}/{caller_number}')
+        pause_rng = random.Random(f'{self._seed}/{caller_number}/pauses')
         number = 0
         while not self._is_stopping:
             instance = rng.randrange(len(fleet.processes))
@@ -205,6 +224,8 @@
                 fault = ''
                 if rng.random() < TARGET_FAULT_SHARE:
                     fault = rng.choice(TARGET_FAULTS)
+                elif pause_rng.random() < PAUSE_SHARE:
+                    fault = pause_rng.choice(PAUSE_FAULTS)
                 attempt = f'{caller_number}-{number}'
                 route = rng.choice(ROUTES)
                 call = self._exchange(
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults that are injected into a fleet from outside."""
 
 from collections.abc import Callable
+import copy
 import random
 import signal
 import time
@@ -17,6 +18,8 @@
 
 MAX_FAULT_DURATION_S = 2.5
 """Longest duration of a fault; several faults overlap in a soak."""
+SILENCE_S = 1.0
+"""Silence of a sound target that the users' rules count as no trouble."""
 STORE_FAULT_MODES = ('busy', 'silent', 'gone')
 PROXY_FAULT_MODES = (
     ProxyMode.DELAY,
@@ -46,6 +49,7 @@
         self.fleet = fleet
         self.target_proxies = target_proxies
         self.store_proxy = store_proxy
+        self.seed = seed
         self.rng = random.Random(seed)
         self.paused_periods: list[PausedPeriod] = []
         self.events: list[InstanceEvent] = []
@@ -69,16 +73,31 @@
         """Return a random duration of a fault."""
         return self.rng.uniform(0.05, MAX_FAULT_DURATION_S)
 
+    def with_group(self, group: str) -> 'FaultContext':
+        """Return a context with the same records and other random choices."""
+        context = copy.copy(self)
+        context.rng = random.Random(f'{self.seed}/{group}')
+        return context
+
 
 FaultFunction = Callable[[FaultContext], None]
-SOAK_FAULTS: dict[str, FaultFunction] = {}
+SINGLE = 'single'
+"""Group of the faults that existed before groups did. A fault that is added
+belongs to another group, so that kept seeds inject the same faults again."""
+SERIES = 'series'
+SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {SINGLE: {}, SERIES: {}}
+
 
+def register_fault(
+    name: str, group: str = SINGLE
+) -> Callable[[FaultFunction], FaultFunction]:
+    """Register a function that injects a fault and returns when it is over.
 
-def register_fault(name: str) -> Callable[[FaultFunction], FaultFunction]:
-    """Register a function that injects a fault and returns when it is over."""
+    The faults of each group are chosen independently of those of the others.
+    """
 
     def register(fault: FaultFunction) -> FaultFunction:
-        SOAK_FAULTS[name] = fault
+        SOAK_FAULTS[group][name] = fault
         return fault
 
     return register
@@ -191,3 +210,10 @@
     context.drained_periods.append(
         DrainedPeriod(name, start_s, time.monotonic())
     )
+
+
+@register_fault('silence_target', SERIES)
+def silence_target(context: FaultContext) -> None:
+    """Let a sound target write nothing for a while, then go on."""
+    name = context.rng.choice(sorted(context.target_proxies))
+    context.fleet.targets[name].silence(SILENCE_S)
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -82,6 +82,23 @@
                     self.assertEqual('stamp', answer.headers['server-stamp'])
                     self.assertEqual(1, len(self.list_runs(attempt)))
 
+    def test_pause_of_a_sound_target_ends_no_answer(self) -> None:
+        """Calls that must not run twice, and streams, wait for their target.
+
+        Guards against answers that are broken off because a sound target is
+        silent for a second or so.
+        """
+        for route, fault in (
+            ('booking', 'pause'),
+            ('once-stream', 'pause'),
+            ('once-stream', 'pause-stream'),
+            ('stream', 'pause-stream'),
+        ):
+            with self.subTest(route=route, fault=fault):
+                attempt, answer = call(self.fleet, route, X_Fault=fault)
+                self.assertEqual(200, answer.status)
+                self.assertEqual(1, len(self.list_runs(attempt)))
+
     def test_target_gets_the_call_unchanged_and_its_customer(self) -> None:
         """The call stays as sent, except for headers that the instance owns.
 
