Let callers of the soak keep their connections and pipeline requests

Cause: no caller stayed on a connection for more than five requests, sent a request right after an answer or pipelined two, and the soak stopped, reloaded and reconfigured one instance at a time.

Change: four more callers: one stays on its connection until it is closed, one sends the next request at the end of an answer, two pipeline two requests. They respect Connection: close. Faults stop_in_series, reload_in_series and change_in_series, which overlap with the others. Excuse: a request behind an answer that announced the close and that has not run. Time in the queue of a connection counts neither as a delay nor towards the time-out. A pause of a target isn't prolonged by a silence of the same target, which together would be longer than a sound target is silent.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -69,6 +69,7 @@
         self._event_count = event_count
         self._may_write = gevent.event.Event()
         self._may_write.set()
+        self._resumed_sockets: set[gevent.socket.socket] = set()
         self._server = loopback_server.LoopbackServer(self._handle_request)
         self.endpoint = self._server.endpoint
 
@@ -83,9 +84,17 @@
         self._may_write.set()
 
     def _write(self, sock: gevent.socket.socket, data: bytes) -> None:
-        self._may_write.wait()
+        # A second silence right after a pause would last longer than a sound
+        # target is silent.
+        if sock not in self._resumed_sockets:
+            self._may_write.wait()
+        self._resumed_sockets.discard(sock)
         sock.sendall(data)
 
+    def _pause(self, sock: gevent.socket.socket) -> None:
+        gevent.sleep(PAUSE_S)
+        self._resumed_sockets.add(sock)
+
     def _handle_request(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
@@ -153,7 +162,7 @@
                 )
                 raise
             if number == pause_after:
-                gevent.sleep(PAUSE_S)
+                self._pause(sock)
             gevent.sleep(interval_s)
         if is_cut:
             # A chunk that ends in the middle of an event.
@@ -261,7 +270,7 @@
     def _pause_before_head(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
-        gevent.sleep(PAUSE_S)
+        self._pause(sock)
         return self._send_whole_answer(request, sock)
 
     def _pause_inside_stream(
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
@@ -106,6 +106,16 @@
     )
 
 
+@register_excuse('behind an announced close')
+def is_behind_close(call: SoakCall, history: SoakHistory) -> bool:
+    """The answer before it was the last one on its connection."""
+    return (
+        call.failure is CallFailure.CLOSED
+        and call.is_behind_close
+        and not history.list_runs(call.attempt)
+    )
+
+
 @register_excuse('target broke off')
 def has_broken_runs(call: SoakCall, history: SoakHistory) -> bool:
     """Targets or links broke off each run, and no attempt is left."""
@@ -147,5 +157,5 @@
     """The time-out of the route or that of the caller was reached."""
     return (
         call.failure is CallFailure.TIMED_OUT
-        or call.duration_s >= ROUTE_TIMEOUT_S
+        or call.duration_s - call.queued_s >= ROUTE_TIMEOUT_S
     )
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -2,19 +2,24 @@
 
 from collections import Counter
 from collections.abc import Sequence
-import random
 import time
 
 import gevent
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from lagoonbend_devkit._internal.soak import instance_log
+from lagoonbend_devkit._internal.soak.caller_habit import BRIEF
+from lagoonbend_devkit._internal.soak.caller_habit import EAGER
+from lagoonbend_devkit._internal.soak.caller_habit import LOYAL
+from lagoonbend_devkit._internal.soak.caller_habit import PIPELINING
 from lagoonbend_devkit._internal.soak.excuses import find_excuse
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_devkit._internal.soak.instance_watch import InstanceWatch
+from lagoonbend_devkit._internal.soak.soak_caller import connect
+from lagoonbend_devkit._internal.soak.soak_caller import exchange_calls
+from lagoonbend_devkit._internal.soak.soak_caller import SoakCaller
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
-from lagoonbend_devkit._internal.soak.soak_connection import SoakConnection
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
 from lagoonbend_devkit._internal.soak.soak_faults import SERIES
 from lagoonbend_devkit._internal.soak.soak_faults import SINGLE
@@ -24,28 +29,11 @@
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.soak_report import SoakReport
 
-CALLER_COUNT = 8
-CONNECTION_CALLS_END = 6
-"""Exclusive upper bound of the calls that a caller makes on one connection."""
+CALLER_HABITS = (*[BRIEF] * 8, LOYAL, EAGER, PIPELINING, PIPELINING)
 MEAN_FAULT_INTERVALS_S = {SINGLE: 0.6, SERIES: 2.0}
 """Mean time between the starts of two faults of a group. A single fault lasts
 up to 2.5 s, so that several overlap."""
-CALL_PAUSE_S = 0.05
-TARGET_FAULT_SHARE = 0.15
-TARGET_FAULTS = (
-    'reset',
-    'error',
-    'unsigned',
-    'noise',
-    'truncated',
-    'foreign',
-    'cut-stream',
-    'turned-away',
-)
-PAUSE_SHARE = 0.05
-PAUSE_FAULTS = ('pause', 'pause-stream')
-ROUTES = ('stream', 'once-stream', 'booking', 'look-up')
-CALL_TIMEOUT_S = 8.0
+POLL_INTERVAL_S = 0.05
 MAX_RECOVERY_S = 12.0
 """Time after the last fault within which all instances must serve again; the
 recovery time that the users require."""
@@ -69,8 +57,13 @@
         """Run the soak; return its result."""
         with gateway_fleet.GatewayFleet(4, create_proxy=FaultProxy) as fleet:
             caller_greenlets = [
-                gevent.spawn(self._run_caller, fleet, number)
-                for number in range(CALLER_COUNT)
+                gevent.spawn(
+                    SoakCaller(
+                        fleet, self._seed, number, habit, self._calls
+                    ).run,
+                    lambda: self._is_stopping,
+                )
+                for number, habit in enumerate(CALLER_HABITS)
             ]
             context = self._build_fault_context(fleet)
             watch_greenlet = gevent.spawn(
@@ -111,7 +104,9 @@
         call: SoakCall, paused_periods: Sequence[PausedPeriod]
     ) -> SoakCall:
         paused_s = sum(
-            paused_period.compute_overlap_s(call.sent_s, call.end_s)
+            paused_period.compute_overlap_s(
+                call.sent_s + call.queued_s, call.end_s
+            )
             for paused_period in paused_periods
             if paused_period.instance == call.instance
         )
@@ -199,87 +194,15 @@
         while unrecovered and time.monotonic() < end_s:
             for instance in list(unrecovered):
                 number += 1
-                connection = self._connect(fleet, instance)
-                attempt = f'after-{number}'
-                call = self._exchange(connection, instance, 'look-up', attempt)
+                connection = connect(fleet, instance)
+                request = ('look-up', f'after-{number}', '')
+                calls = exchange_calls(connection, instance, [request])
                 connection.close()
-                if call.status == 200:
+                if calls[0].status == 200:
                     unrecovered.discard(instance)
-            gevent.sleep(CALL_PAUSE_S)
+            gevent.sleep(POLL_INTERVAL_S)
         return not unrecovered
 
-    def _run_caller(
-        self, fleet: gateway_fleet.GatewayFleet, caller_number: int
-    ) -> None:
-        rng = random.Random(f'{self._seed}/{caller_number}')
-        pause_rng = random.Random(f'{self._seed}/{caller_number}/pauses')
-        number = 0
-        while not self._is_stopping:
-            instance = rng.randrange(len(fleet.processes))
-            connection = self._connect(fleet, instance)
-            for _ in range(rng.randrange(1, CONNECTION_CALLS_END)):
-                if not connection.is_usable():
-                    break
-                number += 1
-                fault = ''
-                if rng.random() < TARGET_FAULT_SHARE:
-                    fault = rng.choice(TARGET_FAULTS)
-                elif pause_rng.random() < PAUSE_SHARE:
-                    fault = pause_rng.choice(PAUSE_FAULTS)
-                attempt = f'{caller_number}-{number}'
-                route = rng.choice(ROUTES)
-                call = self._exchange(
-                    connection, instance, route, attempt, fault
-                )
-                self._calls.append(call)
-                gevent.sleep(CALL_PAUSE_S)
-                if not call.status:
-                    break
-            connection.close()
-
-    @staticmethod
-    def _connect(
-        fleet: gateway_fleet.GatewayFleet, instance: int
-    ) -> SoakConnection:
-        return SoakConnection(fleet.callers_port(instance), CALL_TIMEOUT_S)
-
-    @staticmethod
-    def _exchange(
-        connection: SoakConnection,
-        instance: int,
-        route: str,
-        attempt: str,
-        fault: str = '',
-    ) -> SoakCall:
-        headers = gateway_fleet.build_call_headers(attempt, fault)
-        body = f'body of {attempt}'.encode()
-        is_reused = connection.request_count > 0
-        sent_s = time.monotonic()
-        connection.send(encode_request(f'/{route}/x', headers, body))
-        answer, failure = connection.read_answer()
-        return SoakCall(
-            attempt,
-            instance,
-            route,
-            body,
-            fault,
-            answer.status,
-            answer.body,
-            'server-stamp' in answer.headers,
-            sent_s,
-            time.monotonic() - sent_s,
-            failure=failure,
-            is_connection_reused=is_reused,
-            connection_age_s=sent_s - connection.opened_s,
-        )
-
-
-def encode_request(path: str, headers: dict[str, str], body: bytes) -> bytes:
-    """Return the bytes of a POST request."""
-    lines = [f'POST {path} HTTP/1.1', f'Content-Length: {len(body)}']
-    lines.extend(f'{name}: {value}' for name, value in headers.items())
-    return '\r\n'.join([*lines, '', '']).encode() + body
-
 
 def run_soaks(first_seed: int, last_seed: int, fault_period_s: float) -> int:
     """Run a soak for each seed; return how many violated a guarantee."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
@@ -139,7 +139,8 @@
     for call in calls:
         if (
             call.status
-            and call.duration_s - call.paused_s > MAX_CALL_DURATION_S
+            and call.duration_s - call.queued_s - call.paused_s
+            > MAX_CALL_DURATION_S
         ):
             yield (
                 call,
@@ -172,7 +173,8 @@
     return (
         f'{call.failure.value} after {call.duration_s:.3f} s,'
         f' connection reused {call.is_connection_reused}'
-        f' age {call.connection_age_s:.2f} s, instance {call.instance},'
+        f' age {call.connection_age_s:.2f} s, queued {call.queued_s:.2f} s,'
+        f' instance {call.instance},'
         f' route {call.route}, fault {call.fault or None}, ran at {targets},'
         f' seconds since: {since}'
     )
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_connection.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_connection.py
@@ -41,12 +41,19 @@
         if self._sock is not None:
             self._sock.close()
 
+    @property
+    def keeps_connection(self) -> bool:
+        """False once an answer announced the close, or was not whole."""
+        return all(
+            answer.is_complete and answer.keeps_connection
+            for answer in self._parser.answers[-1:]
+        )
+
     def is_usable(self) -> bool:
         """Return whether neither side has ended the connection."""
         if self._sock is None:
             return not self.request_count
-        answers = self._parser.answers
-        if answers and not answers[-1].keeps_connection:
+        if not self.keeps_connection:
             return False
         self._sock.settimeout(0.0)
         try:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -18,6 +18,12 @@
 
 MAX_FAULT_DURATION_S = 2.5
 """Longest duration of a fault; several faults overlap in a soak."""
+STOP_INTERVAL_S = (0.3, 1.5)
+"""Range of the time between two SIGTERMs of a series. A drain lasts longer, so
+that several instances drain at a time."""
+SERIES_INTERVAL_S = (0.1, 0.3)
+"""Range of the time between two SIGHUPs, or two changes, of a series."""
+MAX_CHANGE_COUNT = 5
 SILENCE_S = 1.0
 """Silence of a sound target that the users' rules count as no trouble."""
 STORE_FAULT_MODES = ('busy', 'silent', 'gone')
@@ -116,7 +122,10 @@
 @register_fault('stop_instance')
 def stop_instance(context: FaultContext) -> None:
     """Stop an instance with SIGTERM; start it again once it has ended."""
-    number = context.choose_instance()
+    _stop_and_restart(context, context.choose_instance())
+
+
+def _stop_and_restart(context: FaultContext, number: int) -> None:
     process = context.fleet.processes[number]
     context.record_event(number, InstanceEventKind.STOPPED)
     process.send(signal.SIGTERM)
@@ -142,7 +151,10 @@
 @register_fault('reload_instance')
 def reload_instance(context: FaultContext) -> None:
     """Send SIGHUP to an instance."""
-    number = context.choose_instance()
+    _reload(context, context.choose_instance())
+
+
+def _reload(context: FaultContext, number: int) -> None:
     context.record_event(number, InstanceEventKind.RELOADED)
     context.fleet.processes[number].send(signal.SIGHUP)
 
@@ -193,6 +205,10 @@
 @register_fault('change_configuration')
 def change_configuration(context: FaultContext) -> None:
     """Publish the next version of the configuration."""
+    _change_configuration(context)
+
+
+def _change_configuration(context: FaultContext) -> None:
     context.configuration_times_s.append(time.monotonic())
     context.fleet.publish_configuration()
 
@@ -217,3 +233,29 @@
     """Let a sound target write nothing for a while, then go on."""
     name = context.rng.choice(sorted(context.target_proxies))
     context.fleet.targets[name].silence(SILENCE_S)
+
+
+@register_fault('stop_in_series', SERIES)
+def stop_in_series(context: FaultContext) -> None:
+    """Stop all instances, one after the other, and start them again."""
+    stop_greenlets = []
+    for number in range(len(context.fleet.processes)):
+        stop_greenlets.append(gevent.spawn(_stop_and_restart, context, number))
+        gevent.sleep(context.rng.uniform(*STOP_INTERVAL_S))
+    gevent.joinall(stop_greenlets, raise_error=True)
+
+
+@register_fault('reload_in_series', SERIES)
+def reload_in_series(context: FaultContext) -> None:
+    """Send SIGHUP to all instances, one after the other."""
+    for number in range(len(context.fleet.processes)):
+        _reload(context, number)
+        gevent.sleep(context.rng.uniform(*SERIES_INTERVAL_S))
+
+
+@register_fault('change_in_series', SERIES)
+def change_in_series(context: FaultContext) -> None:
+    """Publish several versions of the configuration in quick succession."""
+    for _ in range(context.rng.randint(2, MAX_CHANGE_COUNT)):
+        _change_configuration(context)
+        gevent.sleep(context.rng.uniform(*SERIES_INTERVAL_S))
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_record.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_record.py
@@ -24,6 +24,10 @@
         earlier request.
     :param connection_age_s: time from the opening of the connection to the
         sending.
+    :param queued_s: part of ``duration_s`` before the end of the answer to an
+        earlier request on the connection.
+    :param is_behind_close: True if that answer announced the close of the
+        connection, or was not whole.
     """
 
     attempt: str
@@ -40,6 +44,8 @@
     failure: CallFailure = CallFailure.NONE
     is_connection_reused: bool = False
     connection_age_s: float = 0.0
+    queued_s: float = 0.0
+    is_behind_close: bool = False
 
     @property
     def end_s(self) -> float:
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -193,6 +193,26 @@
         self.assertTrue(is_excused(call, run_count=0))
         self.assertFalse(is_excused(call, run_count=1))
 
+    def test_request_behind_an_announced_close_is_excused(self) -> None:
+        """Only if it has not run, and the close was announced."""
+        call = CUT_CALL._replace(
+            failure=CallFailure.CLOSED, queued_s=0.4, is_behind_close=True
+        )
+        self.assertTrue(is_excused(call, run_count=0))
+        self.assertFalse(is_excused(call, run_count=1))
+        kept = call._replace(is_behind_close=False)
+        self.assertFalse(is_excused(kept, run_count=0))
+
+    def test_time_in_the_queue_of_a_connection_is_no_delay(self) -> None:
+        """Neither a late answer nor a time-out is counted from the sending."""
+        late = VALID_CALL._replace(duration_s=6.0)
+        self.assertEqual({'answer_comes_in_time'}, find_failed_checks(late, 1))
+        queued = late._replace(queued_s=2.5)
+        self.assertEqual(set(), find_failed_checks(queued, 1))
+        cut = CUT_CALL._replace(duration_s=3.5)
+        self.assertTrue(is_excused(cut))
+        self.assertFalse(is_excused(cut._replace(queued_s=1.0)))
+
     def test_target_that_broke_off_excuses_calls_without_an_attempt_left(
         self,
     ) -> None:
