Start an instance of the soak again that ends while it starts

A SIGHUP that comes before the interpreter runs ends the process, and the soak had nothing that starts it again, as the users' platform does.

Ruled out: starting every process again that ends, which would hide instances that fail later.

Change: a supervisor starts a process again that ended before its first log line, unless a fault killed or stopped it, as those faults start it again themselves. The report counts its starts.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/process.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/process.py
@@ -23,6 +23,7 @@
         self.name = name
         self.log_path = directory / f'{name}.log'
         with self.log_path.open('ab') as log:
+            self._log_start_bytes = log.tell()
             self._process = subprocess.Popen(
                 [sys.executable, *arguments],
                 stdout=log,
@@ -40,6 +41,11 @@
         """True until the process has ended."""
         return self._process.poll() is None
 
+    @property
+    def has_logged(self) -> bool:
+        """True once the process has written to its log file."""
+        return self.log_path.stat().st_size > self._log_start_bytes
+
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to this process only, if it is still running."""
         if self.is_running:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -28,6 +28,7 @@
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.soak_report import SoakReport
+from lagoonbend_devkit._internal.soak.supervisor import Supervisor
 
 CALLER_HABITS = (*[BRIEF] * 8, LOYAL, EAGER, PIPELINING, PIPELINING)
 MEAN_FAULT_INTERVALS_S = {SINGLE: 0.6, SERIES: 2.0}
@@ -66,14 +67,17 @@
                 for number, habit in enumerate(CALLER_HABITS)
             ]
             context = self._build_fault_context(fleet)
-            watch_greenlet = gevent.spawn(
-                InstanceWatch(fleet, context.events).run
-            )
+            supervisor = Supervisor(fleet)
+            watch_greenlets = [
+                gevent.spawn(InstanceWatch(fleet, context.events).run),
+                gevent.spawn(supervisor.run),
+            ]
             self._inject_faults(context)
             is_recovered = self._wait_until_recovered(fleet)
             self._is_stopping = True
             gevent.joinall(caller_greenlets, raise_error=True)
-            watch_greenlet.kill()
+            gevent.joinall(watch_greenlets, timeout=0, raise_error=True)
+            gevent.killall(watch_greenlets)
             history = self._build_history(context)
             calls = [
                 self._record_paused_time(call, history.paused_periods)
@@ -96,6 +100,7 @@
             dict(sorted(statuses.items())),
             dict(sorted(self._fault_counts.items())),
             dict(sorted(excuses.items())),
+            supervisor.restart_count,
             violations,
         )
 
@@ -213,6 +218,8 @@
         print(
             f'seed {seed}: statuses {report.statuses}, faults {report.faults}'
         )
+        if report.restart_count:
+            print(f'  started again by the supervisor: {report.restart_count}')
         print(f'  without a whole answer, by excuse: {report.excuses}')
         for violation in report.violations:
             print(
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_report.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_report.py
@@ -13,6 +13,8 @@
         whole answer.
     :param faults: number of injected faults, by name.
     :param excuses: number of calls without a whole answer, by their excuse.
+    :param restart_count: number of processes that ended while they started,
+        and were started again.
     :param violations: guarantees that did not hold.
     """
 
@@ -20,4 +22,5 @@
     statuses: dict[int, int]
     faults: dict[str, int]
     excuses: dict[str, int]
+    restart_count: int
     violations: list[GuaranteeViolation]
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
@@ -13,6 +13,7 @@
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.soak_report import SoakReport
+from lagoonbend_devkit._internal.soak.supervisor import Supervisor
 
 __all__ = [
     'CallFailure',
@@ -26,6 +27,7 @@
     'SoakCall',
     'SoakHistory',
     'SoakReport',
+    'Supervisor',
     'TargetRun',
     'find_violations',
 ]
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -4,9 +4,14 @@
 or an answer that comes too late, that show only when several faults overlap.
 """
 
+import signal
 import unittest
 
+import gevent
+
+from lagoonbend_devkit._internal.gateway import gateway_fleet
 from lagoonbend_devkit.soak import Soak
+from lagoonbend_devkit.soak import Supervisor
 
 DURATION_S = 8.0
 SEEDS: dict[int, str] = {
@@ -31,6 +36,27 @@
                 self.assertEqual([], report.violations)
                 self.assertGreater(report.statuses.get(200, 0), 50)
 
+    def test_process_that_ends_at_its_start_is_started_again(self) -> None:
+        """One that ends after its first log line is not.
+
+        Guards against an instance that stays away after a SIGHUP that came
+        before its handlers, which the users' platform starts again.
+        """
+        with gateway_fleet.GatewayFleet() as fleet:
+            supervisor = Supervisor(fleet)
+            greenlet = gevent.spawn(supervisor.run)
+            fleet.processes[1].kill()
+            process = fleet.start_instance(1)
+            process.send(signal.SIGHUP)
+            self.assertEqual(-signal.SIGHUP, process.wait())
+            fleet.wait_ready(1)
+            fleet.processes[0].send(signal.SIGQUIT)
+            fleet.processes[0].wait()
+            gevent.sleep(1.0)
+            self.assertFalse(fleet.processes[0].is_running)
+            self.assertEqual(1, supervisor.restart_count)
+            greenlet.kill()
+
 
 if __name__ == '__main__':
     unittest.main()
