Let changes of the configuration in the soak move routes

Cause: the soak published the same configuration again with a new version, so that no change moved a route, as the users' changes do.

Ruled out: shorter time-outs of routes, since a call that ends at the time-out of the older version would have to be told from one that was cut.

Change: change_in_series alternates between two configurations: the second serves bookings and look-ups by the engines, adds a route and a key and shortens the limit on idle connections. The report of an unexcused call names the harmed links.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -179,20 +179,34 @@
         )
 
     def publish_configuration(
-        self, *, keys: tuple[str, ...] = (API_KEY,), rate_per_s: int = 0
+        self,
+        *,
+        keys: tuple[str, ...] = (API_KEY,),
+        rate_per_s: int = 0,
+        is_varied: bool = False,
     ) -> None:
-        """Write the next version of the configuration to the store."""
+        """Write the next version of the configuration to the store.
+
+        :param is_varied: True to move the routes of the service ``desk`` to
+            the engines, add a route and a key, and shorten the limit on idle
+            connections.
+        """
         self.configuration_version += 3
+        desk = 'chat' if is_varied else 'desk'
+        routes = [
+            _build_route('stream', 'chat', 'streaming', True),
+            _build_route('once-stream', 'chat', 'streaming', False),
+            _build_route('booking', desk, 'unsafe', False),
+            _build_route('look-up', desk, 'safe', False),
+        ]
+        if is_varied:
+            routes.append(_build_route('report', 'desk', 'safe', False))
+            keys = (*keys, 'k-second')
         self.store.put(
             'op/config',
             {
                 'version': self.configuration_version,
-                'routes': [
-                    _build_route('stream', 'chat', 'streaming', True),
-                    _build_route('once-stream', 'chat', 'streaming', False),
-                    _build_route('booking', 'desk', 'unsafe', False),
-                    _build_route('look-up', 'desk', 'safe', False),
-                ],
+                'routes': routes,
                 'services': [
                     {'name': 'chat', 'engine': {'kv-capacity': 100_000}},
                     {'name': 'desk', 'max-connections': 50},
@@ -201,7 +215,7 @@
                     'max-header-bytes': 8_192,
                     'max-body-bytes': 100_000,
                     'header-timeout-ms': 700,
-                    'idle-timeout-ms': 5_000,
+                    'idle-timeout-ms': 4_000 if is_varied else 5_000,
                 },
                 'tenants': [
                     {
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
@@ -166,6 +166,11 @@
         for kind in InstanceEventKind
     }
     times['configuration'] = list(history.configuration_times_s)
+    harmed_links = [
+        target
+        for target in history.link_faults
+        if history.is_link_harmed(target, call.sent_s, call.end_s)
+    ]
     since = ', '.join(
         f'{name} {_format_age(call.end_s, times_s)}'
         for name, times_s in times.items()
@@ -176,7 +181,7 @@
         f' age {call.connection_age_s:.2f} s, queued {call.queued_s:.2f} s,'
         f' instance {call.instance},'
         f' route {call.route}, fault {call.fault or None}, ran at {targets},'
-        f' seconds since: {since}'
+        f' links harmed {harmed_links}, seconds since: {since}'
     )
 
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -208,9 +208,11 @@
     _change_configuration(context)
 
 
-def _change_configuration(context: FaultContext) -> None:
+def _change_configuration(
+    context: FaultContext, *, is_varied: bool = False
+) -> None:
     context.configuration_times_s.append(time.monotonic())
-    context.fleet.publish_configuration()
+    context.fleet.publish_configuration(is_varied=is_varied)
 
 
 @register_fault('drain_target')
@@ -255,7 +257,7 @@
 
 @register_fault('change_in_series', SERIES)
 def change_in_series(context: FaultContext) -> None:
-    """Publish several versions of the configuration in quick succession."""
-    for _ in range(context.rng.randint(2, MAX_CHANGE_COUNT)):
-        _change_configuration(context)
+    """Move routes to another service and back in quick succession."""
+    for number in range(context.rng.randint(2, MAX_CHANGE_COUNT)):
+        _change_configuration(context, is_varied=number % 2 == 0)
         gevent.sleep(context.rng.uniform(*SERIES_INTERVAL_S))
