--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -1,43 +1,40 @@
 """Soak test of real processes under overlapping faults from a seed."""
 
 from collections import Counter
-import random
+from collections.abc import Sequence
 import time
 
 import gevent
-from geventhttpclient import HTTPClient
 
-from lagoonbend_devkit._internal.fleet.http import send_request
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.soak import instance_log
+from lagoonbend_devkit._internal.soak.caller_habit import BRIEF
+from lagoonbend_devkit._internal.soak.caller_habit import EAGER
+from lagoonbend_devkit._internal.soak.caller_habit import LOYAL
+from lagoonbend_devkit._internal.soak.caller_habit import PIPELINING
+from lagoonbend_devkit._internal.soak.excuses import find_excuse
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
+from lagoonbend_devkit._internal.soak.instance_watch import InstanceWatch
+from lagoonbend_devkit._internal.soak.soak_caller import connect
+from lagoonbend_devkit._internal.soak.soak_caller import exchange_calls
+from lagoonbend_devkit._internal.soak.soak_caller import SoakCaller
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
+from lagoonbend_devkit._internal.soak.soak_faults import SERIES
+from lagoonbend_devkit._internal.soak.soak_faults import SINGLE
 from lagoonbend_devkit._internal.soak.soak_faults import SOAK_FAULTS
+from lagoonbend_devkit._internal.soak.soak_history import SoakHistory
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.soak_report import SoakReport
+from lagoonbend_devkit._internal.soak.supervisor import Supervisor
 
-CALLER_COUNT = 8
-CONNECTION_CALLS_END = 6
-"""Exclusive upper bound of the calls that a caller makes on one connection."""
-MEAN_FAULT_INTERVAL_S = 0.6
-"""Mean time between the starts of two faults. Each fault lasts up to 2.5 s, so
-that several overlap."""
-CALL_PAUSE_S = 0.05
-TARGET_FAULT_SHARE = 0.15
-TARGET_FAULTS = (
-    'reset',
-    'error',
-    'unsigned',
-    'noise',
-    'truncated',
-    'foreign',
-    'cut-stream',
-    'turned-away',
-)
-ROUTES = ('stream', 'once-stream', 'booking', 'look-up')
-CALL_TIMEOUT_S = 8.0
+CALLER_HABITS = (*[BRIEF] * 8, LOYAL, EAGER, PIPELINING, PIPELINING)
+MEAN_FAULT_INTERVALS_S = {SINGLE: 0.6, SERIES: 2.0}
+"""Mean time between the starts of two faults of a group. A single fault lasts
+up to 2.5 s, so that several overlap."""
+POLL_INTERVAL_S = 0.05
 MAX_RECOVERY_S = 12.0
 """Time after the last fault within which all instances must serve again; the
 recovery time that the users require."""
@@ -61,60 +58,139 @@
         """Run the soak; return its result."""
         with gateway_fleet.GatewayFleet(4, create_proxy=FaultProxy) as fleet:
             caller_greenlets = [
-                gevent.spawn(self._run_caller, fleet, number)
-                for number in range(CALLER_COUNT)
+                gevent.spawn(
+                    SoakCaller(
+                        fleet, self._seed, number, habit, self._calls
+                    ).run,
+                    lambda: self._is_stopping,
+                )
+                for number, habit in enumerate(CALLER_HABITS)
             ]
-            paused_periods = self._inject_faults(fleet)
+            context = self._build_fault_context(fleet)
+            supervisor = Supervisor(fleet)
+            watch_greenlets = [
+                gevent.spawn(InstanceWatch(fleet, context.events).run),
+                gevent.spawn(supervisor.run),
+            ]
+            self._inject_faults(context)
             is_recovered = self._wait_until_recovered(fleet)
             self._is_stopping = True
             gevent.joinall(caller_greenlets, raise_error=True)
+            gevent.joinall(watch_greenlets, timeout=0, raise_error=True)
+            gevent.killall(watch_greenlets)
+            history = self._build_history(context)
             calls = [
-                self._record_paused_time(call, paused_periods)
+                self._record_paused_time(call, history.paused_periods)
                 for call in self._calls
             ]
-            violations = find_violations(calls, fleet.runs)
+            violations = self._add_log_lines(
+                find_violations(calls, history), calls, fleet
+            )
         if not is_recovered:
             detail = f'not all instances serve after {MAX_RECOVERY_S:.0f} s'
             violations.append(GuaranteeViolation('recovers', '', detail))
-        statuses = Counter(call.status for call in self._calls)
+        statuses = Counter(call.status for call in calls)
+        excuses = Counter(
+            find_excuse(call, history) or f'none: {call.failure.value}'
+            for call in calls
+            if not call.status
+        )
         return SoakReport(
             self._seed,
             dict(sorted(statuses.items())),
             dict(sorted(self._fault_counts.items())),
+            dict(sorted(excuses.items())),
+            supervisor.restart_count,
             violations,
         )
 
     @staticmethod
     def _record_paused_time(
-        call: SoakCall, paused_periods: list[PausedPeriod]
+        call: SoakCall, paused_periods: Sequence[PausedPeriod]
     ) -> SoakCall:
-        end_s = call.sent_s + call.duration_s
         paused_s = sum(
-            paused_period.compute_overlap_s(call.sent_s, end_s)
+            paused_period.compute_overlap_s(
+                call.sent_s + call.queued_s, call.end_s
+            )
             for paused_period in paused_periods
             if paused_period.instance == call.instance
         )
         return call._replace(paused_s=paused_s)
 
-    def _inject_faults(
+    def _build_fault_context(
         self, fleet: gateway_fleet.GatewayFleet
-    ) -> list[PausedPeriod]:
+    ) -> FaultContext:
         assert fleet.store_proxy is not None, (
             'the soak needs a proxy in front of the store'
         )
-        context = FaultContext(
+        return FaultContext(
             fleet, fleet.target_proxies, fleet.store_proxy, self._seed
         )
-        names = sorted(SOAK_FAULTS)
+
+    @staticmethod
+    def _build_history(context: FaultContext) -> SoakHistory:
+        return SoakHistory(
+            context.fleet.runs,
+            context.paused_periods,
+            sorted(context.events, key=lambda event: event.at_s),
+            {
+                target: proxy.link_faults
+                for target, proxy in context.target_proxies.items()
+            },
+            context.drained_periods,
+            context.configuration_times_s,
+        )
+
+    @staticmethod
+    def _add_log_lines(
+        violations: list[GuaranteeViolation],
+        calls: list[SoakCall],
+        fleet: gateway_fleet.GatewayFleet,
+    ) -> list[GuaranteeViolation]:
+        """Return the violations with the log lines of their requests."""
+        instances = {call.attempt: call.instance for call in calls}
+        summaries: dict[str, str] = {}
+        for number, process in enumerate(fleet.processes):
+            attempts = [
+                violation.attempt
+                for violation in violations
+                if instances[violation.attempt] == number
+            ]
+            if attempts:
+                summaries |= instance_log.summarize_requests(
+                    process.log_path, attempts
+                )
+        return [
+            violation._replace(
+                detail=violation.detail + summaries[violation.attempt]
+            )
+            for violation in violations
+        ]
+
+    def _inject_faults(self, context: FaultContext) -> None:
+        gevent.joinall(
+            [
+                gevent.spawn(self._inject_group, context, SINGLE),
+                gevent.spawn(
+                    self._inject_group, context.with_group(SERIES), SERIES
+                ),
+            ],
+            raise_error=True,
+        )
+
+    def _inject_group(self, context: FaultContext, group: str) -> None:
+        """Inject faults of one group and wait until they are over."""
+        names = sorted(SOAK_FAULTS[group])
         fault_greenlets = []
         end_s = time.monotonic() + self._fault_period_s
         while time.monotonic() < end_s:
             name = context.rng.choice(names)
             self._fault_counts[name] += 1
-            fault_greenlets.append(gevent.spawn(SOAK_FAULTS[name], context))
-            gevent.sleep(context.rng.expovariate(1 / MEAN_FAULT_INTERVAL_S))
+            fault = SOAK_FAULTS[group][name]
+            fault_greenlets.append(gevent.spawn(fault, context))
+            interval_s = MEAN_FAULT_INTERVALS_S[group]
+            gevent.sleep(context.rng.expovariate(1 / interval_s))
         gevent.joinall(fault_greenlets, raise_error=True)
-        return context.paused_periods
 
     def _wait_until_recovered(self, fleet: gateway_fleet.GatewayFleet) -> bool:
         unrecovered = set(range(len(fleet.processes)))
@@ -123,73 +199,15 @@
         while unrecovered and time.monotonic() < end_s:
             for instance in list(unrecovered):
                 number += 1
-                client = self._connect(fleet, instance)
-                attempt = f'after-{number}'
-                call = self._exchange(client, instance, 'look-up', attempt)
-                client.close()
-                if call.status == 200:
+                connection = connect(fleet, instance)
+                request = ('look-up', f'after-{number}', '')
+                calls = exchange_calls(connection, instance, [request])
+                connection.close()
+                if calls[0].status == 200:
                     unrecovered.discard(instance)
-            gevent.sleep(CALL_PAUSE_S)
+            gevent.sleep(POLL_INTERVAL_S)
         return not unrecovered
 
-    def _run_caller(
-        self, fleet: gateway_fleet.GatewayFleet, caller_number: int
-    ) -> None:
-        rng = random.Random(f'{self._seed}/{caller_number}')
-        number = 0
-        while not self._is_stopping:
-            instance = rng.randrange(len(fleet.processes))
-            client = self._connect(fleet, instance)
-            for _ in range(rng.randrange(1, CONNECTION_CALLS_END)):
-                number += 1
-                fault = ''
-                if rng.random() < TARGET_FAULT_SHARE:
-                    fault = rng.choice(TARGET_FAULTS)
-                attempt = f'{caller_number}-{number}'
-                route = rng.choice(ROUTES)
-                call = self._exchange(client, instance, route, attempt, fault)
-                self._calls.append(call)
-                gevent.sleep(CALL_PAUSE_S)
-                if not call.status:
-                    break
-            client.close()
-
-    @staticmethod
-    def _connect(
-        fleet: gateway_fleet.GatewayFleet, instance: int
-    ) -> HTTPClient:
-        return HTTPClient(
-            '127.0.0.1',
-            fleet.callers_port(instance),
-            connection_timeout=1.0,
-            network_timeout=CALL_TIMEOUT_S,
-        )
-
-    def _exchange(
-        self,
-        client: HTTPClient,
-        instance: int,
-        route: str,
-        attempt: str,
-        fault: str = '',
-    ) -> SoakCall:
-        headers = gateway_fleet.build_call_headers(attempt, fault)
-        body = f'body of {attempt}'.encode()
-        sent_s = time.monotonic()
-        answer = send_request(client, 'POST', f'/{route}/x', body, headers)
-        return SoakCall(
-            attempt,
-            instance,
-            route,
-            body,
-            fault,
-            answer.status,
-            answer.body,
-            'server-stamp' in answer.headers,
-            sent_s,
-            time.monotonic() - sent_s,
-        )
-
 
 def run_soaks(first_seed: int, last_seed: int, fault_period_s: float) -> int:
     """Run a soak for each seed; return how many violated a guarantee."""
@@ -200,7 +218,10 @@
         print(
             f'seed {seed}: statuses {report.statuses}, faults {report.faults}'
         )
-        for violation in report.violations[:10]:
+        if report.restart_count:
+            print(f'  started again by the supervisor: {report.restart_count}')
+        print(f'  without a whole answer, by excuse: {report.excuses}')
+        for violation in report.violations:
             print(
                 f'  BROKEN {violation.guarantee}:'
                 f' {violation.attempt} {violation.detail}'
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults that are injected into a fleet from outside."""
 
 from collections.abc import Callable
+import copy
 import random
 import signal
 import time
@@ -8,12 +9,23 @@
 import gevent
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
+from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
+from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 
 MAX_FAULT_DURATION_S = 2.5
 """Longest duration of a fault; several faults overlap in a soak."""
+STOP_INTERVAL_S = (0.3, 1.5)
+"""Range of the time between two SIGTERMs of a series. A drain lasts longer, so
+that several instances drain at a time."""
+SERIES_INTERVAL_S = (0.1, 0.3)
+"""Range of the time between two SIGHUPs, or two changes, of a series."""
+MAX_CHANGE_COUNT = 5
+SILENCE_S = 1.0
+"""Silence of a sound target that the users' rules count as no trouble."""
 STORE_FAULT_MODES = ('busy', 'silent', 'gone')
 PROXY_FAULT_MODES = (
     ProxyMode.DELAY,
@@ -43,8 +55,16 @@
         self.fleet = fleet
         self.target_proxies = target_proxies
         self.store_proxy = store_proxy
+        self.seed = seed
         self.rng = random.Random(seed)
         self.paused_periods: list[PausedPeriod] = []
+        self.events: list[InstanceEvent] = []
+        self.drained_periods: list[DrainedPeriod] = []
+        self.configuration_times_s: list[float] = []
+
+    def record_event(self, instance: int, kind: InstanceEventKind) -> None:
+        """Record what is about to be done to an instance."""
+        self.events.append(InstanceEvent(instance, kind, time.monotonic()))
 
     def choose_instance(self) -> int:
         """Return the number of a random instance."""
@@ -59,16 +79,31 @@
         """Return a random duration of a fault."""
         return self.rng.uniform(0.05, MAX_FAULT_DURATION_S)
 
+    def with_group(self, group: str) -> 'FaultContext':
+        """Return a context with the same records and other random choices."""
+        context = copy.copy(self)
+        context.rng = random.Random(f'{self.seed}/{group}')
+        return context
+
 
 FaultFunction = Callable[[FaultContext], None]
-SOAK_FAULTS: dict[str, FaultFunction] = {}
+SINGLE = 'single'
+"""Group of the faults that existed before groups did. A fault that is added
+belongs to another group, so that kept seeds inject the same faults again."""
+SERIES = 'series'
+SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {SINGLE: {}, SERIES: {}}
+
 
+def register_fault(
+    name: str, group: str = SINGLE
+) -> Callable[[FaultFunction], FaultFunction]:
+    """Register a function that injects a fault and returns when it is over.
 
-def register_fault(name: str) -> Callable[[FaultFunction], FaultFunction]:
-    """Register a function that injects a fault and returns when it is over."""
+    The faults of each group are chosen independently of those of the others.
+    """
 
     def register(fault: FaultFunction) -> FaultFunction:
-        SOAK_FAULTS[name] = fault
+        SOAK_FAULTS[group][name] = fault
         return fault
 
     return register
@@ -78,6 +113,7 @@
 def kill_instance(context: FaultContext) -> None:
     """Kill an instance with SIGKILL and start it again."""
     number, duration_s = context.choose_instance(), context.choose_duration_s()
+    context.record_event(number, InstanceEventKind.KILLED)
     context.fleet.processes[number].kill()
     gevent.sleep(duration_s)
     context.fleet.restart_instance(number)
@@ -86,8 +122,12 @@
 @register_fault('stop_instance')
 def stop_instance(context: FaultContext) -> None:
     """Stop an instance with SIGTERM; start it again once it has ended."""
-    number = context.choose_instance()
+    _stop_and_restart(context, context.choose_instance())
+
+
+def _stop_and_restart(context: FaultContext, number: int) -> None:
     process = context.fleet.processes[number]
+    context.record_event(number, InstanceEventKind.STOPPED)
     process.send(signal.SIGTERM)
     while process.is_running:
         gevent.sleep(0.1)
@@ -111,7 +151,12 @@
 @register_fault('reload_instance')
 def reload_instance(context: FaultContext) -> None:
     """Send SIGHUP to an instance."""
-    context.fleet.processes[context.choose_instance()].send(signal.SIGHUP)
+    _reload(context, context.choose_instance())
+
+
+def _reload(context: FaultContext, number: int) -> None:
+    context.record_event(number, InstanceEventKind.RELOADED)
+    context.fleet.processes[number].send(signal.SIGHUP)
 
 
 @register_fault('harm_target_link')
@@ -160,7 +205,14 @@
 @register_fault('change_configuration')
 def change_configuration(context: FaultContext) -> None:
     """Publish the next version of the configuration."""
-    context.fleet.publish_configuration()
+    _change_configuration(context)
+
+
+def _change_configuration(
+    context: FaultContext, *, is_varied: bool = False
+) -> None:
+    context.configuration_times_s.append(time.monotonic())
+    context.fleet.publish_configuration(is_varied=is_varied)
 
 
 @register_fault('drain_target')
@@ -169,6 +221,43 @@
     name = context.rng.choice(sorted(context.target_proxies))
     duration_s = context.choose_duration_s()
     service = name.partition('-')[0]
+    start_s = time.monotonic()
     context.fleet.register_target(name, service, 'draining')
     gevent.sleep(duration_s)
     context.fleet.register_target(name, service)
+    context.drained_periods.append(
+        DrainedPeriod(name, start_s, time.monotonic())
+    )
+
+
+@register_fault('silence_target', SERIES)
+def silence_target(context: FaultContext) -> None:
+    """Let a sound target write nothing for a while, then go on."""
+    name = context.rng.choice(sorted(context.target_proxies))
+    context.fleet.targets[name].silence(SILENCE_S)
+
+
+@register_fault('stop_in_series', SERIES)
+def stop_in_series(context: FaultContext) -> None:
+    """Stop all instances, one after the other, and start them again."""
+    stop_greenlets = []
+    for number in range(len(context.fleet.processes)):
+        stop_greenlets.append(gevent.spawn(_stop_and_restart, context, number))
+        gevent.sleep(context.rng.uniform(*STOP_INTERVAL_S))
+    gevent.joinall(stop_greenlets, raise_error=True)
+
+
+@register_fault('reload_in_series', SERIES)
+def reload_in_series(context: FaultContext) -> None:
+    """Send SIGHUP to all instances, one after the other."""
+    for number in range(len(context.fleet.processes)):
+        _reload(context, number)
+        gevent.sleep(context.rng.uniform(*SERIES_INTERVAL_S))
+
+
+@register_fault('change_in_series', SERIES)
+def change_in_series(context: FaultContext) -> None:
+    """Move routes to another service and back in quick succession."""
+    for number in range(context.rng.randint(2, MAX_CHANGE_COUNT)):
+        _change_configuration(context, is_varied=number % 2 == 0)
+        gevent.sleep(context.rng.uniform(*SERIES_INTERVAL_S))
