--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
@@ -154,8 +154,16 @@
 
 @register_excuse('time-out reached')
 def is_timeout_reached(call: SoakCall, history: SoakHistory) -> bool:
-    """The time-out of the route or that of the caller was reached."""
+    """The time-out of the route or that of the caller was reached.
+
+    It runs from the sending. A pipelined request that had to wait may be cut
+    by it only once its answer has begun; before, it can be refused.
+    """
     return (
         call.failure is CallFailure.TIMED_OUT
         or call.duration_s - call.queued_s >= ROUTE_TIMEOUT_S
+        or (
+            call.failure is CallFailure.CUT
+            and call.duration_s >= ROUTE_TIMEOUT_S
+        )
     )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -301,6 +301,9 @@
             opened: OpenAttempt | AttemptReport | None = search.take()
             if opened is None:
                 request, decision = self._acquire(progress)
+        if self._clock.now_ms() + MIN_ATTEMPT_MS >= call.expires_at_ms:
+            progress.failure = 'no time left'
+            return self._build_deadline_refusal(progress)
                 progress.pool = decision.pool
                 progress.waited_ms += decision.waited_ms
                 if decision.denial is not None:
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -216,6 +216,14 @@
         )
         self.assertEqual(504, answer.status)
 
+    # Guards against a stream that is begun just before its time is up, such
+    # as that of a pipelined request, and then cut.
+    def test_call_without_time_left_is_refused(self) -> None:
+        """It is not sent to a target."""
+        attempt, answer = call(self.fleet, 'once-stream', Deadline_Ms='20')
+        self.assertEqual(503, answer.status)
+        self.assertEqual([], self.list_runs(attempt))
+
     def test_unknown_keys_and_routes_are_refused(self) -> None:
         """401 and 404 are given while the configuration read is recent."""
         self.assertEqual(401, call(self.fleet, 'booking', key='no')[1].status)
