Let answers in writing end after the calls of a drain

What callers saw: a slow caller got 3.9 of 15.7 MB of an answer that its target had finished, although it read on before the process ended.

Cause: at the end of a drain all active calls are interrupted, also one that only waits for its caller to read.

Change: a call whose answer is being written to its end is left alone until the process exits.

Measured: the new test fails before (3,919,772 of 15,728,640 bytes) and passes now.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -183,7 +183,7 @@
         self._retry_shares: dict[str, RetryShare] = {}
         self._slot_request_count = 0
         self.latest_end_ms: int | None = None
-        self._active_calls: set[CallProgress] = set()
+        self._active_calls: dict[CallProgress, ReplyWriter] = {}
 
     @property
     def active_count(self) -> int:
@@ -191,9 +191,13 @@
         return len(self._active_calls)
 
     def end_calls(self) -> None:
-        """Give each active call its final answer, before the process exits."""
-        for progress in self._active_calls:
-            progress.interrupt.throw(InstanceStoppingError())
+        """Give each active call its final answer, before the process exits.
+
+        One whose answer is being written to its end is left alone.
+        """
+        for progress, reply in self._active_calls.items():
+            if not reply.is_ending:
+                progress.interrupt.throw(InstanceStoppingError())
 
     def report_unanswered(self, cause: str) -> None:
         """Log each active call, whose answer the instance can't complete."""
@@ -218,12 +222,12 @@
             self._refuse_unadmitted(request, reply, admitted)
             return
         progress = CallProgress(admitted)
-        self._active_calls.add(progress)
+        self._active_calls[progress] = reply
         try:
             self._serve_admitted(progress, reply)
         finally:
             progress.interrupt.is_over = True
-            self._active_calls.discard(progress)
+            del self._active_calls[progress]
 
     def _is_too_late(self, call: AdmittedCall) -> bool:
         """Return True if the process may exit before the call has ended."""
@@ -297,13 +301,13 @@
         search: SuccessorSearch[OpenAttempt],
     ) -> GatewayRefusal | None:
         call = progress.call
+        if self._clock.now_ms() + MIN_ATTEMPT_MS >= call.expires_at_ms:
+            progress.failure = 'no time left'
+            return self._build_deadline_refusal(progress)
         while True:
             opened: OpenAttempt | AttemptReport | None = search.take()
             if opened is None:
                 request, decision = self._acquire(progress)
-        if self._clock.now_ms() + MIN_ATTEMPT_MS >= call.expires_at_ms:
-            progress.failure = 'no time left'
-            return self._build_deadline_refusal(progress)
                 progress.pool = decision.pool
                 progress.waited_ms += decision.waited_ms
                 if decision.denial is not None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
@@ -15,6 +15,8 @@
 class ReplyWriter:
     """Writes one answer, either complete or as a stream of events.
 
+    ``is_ending`` is True once all that is left is being written.
+
     :param sock: the caller's connection.
     :param keeps_connection: True if the connection stays open afterwards.
     :param accepts_chunked: False for HTTP/1.0, which has no chunked encoding.
@@ -35,6 +37,7 @@
         self.keeps_connection = keeps_connection
         self._may_keep_connection = may_keep_connection
         self.has_begun = False
+        self.is_ending = False
         self.is_complete = False
         self._sock = sock
         self._accepts_chunked = accepts_chunked
@@ -52,6 +55,7 @@
             status, reason, [*headers, ('Content-Length', str(len(body)))]
         )
         self.has_begun = True
+        self.is_ending = True
         self._write(head if self._is_head else head + body)
         self.is_complete = True
 
@@ -77,6 +81,7 @@
 
     def end_stream(self) -> None:
         """Write the end of the stream."""
+        self.is_ending = True
         if self._accepts_chunked:
             self._write(STREAM_END)
         self.is_complete = True
