Let the rest of a broken stream wait for a slot

What callers saw: a stream whose target had failed ended without its end within 50 ms, although its route allowed another attempt, the retry budget held and slots came free soon after.

Cause: the request for the next slot carried the age of the whole call. With the objective for its first event long past, a stream older than two objectives was denied unless a slot was free at that moment; the handler then gave the stream up.

Change: for its slot, the rest of a stream is a call that arrives now and has to go on before its caller gives up, 2 s at the earliest. Its rank stays.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -58,6 +58,8 @@
 MAX_ORIGIN_MS = 60_000
 """Bound on the time for which an origin is kept; callers set their deadlines
 themselves, at 15 s at most in the users' deployments."""
+CALLER_PATIENCE_MS = 2_000
+"""Shortest pause in a stream after which a caller gives it up."""
 STOPPING_RETRY_AFTER_MS = 100
 """``Retry-After`` of a stopping instance: other instances serve at once, on a
 new connection."""
@@ -307,7 +309,7 @@
         while True:
             opened: OpenAttempt | AttemptReport | None = search.take()
             if opened is None:
-                request, decision = self._acquire(progress)
+                request, decision = self._acquire(progress, reply)
                 progress.pool = decision.pool
                 progress.waited_ms += decision.waited_ms
                 if decision.denial is not None:
@@ -458,7 +460,7 @@
             return None
         self._bind_stream(progress, reply)
         request = self._build_slot_request(
-            progress, is_sent=True, excluded=(progress.target,)
+            progress, reply, is_sent=True, excluded=(progress.target,)
         )
         decision = self._coordinator.acquire(request, call.customer, left_ms)
         if decision.denial is not None:
@@ -565,12 +567,12 @@
                 yield target.target
 
     def _acquire(
-        self, progress: CallProgress
+        self, progress: CallProgress, reply: ReplyWriter
     ) -> tuple[SlotRequest, SlotDecision]:
         """Request a slot and return the decision, which may be a denial."""
         call = progress.call
         request = self._build_slot_request(
-            progress, is_sent=progress.send_count > 0
+            progress, reply, is_sent=progress.send_count > 0
         )
         wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
         decision = self._coordinator.acquire(request, call.customer, wait_ms)
@@ -663,12 +665,16 @@
     def _build_slot_request(
         self,
         progress: CallProgress,
+        reply: ReplyWriter,
         *,
         is_sent: bool,
         excluded: tuple[str, ...] = (),
     ) -> SlotRequest:
         """Return a slot request for the next attempt.
 
+        The rest of a stream that has begun counts as a call that arrives now
+        and has to go on before its caller gives up.
+
         :param is_sent: True if the call has been sent already; it costs no
             units of its customer's limit again.
         :param excluded: further targets that are not to be tried.
@@ -676,6 +682,7 @@
         call = progress.call
         self._slot_request_count += 1
         now_ms = self._clock.now_ms()
+        arrived_ms = now_ms if reply.has_begun else call.request.received_ms
         customer = call.customer
         output_tokens = call.headers.output_tokens
         if call.headers.estimated_output_tokens:
@@ -697,9 +704,13 @@
             cost_units=(
                 0.0 if is_sent else count_cost_units(customer, call.headers)
             ),
-            waited_ms=now_ms - call.request.received_ms,
-            objective_ms=call.route.objective_ms,
-            deadline_ms=call.expires_at_ms - call.request.received_ms,
+            waited_ms=now_ms - arrived_ms,
+            objective_ms=(
+                max(call.route.objective_ms, CALLER_PATIENCE_MS)
+                if reply.has_begun
+                else call.route.objective_ms
+            ),
+            deadline_ms=call.expires_at_ms - arrived_ms,
             prompt=call.headers.prompt,
             output_tokens=output_tokens,
             body_bytes=len(call.request.body),
--- a/tests/functional/test_gateway_lifecycle.py
+++ b/tests/functional/test_gateway_lifecycle.py
@@ -16,12 +16,18 @@
 from lagoonbend_devkit._internal.fleet.http import exchange
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from lagoonbend_devkit._internal.gateway import loopback_server
+from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_entry.testing import IncomingRequest
 from tests.functional.test_gateway_answers import call
 from tests.lib.pausing_target import PausingTarget
 
 KEY_REVOCATION_BOUND_S = 5.0
 CHANGE_SPREAD_S = 2.0
+SLOTS = 8
+"""Slots of the two engines of a fleet."""
+BROKEN_AFTER_S = 1.1
+"""Later than a call may wait for its first slot, and before the end of a
+stream of 1.5 s."""
 LARGE_BODY_BYTES = 15 * 1024 * 1024
 LONG_PAUSE_S = 2.8
 """Pause within a stream that ends just before the timeout of its route."""
@@ -197,6 +203,24 @@
             body = answer.partition(b'\r\n\r\n')[2]
             self.assertEqual(LARGE_BODY_BYTES, len(body))
 
+    # Guards against streams that are cut although their rest can run as soon
+    # as a slot is free.
+    def test_broken_streams_wait_for_their_slots(self) -> None:
+        """Their first part was in time; the wait for their rest begins anew.
+
+        Both engines are full when the streams of one of them break.
+        """
+        with gateway_fleet.GatewayFleet(create_proxy=FaultProxy) as fleet:
+            calls = [
+                gevent.spawn(call, fleet, 'stream', X_Fault='slow')
+                for _ in range(SLOTS)
+            ]
+            gevent.sleep(BROKEN_AFTER_S)
+            self.assertEqual(SLOTS, len(fleet.runs))
+            fleet.target_proxies['chat-0'].reset_all()
+            statuses = [greenlet.get()[1].status for greenlet in calls]
+            self.assertEqual([200] * SLOTS, statuses)
+
     # Guards against connections that a stopping instance never accepts, on
     # which callers wait until the process exits.
     def test_connection_to_a_draining_instance_is_refused(self) -> None:
