Tell a lost connection from a silent target

What callers could see: an answer without a length that counted as whole although its connection had been lost.

Cause: a connection that the system gives up after three seconds without an acknowledgement raises a TimeoutError too, with an error number. It was logged as silence; now that a silent target is read further, the next read would return the end of the connection.

Change: only a time-out without an error number is the end of a wait.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
@@ -98,11 +98,11 @@
                 self._sock.sendall(data)
             else:
                 self._send_watched(data, timeout_ms)
-        except TimeoutError as error:
-            raise self._make_timeout_error(
-                'target did not read the request in time'
-            ) from error
         except OSError as error:
+            if _is_own_timeout(error):
+                raise self._make_timeout_error(
+                    'target did not read the request in time'
+                ) from error
             raise self._make_lost_error(str(error)) from error
 
     def read_head(self, timeout_ms: int) -> Answer:
@@ -149,11 +149,11 @@
         self._sock.settimeout(timeout_s)
         try:
             data = self._sock.recv(READ_BYTES)
-        except TimeoutError as error:
-            raise self._make_timeout_error(
-                'timed out waiting for the answer'
-            ) from error
         except OSError as error:
+            if _is_own_timeout(error):
+                raise self._make_timeout_error(
+                    'timed out waiting for the answer'
+                ) from error
             self._is_connection_ended = True
             raise self._make_lost_error(str(error)) from error
         if data:
@@ -194,6 +194,15 @@
         return ConnectionLostError(message, context=self._context)
 
 
+def _is_own_timeout(error: OSError) -> bool:
+    """Return True if the wait ended; False if the connection did.
+
+    A connection that the system gives up, since no packet is acknowledged,
+    raises the same type of error with an error number.
+    """
+    return isinstance(error, TimeoutError) and error.errno is None
+
+
 def encode_request(
     method: str,
     path: str,
