Play each disturbance at each step of a call that an instance has read

The table has a row for each silence of a sound target, each change of the configuration, SIGHUP and SIGTERM and for each pair of these, and a column for each step of a call, for five kinds of routes: 4800 cells, of which 3240 are played and 1560 state why they can't occur. In each, the caller must get the whole answer of a target or a true refusal.

Failing cells, 118 in silence_amid_a_stream: "pause-middle:2000" on routes "stream" and "stream-one-attempt" (2 targets, both pause): - alone, at: middle of the answer, between two requests, second request read ahead; - after pause-first:1200: the same with "head received" as the first step; after pause-head:1200 or pause-head:2000: the same with "request sent", on "stream-one-attempt" only, for "stream" gets 502 before its head; - with SIGHUP, limits changed, time-out changed, route moved, service removed: at body pending, waiting, request sent, head received, middle, read ahead; with SIGTERM: the same but for read ahead, which is counted below; - with key removed, rate lowered, route removed: the same but for body pending, where the call is refused. Seen: 200 and events 1 to 3 (one attempt) or 1 to 4 (two), then the connection ends, 1.6 s or 3.3 s after the begin of the silence. LB0205 broken_stream (timed out waiting for the answer), next retry, then next break_stream; LB0203 stream_broken. A request read ahead behind it gets nothing.

Failing cells, 29 in request_read_behind_a_stream: "second request read ahead" with SIGTERM alone, with each of the seven changes and SIGHUP on "stream", "stream-one-attempt" and "once-stream", and with pause-middle:1200 and :2000 on "once-stream". Seen: the first request whole, LB0203 answered; for the second no byte and no log line, the connection ends with the stream.

Failing cells, 4 in request_read_behind_a_silent_stream: the same step with SIGTERM and pause-middle:1200 or :2000 on "stream" and "stream-one-attempt".

Ruled out: holding a call longer than a limit on a target's silence (cells without a silence use objectives of 4 s); an excuse by the end of the grace time (grace_s is 30 there) or the time-out (20 s, all answers due within 5 s).

In three trials with a customer that has a limit and the default tolerance of 0, calls that waited at the SIGTERM got 500: LB0006, ZeroDivisionError in SharedLimits.take. The table uses the tolerance of the users' deployments, with which no cell got 500.

--- /dev/null
+++ b/tests/lib/call_table/table_run.py
@@ -0,0 +1,46 @@
+"""Plays the whole table on a few fleets."""
+
+from collections.abc import Sequence
+
+import gevent
+import gevent.queue
+
+from tests.lib.call_table.batch import Batch
+from tests.lib.call_table.cell import Cell
+from tests.lib.call_table.cell_outcome import CellOutcome
+from tests.lib.call_table.strikes import STOP
+from tests.lib.call_table.table_fleet import TableFleet
+
+FLEET_COUNT = 3
+
+
+def play_cells(cells: Sequence[Cell]) -> list[CellOutcome]:
+    """Play cells, those with the same strikes at once; return what came."""
+    cells_by_strikes: dict[tuple[str, ...], list[Cell]] = {}
+    for cell in cells:
+        cells_by_strikes.setdefault(cell.strikes, []).append(cell)
+    batches: gevent.queue.Queue = gevent.queue.Queue()
+    # Those that take longest go first.
+    for number, strikes in enumerate(
+        sorted(
+            cells_by_strikes,
+            key=lambda names: (len(names) < 2, STOP in names),
+            reverse=True,
+        )
+    ):
+        batches.put((f'b{number}', cells_by_strikes[strikes]))
+    workers = [
+        gevent.spawn(_play_batches, batches) for _ in range(FLEET_COUNT)
+    ]
+    gevent.joinall(workers, raise_error=True)
+    return [outcome for worker in workers for outcome in worker.value]
+
+
+def _play_batches(batches: gevent.queue.Queue) -> list[CellOutcome]:
+    outcomes: list[CellOutcome] = []
+    fleet = TableFleet()
+    with fleet:
+        while not batches.empty():
+            name, cells = batches.get()
+            outcomes.extend(Batch(name, cells, fleet).run())
+    return outcomes
