Let the soak play versions side by side

Ruled out: reading the versions from the record of runs alone; it doesn't tell which run wrote which event of an answer.

Change: events name the version of their target. Fault 'release', in a group of its own so that kept seeds choose the same other faults, replaces the engines by those of a next version. Callers take up resumable streams that broke, or that they ended themselves, at other instances. Checks 'stream_has_one_version' and 'taken_up_stream_goes_on'; the latter counts the streams of seeds with fewer than 12 together. A target of another version, or one that isn't registered as ready, is no unused attempt of a stream that broke. Whole streams are compared byte by byte as before, with the body of a version at which the call has run.

Measured: each check fails on planted calls in test_soak_checks.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -14,12 +14,12 @@
 from lagoonbend_devkit._internal.gateway import standin_store
 from lagoonbend_devkit._internal.gateway import standin_target
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
+from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
 
 HOST = 'calls.example'
 API_KEY = 'k-first'
 CUSTOMER = 'first-customer'
-FIRST_VERSION = 'v1'
-"""Version of the software of a target, unless another one is given."""
+FIRST_VERSION = standin_target.FIRST_VERSION
 READY_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
 DOMAINS = ('domain-a', 'domain-b')
@@ -153,7 +153,7 @@
         self, name: str, service: str, version: str = FIRST_VERSION
     ) -> standin_target.StandinTarget:
         """Start a target and register it in the store."""
-        target = standin_target.StandinTarget(name, self.runs)
+        target = standin_target.StandinTarget(name, self.runs, version=version)
         self.targets[name] = target
         if self._create_proxy is not None:
             self.target_proxies[name] = self._create_proxy(target.endpoint)
@@ -171,6 +171,14 @@
         endpoint = self.target_proxies.get(name, self.targets[name]).endpoint
         self.register_endpoint(name, service, endpoint, state, version)
 
+    def remove_target(self, name: str) -> None:
+        """Remove the registration of a target and stop it."""
+        self.store.delete(f'servers/{name}')
+        if name in self.target_proxies:
+            self.target_proxies[name].mode = ProxyMode.REFUSE
+            self.target_proxies[name].reset_all()
+        self.targets[name].stop()
+
     def register_endpoint(
         self,
         name: str,
@@ -263,13 +271,20 @@
 
 
 def build_call_headers(
-    attempt: str, fault: str = '', key: str = API_KEY
+    attempt: str,
+    fault: str = '',
+    key: str = API_KEY,
+    resumes: str = '',
+    last_event: int = 0,
 ) -> dict[str, str]:
     """Return the headers of a caller's request.
 
     :param attempt: identifier of the attempt.
     :param fault: fault that the target shall inject; empty for none.
     :param key: API key of the customer.
+    :param resumes: attempt that began the stream that this one takes up;
+        empty for a new request.
+    :param last_event: number of the last event that was received of it.
     """
     headers = {
         'Host': HOST,
@@ -278,6 +293,8 @@
     }
     if fault:
         headers['X-Fault'] = fault
+    if resumes:
+        headers |= {'Resumes': resumes, 'Last-Event-Id': str(last_event)}
     return headers
 
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -16,6 +16,8 @@
 """Value of the header ``Server-Stamp``, by which an answer is recognized as
 written by a target itself. An answer without it is called unsigned."""
 MODEL_VERSION = '1'
+FIRST_VERSION = 'v1'
+"""Version of the software of a target, unless another one is given."""
 FAULT_HEADER = 'x-fault'
 EVENT_INTERVAL_S = 0.005
 SLOW_EVENT_INTERVAL_S = 0.3
@@ -35,12 +37,14 @@
     :param attempt: identifier of the caller's attempt.
     :param request: request as the target received it.
     :param started_s: start, on the monotonic clock.
+    :param version: version of the target's software.
     """
 
     target: str
     attempt: str
     request: IncomingRequest
     started_s: float = 0.0
+    version: str = FIRST_VERSION
 
 
 class StandinTarget:
@@ -52,17 +56,25 @@
     the request as full. Faults ``pause`` and ``pause-stream`` are silent for a
     while before the head or inside a stream, and then complete the answer.
 
+    Each event of a stream names the version of the target that wrote it.
+
     A function that handles a request returns False to close the connection.
 
     :param name: name under which the target is registered in the store.
     :param runs: record of executions, shared by all targets of a fleet.
     :param event_count: number of events of a stream.
+    :param version: version of its software.
     """
 
     def __init__(
-        self, name: str, runs: list[TargetRun], event_count: int = 5
+        self,
+        name: str,
+        runs: list[TargetRun],
+        event_count: int = 5,
+        version: str = FIRST_VERSION,
     ) -> None:
         self.name = name
+        self.version = version
         self.is_open = True
         self.abandoned_attempts: list[str] = []
         self._runs = runs
@@ -114,7 +126,9 @@
             return True
         attempt = request.header_map.get('attempt-id', '')
         self._runs.append(
-            TargetRun(self.name, attempt, request, time.monotonic())
+            TargetRun(
+                self.name, attempt, request, time.monotonic(), self.version
+            )
         )
         if fault in FAULT_HANDLERS:
             return FAULT_HANDLERS[fault](self, request, sock)
@@ -153,7 +167,7 @@
         if request.header_map.get(FAULT_HEADER) == 'slow':
             interval_s = SLOW_EVENT_INTERVAL_S
         for number in range(first_number, last_number + 1):
-            event = f'id: {number}\ndata: piece {number}\n\n'.encode()
+            event = encode_event(number, self.version)
             try:
                 self._write(sock, b'%x\r\n%b\r\n' % (len(event), event))
             except OSError:
@@ -279,6 +293,11 @@
         return self._send_whole_answer(request, sock, PAUSE_EVENT_NUMBER)
 
 
+def encode_event(number: int, version: str) -> bytes:
+    """Return an event of a stream, as a target of a version writes it."""
+    return f'id: {number}\ndata: piece {number} of {version}\n\n'.encode()
+
+
 FaultHandler = Callable[
     [StandinTarget, IncomingRequest, gevent.socket.socket], bool
 ]
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/call_failure.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/call_failure.py
@@ -9,7 +9,8 @@
     ``NOT_CONNECTED``: the connection was refused or not accepted in time.
     ``CLOSED``: the connection ended before the first byte of the answer.
     ``CUT``: the connection ended, or bytes that are no HTTP answer came,
-    inside the answer. ``TIMED_OUT``: the caller gave up.
+    inside the answer. ``TIMED_OUT``: the caller gave up. ``HUNG_UP``: the
+    caller ended the connection inside a stream.
     """
 
     NONE = ''
@@ -17,3 +18,4 @@
     CLOSED = 'closed'
     CUT = 'cut'
     TIMED_OUT = 'timed out'
+    HUNG_UP = 'hung up'
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
@@ -15,6 +15,7 @@
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.soak_history import SoakHistory
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
+from lagoonbend_devkit._internal.soak.stream_event import parse_events
 
 DISRUPTION_MARGIN_S = 1.0
 """Time after a kill or pause within which the users' rules still attribute
@@ -137,6 +138,11 @@
 ) -> bool:
     """Return whether another target of the service could have been used."""
     service = runs[0].target.partition('-')[0]
+    events = parse_events(call.answer)
+    # A stream goes on only at the version that began it.
+    version = runs[0].version if call.resumes else ''
+    if events:
+        version = events[0].version
     used_targets = {run.target for run in runs}
     drained_targets = {
         period.target
@@ -146,12 +152,31 @@
     }
     return any(
         target.partition('-')[0] == service
+        and _is_usable(call, history, target, version)
         and target not in used_targets | drained_targets
         and not history.is_link_harmed(target, call.sent_s, call.end_s)
         for target in history.link_faults
     )
 
 
+def _is_usable(
+    call: SoakCall, history: SoakHistory, target: str, version: str
+) -> bool:
+    """Return whether a target was ready and had a version, if one is given."""
+    period = history.target_periods.get(target)
+    return period is None or (
+        period.start_s + CONFIG_APPLY_S <= call.sent_s
+        and period.end_s >= call.end_s
+        and version in ('', period.version)
+    )
+
+
+@register_excuse('hung up')
+def has_hung_up(call: SoakCall, history: SoakHistory) -> bool:
+    """The caller ended the connection inside a stream."""
+    return call.failure is CallFailure.HUNG_UP
+
+
 @register_excuse('time-out reached')
 def is_timeout_reached(call: SoakCall, history: SoakHistory) -> bool:
     """The time-out of the route or that of the caller was reached.
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -8,10 +8,12 @@
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from lagoonbend_devkit._internal.soak import instance_log
+from lagoonbend_devkit._internal.soak import stream_checks
 from lagoonbend_devkit._internal.soak.caller_habit import BRIEF
 from lagoonbend_devkit._internal.soak.caller_habit import EAGER
 from lagoonbend_devkit._internal.soak.caller_habit import LOYAL
 from lagoonbend_devkit._internal.soak.caller_habit import PIPELINING
+from lagoonbend_devkit._internal.soak.caller_request import CallerRequest
 from lagoonbend_devkit._internal.soak.excuses import find_excuse
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_devkit._internal.soak.instance_watch import InstanceWatch
@@ -21,6 +23,7 @@
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
+from lagoonbend_devkit._internal.soak.soak_faults import RELEASE
 from lagoonbend_devkit._internal.soak.soak_faults import SERIES
 from lagoonbend_devkit._internal.soak.soak_faults import SINGLE
 from lagoonbend_devkit._internal.soak.soak_faults import SOAK_FAULTS
@@ -28,10 +31,12 @@
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.soak_report import SoakReport
+from lagoonbend_devkit._internal.soak.stream_shares import StreamShares
+from lagoonbend_devkit._internal.soak.stream_shares import sum_shares
 from lagoonbend_devkit._internal.soak.supervisor import Supervisor
 
 CALLER_HABITS = (*[BRIEF] * 8, LOYAL, EAGER, PIPELINING, PIPELINING)
-MEAN_FAULT_INTERVALS_S = {SINGLE: 0.6, SERIES: 2.0}
+MEAN_FAULT_INTERVALS_S = {SINGLE: 0.6, SERIES: 2.0, RELEASE: 4.0}
 """Mean time between the starts of two faults of a group. A single fault lasts
 up to 2.5 s, so that several overlap."""
 POLL_INTERVAL_S = 0.05
@@ -101,6 +106,7 @@
             dict(sorted(self._fault_counts.items())),
             dict(sorted(excuses.items())),
             supervisor.restart_count,
+            stream_checks.compute_shares(calls, history),
             violations,
         )
 
@@ -139,6 +145,8 @@
             },
             context.drained_periods,
             context.configuration_times_s,
+            context.store_faults,
+            context.target_periods,
         )
 
     @staticmethod
@@ -171,8 +179,11 @@
         gevent.joinall(
             [
                 gevent.spawn(self._inject_group, context, SINGLE),
-                gevent.spawn(
-                    self._inject_group, context.with_group(SERIES), SERIES
+                *(
+                    gevent.spawn(
+                        self._inject_group, context.with_group(group), group
+                    )
+                    for group in (SERIES, RELEASE)
                 ),
             ],
             raise_error=True,
@@ -200,7 +211,7 @@
             for instance in list(unrecovered):
                 number += 1
                 connection = connect(fleet, instance)
-                request = ('look-up', f'after-{number}', '')
+                request = CallerRequest('look-up', f'after-{number}')
                 calls = exchange_calls(connection, instance, [request])
                 connection.close()
                 if calls[0].status == 200:
@@ -212,6 +223,7 @@
 def run_soaks(first_seed: int, last_seed: int, fault_period_s: float) -> int:
     """Run a soak for each seed; return how many violated a guarantee."""
     failed_seed_count = 0
+    small_shares: list[StreamShares] = []
     for seed in range(first_seed, last_seed + 1):
         report = Soak(seed, fault_period_s).run()
         failed_seed_count += bool(report.violations)
@@ -221,13 +233,23 @@
         if report.restart_count:
             print(f'  started again by the supervisor: {report.restart_count}')
         print(f'  without a whole answer, by excuse: {report.excuses}')
+        print(f'  undisturbed: {report.shares.describe()}')
+        if not report.shares.is_large:
+            small_shares.append(report.shares)
         for violation in report.violations:
             print(
                 f'  BROKEN {violation.guarantee}:'
                 f' {violation.attempt} {violation.detail}'
             )
+    shares = sum_shares(small_shares)
+    is_broken = shares.is_large and not shares.are_kept
+    if small_shares:
+        print(
+            f'{"BROKEN " if is_broken else ""}taken_up_stream_goes_on over'
+            f' {len(small_shares)} seeds: {shares.describe()}'
+        )
     print(
         f'{last_seed + 1 - first_seed} seeds,'
         f' {failed_seed_count} with a broken promise'
     )
-    return failed_seed_count
+    return failed_seed_count + is_broken
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_caller.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_caller.py
@@ -7,9 +7,12 @@
 import gevent
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.soak.call_failure import CallFailure
 from lagoonbend_devkit._internal.soak.caller_habit import CallerHabit
+from lagoonbend_devkit._internal.soak.caller_request import CallerRequest
 from lagoonbend_devkit._internal.soak.soak_connection import SoakConnection
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
+from lagoonbend_devkit._internal.soak.stream_event import parse_events
 
 FAILURE_PAUSE_S = 0.05
 """Time from an answer other than 200, or none, to the next request."""
@@ -28,6 +31,13 @@
 PAUSE_FAULTS = ('pause', 'pause-stream')
 ROUTES = ('stream', 'once-stream', 'booking', 'look-up')
 CALL_TIMEOUT_S = 8.0
+HANG_UP_SHARE = 0.1
+"""Share of the resumable streams that their caller ends after an event, as
+when its network is lost."""
+RESUMABLE_ROUTE = 'stream'
+BREAKS = (CallFailure.CUT, CallFailure.HUNG_UP)
+"""Failures after which a caller takes up a stream."""
+MAX_TRIES = 4
 
 
 class SoakCaller:
@@ -55,6 +65,7 @@
         self._call_count = 0
         self._rng = random.Random(f'{seed}/{number}')
         self._pause_rng = random.Random(f'{seed}/{number}/pauses')
+        self._break_rng = random.Random(f'{seed}/{number}/breaks')
 
     def run(self, is_stopping: Callable[[], bool]) -> None:
         """Send requests until ``is_stopping`` returns True."""
@@ -85,9 +96,45 @@
                 if not calls[-1].status:
                     break
             connection.close()
+            for call in calls:
+                self._take_up(call)
+
+    def _take_up(self, first_call: SoakCall) -> None:
+        """Take up a stream that broke, until it is whole or out of time."""
+        if (
+            first_call.route != RESUMABLE_ROUTE
+            or first_call.failure not in BREAKS
+            or not parse_events(first_call.answer)
+        ):
+            return
+        call = first_call
+        last_event = 0
+        for number in range(1, MAX_TRIES):
+            for event in parse_events(call.answer)[-1:]:
+                last_event = event.number
+            left_s = first_call.sent_s + CALL_TIMEOUT_S - time.monotonic()
+            if left_s <= 0 or call.status == 200:
+                return
+            instance = self._choose_other_instance(call.instance)
+            request = CallerRequest(
+                RESUMABLE_ROUTE,
+                f'{first_call.attempt}.{number}',
+                resumes=first_call.attempt,
+                last_event=last_event,
+            )
+            connection = connect(self._fleet, instance, left_s)
+            (call,) = exchange_calls(connection, instance, [request])
+            connection.close()
+            self._calls.append(call)
+            if call.status != 200:
+                gevent.sleep(FAILURE_PAUSE_S)
 
-    def _choose_request(self) -> tuple[str, str, str]:
-        """Return route, attempt and fault of the next request."""
+    def _choose_other_instance(self, instance: int) -> int:
+        count = len(self._fleet.processes)
+        return (instance + self._break_rng.randrange(1, count)) % count
+
+    def _choose_request(self) -> CallerRequest:
+        """Return the next request."""
         self._call_count += 1
         fault = ''
         if self._rng.random() < TARGET_FAULT_SHARE:
@@ -95,40 +142,53 @@
         elif self._pause_rng.random() < PAUSE_SHARE:
             fault = self._pause_rng.choice(PAUSE_FAULTS)
         attempt = f'{self._number}-{self._call_count}'
-        return self._rng.choice(ROUTES), attempt, fault
+        route = self._rng.choice(ROUTES)
+        hangs_up = (
+            route == RESUMABLE_ROUTE
+            and self._habit.pipelined_count == 1
+            and self._break_rng.random() < HANG_UP_SHARE
+        )
+        return CallerRequest(route, attempt, fault, hangs_up)
 
 
 def connect(
-    fleet: gateway_fleet.GatewayFleet, instance: int
+    fleet: gateway_fleet.GatewayFleet,
+    instance: int,
+    timeout_s: float = CALL_TIMEOUT_S,
 ) -> SoakConnection:
     """Return a connection to an instance; its first request opens it."""
-    return SoakConnection(fleet.callers_port(instance), CALL_TIMEOUT_S)
+    return SoakConnection(fleet.callers_port(instance), timeout_s)
 
 
 def exchange_calls(
     connection: SoakConnection,
     instance: int,
-    requests: list[tuple[str, str, str]],
+    requests: list[CallerRequest],
 ) -> list[SoakCall]:
     """Send requests, then read their answers in order.
 
     :param instance: number of the instance.
-    :param requests: route, attempt and fault of each request.
+    :param requests: requests to send.
     """
     calls = []
-    for route, attempt, fault in requests:
+    for request in requests:
         is_reused = connection.request_count > 0
-        body = f'body of {attempt}'.encode()
-        headers = gateway_fleet.build_call_headers(attempt, fault)
+        body = f'body of {request.resumes or request.attempt}'.encode()
+        headers = gateway_fleet.build_call_headers(
+            request.attempt,
+            request.fault,
+            resumes=request.resumes,
+            last_event=request.last_event,
+        )
         sent_s = time.monotonic()
-        connection.send(encode_request(f'/{route}/x', headers, body))
+        connection.send(encode_request(f'/{request.route}/x', headers, body))
         calls.append(
             SoakCall(
-                attempt,
+                request.attempt,
                 instance,
-                route,
+                request.route,
                 body,
-                fault,
+                request.fault,
                 0,
                 b'',
                 False,
@@ -136,12 +196,16 @@
                 0.0,
                 is_connection_reused=is_reused,
                 connection_age_s=sent_s - connection.opened_s,
+                resumes=request.resumes,
+                last_event=request.last_event,
             )
         )
     queue_end_s = calls[0].sent_s
     is_behind_close = False
     for number, call in enumerate(calls):
-        answer, failure = connection.read_answer()
+        answer, failure = connection.read_answer(
+            hangs_up=requests[number].hangs_up
+        )
         calls[number] = call._replace(
             status=answer.status,
             answer=answer.body,
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+from lagoonbend_devkit._internal.gateway.standin_target import encode_event
 from lagoonbend_devkit._internal.soak import excuses
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.soak_history import SoakHistory
@@ -113,14 +114,26 @@
         if call.fault in FAULT_ANSWER_BODIES:
             expected = FAULT_ANSWER_BODIES[call.fault]
         elif call.route in STREAM_ROUTES:
-            expected = b''.join(
-                b'id: %d\ndata: piece %d\n\n' % (number, number)
-                for number in range(1, EVENT_COUNT + 1)
+            # A run that ended before its first event may have been at another
+            # version than the one that answered.
+            versions = {run.version for run in history.list_runs(call.attempt)}
+            bodies = [build_stream(call, item) for item in sorted(versions)]
+            expected = next(
+                (body for body in bodies if body == call.answer),
+                b' or '.join(bodies),
             )
         if call.answer != expected:
             yield call, f'{call.answer[:80]!r} for {expected[:80]!r}'
 
 
+def build_stream(call: SoakCall, version: str) -> bytes:
+    """Return the whole answer of a target of a version to a stream."""
+    return b''.join(
+        encode_event(number, version)
+        for number in range(call.last_event + 1, EVENT_COUNT + 1)
+    )
+
+
 @register_check('proper_request_is_not_denied')
 def check_denials(
     calls: list[SoakCall], history: SoakHistory
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_connection.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_connection.py
@@ -12,6 +12,7 @@
 from lagoonbend_devkit._internal.fleet.ports import LOOPBACK
 from lagoonbend_devkit._internal.soak.answer_parser import AnswerParser
 from lagoonbend_devkit._internal.soak.call_failure import CallFailure
+from lagoonbend_devkit._internal.soak.stream_event import parse_events
 
 CONNECT_TIMEOUT_S = 1.0
 """Time that the users' clients allow for a new connection."""
@@ -82,12 +83,16 @@
             # The read of the answer reports how the connection ended.
             return
 
-    def read_answer(self) -> tuple[Answer, CallFailure]:
+    def read_answer(
+        self, *, hangs_up: bool = False
+    ) -> tuple[Answer, CallFailure]:
         """Return the answer to the oldest request that has none yet.
 
         An answer that isn't whole has status 0.
+
+        :param hangs_up: True to read only up to the first event of a stream.
         """
-        failure = self._receive(self._deadlines_s.popleft())
+        failure = self._receive(self._deadlines_s.popleft(), hangs_up)
         number = self._answer_count
         self._answer_count += 1
         if number >= len(self._parser.answers):
@@ -98,7 +103,7 @@
         status = 0 if failure.value else answer.status
         return Answer(status, answer.headers, answer.body), failure
 
-    def _receive(self, deadline_s: float) -> CallFailure:
+    def _receive(self, deadline_s: float, hangs_up: bool) -> CallFailure:
         """Receive until the next answer is complete."""
         if self._sock is None:
             return CallFailure.NOT_CONNECTED
@@ -114,6 +119,13 @@
                 if not data:
                     return CallFailure.CLOSED
                 self._parser.feed(data)
+                if (
+                    hangs_up
+                    and number < len(answers)
+                    and not answers[number].is_complete
+                    and parse_events(answers[number].body)
+                ):
+                    return CallFailure.HUNG_UP
         except TimeoutError:
             return CallFailure.TIMED_OUT
         except httptools.HttpParserError:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Callable
 import copy
+import math
 import random
 import signal
 import time
 
 import gevent
+import gevent.lock
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
@@ -14,7 +16,9 @@
 from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
+from lagoonbend_devkit._internal.soak.link_fault import LinkFault
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
+from lagoonbend_devkit._internal.soak.target_period import TargetPeriod
 
 MAX_FAULT_DURATION_S = 2.5
 """Longest duration of a fault; several faults overlap in a soak."""
@@ -26,6 +30,12 @@
 MAX_CHANGE_COUNT = 5
 SILENCE_S = 1.0
 """Silence of a sound target that the users' rules count as no trouble."""
+ENGINE_SERVICE = 'chat'
+RELEASE_INTERVAL_S = (0.5, 1.5)
+"""Range of the time between two steps of a release."""
+TARGET_DRAIN_S = 4.0
+"""Time until a draining target is removed; longer than the time-out of the
+routes, so that its streams have ended."""
 STORE_FAULT_MODES = ('busy', 'silent', 'gone')
 PROXY_FAULT_MODES = (
     ProxyMode.DELAY,
@@ -61,6 +71,15 @@
         self.events: list[InstanceEvent] = []
         self.drained_periods: list[DrainedPeriod] = []
         self.configuration_times_s: list[float] = []
+        self.store_faults: list[LinkFault] = []
+        self.serving_targets = sorted(target_proxies)
+        self.target_periods = {
+            name: TargetPeriod(
+                name.partition('-')[0], fleet.targets[name].version
+            )
+            for name in target_proxies
+        }
+        self.release_lock = gevent.lock.BoundedSemaphore()
 
     def record_event(self, instance: int, kind: InstanceEventKind) -> None:
         """Record what is about to be done to an instance."""
@@ -72,8 +91,7 @@
 
     def choose_target_proxy(self) -> FaultProxy:
         """Return the proxy in front of a random target."""
-        names = sorted(self.target_proxies)
-        return self.target_proxies[self.rng.choice(names)]
+        return self.target_proxies[self.rng.choice(self.serving_targets)]
 
     def choose_duration_s(self) -> float:
         """Return a random duration of a fault."""
@@ -91,7 +109,12 @@
 """Group of the faults that existed before groups did. A fault that is added
 belongs to another group, so that kept seeds inject the same faults again."""
 SERIES = 'series'
-SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {SINGLE: {}, SERIES: {}}
+RELEASE = 'release'
+SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {
+    SINGLE: {},
+    SERIES: {},
+    RELEASE: {},
+}
 
 
 def register_fault(
@@ -184,9 +207,11 @@
         context.rng.choice(STORE_FAULT_MODES),
         context.choose_duration_s(),
     )
+    start_s = time.monotonic()
     context.fleet.store.mode = mode
     gevent.sleep(duration_s)
     context.fleet.store.mode = 'ok'
+    context.store_faults.append(LinkFault(start_s, time.monotonic()))
 
 
 @register_fault('harm_store_link')
@@ -196,10 +221,12 @@
         context.rng.choice(PROXY_FAULT_MODES),
         context.choose_duration_s(),
     )
+    start_s = time.monotonic()
     context.store_proxy.mode = mode
     gevent.sleep(duration_s)
     context.store_proxy.mode = ProxyMode.PASS
     context.store_proxy.reset_all()
+    context.store_faults.append(LinkFault(start_s, time.monotonic()))
 
 
 @register_fault('change_configuration')
@@ -218,13 +245,14 @@
 @register_fault('drain_target')
 def drain_target(context: FaultContext) -> None:
     """Register a target as draining, then as ready again."""
-    name = context.rng.choice(sorted(context.target_proxies))
+    name = context.rng.choice(context.serving_targets)
     duration_s = context.choose_duration_s()
-    service = name.partition('-')[0]
+    service, version, *_ = context.target_periods[name]
     start_s = time.monotonic()
-    context.fleet.register_target(name, service, 'draining')
+    context.fleet.register_target(name, service, 'draining', version)
     gevent.sleep(duration_s)
-    context.fleet.register_target(name, service)
+    if context.target_periods[name].end_s == math.inf:
+        context.fleet.register_target(name, service, version=version)
     context.drained_periods.append(
         DrainedPeriod(name, start_s, time.monotonic())
     )
@@ -233,7 +261,7 @@
 @register_fault('silence_target', SERIES)
 def silence_target(context: FaultContext) -> None:
     """Let a sound target write nothing for a while, then go on."""
-    name = context.rng.choice(sorted(context.target_proxies))
+    name = context.rng.choice(context.serving_targets)
     context.fleet.targets[name].silence(SILENCE_S)
 
 
@@ -261,3 +289,54 @@
     for number in range(context.rng.randint(2, MAX_CHANGE_COUNT)):
         _change_configuration(context, is_varied=number % 2 == 0)
         gevent.sleep(context.rng.uniform(*SERIES_INTERVAL_S))
+
+
+@register_fault('release', RELEASE)
+def release(context: FaultContext) -> None:
+    """Replace the engines by engines of the next version.
+
+    The new ones start one by one, or all of them, before an old one drains.
+    Two versions serve meanwhile; the old ones are removed later.
+    """
+    with context.release_lock:
+        old_names = [
+            name
+            for name in context.serving_targets
+            if context.target_periods[name].service == ENGINE_SERVICE
+        ]
+        versions = {item.version for item in context.target_periods.values()}
+        version = f'v{len(versions) + 1}'
+        step_size = context.rng.randint(1, len(old_names))
+        remove_greenlets = []
+        for start in range(0, len(old_names), step_size):
+            step_names = old_names[start : start + step_size]
+            for name in step_names:
+                _start_replacement(context, name, version)
+                gevent.sleep(context.rng.uniform(*RELEASE_INTERVAL_S))
+            for name in step_names:
+                remove_greenlets.append(
+                    gevent.spawn(_drain_and_remove, context, name)
+                )
+                gevent.sleep(context.rng.uniform(*RELEASE_INTERVAL_S))
+    gevent.joinall(remove_greenlets, raise_error=True)
+
+
+def _start_replacement(context: FaultContext, name: str, version: str) -> None:
+    """Start a target that takes the place of another one in later faults."""
+    number = context.serving_targets.index(name)
+    new_name = f'{ENGINE_SERVICE}-{number}-{version}'
+    context.fleet.add_target(new_name, ENGINE_SERVICE, version)
+    context.target_periods[new_name] = TargetPeriod(
+        ENGINE_SERVICE, version, time.monotonic()
+    )
+    context.serving_targets[number] = new_name
+
+
+def _drain_and_remove(context: FaultContext, name: str) -> None:
+    service, version, *_ = context.target_periods[name]
+    context.target_periods[name] = context.target_periods[name]._replace(
+        end_s=time.monotonic()
+    )
+    context.fleet.register_target(name, service, 'draining', version)
+    gevent.sleep(TARGET_DRAIN_S)
+    context.fleet.remove_target(name)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
@@ -12,6 +12,7 @@
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.link_fault import LinkFault
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
+from lagoonbend_devkit._internal.soak.target_period import TargetPeriod
 
 
 class SoakHistory(NamedTuple):
@@ -25,6 +26,9 @@
     :param drained_periods: periods during which targets were draining.
     :param configuration_times_s: times at which a version of the
         configuration was published, on the monotonic clock.
+    :param store_faults: times at which the store or its link was harmed.
+    :param target_periods: period in which each target was registered as
+        ready, by its name.
     """
 
     runs: Sequence[TargetRun] = ()
@@ -33,6 +37,8 @@
     link_faults: Mapping[str, Sequence[LinkFault]] = {}
     drained_periods: Sequence[DrainedPeriod] = ()
     configuration_times_s: Sequence[float] = ()
+    store_faults: Sequence[LinkFault] = ()
+    target_periods: Mapping[str, TargetPeriod] = {}
 
     def list_runs(self, attempt: str) -> list[TargetRun]:
         """Return the runs of an attempt."""
@@ -57,6 +63,47 @@
             for fault in self.link_faults.get(target, ())
         )
 
+    def list_sound_targets(
+        self, service: str, start_s: float, end_s: float
+    ) -> list[str]:
+        """Return the targets that were ready behind sound links."""
+        drained_targets = {
+            period.target
+            for period in self.drained_periods
+            if period.start_s <= end_s and period.end_s >= start_s
+        }
+        return [
+            target
+            for target, period in self.target_periods.items()
+            if period.service == service
+            and period.start_s <= start_s
+            and period.end_s >= end_s
+            and target not in drained_targets
+            and not self.is_link_harmed(target, start_s, end_s)
+        ]
+
+    def is_disturbed(
+        self, instance: int, start_s: float, end_s: float
+    ) -> bool:
+        """Return whether a fault disturbed an instance or the store."""
+        return (
+            any(
+                down_start_s <= end_s and down_end_s >= start_s
+                for down_start_s, down_end_s in self.list_down_periods(
+                    instance
+                )
+            )
+            or any(
+                period.instance == instance
+                and period.start_s <= end_s
+                and period.end_s >= start_s
+                for period in self.paused_periods
+            )
+            or any(
+                fault.overlaps(start_s, end_s) for fault in self.store_faults
+            )
+        )
+
     def list_down_periods(
         self, instance: int
     ) -> Iterator[tuple[float, float]]:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_record.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_record.py
@@ -28,6 +28,9 @@
         earlier request on the connection.
     :param is_behind_close: True if that answer announced the close of the
         connection, or was not whole.
+    :param resumes: attempt that began the stream that this one takes up;
+        empty for a new request.
+    :param last_event: number of the last event that was received of it.
     """
 
     attempt: str
@@ -46,6 +49,8 @@
     connection_age_s: float = 0.0
     queued_s: float = 0.0
     is_behind_close: bool = False
+    resumes: str = ''
+    last_event: int = 0
 
     @property
     def end_s(self) -> float:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_report.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_report.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
+from lagoonbend_devkit._internal.soak.stream_shares import StreamShares
 
 
 class SoakReport(NamedTuple):
@@ -15,6 +16,7 @@
     :param excuses: number of calls without a whole answer, by their excuse.
     :param restart_count: number of processes that ended while they started,
         and were started again.
+    :param shares: numbers of new and taken-up streams.
     :param violations: guarantees that did not hold.
     """
 
@@ -23,4 +25,5 @@
     faults: dict[str, int]
     excuses: dict[str, int]
     restart_count: int
+    shares: StreamShares
     violations: list[GuaranteeViolation]
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
@@ -13,7 +13,10 @@
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.soak_report import SoakReport
+from lagoonbend_devkit._internal.soak.stream_shares import StreamShares
+from lagoonbend_devkit._internal.soak.stream_shares import sum_shares
 from lagoonbend_devkit._internal.soak.supervisor import Supervisor
+from lagoonbend_devkit._internal.soak.target_period import TargetPeriod
 
 __all__ = [
     'CallFailure',
@@ -29,5 +32,8 @@
     'SoakReport',
     'Supervisor',
     'TargetRun',
+    'StreamShares',
+    'TargetPeriod',
     'find_violations',
+    'sum_shares',
 ]
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -15,6 +15,9 @@
 from lagoonbend_devkit.soak import PausedPeriod
 from lagoonbend_devkit.soak import SoakCall
 from lagoonbend_devkit.soak import SoakHistory
+from lagoonbend_devkit.soak import StreamShares
+from lagoonbend_devkit.soak import sum_shares
+from lagoonbend_devkit.soak import TargetPeriod
 from lagoonbend_devkit.soak import TargetRun
 from lagoonbend_entry.testing import IncomingRequest
 
@@ -42,6 +45,74 @@
 )
 SOUND_HISTORY = SoakHistory()
 CUT_RUN = RUN._replace(started_s=10.1)
+FIRST_TRY = CUT_CALL._replace(attempt='s', route='stream', instance=1)
+SECOND_TRY = CUT_CALL._replace(
+    attempt='s.1', route='stream', sent_s=10.6, resumes='s', last_event=2
+)
+READY_PERIODS = {
+    'chat-0': TargetPeriod('chat', 'v1'),
+    'chat-1': TargetPeriod('chat', 'v1'),
+    'chat-2': TargetPeriod('chat', 'v2'),
+    'chat-3': TargetPeriod('chat', 'v2'),
+}
+
+
+def build_events(numbers: range, version: str = 'v1') -> bytes:
+    """Return events as a target of a version writes them."""
+    return b''.join(
+        b'id: %d\ndata: piece %d of %b\n\n'
+        % (number, number, version.encode())
+        for number in numbers
+    )
+
+
+def is_mixed(*answers: bytes) -> bool:
+    """Return whether the tries of a stream fail the check of its version."""
+    tries = [FIRST_TRY._replace(answer=answers[0])]
+    tries += [SECOND_TRY._replace(answer=answer) for answer in answers[1:]]
+    violations = find_violations(tries, SOUND_HISTORY)
+    return 'stream_has_one_version' in {item.guarantee for item in violations}
+
+
+def count_needless_refusals(
+    refused: int,
+    history: SoakHistory = SOUND_HISTORY,
+    begun: int = 20,
+    version: str = 'v1',
+    taken_up: int = 12,
+) -> int:
+    """Return the number of violations by streams that didn't go on.
+
+    :param refused: number of streams that were taken up and refused.
+    :param begun: number of 20 other new streams that began.
+    :param version: version that began the streams that were taken up.
+    :param taken_up: number of streams that were taken up.
+    """
+    calls = []
+    for number in range(20):
+        call = FIRST_TRY._replace(attempt=f'n{number}', status=503)
+        calls.append(call._replace(status=200 if number < begun else 503))
+    for number in range(taken_up):
+        attempt = f's{number}'
+        answer = build_events(range(1, 3), version)
+        # Its fault keeps it out of the share of new streams.
+        calls.append(
+            FIRST_TRY._replace(
+                attempt=attempt, answer=answer, fault='cut-stream'
+            )
+        )
+        status = 503 if number < refused else 200
+        calls.append(
+            SECOND_TRY._replace(
+                attempt=f'{attempt}.1', resumes=attempt, status=status
+            )
+        )
+    periods = {**READY_PERIODS, **history.target_periods}
+    violations = find_violations(
+        calls, history._replace(target_periods=periods)
+    )
+    names = [item.guarantee for item in violations]
+    return names.count('taken_up_stream_goes_on')
 
 
 def find_failed_checks(call: SoakCall, runs: int) -> set[str]:
@@ -258,6 +329,121 @@
             is_excused(CUT_CALL._replace(failure=CallFailure.TIMED_OUT))
         )
 
+    def test_stream_of_two_versions_is_seen(self) -> None:
+        """In one answer, or over the tries of its caller."""
+        begin, end = build_events(range(1, 3)), build_events(range(3, 6))
+        other_end = build_events(range(3, 6), 'v2')
+        self.assertFalse(is_mixed(begin + end))
+        self.assertFalse(is_mixed(begin, end))
+        self.assertFalse(is_mixed(begin, b'', end))
+        self.assertTrue(is_mixed(begin + other_end))
+        self.assertTrue(is_mixed(begin, other_end))
+        self.assertTrue(is_mixed(begin, b'', other_end))
+
+    def test_gap_and_repeat_in_a_stream_are_seen(self) -> None:
+        """Between two tries, and within one."""
+        begin = build_events(range(1, 3))
+        for first in (1, 2, 4):
+            end = build_events(range(first, 6))
+            self.assertTrue(is_mixed(begin, end))
+            self.assertTrue(is_mixed(begin + end))
+        self.assertTrue(is_mixed(build_events(range(2, 6))))
+
+    def test_mixed_whole_answer_is_not_its_own(self) -> None:
+        """Nor is one of a version at which the call hasn't run."""
+        call = VALID_CALL._replace(route='stream')
+        whole = build_events(range(1, 6))
+        mixed = build_events(range(1, 3)) + build_events(range(3, 6), 'v2')
+        runs = [RUN, RUN._replace(version='v2')]
+        for answer, call_runs, is_valid in (
+            (whole, runs, True),
+            (mixed, runs, False),
+            (whole, runs[1:], False),
+            (build_events(range(1, 5)), runs, False),
+        ):
+            violations = find_violations(
+                [call._replace(answer=answer)], SoakHistory(call_runs)
+            )
+            names = {item.guarantee for item in violations}
+            self.assertEqual(
+                is_valid, 'answer_is_whole_and_own' not in names, answer
+            )
+
+    def test_needless_refusals_of_streams_are_seen(self) -> None:
+        """Under half of the share of new streams goes on."""
+        self.assertEqual(0, count_needless_refusals(6))
+        self.assertEqual(7, count_needless_refusals(7))
+        self.assertEqual(0, count_needless_refusals(9, begun=10))
+        self.assertEqual(10, count_needless_refusals(10, begun=10))
+        self.assertEqual(0, count_needless_refusals(11, taken_up=11))
+
+    def test_refusals_are_allowed_beside_faults(self) -> None:
+        """Faults of the instance, the store or its targets excuse them."""
+        fault = LinkFault(8.0, 8.0)
+        old_fault = LinkFault(6.9, 6.9)
+        kill = InstanceEvent(0, InstanceEventKind.KILLED, 5.0)
+        start = InstanceEvent(0, InstanceEventKind.LISTENING, 8.0)
+        late = TargetPeriod('chat', 'v1', start_s=8.0)
+        left = TargetPeriod('chat', 'v1', end_s=10.9)
+        for history, is_excuse in (
+            (SoakHistory(store_faults=[fault]), True),
+            (SoakHistory(store_faults=[old_fault]), False),
+            (SoakHistory(paused_periods=[PausedPeriod(0, 7.0, 8.0)]), True),
+            (SoakHistory(paused_periods=[PausedPeriod(0, 7.0, 7.5)]), False),
+            (SoakHistory(paused_periods=[PausedPeriod(2, 7.0, 8.0)]), False),
+            (SoakHistory(events=[kill, start]), True),
+            (SoakHistory(events=[kill, start._replace(at_s=7.5)]), False),
+            (SoakHistory(link_faults={'chat-1': [fault]}), True),
+            (SoakHistory(link_faults={'chat-1': [old_fault]}), False),
+            (SoakHistory(link_faults={'chat-2': [fault]}), False),
+            (
+                SoakHistory(drained_periods=[DrainedPeriod('chat-1', 7, 8)]),
+                True,
+            ),
+            (SoakHistory(target_periods={'chat-1': late}), True),
+            (SoakHistory(target_periods={'chat-1': left}), True),
+        ):
+            self.assertEqual(
+                0 if is_excuse else 12,
+                count_needless_refusals(12, history),
+                history,
+            )
+
+    def test_shares_are_kept_over_all_seeds(self) -> None:
+        """Few streams of each seed count together."""
+        shares = [StreamShares(10, 10, 4, 2), StreamShares(10, 10, 4, 1)]
+        self.assertFalse(sum_shares(shares).is_large)
+        whole = sum_shares([*shares, shares[1]])
+        self.assertEqual(StreamShares(30, 30, 12, 4), whole)
+        self.assertTrue(whole.is_large)
+        self.assertFalse(whole.are_kept)
+        self.assertTrue(sum_shares([shares[0]] * 3).are_kept)
+
+    def test_target_of_another_version_can_not_go_on(self) -> None:
+        """It is no attempt left, unlike one of the version that began."""
+        events = build_events(range(1, 3))
+        call = FIRST_TRY._replace(answer=events, fault='cut-stream')
+        run = RUN._replace(target='chat-0', attempt='s', started_s=10.1)
+        same = READY_PERIODS['chat-1']
+        for period, is_valid in (
+            (same, False),
+            (same._replace(version='v2'), True),
+            (same._replace(start_s=9.0), True),
+            (same._replace(end_s=10.3), True),
+        ):
+            history = SoakHistory([run], target_periods={'chat-1': period})
+            self.assertEqual(is_valid, is_excused(call, history), period)
+        unbegun = call._replace(answer=b'')
+        other = {'chat-1': same._replace(version='v2')}
+        history = SoakHistory([run], target_periods=other)
+        self.assertFalse(is_excused(unbegun, history))
+
+    def test_caller_that_hung_up_has_no_answer(self) -> None:
+        """No other end of the connection is excused by that."""
+        hung_up = FIRST_TRY._replace(failure=CallFailure.HUNG_UP)
+        self.assertTrue(is_excused(hung_up))
+        self.assertFalse(is_excused(FIRST_TRY))
+
 
 if __name__ == '__main__':
     unittest.main()
