--- a/tests/lib/call_table/batch.py
+++ b/tests/lib/call_table/batch.py
@@ -17,12 +17,12 @@
 from tests.lib.call_table.table_configuration import HOST
 from tests.lib.call_table.table_configuration import TableConfiguration
 from tests.lib.call_table.table_configuration import TableRoute
+from tests.lib.call_table.table_fleet import ATTEMPT_FAILED
+from tests.lib.call_table.table_fleet import CALL_ENDED
 from tests.lib.call_table.table_fleet import POLL_S
 from tests.lib.call_table.table_fleet import TableFleet
 from tests.lib.call_table.table_fleet import TARGETS_PER_SERVICE
 
-CALL_ENDED = 'LB0203'
-ATTEMPT_FAILED = 'LB0205'
 LOG_DELAY_S = 0.3
 
 
--- a/tests/lib/call_table/strikes.py
+++ b/tests/lib/call_table/strikes.py
@@ -5,10 +5,10 @@
 from typing import NamedTuple
 
 from tests.lib.call_table.table_configuration import TableConfiguration
+from tests.lib.call_table.table_fleet import DRAIN_BEGUN
+from tests.lib.call_table.table_fleet import RELOADED
 from tests.lib.call_table.table_fleet import TableFleet
 
-RELOADED = 'LB0007'
-DRAIN_BEGUN = 'LB0002'
 LOWER_RATE = 'rate lowered'
 RELOAD = 'SIGHUP'
 STOP = 'SIGTERM'
--- a/tests/lib/call_table/table_fleet.py
+++ b/tests/lib/call_table/table_fleet.py
@@ -1,6 +1,5 @@
 """Instances as processes, on the targets of the table."""
 
-import json
 import signal
 import time
 from typing import Any
@@ -9,12 +8,25 @@
 
 from lagoonbend_devkit._internal.fleet.http import exchange
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from tests.lib.call_table.log_reader import LogReader
 from tests.lib.call_table.stepped_target import SteppedTargets
 from tests.lib.call_table.table_configuration import TableConfiguration
 
 FREE_SLOTS = 200
 TARGETS_PER_SERVICE = 2
 POLL_S = 0.02
+DRAIN_BEGUN = 'LB0002'
+RELOADED = 'LB0007'
+CALL_ENDED = 'LB0203'
+ATTEMPT_FAILED = 'LB0205'
+RULES_APPLIED = 'LB0508'
+READ_EVENTS = (
+    DRAIN_BEGUN,
+    RELOADED,
+    CALL_ENDED,
+    ATTEMPT_FAILED,
+    RULES_APPLIED,
+)
 OBSERVE_TIMEOUT_S = 15.0
 LIMIT_OVERSHOOT_RATIO = 0.25
 """As in the users' deployments."""
@@ -31,8 +43,12 @@
         self.stepped_targets = SteppedTargets()
         self.grace_s = grace_s
         self._configuration: TableConfiguration | None = None
-        self._log_offset_bytes = 0
+        self._is_connected = False
         super().__init__(instance_count, engine_count=0, service_count=0)
+        self._logs = [
+            LogReader(process.log_path, READ_EVENTS)
+            for process in self.processes
+        ]
 
     def __exit__(self, *details: Any) -> None:
         """Stop the instances, then the targets."""
@@ -49,11 +65,11 @@
         for service in configuration.list_services():
             is_full = service.endswith('.full')
             self.set_slots(service, 1 if is_full else FREE_SLOTS)
+        self._connect()
         self.publish_configuration()
-        for number in range(len(self.processes)):
+        for number, log in enumerate(self._logs):
             self.wait_version(number)
-            self._wait_state(number, 'reached_instances', len(self.processes))
-        self._log_offset_bytes = self.processes[0].log_path.stat().st_size
+            log.skip()
 
     def set_slots(self, service: str, slots: int) -> None:
         """Register the targets of a service with a number of slots."""
@@ -82,14 +98,11 @@
 
     def wait_version(self, number: int = 0) -> None:
         """Wait until an instance has the newest configuration."""
-        self._wait_state(
-            number, 'configuration_version', self.configuration_version
-        )
-
-    def _wait_state(self, number: int, name: str, value: int) -> None:
-        expected = f'lagoonbend_state{{name="{name}"}} {value}'.encode()
         with gevent.Timeout(OBSERVE_TIMEOUT_S):
-            while expected not in self.read_metrics(number).splitlines():
+            while self.configuration_version not in (
+                line['version']
+                for line in self._logs[number].find(RULES_APPLIED)
+            ):
                 gevent.sleep(POLL_S)
 
     def count_waiting(self) -> int:
@@ -108,18 +121,12 @@
 
     def list_log(self, *event_numbers: str) -> list[dict[str, Any]]:
         """Return lines of the first instance since the batch began."""
-        with self.processes[0].log_path.open('rb') as log:
-            log.seek(self._log_offset_bytes)
-            return [
-                json.loads(line)
-                for line in log.read().splitlines()
-                if any(f'"{n}"'.encode() in line for n in event_numbers)
-            ]
-
-    def wait_logged(self, event_number: str, count: int = 1) -> None:
+        return self._logs[0].find(*event_numbers)
+
+    def wait_logged(self, event_number: str) -> None:
         """Wait until the first instance has logged an event."""
         with gevent.Timeout(OBSERVE_TIMEOUT_S):
-            while len(self.list_log(event_number)) < count:
+            while not self.list_log(event_number):
                 gevent.sleep(POLL_S)
 
     def change_settings(self) -> None:
@@ -134,14 +141,27 @@
 
     def replace_first(self) -> None:
         """Start the first instance again if it has been stopped."""
-        if not self.list_log('LB0002'):
+        if not self.list_log(DRAIN_BEGUN):
             return
+        self._is_connected = False
         end_s = time.monotonic() + self.grace_s
         while self.processes[0].is_running and time.monotonic() < end_s:
             gevent.sleep(POLL_S)
         self.restart_instance(0)
         self.wait_ready(0)
 
+    def _connect(self) -> None:
+        """Wait until all instances reach each other."""
+        count = len(self.processes)
+        expected = f'lagoonbend_state{{name="reached_instances"}} {count}'
+        with gevent.Timeout(OBSERVE_TIMEOUT_S):
+            while not self._is_connected:
+                self._is_connected = all(
+                    expected.encode() in self.read_metrics(n).splitlines()
+                    for n in range(count)
+                )
+                gevent.sleep(POLL_S)
+
     def _build_settings(self, number: int) -> str:
         return (
             f'{super()._build_settings(number)}\n'
--- a/tests/lib/call_table/table_run.py
+++ b/tests/lib/call_table/table_run.py
@@ -32,7 +32,10 @@
     workers = [
         gevent.spawn(_play_batches, batches) for _ in range(FLEET_COUNT)
     ]
-    gevent.joinall(workers, raise_error=True)
+    try:
+        gevent.joinall(workers, raise_error=True)
+    finally:
+        gevent.killall(workers)
     return [outcome for worker in workers for outcome in worker.value]
 
 
