Don't guess the version of a stream after a start

In fleets over 16 instances the instance that took a stream up often shared no keeper with the one at which it began (0.15 to 0.33 of the origins found at 84 instances with services of several pools, computed on a paused clock).

Cause: what isn't listed now was taken for what never was; and the keepers depended on the pools that an instance happened to use.

Change: a version counts as the only one if the list has been read for as long as a stream may last, or if no listed target has started since (by its registration, with 5 s for clocks). Otherwise peers are asked, whose answers carry the version that they are sure of; stale facts and a peer that doesn't know either count for nothing. A peer that has come back gets all origins, not only the sender's own. In larger fleets the origin goes to one instance of each failure domain, chosen by the key and the live instances; links to these are opened while versions are mixed.

The share found in large fleets has not been measured again.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -20,6 +20,8 @@
 API_KEY = 'k-first'
 CUSTOMER = 'first-customer'
 FIRST_VERSION = standin_target.FIRST_VERSION
+FIRST_BORN_MS = 1
+"""Start of a target in Unix time, unless another one is given."""
 READY_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
 DOMAINS = ('domain-a', 'domain-b')
@@ -186,6 +188,7 @@
         endpoint: str,
         state: str = 'ready',
         version: str = FIRST_VERSION,
+        born_ms: int = FIRST_BORN_MS,
     ) -> None:
         """Write the registration of a server at ``ip:port`` to the store."""
         self.store.put(
@@ -199,6 +202,7 @@
                 'state': state,
                 'cold-remaining-ms': 0,
                 'sequence': 1,
+                'born': born_ms,
             },
         )
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -127,8 +127,9 @@
         )
         self.origins = origin_exchange.OriginExchange(
             clock,
-            lambda: fleet.list_origin_keepers(self._deciders.list_last()),
+            fleet.list_origin_keepers,
             self._links.send,
+            facts.find_only_version,
             lambda service: len(facts.list_versions(service)) > 1,
         )
         self.peers = PeerService(
@@ -576,7 +577,9 @@
 
     def _update_links(self) -> None:
         self._links.update_links(
-            self._deciders.list_last(), self.pool_schedulers.pools
+            self._deciders.list_last(),
+            self.pool_schedulers.pools,
+            shares_origins=self.origins.has_mixed_services,
         )
 
     def _run_cycle(self) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
+import math
 import random
 
 from lagoonbend.clock import Clock
@@ -51,6 +53,9 @@
 VIEW_LIFETIME_MS = 100
 """Time for which a computed view of the membership is reused, unless a
 heartbeat changes it; a ninth of the shortest heartbeat timeout."""
+INSTANCES_PER_KEEPER = 16
+"""Instances of a failure domain for which one of them keeps the origins of
+streams. At 420 instances in six domains, 24 links lead to keepers."""
 CANDIDATES_PER_POOL = 3
 """Candidates for the decider of a pool that its decider pings as well, so that
 two deciders of one pool find each other after a network partition."""
@@ -158,12 +163,18 @@
         self._view = None
 
     def select_peers(
-        self, deciders: Iterable[str], own_pools: Iterable[str]
+        self,
+        deciders: Iterable[str],
+        own_pools: Iterable[str],
+        *,
+        shares_origins: bool = False,
     ) -> set[str]:
         """Return the addresses of the instances to keep links to.
 
         :param deciders: deciders of the pools in use here.
         :param own_pools: pools that this instance decides for.
+        :param shares_origins: True while a service has several software
+            versions, so that the origins of its streams are shared.
         """
         if self.is_full_mesh:
             return set(self._last_known_ms)
@@ -173,6 +184,9 @@
         selected.update(self._sort_by_score(self.address)[:GOSSIP_PEERS])
         for pool in own_pools:
             selected.update(self._sort_candidates(pool)[:CANDIDATES_PER_POOL])
+        if shares_origins:
+            for group in self._list_keeper_groups():
+                selected.update(group)
         selected.discard(self.address)
         return selected
 
@@ -229,27 +243,50 @@
             in self._list_domain_members()[:STORE_READERS_PER_DOMAIN]
         )
 
-    def list_origin_keepers(self, deciders: set[str]) -> list[str]:
-        """Return the peers that keep the origins of this domain's streams.
-
-        Those are all peers of a small fleet. In a larger one they are the
-        store readers of the domain, to which callers return, and deciders.
+    def list_origin_keepers(self, key: int) -> list[str]:
+        """Return the peers that keep the origin of a stream.
 
-        :param deciders: deciders of the pools in use here.
+        Those are all peers of a small fleet. In a larger one they are one
+        instance of each failure domain, which depends on the key and, of its
+        domain, on nothing but the instances that are alive.
         """
-        readers = self._list_domain_members()[:STORE_READERS_PER_DOMAIN]
+        keepers: set[str] | None = None
+        if not self.is_full_mesh:
+            keepers = {
+                group[key % len(group)] for group in self._list_keeper_groups()
+            }
         return [
             heartbeat.address
             for heartbeat in self.list_alive()
             if heartbeat.is_direct
             and heartbeat.keeps_origins
-            and (
-                self.is_full_mesh
-                or heartbeat.address in readers
-                or heartbeat.address in deciders
-            )
+            and (keepers is None or heartbeat.address in keepers)
         ]
 
+    def _list_keeper_groups(self) -> Iterator[list[str]]:
+        """Yield the keepers of each failure domain, by share of the keys."""
+        members: dict[str, list[str]] = {self.failure_domain: [self.address]}
+        for heartbeat in self.list_alive():
+            members.setdefault(heartbeat.failure_domain, []).append(
+                heartbeat.address
+            )
+        for addresses in members.values():
+            # A power of two, so that it stays when a few instances are lost.
+            count = 2 ** round(
+                math.log2(max(1, len(addresses) / INSTANCES_PER_KEEPER))
+            )
+            yield [
+                self._choose_keeper(addresses, share) for share in range(count)
+            ]
+
+    @staticmethod
+    def _choose_keeper(addresses: list[str], share: int) -> str:
+        """Return the instance that keeps a share of the origins."""
+        key = f'origins/{share}'
+        return max(
+            addresses, key=lambda address: score_candidate(address, key)
+        )
+
     def find_decider(
         self, pool: str, *, decides: bool, is_leaving: bool, hint: str = ''
     ) -> str:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -204,16 +204,23 @@
 
 
 class OriginWanted(Message):
-    """Asks for the origin of a stream."""
+    """Asks for the origin of a stream of a service."""
 
     key: int
+    service: str
 
 
 class OriginFound(Message):
-    """Answer to ``OriginWanted``; without an origin if it isn't known."""
+    """Answer to ``OriginWanted``; without an origin if it isn't known.
+
+    ``only_version`` is the version of all targets that the service has had
+    for as long as a stream may last, as far as the sender knows; empty if
+    there were several or it doesn't know.
+    """
 
     key: int
     origins: list[WireOrigin]
+    only_version: str
 
 
 AnyMessage = (
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
@@ -37,11 +37,12 @@
     """Result of a question to the peers.
 
     :param origin: origin of the stream; None if no peer knows it.
-    :param is_answered: True if at least one peer has answered.
+    :param only_versions: the versions that the answers name as the only one
+        of the service; empty if no peer is sure.
     """
 
     origin: StreamOrigin | None
-    is_answered: bool
+    only_versions: frozenset[str]
 
 
 class _Question:
@@ -52,7 +53,7 @@
 
     def __init__(self, peers: set[str]) -> None:
         self.peers = peers
-        self.is_answered = False
+        self.only_versions: set[str] = set()
         self.result: gevent.event.AsyncResult = gevent.event.AsyncResult()
 
 
@@ -60,9 +61,12 @@
     """Keeps the origins of streams and shares them.
 
     :param clock: clock of the instance.
-    :param list_keepers: returns the peers to which origins are sent, and that
-        are asked for them.
+    :param list_keepers: returns the peers to which the origin with a key is
+        sent, and that are asked for it.
     :param send: sends a message to a peer; returns False if it can't.
+    :param find_only_version: returns the only version that targets of a
+        service have had for as long as a stream may last; empty if there
+        were several or it isn't known.
     :param is_mixed: returns True if targets of a service have, or had lately,
         several software versions.
     """
@@ -70,13 +74,15 @@
     def __init__(
         self,
         clock: Clock,
-        list_keepers: Callable[[], list[str]],
+        list_keepers: Callable[[int], list[str]],
         send: Send,
+        find_only_version: Callable[[str], str],
         is_mixed: Callable[[str], bool],
     ) -> None:
         self._clock = clock
         self._list_keepers = list_keepers
         self._send = send
+        self._find_only_version = find_only_version
         self._is_mixed = is_mixed
         self._origins = StreamOrigins(clock)
         self._own_origins: dict[str, StreamOrigins] = {}
@@ -105,14 +111,14 @@
         """Return the origin of a stream, if it is known here."""
         return self._origins.find(key)
 
-    def ask(self, key: int) -> OriginAnswer:
+    def ask(self, key: int, service: str) -> OriginAnswer:
         """Ask the peers for the origin of a stream, and wait for an answer."""
         question = self._questions.get(key)
         if question is None:
-            question = _Question(set(self._list_keepers()))
+            question = _Question(set(self._list_keepers(key)))
             self._questions[key] = question
             for peer in list(question.peers):
-                if not self._send(peer, messages.OriginWanted(key)):
+                if not self._send(peer, messages.OriginWanted(key, service)):
                     question.peers.discard(peer)
         try:
             if question.peers:
@@ -122,7 +128,7 @@
         finally:
             if self._questions.get(key) is question:
                 del self._questions[key]
-        return OriginAnswer(self.find(key), question.is_answered)
+        return OriginAnswer(self.find(key), frozenset(question.only_versions))
 
     def apply_facts(self) -> None:
         """Share the streams of services that have become mixed."""
@@ -135,9 +141,12 @@
                 self._mixed_services.discard(service)
 
     def send_all(self, peer: str) -> None:
-        """Send the origins of mixed services to a peer that has come back."""
-        for service in self._mixed_services:
-            self._send_origins(peer, self._own_origins[service].list_live())
+        """Send all origins to a peer that has come back.
+
+        It may have started anew, and others may have lost theirs.
+        """
+        if self._mixed_services:
+            self._send_origins(peer, self._origins.list_live())
 
     def handle_origins(self, message: messages.Origins) -> None:
         """Store the origins that a peer has sent."""
@@ -148,7 +157,10 @@
         """Return the answer to the question of a peer."""
         origin = self.find(wanted.key)
         return wire_codec.encode_origin_answer(
-            wanted.key, origin, self._clock.now_ms()
+            wanted.key,
+            origin,
+            self._find_only_version(wanted.service),
+            self._clock.now_ms(),
         )
 
     def handle_answer(self, peer: str, message: messages.OriginFound) -> None:
@@ -158,11 +170,17 @@
         question = self._questions.get(message.key)
         if question is None:
             return
-        question.is_answered = True
+        if message.only_version:
+            question.only_versions.add(message.only_version)
         question.peers.discard(peer)
         if message.origins or not question.peers:
             question.result.set(None)
 
+    @property
+    def has_mixed_services(self) -> bool:
+        """True while origins are shared."""
+        return bool(self._mixed_services)
+
     def _queue(self, origins: Iterable[StreamOrigin]) -> None:
         self._outbox.extend(origins)
         self._has_outgoing.set()
@@ -171,8 +189,12 @@
         self._has_outgoing.wait()
         self._has_outgoing.clear()
         batch, self._outbox = self._outbox, []
-        for peer in self._list_keepers():
-            self._send_origins(peer, batch)
+        by_peer: dict[str, list[StreamOrigin]] = {}
+        for origin in batch:
+            for peer in self._list_keepers(origin.key):
+                by_peer.setdefault(peer, []).append(origin)
+        for peer, origins in by_peer.items():
+            self._send_origins(peer, origins)
         gevent.sleep(BATCH_INTERVAL_S)
 
     def _send_origins(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
@@ -59,14 +59,21 @@
         return link is not None and link.send(message)
 
     def update_links(
-        self, deciders: Iterable[str], own_pools: Iterable[str]
+        self,
+        deciders: Iterable[str],
+        own_pools: Iterable[str],
+        *,
+        shares_origins: bool = False,
     ) -> None:
         """Open the links that are wanted and close the others.
 
         :param deciders: deciders of the pools in use here.
         :param own_pools: pools that this instance decides for.
+        :param shares_origins: True while origins of streams are shared.
         """
-        wanted = self._fleet.select_peers(deciders, own_pools)
+        wanted = self._fleet.select_peers(
+            deciders, own_pools, shares_origins=shares_origins
+        )
         for address in wanted - set(self._links):
             self._open_link(address)
         for address in set(self._links) - wanted:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
@@ -179,11 +179,11 @@
 
 
 def encode_origin_answer(
-    key: int, origin: StreamOrigin | None, now_ms: int
+    key: int, origin: StreamOrigin | None, only_version: str, now_ms: int
 ) -> messages.OriginFound:
     """Return the answer to a question for the origin of a stream."""
     found = [] if origin is None else [_encode_origin(origin, now_ms)]
-    return messages.OriginFound(key, found)
+    return messages.OriginFound(key, found, only_version)
 
 
 def decode_origin_answer(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -48,10 +48,6 @@
 
 DEFAULT_RETRY_AFTER_MS = 1_000
 """``Retry-After`` of a refusal for which no better value is known."""
-MAX_ISOLATED_FACT_AGE_MS = 3_000
-"""Age of the facts from which an instance that reaches no peer can't tell
-whether a service has a second version. While the platform's store answers,
-the last confirmation is at most 2.8 s old."""
 ORIGIN_GRACE_MS = 1_000
 """Time by which the origin of a stream is kept longer than its caller may
 take the stream up, for clocks and delays."""
@@ -501,23 +497,22 @@
         :returns: None if it isn't known.
         """
         origins = self._coordinator.origins
+        service = call.service
         key = self._compute_origin_key(call)
         origin = origins.find(key) if key is not None else None
-        if origin is not None:
-            return VersionBinding(origin.version)
-        versions = self._facts.list_versions(call.service)
-        is_mixed = len(versions) != 1
-        age_ms = self._facts.age_ms()
-        is_current = age_ms is not None and age_ms < MAX_ISOLATED_FACT_AGE_MS
-        if is_mixed or not is_current:
-            if key is None:
-                return None
-            answer = origins.ask(key)
-            if answer.origin is not None:
-                return VersionBinding(answer.origin.version)
-            if is_mixed or not answer.is_answered:
-                return None
-        return VersionBinding(next(iter(versions)))
+        version = self._facts.find_only_version(service)
+        if origin is not None or version:
+            return VersionBinding(origin.version if origin else version)
+        if key is None:
+            return None
+        answer = origins.ask(key, service)
+        if answer.origin is not None:
+            return VersionBinding(answer.origin.version)
+        # A peer that has run for longer may know what this instance doesn't.
+        is_agreed = self._facts.list_versions(service) == answer.only_versions
+        if len(answer.only_versions) == 1 and is_agreed:
+            return VersionBinding(next(iter(answer.only_versions)))
+        return None
 
     def _record_origin(self, call: AdmittedCall, version: str | None) -> None:
         """Record the version of a stream that its caller may take up."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import time
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import DocumentError
@@ -19,6 +20,19 @@
 16 KiB, bodies up to 1 MiB, 3 s for a head to arrive and 15 s between two
 requests."""
 
+MAX_VERSIONS_AGE_MS = 3_000
+"""Age of the facts from which a further version may serve without this
+instance knowing. While the platform's store answers, the last confirmation
+is at most 2.8 s old."""
+MAX_CLOCK_ERROR_MS = 5_000
+"""Difference between two clocks' times of day that is allowed for; the users'
+machines may jump by some seconds."""
+
+
+def read_time_of_day_ms() -> int:
+    """Return the time of day of this machine."""
+    return time.time_ns() // 1_000_000
+
 
 class FactsCache:
     """Caches published items and the rules and targets decoded from them.
@@ -29,6 +43,7 @@
     :param decode_rules: decodes the operators' configuration.
     :param decode_target: decodes a target's registration.
     :param rules_key: key of the item that holds the configuration.
+    :param read_time_of_day_ms: returns the time of day, which may jump.
     """
 
     def __init__(
@@ -37,6 +52,7 @@
         decode_rules: Callable[[bytes], RuleSet],
         decode_target: Callable[[PublishedItem], ListedTarget | None],
         rules_key: str,
+        read_time_of_day_ms: Callable[[], int] = read_time_of_day_ms,
     ) -> None:
         self.item_cache = ItemCache()
         self.target_directory = TargetDirectory(decode_target)
@@ -45,6 +61,7 @@
         self._clock = clock
         self._decode_rules = decode_rules
         self._rules_key = rules_key
+        self._read_time_of_day_ms = read_time_of_day_ms
 
     @property
     def bounds(self) -> CallerBounds:
@@ -71,6 +88,31 @@
             service, self._clock.now_ms(), longest_ms
         )
 
+    def find_only_version(self, service: str) -> str:
+        """Return the only version that may have begun a stream of a service.
+
+        They are known for as long as a stream may last if the instance has
+        read the list for so long, or if no listed target has started since:
+        a release starts targets before it removes others.
+
+        :returns: an empty string if there are several, or if the versions are
+            not known or not up to date.
+        """
+        versions = self.list_versions(service)
+        version = next(iter(versions)) if len(versions) == 1 else None
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
+        age_ms = self.age_ms()
+        if version is None or age_ms is None or age_ms >= MAX_VERSIONS_AGE_MS:
+            return ''
+        now_ms = self._clock.now_ms()
+        last_start_ms = self.target_directory.find_last_start_ms(service)
+        is_known = self.target_directory.knows_since(now_ms, longest_ms) or (
+            last_start_ms is not None
+            and self._read_time_of_day_ms() - last_start_ms
+            >= longest_ms + MAX_CLOCK_ERROR_MS
+        )
+        return version if is_known else ''
+
     def apply_listing(
         self, items: Iterable[PublishedItem], revision: int, at_ms: int
     ) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
@@ -20,6 +20,7 @@
     slots: int
     state: str
     version: object = None
+    born: object = None
 
 
 def decode_target(item: PublishedItem) -> ListedTarget | None:
@@ -44,6 +45,7 @@
         slots=entry.slots,
         is_leaving=entry.state != 'ready',
         software_version=_read_version(entry.version),
+        born_ms=entry.born if isinstance(entry.born, int) else None,
     )
 
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -33,6 +33,7 @@
         self._outage_ended_ms: int | None = None
         self._versions: dict[str, set[str | None]] = {}
         self._gone_versions: dict[str, dict[str | None, int]] = {}
+        self._listed_since_ms: int | None = None
         self.change_count = 0
 
     def __len__(self) -> int:
@@ -44,6 +45,8 @@
 
     def apply(self, items: Iterable[PublishedItem], now_ms: int) -> None:
         """Apply changed items."""
+        if self._listed_since_ms is None:
+            self._listed_since_ms = now_ms
         for item in items:
             self._apply_item(item, now_ms)
         self._rebuild(now_ms)
@@ -85,6 +88,29 @@
         }
         return self._versions.get(service, set()) | recent
 
+    def knows_since(self, now_ms: int, window_ms: int) -> bool:
+        """Return True if the targets of a whole window are known.
+
+        Versions that were gone before an instance started are not.
+        """
+        since_ms = self._listed_since_ms
+        return since_ms is not None and now_ms - since_ms >= window_ms
+
+    def find_last_start_ms(self, service: str) -> int | None:
+        """Return the time of day at which a target of a service last started.
+
+        :returns: None if it isn't known of all listed targets.
+        """
+        starts_ms = [
+            target.born_ms
+            for target in self._targets.values()
+            if target.service == service
+        ]
+        known_ms = [start_ms for start_ms in starts_ms if start_ms is not None]
+        if not known_ms or len(known_ms) < len(starts_ms):
+            return None
+        return max(known_ms)
+
     def list_mixed_services(self) -> list[str]:
         """Return the services whose listed targets have several versions."""
         return sorted(
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -175,6 +175,61 @@
         self.assertEqual((503, []), self.take_up(1))
         self.assertLess(time.monotonic() - start_s, REFUSED_AT_ONCE_S)
 
+    def replace_engine(self) -> None:
+        """Let a stream begin at v1, whose only engine v2 then replaces."""
+        self.add_engines('v1')
+        self.begin_stream()
+        target = self.fleet.add_target('chat-1', 'chat', 'v2')
+        self.fleet.register_endpoint(
+            'chat-1',
+            'chat',
+            target.endpoint,
+            version='v2',
+            born_ms=time.time_ns() // 1_000_000,
+        )
+        gevent.sleep(CHANGE_SPREAD_S)
+        self.fleet.store.delete('servers/chat-0')
+        gevent.sleep(CHANGE_SPREAD_S)
+
+    def restart(self, instance: int) -> None:
+        """Kill an instance and start it again."""
+        self.fleet.processes[instance].kill()
+        self.fleet.start_instance(instance)
+
+    # Guards against an instance that starts after a release and takes the
+    # version that is left for the only one there was.
+    def test_restarted_instance_asks_for_versions_before_its_start(
+        self,
+    ) -> None:
+        """The others know the version, of which no engine is left."""
+        self.replace_engine()
+        self.fleet.processes[0].kill()
+        self.restart(1)
+        self.fleet.wait_ready(1)
+        gevent.sleep(CHANGE_SPREAD_S)
+        for instance in (1, 2):
+            self.assertEqual((503, []), self.take_up(instance))
+
+    # Guards against the same guess where no instance remembers the stream.
+    def test_restarted_fleet_does_not_guess_versions(self) -> None:
+        """An engine has started within the time of the stream."""
+        self.replace_engine()
+        for instance in range(3):
+            self.restart(instance)
+        self.fleet.wait_ready(1)
+        self.assertEqual((503, []), self.take_up(1))
+
+    # Guards against streams that are refused after a restart of all although
+    # their service has had one version only.
+    def test_restarted_fleet_takes_up_streams_of_one_version(self) -> None:
+        """No engine has started within the time of the stream."""
+        self.add_engines('v1', 'v1')
+        self.begin_stream()
+        for instance in range(3):
+            self.restart(instance)
+        self.fleet.wait_ready(1)
+        self.assertEqual(200, self.take_up(1)[0])
+
 
 if __name__ == '__main__':
     unittest.main()
