Offer a call only to pools with a target that may run it

Change: pools of which all targets are excluded are left out of the choice; if none is left, the call still gets a pool, whose decider refuses it.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/pool_chooser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/pool_chooser.py
@@ -29,9 +29,18 @@
         self._plans: dict[str, PoolPlan] = {}
         facts.on_change.append(self._plans.clear)
 
-    def choose(self, service: str, prompt: tuple[PromptBlock, ...]) -> str:
-        """Return the name of the pool for a new call."""
-        pool = self._choose(service, prompt, ())
+    def choose(
+        self,
+        service: str,
+        prompt: tuple[PromptBlock, ...],
+        excluded: tuple[str, ...] = (),
+    ) -> str:
+        """Return the name of the pool for a new call.
+
+        :param excluded: targets that must not run the call.
+        """
+        pool = self._choose(service, prompt, (), excluded)
+        pool = pool or self._choose(service, prompt, (), ())
         return pool or Pool(service).name
 
     def choose_other(
@@ -45,7 +54,7 @@
         :param tried: names of the pools that have denied it.
         """
         service = Pool.parse(request.pool).service
-        pool = self._choose(service, request.prompt, tried)
+        pool = self._choose(service, request.prompt, tried, request.excluded)
         if pool is None:
             return None
         now_ms = self._clock.now_ms()
@@ -61,7 +70,10 @@
         service: str,
         prompt: tuple[PromptBlock, ...],
         tried: tuple[str, ...],
+        excluded: tuple[str, ...],
     ) -> str | None:
+        if excluded:
+            tried = (*tried, *self._list_unusable(service, set(excluded)))
         # Calls with the same prompt go to the same pool, where it is cached;
         # the others are spread.
         self._sequence += 1
@@ -79,6 +91,15 @@
         )
         return pool.name if pool else None
 
+    def _list_unusable(self, service: str, excluded: set[str]) -> list[str]:
+        """Return the pools of which all targets are excluded."""
+        targets = self._facts.target_directory.list_service(service)
+        return [
+            pool.name
+            for pool in self._get_plan(service).pools
+            if excluded.issuperset(t.target for t in pool.select(targets))
+        ]
+
     def _get_plan(self, service: str) -> PoolPlan:
         """Return the pools of a service, computed once per list of targets."""
         plan = self._plans.get(service)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -675,6 +675,7 @@
         :param excluded: further targets that are not to be tried.
         """
         call = progress.call
+        all_excluded = (*self._list_excluded(progress), *excluded)
         self._slot_request_count += 1
         now_ms = self._clock.now_ms()
         arrived_ms = now_ms if reply.has_begun else call.request.received_ms
@@ -689,7 +690,7 @@
             instance=self._address,
             failure_domain=self._failure_domain,
             pool=self._coordinator.pools.choose(
-                call.service, call.headers.prompt
+                call.service, call.headers.prompt, all_excluded
             ),
             rank=self._rank_order(
                 customer.rank if customer else None, call.route.rank
@@ -709,7 +710,7 @@
             prompt=call.headers.prompt,
             output_tokens=output_tokens,
             body_bytes=len(call.request.body),
-            excluded=(*self._list_excluded(progress), *excluded),
+            excluded=all_excluded,
         )
 
     def _get_retry_share(self, service: str) -> RetryShare:
--- a/tests/unit/test_pools_of_a_large_service.py
+++ b/tests/unit/test_pools_of_a_large_service.py
@@ -6,13 +6,16 @@
 """
 
 import unittest
+import unittest.mock
 
 from lagoonbend._internal.scheduling import pools
+from lagoonbend.clock import PausedClock
 from lagoonbend.facts import ListedTarget
 from lagoonbend.scheduling import CallOrigin
 from lagoonbend.scheduling import Pool
 from lagoonbend.scheduling import PoolPlan
 from lagoonbend.scheduling import PoolWaitTimes
+from lagoonbend_entry._internal.coordination.pool_chooser import PoolChooser
 
 DOMAINS = ('d0', 'd1', 'd2', 'd3')
 
@@ -51,6 +54,37 @@
     return shares
 
 
+class PoolChooserTest(unittest.TestCase):
+    """Choice of the pool of a call that some targets must not run."""
+
+    def setUp(self) -> None:
+        """Create the chooser of an instance for a service of many pools."""
+        self.targets = list_targets(120, DOMAINS)
+        facts = unittest.mock.Mock()
+        facts.target_directory.list_service.return_value = self.targets
+        fleet = unittest.mock.Mock(address='i1', failure_domain='d0')
+        fleet.list_unreachable_domains.return_value = frozenset()
+        self.chooser = PoolChooser(fleet, facts, PausedClock())
+
+    # Guards against a stream that is refused although targets of its version
+    # are left, in pools that it isn't offered to.
+    def test_pool_has_a_target_that_may_run_the_call(self) -> None:
+        """Two targets of 120 are permitted."""
+        permitted = self.targets[17:19]
+        excluded = tuple(
+            target.target for target in self.targets if target not in permitted
+        )
+        for _ in range(20):
+            pool = Pool.parse(self.chooser.choose('chat', (), excluded))
+            self.assertTrue(set(pool.select(permitted)), pool)
+
+    def test_call_that_no_target_may_run_gets_a_pool(self) -> None:
+        """Its decider refuses the call."""
+        excluded = tuple(target.target for target in self.targets)
+        pool = Pool.parse(self.chooser.choose('chat', (), excluded))
+        self.assertGreater(pool.shard_count, 1)
+
+
 class PoolsTest(unittest.TestCase):
     """Assignment of targets to pools, and choice of the pool of a call."""
 
