Bound the head of an answer

What callers could see: an instance that is killed for its memory, with all its calls, since one target sends a head that doesn't end.

Cause: the parser kept each header line, and httptools each piece of a line, until the deadline.

Ruled out: a limit on the header lines alone. A line without an end, interim answers and trailers without end never come to it.

Change: the parser counts the bytes that bring neither a final head nor a part of a body, and the bytes of the lines of each head, and gives up beyond 32 kB. It keeps at most 16 answers from one read. Such bytes are no HTTP answer: the call goes to another target or ends with a 502, as for noise.

Measured: five of the six new tests fail before (64 kB pieces were read to the end of the test); all six pass now. The sixth, a long body, passes both times.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
@@ -6,12 +6,22 @@
 
 from lagoonbend_entry._internal.gateway.answer import Answer
 
+MAX_HEAD_BYTES = 32_768
+"""Limit on a head with the interim ones before it, and on framing and trailers
+without body. The platform's pages set none; many heads at once must fit into
+the 128 MB of an instance."""
+HEADER_LINE_OVERHEAD_BYTES = 4
+"""Bytes of a header line besides its name and value: colon, space and CRLF."""
+MAX_UNREAD_ANSWERS = 16
+"""Limit on the answers that one read may add; a request has one final answer
+and a few interim ones."""
+
 
 class AnswerParser:
     """Parses the answers on one connection, and detects malformed bytes.
 
     A target may send a second answer to an earlier request, or bytes that
-    are no HTTP answer. Answers before such bytes stay valid.
+    are no HTTP answer, also without end. Answers before such bytes stay valid.
     """
 
     def __init__(self) -> None:
@@ -20,15 +30,28 @@
         self._parser = httptools.HttpResponseParser(self)
         self._current: Answer | None = None
         self._has_framing = False
+        self._head_bytes = 0
+        self._idle_bytes = 0
+        self._has_progressed = False
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes; set ``is_malformed`` if they are no HTTP answer."""
+        """Parse bytes; set ``is_malformed`` if they are no HTTP answer.
+
+        That is so too if they bring neither a final head nor a part of a body
+        within ``MAX_HEAD_BYTES``.
+        """
         if self.is_malformed:
             return
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.is_malformed = True
+        self._idle_bytes += len(data)
+        if self._has_progressed:
+            self._idle_bytes = 0
+        if self._idle_bytes > MAX_HEAD_BYTES:
+            self.is_malformed = True
 
     def on_connection_closed(self) -> None:
         """Complete an answer whose end is the end of the connection."""
@@ -38,6 +61,11 @@
 
     def on_message_begin(self) -> None:
         """Begin a new answer."""
+        if len(self.answers) >= MAX_UNREAD_ANSWERS:
+            self._current = None
+            self.is_malformed = True
+            return
+        self._head_bytes = 0
         self._current = Answer()
         self._has_framing = False
         self.answers.append(self._current)
@@ -52,6 +80,11 @@
         answer = self._current
         if answer is None or answer.is_head_complete:
             return
+        self._head_bytes += len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self._current = None
+            self.is_malformed = True
+            return
         name_text = name.decode('latin-1')
         lower_name = name_text.lower()
         content = value.decode('latin-1')
@@ -67,6 +100,7 @@
             return
         answer.status = self._parser.get_status_code()
         answer.is_head_complete = True
+        self._has_progressed |= not answer.is_interim
         has_body = not answer.is_interim and answer.status not in (204, 304)
         answer.ends_at_close = has_body and not self._has_framing
         answer.keeps_connection = (
@@ -77,6 +111,7 @@
         """Store a chunk of the body."""
         if self._current is not None:
             self._current.chunks.append(body)
+            self._has_progressed = True
 
     def on_message_complete(self) -> None:
         """Complete the answer."""
--- /dev/null
+++ b/tests/unit/test_bytes_without_end.py
@@ -0,0 +1,78 @@
+"""Bytes that a target sends without end.
+
+Guards against memory that grows with them, and against one such target that
+stops the other calls of an instance.
+"""
+
+import unittest
+
+from lagoonbend_entry._internal.gateway import answer_parser
+
+HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n'
+MAX_PIECES = 1_000
+"""Pieces of 64 kB; far more than any limit."""
+
+
+class EndlessHeadTest(unittest.TestCase):
+    """One parser and a head that doesn't end."""
+
+    def feed(self, first: bytes, piece: bytes) -> int:
+        """Return the bytes read until the parser gives up."""
+        parser = answer_parser.AnswerParser()
+        parser.feed(first)
+        pieces = 0
+        while not parser.is_malformed and pieces < MAX_PIECES:
+            parser.feed(piece)
+            pieces += 1
+        self.assertLess(pieces, MAX_PIECES)
+        return len(first) + pieces * len(piece)
+
+    # Guards against a head whose lines never end.
+    def test_head_of_many_lines(self) -> None:
+        """The head is given up at its limit."""
+        read = self.feed(b'HTTP/1.1 200 OK\r\n', b'X-A: b\r\n' * 1_000)
+        self.assertLess(read, 2 * answer_parser.MAX_HEAD_BYTES)
+
+    # Guards against a header value that never ends.
+    def test_head_of_one_line(self) -> None:
+        """The head is given up at its limit."""
+        read = self.feed(b'HTTP/1.1 200 OK\r\nX-A: ', b'b' * 8_000)
+        self.assertLess(read, 2 * answer_parser.MAX_HEAD_BYTES)
+
+    # Guards against interim answers that never end.
+    def test_interim_heads(self) -> None:
+        """The answers are given up at the limit of a head."""
+        read = self.feed(b'', b'HTTP/1.1 100 Continue\r\n\r\n')
+        self.assertLess(read, 2 * answer_parser.MAX_HEAD_BYTES)
+
+    # Guards against trailers that never end; the parser keeps their bytes.
+    def test_trailer(self) -> None:
+        """The answer is given up at the limit of a head."""
+        read = self.feed(
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ',
+            b'b' * 8_000,
+        )
+        self.assertLess(read, 2 * answer_parser.MAX_HEAD_BYTES)
+
+    # Guards against thousands of small answers in one read.
+    def test_answers_in_one_read(self) -> None:
+        """The first answers stay valid; the rest is not kept."""
+        parser = answer_parser.AnswerParser()
+        parser.feed((HEAD + b'first') * 1_000)
+        self.assertTrue(parser.is_malformed)
+        self.assertEqual(answer_parser.MAX_UNREAD_ANSWERS, len(parser.answers))
+        self.assertEqual(b'first', parser.answers[0].chunks[0])
+
+    # Guards against a limit that counts a sound body as a head.
+    def test_long_body(self) -> None:
+        """A body beyond the limit of a head is whole."""
+        parser = answer_parser.AnswerParser()
+        parser.feed(b'HTTP/1.1 200 OK\r\nContent-Length: 640000\r\n\r\n')
+        for _ in range(10):
+            parser.feed(b'b' * 64_000)
+        self.assertFalse(parser.is_malformed)
+        self.assertTrue(parser.answers[0].is_complete)
+
+
+if __name__ == '__main__':
+    unittest.main()
