Bound an event of a stream

Cause: an event was kept until its end came, and the whole of it was copied and searched from its start again with each read, so the time grew with the square of its length.

Measured: one of the three new tests fails before, one has no limit to read there, and the third (ends that fall between two chunks) passes both times; all pass now.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/event_splitter.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/event_splitter.py
@@ -3,26 +3,39 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+from lagoonbend_entry._internal.gateway.target_error import BadAnswerError
+
 EVENT_END = b'\n\n'
 EVENT_END_CRLF = b'\r\n\r\n'
+MAX_EVENT_BYTES = 524_288
+"""Limit on an event, which is kept until it is complete. The platform's pages
+set none; 50 events at once must fit into the 128 MB of an instance."""
 
 
 def split_events(chunks: Iterable[bytes]) -> Iterator[bytes]:
     """Yield complete events, each with the blank line that ends it.
 
     An incomplete event at the end of the body is yielded last.
+
+    :raises BadAnswerError: if an event has more than ``MAX_EVENT_BYTES``.
     """
-    rest = b''
+    rest = bytearray()
     for chunk in chunks:
+        # The end of an event may begin in an earlier chunk.
+        searched = max(0, len(rest) - len(EVENT_END_CRLF) + 1)
         rest += chunk
+        start = 0
         while True:
-            end = _find_end(rest)
+            end = _find_end(rest, max(start, searched))
             if end < 0:
                 break
-            yield rest[:end]
-            rest = rest[end:]
+            _check_size(end - start)
+            yield bytes(rest[start:end])
+            start = end
+        del rest[:start]
+        _check_size(len(rest))
     if rest:
-        yield rest
+        yield bytes(rest)
 
 
 def is_complete_event(event: bytes) -> bool:
@@ -30,10 +43,14 @@
     return event.endswith((EVENT_END, EVENT_END_CRLF))
 
 
-def _find_end(data: bytes) -> int:
-    plain = data.find(EVENT_END)
-    crlf = data.find(EVENT_END_CRLF)
-    ends = [plain + len(EVENT_END)] if plain >= 0 else []
-    if crlf >= 0:
-        ends.append(crlf + len(EVENT_END_CRLF))
-    return min(ends, default=-1)
+def _check_size(size_bytes: int) -> None:
+    if size_bytes > MAX_EVENT_BYTES:
+        raise BadAnswerError('event too large')
+
+
+def _find_end(data: bytearray, start: int) -> int:
+    """Return the end of the first blank line from an offset, or -1."""
+    plain = data.find(EVENT_END, start)
+    end = plain + len(EVENT_END) if plain >= 0 else -1
+    crlf = data.find(EVENT_END_CRLF, start, end if end >= 0 else len(data))
+    return crlf + len(EVENT_END_CRLF) if crlf >= 0 else end
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -4,9 +4,12 @@
 stops the other calls of an instance.
 """
 
+from collections.abc import Iterator
 import unittest
 
 from lagoonbend_entry._internal.gateway import answer_parser
+from lagoonbend_entry._internal.gateway import event_splitter
+from lagoonbend_entry._internal.gateway.target_error import BadAnswerError
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n'
 MAX_PIECES = 1_000
@@ -74,5 +77,58 @@
         self.assertTrue(parser.answers[0].is_complete)
 
 
+class EndlessEventTest(unittest.TestCase):
+    """A stream and an event that doesn't end."""
+
+    # Guards against an event that is kept until the deadline.
+    def test_event_without_end(self) -> None:
+        """The events before it are passed on; then the stream has failed."""
+        read_bytes = 0
+
+        def send() -> Iterator[bytes]:
+            nonlocal read_bytes
+            yield b'id: 1\ndata: x\n\n'
+            for _ in range(100):
+                read_bytes += 8_000
+                yield b'b' * 8_000
+
+        events = event_splitter.split_events(send())
+        self.assertEqual(b'id: 1\ndata: x\n\n', next(events))
+        with self.assertRaises(BadAnswerError):
+            next(events)
+        self.assertLessEqual(
+            read_bytes, event_splitter.MAX_EVENT_BYTES + 8_000
+        )
+
+    # Guards against an event that is passed over the limit in one chunk.
+    def test_complete_event_beyond_the_limit(self) -> None:
+        """The stream has failed."""
+        event = b'b' * event_splitter.MAX_EVENT_BYTES + b'\n\n'
+        with self.assertRaises(BadAnswerError):
+            list(event_splitter.split_events([event]))
+
+    # Guards against an end that is missed or misplaced between two chunks.
+    def test_ends_of_events(self) -> None:
+        """Events are the same for chunks of each size."""
+        events = [
+            b'id: 1\ndata: x\n\n',
+            b'id: 2\r\ndata: y\r\n\r\n',
+            b'\n\n',
+            b'data: z\r\n\r\n',
+            b'data: w\n\n',
+            b'rest\r\n\r',
+        ]
+        body = b''.join(events)
+        for size in range(1, len(body) + 1):
+            with self.subTest(size=size):
+                chunks = [
+                    body[start : start + size]
+                    for start in range(0, len(body), size)
+                ]
+                self.assertEqual(
+                    events, list(event_splitter.split_events(chunks))
+                )
+
+
 if __name__ == '__main__':
     unittest.main()
