Let other calls run while data is always there

What callers could see: calls to sound targets that wait until one endless answer reaches its deadline.

Cause: a read of gevent's sockets switches to other greenlets only if no data is there. A target that sends faster than the instance parses kept the whole process, and so could a caller, in a request or after its last answer.

Ruled out: a pause after every read, which would cost each event of a sound stream a turn of the event loop.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
@@ -10,6 +10,7 @@
 
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.answer_parser import AnswerParser
+from lagoonbend_entry._internal.gateway.read_turns import ReadTurns
 from lagoonbend_entry._internal.gateway.target_error import BadAnswerError
 from lagoonbend_entry._internal.gateway.target_error import ConnectionLostError
 from lagoonbend_entry._internal.gateway.target_error import NotConnectedError
@@ -38,6 +39,7 @@
         self.request_count = 0
         self._sock = sock
         self._parser = AnswerParser()
+        self._read_turns = ReadTurns()
         self._is_request_sent = True
         self._is_connection_ended = False
 
@@ -146,6 +148,7 @@
             raise self._make_lost_error('connection closed by the target')
         if timeout_s <= 0:
             raise self._make_timeout_error('timed out waiting for the answer')
+        self._read_turns.begin_read()
         self._sock.settimeout(timeout_s)
         try:
             data = self._sock.recv(READ_BYTES)
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -7,8 +7,11 @@
 from collections.abc import Iterator
 import unittest
 
+import gevent
+
 from lagoonbend_entry._internal.gateway import answer_parser
 from lagoonbend_entry._internal.gateway import event_splitter
+from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.target_error import BadAnswerError
 
 HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n'
@@ -130,5 +133,53 @@
                 )
 
 
+class ReadySocket:
+    """Always has data, so that a read doesn't wait.
+
+    :param head: read first.
+    :param piece: read from then on.
+    """
+
+    def __init__(self, head: bytes, piece: bytes) -> None:
+        self.reads = 0
+        self._head = head
+        self._piece = piece
+
+    def settimeout(self, timeout_s: float) -> None:
+        """Ignore the time-out."""
+
+    def recv(self, size: int) -> bytes:
+        """Return the next bytes."""
+        self.reads += 1
+        return self._head if self.reads == 1 else self._piece
+
+
+class FairReadTest(unittest.TestCase):
+    """A target whose bytes are always there."""
+
+    # Guards against one answer that stops all other calls of the instance.
+    def test_other_greenlets_run(self) -> None:
+        """Another greenlet runs every few reads."""
+        sock = ReadySocket(
+            b'HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n', b'b' * 100
+        )
+        connection = target_connection.TargetConnection(sock, ('ip', 1))
+        turns = 0
+
+        def count_turns() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                gevent.sleep(0)
+
+        greenlet = gevent.spawn(count_turns)
+        answer = connection.read_head(1_000)
+        for _ in connection.read_body(answer, 1_000):
+            if sock.reads == 400:
+                break
+        greenlet.kill()
+        self.assertGreaterEqual(turns, 90)
+
+
 if __name__ == '__main__':
     unittest.main()
