Give up a rest that nobody needs

What callers saw: no answer before their deadline, although the target had turned the call away with a status that says so, or had sent only the answer to an earlier call; the body of either didn't end.

Cause: both bodies are read so that the connection can be used again, with a limit on each pause but none on bytes or on the whole time. A pause was counted from the last read, so framing in small pieces without body kept it from ending.

Change: the rest of a rejection gets 64 kB and 50 ms, then its connection is closed; the call stays turned away and goes on to another target. Answers to earlier calls get 1 MB and the time that the target has for its first byte, then they are a bad answer: another target where a repeat is allowed, else a 502. The pause in a body counts from its last chunk.

Ruled out: closing the connection of each rejection with a body. That body is there with the head when the target is sound, and a new connection has a price.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -47,6 +47,14 @@
 SEARCH_POLL_MS = 50
 """Interval at which a call at a silent target checks whether another target
 has been found."""
+MAX_REJECTION_BYTES = 65_536
+"""Limit on the body of a rejection, whose status suffices: one read."""
+REJECTION_TIMEOUT_MS = 50
+"""Time for the rest of a rejection, which is sent with its head; a round trip
+between failure domains takes 2 to 3 ms."""
+MAX_FOREIGN_BYTES = 1_048_576
+"""Limit on answers to earlier calls before the one to this call; the largest
+values and pages on the platform have 1 MB."""
 SERVER_ERROR_STATUS = 500
 SUCCESS_STATUS_END = 300
 
@@ -220,8 +228,13 @@
     def _read_matching_head(
         self, connection: target_connection.TargetConnection
     ) -> tuple[Answer, AnswerHeaders]:
-        """Return the answer to this call; discard answers to earlier calls."""
+        """Return the answer to this call; discard answers to earlier calls.
+
+        :raises BadAnswerError: if those are too large or take too long.
+        """
         patience_ms = self._get_first_byte_patience_ms()
+        end_ms = self._clock.now_ms() + patience_ms
+        end_bytes = connection.received_bytes + MAX_FOREIGN_BYTES
         while True:
             answer = self._read_head(connection, patience_ms)
             answer_facts = answer_headers.decode_answer_headers(
@@ -235,8 +248,18 @@
                 raise target_error.BadAnswerError(
                     'answer has no attempt identity'
                 )
+            is_bounded = connection.received_bytes <= end_bytes
             for _ in self._read_chunks(connection, answer, patience_ms):
-                continue
+                is_bounded = answer.is_complete or (
+                    connection.received_bytes <= end_bytes
+                    and self._clock.now_ms() < end_ms
+                )
+                if not is_bounded:
+                    break
+            if not is_bounded:
+                raise target_error.BadAnswerError(
+                    'answer to an earlier call does not end'
+                )
 
     def _read_head(
         self, connection: target_connection.TargetConnection, patience_ms: int
@@ -305,8 +328,9 @@
         if answer_facts.is_wrong_target:
             outcome = AttemptOutcome.WRONG_TARGET
         try:
-            for _ in connection.read_body(answer, BODY_IDLE_TIMEOUT_MS):
-                continue
+            connection.discard_body(
+                answer, MAX_REJECTION_BYTES, REJECTION_TIMEOUT_MS
+            )
             self._release_connection(connection, answer)
         except NetworkError:
             connection.close()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
@@ -37,6 +37,7 @@
         self.address = address
         self.idle_since_ms = 0
         self.request_count = 0
+        self.received_bytes = 0
         self._sock = sock
         self._parser = AnswerParser()
         self._read_turns = ReadTurns()
@@ -133,9 +134,35 @@
         while True:
             while answer.chunks:
                 yield answer.chunks.popleft()
-            if answer.is_complete:
+            end_s = time.monotonic() + gap_ms / MILLISECONDS_PER_SECOND
+            while not answer.chunks and not answer.is_complete:
+                self._receive(end_s - time.monotonic())
+            if not answer.chunks:
                 break
-            self._receive(gap_ms / MILLISECONDS_PER_SECOND)
+        self._remove_first(answer)
+
+    def discard_body(
+        self, answer: Answer, max_bytes: int, timeout_ms: int
+    ) -> None:
+        """Read a body that nobody needs, to use the connection again.
+
+        :param max_bytes: limit on the bytes received meanwhile.
+        :param timeout_ms: limit on the whole time.
+        :raises NetworkError: if the body doesn't end within these limits.
+        """
+        end_bytes = self.received_bytes + max_bytes
+        end_s = time.monotonic() + timeout_ms / MILLISECONDS_PER_SECOND
+        while not answer.is_complete:
+            answer.chunks.clear()
+            if self.received_bytes > end_bytes:
+                raise BadAnswerError(
+                    'unneeded body too large', context=self._context
+                )
+            self._receive(end_s - time.monotonic())
+        answer.chunks.clear()
+        self._remove_first(answer)
+
+    def _remove_first(self, answer: Answer) -> None:
         if self._parser.answers and self._parser.answers[0] is answer:
             self._parser.answers.popleft()
 
@@ -160,6 +187,7 @@
             self._is_connection_ended = True
             raise self._make_lost_error(str(error)) from error
         if data:
+            self.received_bytes += len(data)
             self._parser.feed(data)
             return
         self._is_connection_ended = True
--- /dev/null
+++ b/tests/functional/test_bytes_without_end.py
@@ -0,0 +1,136 @@
+"""Targets that send bytes without end to a real instance.
+
+Guards against calls that wait for such bytes although another target could
+answer them.
+"""
+
+import time
+import unittest
+
+import gevent
+
+from lagoonbend_devkit._internal.fleet.http import Answer
+from lagoonbend_devkit._internal.gateway import gateway_fleet
+from tests.functional.test_gateway_answers import call
+from tests.lib import endless_target
+
+DEADLINE_MS = 2_900
+MAX_DURATION_S = 1.5
+"""Half of the deadline: no call may wait for it."""
+CHUNK = b'10000\r\n' + b'x' * 65_536 + b'\r\n'
+SMALL_CHUNK = b'1\r\nx\r\n'
+REJECTION = (
+    b'HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+FOREIGN = (
+    b'HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Stamp: s\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
+STREAM = (
+    b'HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Stamp: s\r\n'
+    b'Content-Type: text/event-stream\r\n\r\nid: 1\ndata: '
+)
+
+
+class BytesWithoutEndTest(unittest.TestCase):
+    """One instance and two targets."""
+
+    def play(
+        self,
+        head: bytes,
+        piece: bytes,
+        *,
+        route: str = 'look-up',
+        pause_s: float = 0.0,
+        repeats: bool = False,
+    ) -> Answer:
+        """Send one call; check that it ends in time and return its answer."""
+        targets = endless_target.EndlessTargets(
+            2,
+            endless_target.EndlessBytes(head, piece, pause_s),
+            repeats=repeats,
+        )
+        service = 'chat' if 'stream' in route else 'desk'
+        try:
+            with gateway_fleet.GatewayFleet(
+                1, engine_count=0, service_count=0
+            ) as fleet:
+                for number, endpoint in enumerate(targets.endpoints):
+                    fleet.register_endpoint(
+                        f'{service}-{number}', service, endpoint
+                    )
+                gevent.sleep(1.0)
+                start_s = time.monotonic()
+                _, answer = call(
+                    fleet, route, method='GET', Deadline_Ms=str(DEADLINE_MS)
+                )
+                duration_s = time.monotonic() - start_s
+        finally:
+            targets.stop()
+        self.assertLess(duration_s, MAX_DURATION_S)
+        return answer
+
+    def check_answered(
+        self,
+        head: bytes,
+        piece: bytes,
+        *,
+        route: str = 'look-up',
+        pause_s: float = 0.0,
+    ) -> None:
+        """Check that the other target answers the call."""
+        answer = self.play(head, piece, route=route, pause_s=pause_s)
+        self.assertEqual(200, answer.status)
+        self.assertEqual(endless_target.SOUND_BODY, answer.body)
+
+    # Guards against a head without end that uses up the time of a call.
+    def test_head(self) -> None:
+        """Another target answers."""
+        self.check_answered(b'HTTP/1.1 200 OK\r\n', b'X-A: b\r\n' * 4_000)
+
+    # Guards against an event without end that uses up the time of a call.
+    def test_event(self) -> None:
+        """Another target streams."""
+        self.check_answered(STREAM, b'b' * 65_536, route='stream')
+
+    # Guards against a rejection whose body is read until the deadline.
+    def test_rejection(self) -> None:
+        """The status suffices, and another target answers."""
+        self.check_answered(REJECTION, CHUNK)
+
+    # Guards against limits on bytes alone: these come slowly.
+    def test_slow_rejection(self) -> None:
+        """The status suffices, and another target answers."""
+        self.check_answered(REJECTION, SMALL_CHUNK, pause_s=0.02)
+
+    # Guards against a rejection that is forgotten when its body is given up.
+    def test_rejection_of_a_call_that_may_not_run_twice(self) -> None:
+        """It has not run, so another target may run it."""
+        self.check_answered(REJECTION, CHUNK, route='booking')
+
+    # Guards against an answer to an earlier call that is read until the end.
+    def test_foreign_answer(self) -> None:
+        """Another target answers."""
+        self.check_answered(FOREIGN, CHUNK)
+
+    # Guards against a foreign answer that comes slowly.
+    def test_slow_foreign_answer(self) -> None:
+        """Another target answers once this one could have."""
+        self.check_answered(FOREIGN, SMALL_CHUNK, pause_s=0.02)
+
+    # Guards against small answers to earlier calls that never end.
+    def test_foreign_answers(self) -> None:
+        """Another target answers."""
+        answer = FOREIGN + b'0\r\n\r\n'
+        self.check_answered(b'', answer * 10)
+
+    # Guards against a silent end where no other target may run the call.
+    def test_call_that_may_not_run_twice(self) -> None:
+        """It ends with a 502 at once."""
+        answer = self.play(FOREIGN, CHUNK, route='booking', repeats=True)
+        self.assertEqual(502, answer.status)
+
+
+if __name__ == '__main__':
+    unittest.main()
