Bound the memory for the bodies of all answers

What callers could see: an instance that is killed for its memory, with all its calls, since many answers come without an end at once.

Cause: each buffered body may have 16 MB, and nothing bounded their sum.

Ruled out: a lower limit for each body. 50 bodies at once would leave under 2 MB to each, and larger answers are sound.

Change: each body may have 512 kB of its own; what all bodies have beyond that may be 16 MB in sum, one body of the largest size. A body that finds no more is given up as too large, as before: a repeat where that is allowed, else a 502. While such answers come, a sound body of more than 512 kB may be given up too.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -14,6 +14,7 @@
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.event_splitter import is_complete_event
 from lagoonbend_entry._internal.gateway.event_splitter import split_events
@@ -29,8 +30,6 @@
 Report = TypeVar('Report', AttemptReport, AttemptReport | None)
 
 EVENT_STREAM = 'text/event-stream'
-MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Limit on the body of an answer that is buffered before it is relayed."""
 BODY_IDLE_TIMEOUT_MS = 2_000
 """Pause between two reads of a buffered answer after which another target is
 looked for if the call may be repeated."""
@@ -70,6 +69,7 @@
     :param connection_pool: open connections to targets.
     :param clock: clock of the instance.
     :param search: finds another target while this one is silent.
+    :param body_memory: memory of the instance for buffered bodies.
     """
 
     def __init__(
@@ -82,6 +82,7 @@
         connection_pool: ConnectionPool,
         clock: Clock,
         search: SuccessorSearch[Any],
+        body_memory: BodyMemory,
     ) -> None:
         self.is_sent = False
         self._call = call
@@ -92,6 +93,7 @@
         self._connection_pool = connection_pool
         self._clock = clock
         self._search = search
+        self._body_memory = body_memory
         self._connection: target_connection.TargetConnection | None = None
         self._sent_ms = 0
         self._last_read_ms = 0
@@ -363,10 +365,11 @@
         if self._call.route.may_repeat:
             patience_ms = min(patience_ms, BODY_IDLE_TIMEOUT_MS)
         body = bytearray()
-        for chunk in self._read_chunks(connection, answer, patience_ms):
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                raise target_error.BadAnswerError('answer body too large')
+        with self._body_memory.open_share() as share:
+            for chunk in self._read_chunks(connection, answer, patience_ms):
+                body += chunk
+                if not share.allows(len(body)):
+                    raise target_error.BadAnswerError('answer body too large')
         self._release_connection(connection, answer)
         return bytes(body)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -30,6 +30,7 @@
 from lagoonbend_entry._internal.gateway.attempt import Attempt
 from lagoonbend_entry._internal.gateway.attempt import list_relayed_headers
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
@@ -177,6 +178,7 @@
         self._admission = admission
         self._coordinator = coordinator
         self._connection_pool = connection_pool
+        self._body_memory = BodyMemory()
         self._clock = clock
         self._make_retry_share = make_retry_share
         self._rank_order = rank_order
@@ -382,6 +384,7 @@
             self._connection_pool,
             self._clock,
             search,
+            self._body_memory,
         )
         return OpenAttempt(request, decision, target, attempt)
 
--- a/tests/functional/test_bytes_without_end.py
+++ b/tests/functional/test_bytes_without_end.py
@@ -4,6 +4,7 @@
 answer them.
 """
 
+import pathlib
 import time
 import unittest
 
@@ -17,6 +18,13 @@
 DEADLINE_MS = 2_900
 MAX_DURATION_S = 1.5
 """Half of the deadline: no call may wait for it."""
+CALL_COUNT = 50
+TARGET_COUNT = 25
+"""Targets of four slots each; twice as many slots as calls."""
+MAX_MEMORY_KB = 128 * 1_024
+"""Memory of the smallest instance."""
+OBJECTIVE_S = 0.5
+"""Time for another call meanwhile."""
 CHUNK = b'10000\r\n' + b'x' * 65_536 + b'\r\n'
 SMALL_CHUNK = b'1\r\nx\r\n'
 REJECTION = (
@@ -27,6 +35,10 @@
     b'HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Stamp: s\r\n'
     b'Transfer-Encoding: chunked\r\n\r\n'
 )
+OWN_ANSWER = (
+    b'HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Stamp: s\r\n'
+    b'Transfer-Encoding: chunked\r\n\r\n'
+)
 STREAM = (
     b'HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Stamp: s\r\n'
     b'Content-Type: text/event-stream\r\n\r\nid: 1\ndata: '
@@ -132,5 +144,87 @@
         self.assertEqual(502, answer.status)
 
 
+class ManyAtOnceTest(unittest.TestCase):
+    """One instance, and bytes without end from many targets at once."""
+
+    def play(
+        self, head: bytes, piece: bytes, route: str, pause_s: float = 0.0
+    ) -> None:
+        """Check the memory of the instance and the delay of other calls.
+
+        :param pause_s: pause between pieces; if there is one, all calls must
+            be under way at once.
+        """
+        targets = endless_target.EndlessTargets(
+            TARGET_COUNT,
+            endless_target.EndlessBytes(head, piece, pause_s),
+            repeats=True,
+        )
+        service = 'chat' if 'stream' in route else 'desk'
+        delays_s: list[float] = []
+        try:
+            with gateway_fleet.GatewayFleet(
+                1,
+                engine_count=0 if service == 'chat' else 1,
+                service_count=0 if service == 'desk' else 1,
+            ) as fleet:
+                other = 'look-up' if service == 'chat' else 'stream'
+                for number, endpoint in enumerate(targets.endpoints):
+                    fleet.register_endpoint(
+                        f'{service}-endless-{number}', service, endpoint
+                    )
+                gevent.sleep(1.0)
+                calls = [
+                    gevent.spawn(
+                        call,
+                        fleet,
+                        route,
+                        method='GET',
+                        Deadline_Ms=str(DEADLINE_MS),
+                    )
+                    for _ in range(CALL_COUNT)
+                ]
+                while not all(greenlet.ready() for greenlet in calls):
+                    start_s = time.monotonic()
+                    _, answer = call(fleet, other, method='GET')
+                    delays_s.append(time.monotonic() - start_s)
+                    self.assertEqual(200, answer.status)
+                    gevent.sleep(0.05)
+                memory_kb = find_peak_memory_kb(fleet)
+                self.assertTrue(fleet.processes[0].is_running)
+        finally:
+            targets.stop()
+        if pause_s:
+            self.assertGreaterEqual(targets.max_active_count, CALL_COUNT)
+        self.assertLess(memory_kb, MAX_MEMORY_KB)
+        self.assertLess(max(delays_s), OBJECTIVE_S)
+
+    # Guards against an instance that is killed for the sum of its heads.
+    def test_heads(self) -> None:
+        """The memory stays bounded, and other calls are answered."""
+        self.play(b'HTTP/1.1 200 OK\r\n', b'X-A: b\r\n' * 400, 'look-up', 0.1)
+
+    # Guards against an instance that is killed for the sum of its events.
+    def test_events(self) -> None:
+        """The memory stays bounded, and other calls are answered."""
+        self.play(STREAM, b'b' * 32_768, 'stream', 0.05)
+
+    # Guards against an instance that is killed for the sum of its bodies.
+    def test_bodies(self) -> None:
+        """The memory stays bounded, and other calls are answered."""
+        self.play(OWN_ANSWER, CHUNK, 'look-up', 0.05)
+
+    # Guards against endless answers that leave no time for other calls.
+    def test_bodies_at_full_speed(self) -> None:
+        """The memory stays bounded, and other calls are answered."""
+        self.play(OWN_ANSWER, CHUNK, 'look-up')
+
+
+def find_peak_memory_kb(fleet: gateway_fleet.GatewayFleet) -> int:
+    """Return the peak of the resident memory of the first instance."""
+    path = pathlib.Path(f'/proc/{fleet.processes[0].pid}/status')
+    return int(path.read_text().partition('VmHWM:')[2].split()[0])
+
+
 if __name__ == '__main__':
     unittest.main()
