Bound a page of the platform's store

What callers could see: an instance that is killed for its memory, or that follows the store no more and refuses calls, since one answer of the store doesn't end.

Cause: a page was read with a limit on each pause, but none on its bytes or on the whole time.

Change: a page gets 8 MB and four timeouts. Changes beyond that would fail again from the same revision, so the items are listed again.

Measured: all three new tests fail before (no end within 3 s) and pass now, as do the tests of the gateway's life cycle.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
@@ -1,10 +1,12 @@
 """Client of the platform's store of published items."""
 
+import time
 import urllib.parse
 
 from lagoonbend.exceptions import NetworkError
 from lagoonbend.exceptions import PlatformError
 from lagoonbend_entry._internal.gateway import target_connection
+from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.target_connection import encode_request
 from lagoonbend_entry._internal.platform import names
 from lagoonbend_entry._internal.platform.store_codec import decode_changes
@@ -13,6 +15,18 @@
 
 HTTP_OK = 200
 HTTP_GONE = 410
+MAX_PAGE_BYTES = 8 * 1024 * 1024
+"""Limit on a page of items or changes: a listing page has about 1 MB and a
+value at most 1 MB, a third more as text; the changes of a few seconds have
+several values."""
+MAX_PAGE_TIMEOUTS = 4
+"""Multiple of the timeout in which a page must be complete; the store may be
+slow."""
+MILLISECONDS_PER_SECOND = 1000
+
+
+class PageTooLargeError(PlatformError):
+    """An answer of the store exceeds its limit of bytes."""
 
 
 class HistoryLostError(PlatformError):
@@ -58,7 +72,8 @@
         """Wait for changes after a revision and return them.
 
         :param wait_ms: time after which an empty page is returned.
-        :raises HistoryLostError: if the store no longer has the changes.
+        :raises HistoryLostError: if the store no longer has the changes, or
+            they are too large for one answer.
         :raises PlatformError: if there is no usable answer.
         """
         query = {
@@ -66,7 +81,14 @@
             'after': str(revision),
             'wait-ms': str(wait_ms),
         }
-        return decode_changes(self._call(names.WATCH_PATH, query, wait_ms))
+        try:
+            body = self._call(names.WATCH_PATH, query, wait_ms)
+        except PageTooLargeError as error:
+            # The same watch would fail again; a listing has smaller pages.
+            raise HistoryLostError(
+                error.message, context=names.WATCH_PATH
+            ) from error
+        return decode_changes(body)
 
     def _call(self, path: str, query: dict[str, str], wait_ms: int) -> bytes:
         self.call_count += 1
@@ -99,7 +121,7 @@
             encode_request('GET', full_path, headers, b''), self._timeout_ms
         )
         answer = connection.read_head(wait_ms + self._timeout_ms)
-        body = b''.join(connection.read_body(answer, self._timeout_ms))
+        body = self._read_body(connection, answer, path)
         if not connection.is_reusable or not answer.keeps_connection:
             self.close()
         if answer.status == HTTP_GONE:
@@ -110,3 +132,21 @@
         if answer.status != HTTP_OK:
             raise PlatformError(f'status {answer.status}', context=path)
         return body
+
+    def _read_body(
+        self,
+        connection: target_connection.TargetConnection,
+        answer: Answer,
+        path: str,
+    ) -> bytes:
+        end_s = time.monotonic() + (
+            MAX_PAGE_TIMEOUTS * self._timeout_ms / MILLISECONDS_PER_SECOND
+        )
+        body = bytearray()
+        for chunk in connection.read_body(answer, self._timeout_ms):
+            body += chunk
+            if len(body) > MAX_PAGE_BYTES:
+                raise PageTooLargeError('answer too large', context=path)
+            if time.monotonic() > end_s and not answer.is_complete:
+                raise PlatformError('answer takes too long', context=path)
+        return bytes(body)
