Bound framing and empty lines from a caller

What callers could see: an instance that is killed for its memory, since one caller sends a trailer without end; or a connection that is read for ever, since empty lines before a request never count as idle.

Cause: a head and a body have bounds, but bytes that belong to neither have none.

Change: bytes that bring no part of a request have the bound of an incomplete head; beyond it the request is refused with 431.

Ruled out: a bound on all framing of a request. A sound body may come in small chunks.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/request_parser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/request_parser.py
@@ -36,6 +36,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._head_bytes = 0
         self._incomplete_head_bytes = 0
+        self._idle_bytes = 0
+        self._has_progressed = False
         self._url = b''
         self._headers: list[tuple[str, str]] = []
         self._header_map: dict[str, str] = {}
@@ -43,9 +45,14 @@
         self._received_ms = 0
 
     def feed(self, data: bytes) -> None:
-        """Parse bytes."""
+        """Parse bytes.
+
+        Those that bring no part of a request, such as empty lines, framing
+        and trailers, have the bounds of a head.
+        """
         if self.error_status:
             return
+        self._has_progressed = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -56,6 +63,11 @@
             self._incomplete_head_bytes += len(data)
             if self._incomplete_head_bytes > 2 * self.bounds.header_bytes:
                 self._reject(431)
+        self._idle_bytes += len(data)
+        if self._has_progressed:
+            self._idle_bytes = 0
+        if self._idle_bytes > 2 * self.bounds.header_bytes:
+            self._reject(431)
 
     def on_message_begin(self) -> None:
         """Begin a new request."""
@@ -94,6 +106,7 @@
     def on_headers_complete(self) -> None:
         """Validate the head."""
         self.is_head_complete = True
+        self._has_progressed = True
         self._received_ms = self._clock.now_ms()
         if not self._url.startswith(b'/') or 'host' not in self._header_map:
             self._reject(400)
@@ -107,6 +120,7 @@
         """Store a chunk of the body."""
         if self.error_status:
             return
+        self._has_progressed = True
         self._body += body
         if len(self._body) > self.bounds.body_bytes:
             self._body = bytearray()
@@ -114,6 +128,7 @@
 
     def on_message_complete(self) -> None:
         """Complete the request."""
+        self._has_progressed = True
         self.is_reading = False
         if self.error_status:
             return
