Name the delay of other calls in the test of endless bytes

The test compared the slowest other call with 0.5 s under the name of the objective, which is 0.3 s. The median is now compared with the objective and each call with 0.5 s, since the process of the test sends the endless bytes too.

--- a/tests/functional/test_bytes_without_end.py
+++ b/tests/functional/test_bytes_without_end.py
@@ -5,6 +5,7 @@
 """
 
 import pathlib
+import statistics
 import time
 import unittest
 
@@ -23,8 +24,11 @@
 """Targets of four slots each; twice as many slots as calls."""
 MAX_MEMORY_KB = 128 * 1_024
 """Memory of the smallest instance."""
-OBJECTIVE_S = 0.5
-"""Time for another call meanwhile."""
+OBJECTIVE_S = 0.3
+"""Objective of the routes, for the median of other calls meanwhile."""
+MAX_DELAY_S = 0.5
+"""Limit on each of them; the endless bytes are sent by the process that makes
+the calls, which delays them too."""
 CHUNK = b'10000\r\n' + b'x' * 65_536 + b'\r\n'
 SMALL_CHUNK = b'1\r\nx\r\n'
 REJECTION = (
@@ -197,7 +201,8 @@
         if pause_s:
             self.assertGreaterEqual(targets.max_active_count, CALL_COUNT)
         self.assertLess(memory_kb, MAX_MEMORY_KB)
-        self.assertLess(max(delays_s), OBJECTIVE_S)
+        self.assertLess(statistics.median(delays_s), OBJECTIVE_S)
+        self.assertLess(max(delays_s), MAX_DELAY_S)
 
     # Guards against an instance that is killed for the sum of its heads.
     def test_heads(self) -> None:
