--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -14,6 +14,7 @@
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.event_splitter import is_complete_event
 from lagoonbend_entry._internal.gateway.event_splitter import split_events
@@ -29,8 +30,6 @@
 Report = TypeVar('Report', AttemptReport, AttemptReport | None)
 
 EVENT_STREAM = 'text/event-stream'
-MAX_BODY_BYTES = 16 * 1024 * 1024
-"""Limit on the body of an answer that is buffered before it is relayed."""
 BODY_IDLE_TIMEOUT_MS = 2_000
 """Pause between two reads of a buffered answer after which another target is
 looked for if the call may be repeated."""
@@ -47,6 +46,14 @@
 SEARCH_POLL_MS = 50
 """Interval at which a call at a silent target checks whether another target
 has been found."""
+MAX_REJECTION_BYTES = 65_536
+"""Limit on the body of a rejection, whose status suffices: one read."""
+REJECTION_TIMEOUT_MS = 50
+"""Time for the rest of a rejection, which is sent with its head; a round trip
+between failure domains takes 2 to 3 ms."""
+MAX_FOREIGN_BYTES = 1_048_576
+"""Limit on answers to earlier calls before the one to this call; the largest
+values and pages on the platform have 1 MB."""
 SERVER_ERROR_STATUS = 500
 SUCCESS_STATUS_END = 300
 
@@ -62,6 +69,7 @@
     :param connection_pool: open connections to targets.
     :param clock: clock of the instance.
     :param search: finds another target while this one is silent.
+    :param body_memory: memory of the instance for buffered bodies.
     """
 
     def __init__(
@@ -74,6 +82,7 @@
         connection_pool: ConnectionPool,
         clock: Clock,
         search: SuccessorSearch[Any],
+        body_memory: BodyMemory,
     ) -> None:
         self.is_sent = False
         self._call = call
@@ -84,6 +93,7 @@
         self._connection_pool = connection_pool
         self._clock = clock
         self._search = search
+        self._body_memory = body_memory
         self._connection: target_connection.TargetConnection | None = None
         self._sent_ms = 0
         self._last_read_ms = 0
@@ -220,8 +230,13 @@
     def _read_matching_head(
         self, connection: target_connection.TargetConnection
     ) -> tuple[Answer, AnswerHeaders]:
-        """Return the answer to this call; discard answers to earlier calls."""
+        """Return the answer to this call; discard answers to earlier calls.
+
+        :raises BadAnswerError: if those are too large or take too long.
+        """
         patience_ms = self._get_first_byte_patience_ms()
+        end_ms = self._clock.now_ms() + patience_ms
+        end_bytes = connection.received_bytes + MAX_FOREIGN_BYTES
         while True:
             answer = self._read_head(connection, patience_ms)
             answer_facts = answer_headers.decode_answer_headers(
@@ -235,8 +250,18 @@
                 raise target_error.BadAnswerError(
                     'answer has no attempt identity'
                 )
+            is_bounded = connection.received_bytes <= end_bytes
             for _ in self._read_chunks(connection, answer, patience_ms):
-                continue
+                is_bounded = answer.is_complete or (
+                    connection.received_bytes <= end_bytes
+                    and self._clock.now_ms() < end_ms
+                )
+                if not is_bounded:
+                    break
+            if not is_bounded:
+                raise target_error.BadAnswerError(
+                    'answer to an earlier call does not end'
+                )
 
     def _read_head(
         self, connection: target_connection.TargetConnection, patience_ms: int
@@ -305,8 +330,9 @@
         if answer_facts.is_wrong_target:
             outcome = AttemptOutcome.WRONG_TARGET
         try:
-            for _ in connection.read_body(answer, BODY_IDLE_TIMEOUT_MS):
-                continue
+            connection.discard_body(
+                answer, MAX_REJECTION_BYTES, REJECTION_TIMEOUT_MS
+            )
             self._release_connection(connection, answer)
         except NetworkError:
             connection.close()
@@ -339,10 +365,11 @@
         if self._call.route.may_repeat:
             patience_ms = min(patience_ms, BODY_IDLE_TIMEOUT_MS)
         body = bytearray()
-        for chunk in self._read_chunks(connection, answer, patience_ms):
-            body += chunk
-            if len(body) > MAX_BODY_BYTES:
-                raise target_error.BadAnswerError('answer body too large')
+        with self._body_memory.open_share() as share:
+            for chunk in self._read_chunks(connection, answer, patience_ms):
+                body += chunk
+                if not share.allows(len(body)):
+                    raise target_error.BadAnswerError('answer body too large')
         self._release_connection(connection, answer)
         return bytes(body)
 
