Send nothing to a target that says it leaves

What users could see (DRAIN): a target that says in its answers that it leaves got requests for as long as the store listed it as ready.

Cause: the header was not read, and the store was the only source of a target's leaving.

Ruled out: sending on until the end of drain_ms, which saves nothing that a slot elsewhere doesn't; a message of its own to the decider, since the exclusions of slot requests are understood by all builds.

Change: each head that an attempt reads, of an answer to another attempt too, is checked. ClosedTargets keeps the target for its life, which a registration with a later start ends; one with an earlier start is an older copy. Slot requests exclude it, and the attempt asks again when its connection is open. Idle connections are closed; runs go on.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -18,6 +18,8 @@
 HOST = 'calls.example'
 API_KEY = 'k-first'
 CUSTOMER = 'first-customer'
+FIRST_BORN_MS = 1_700_000_000_000
+"""Start of a target in Unix milliseconds, unless another one is given."""
 FIRST_VERSION = 'v1'
 """Version of the software of a target, unless another one is given."""
 READY_TIMEOUT_S = 10.0
@@ -166,10 +168,13 @@
         service: str,
         state: str = 'ready',
         version: str = FIRST_VERSION,
+        born_ms: int = FIRST_BORN_MS,
     ) -> None:
         """Write the registration of a target to the store."""
         endpoint = self.target_proxies.get(name, self.targets[name]).endpoint
-        self.register_endpoint(name, service, endpoint, state, version)
+        self.register_endpoint(
+            name, service, endpoint, state, version, born_ms
+        )
 
     def register_endpoint(
         self,
@@ -178,6 +183,7 @@
         endpoint: str,
         state: str = 'ready',
         version: str = FIRST_VERSION,
+        born_ms: int = FIRST_BORN_MS,
     ) -> None:
         """Write the registration of a server at ``ip:port`` to the store."""
         self.store.put(
@@ -187,6 +193,7 @@
                 'address': endpoint,
                 'zone': DOMAINS[0],
                 'version': version,
+                'born': born_ms,
                 'slots': 4,
                 'state': state,
                 'cold-remaining-ms': 0,
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -24,6 +24,11 @@
 in the users' rules."""
 PAUSE_EVENT_NUMBER = 2
 """Event of a stream after which fault ``pause-stream`` is silent."""
+REJECTION_HEADERS = {
+    'turned-away': '',
+    'leaving-turned-away': 'Server-Leaving: 1\r\n',
+}
+"""Faults that reject a request, with their further headers."""
 ZERO_LINGER = struct.pack('ii', 1, 0)
 """Option SO_LINGER with which ``close`` resets the connection."""
 
@@ -48,9 +53,13 @@
 
     A fault that ends with ``@NAME`` applies only to the target of that name.
     ``abandoned_attempts`` lists the attempts whose connection was closed by
-    the instance before the answer was complete. Fault ``turned-away`` rejects
-    the request as full. Faults ``pause`` and ``pause-stream`` are silent for a
-    while before the head or inside a stream, and then complete the answer.
+    the instance before the answer was complete; ``received_attempts`` lists
+    all that reached the target, rejected ones included. Fault ``turned-away``
+    rejects the request as full. Fault ``leaving`` answers whole and says that
+    the target leaves, ``leaving-turned-away`` says it in a rejection and
+    ``leaving-foreign`` in an answer to another attempt. Faults ``pause`` and
+    ``pause-stream`` are silent for a while before the head or inside a stream,
+    and then complete the answer.
 
     A function that handles a request returns False to close the connection.
 
@@ -65,6 +74,7 @@
         self.name = name
         self.is_open = True
         self.abandoned_attempts: list[str] = []
+        self.received_attempts: list[str] = []
         self._runs = runs
         self._event_count = event_count
         self._may_write = gevent.event.Event()
@@ -98,21 +108,20 @@
     def _handle_request(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
+        attempt = request.header_map.get('attempt-id', '')
+        self.received_attempts.append(attempt)
         expected = request.header_map.get('expect-instance', self.name)
         version = request.header_map.get('expect-version', MODEL_VERSION)
         if expected != self.name or version != MODEL_VERSION:
             self._send_answer(request, sock, 421, b'', stamp='')
             return True
-        fault, _, faulty_target = request.header_map.get(
-            FAULT_HEADER, ''
-        ).partition('@')
-        if faulty_target not in ('', self.name):
-            fault = ''
-        if fault == 'turned-away':
+        fault = self._find_fault(request)
+        if fault in REJECTION_HEADERS:
             head = 'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0'
-            self._write(sock, f'{head}\r\n\r\n'.encode())
+            self._write(
+                sock, f'{head}\r\n{REJECTION_HEADERS[fault]}\r\n'.encode()
+            )
             return True
-        attempt = request.header_map.get('attempt-id', '')
         self._runs.append(
             TargetRun(self.name, attempt, request, time.monotonic())
         )
@@ -120,6 +129,13 @@
             return FAULT_HANDLERS[fault](self, request, sock)
         return self._send_whole_answer(request, sock)
 
+    def _find_fault(self, request: IncomingRequest) -> str:
+        """Return the fault that a request names for this target."""
+        fault, _, faulty_target = request.header_map.get(
+            FAULT_HEADER, ''
+        ).partition('@')
+        return fault if faulty_target in ('', self.name) else ''
+
     def _send_whole_answer(
         self,
         request: IncomingRequest,
@@ -184,9 +200,8 @@
             sock, self._build_head(request, status, stamp) + length + body
         )
 
-    @staticmethod
     def _build_head(
-        request: IncomingRequest, status: int, stamp: str
+        self, request: IncomingRequest, status: int, stamp: str
     ) -> bytes:
         lines = [f'HTTP/1.1 {status} X']
         attempt = request.header_map.get('attempt-id')
@@ -194,6 +209,8 @@
             lines.append(f'Attempt-Id: {attempt}')
         if stamp:
             lines.append(f'Server-Stamp: {stamp}')
+        if self._find_fault(request) == 'leaving':
+            lines.append('Server-Leaving: 1')
         return ('\r\n'.join(lines) + '\r\n').encode()
 
     def _reset_connection(
@@ -247,11 +264,10 @@
     def _send_other_answer_first(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
-        self._write(
-            sock,
-            b'HTTP/1.1 200 X\r\nAttempt-Id: another\r\nServer-Stamp: x\r\n'
-            b'Content-Length: 7\r\n\r\nforeign',
-        )
+        head = b'HTTP/1.1 200 X\r\nAttempt-Id: another\r\nServer-Stamp: x\r\n'
+        if self._find_fault(request) == 'leaving-foreign':
+            head += b'Server-Leaving: 1\r\n'
+        self._write(sock, head + b'Content-Length: 7\r\n\r\nforeign')
         self._send_answer(request, sock, 200, b'mine')
         return True
 
@@ -291,6 +307,7 @@
     'truncated': StandinTarget._send_truncated_answer,
     'twice': StandinTarget._send_answer_twice,
     'foreign': StandinTarget._send_other_answer_first,
+    'leaving-foreign': StandinTarget._send_other_answer_first,
     'unframed': StandinTarget._send_unframed_answer,
     'cut-stream': StandinTarget._send_cut_stream,
     'pause': StandinTarget._pause_before_head,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -14,6 +14,7 @@
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.event_splitter import is_complete_event
 from lagoonbend_entry._internal.gateway.event_splitter import split_events
@@ -60,6 +61,7 @@
     :param position: last event of the stream that the caller received.
     :param reply: writes the answer to the caller.
     :param connection_pool: open connections to targets.
+    :param closed_targets: targets that get no requests.
     :param clock: clock of the instance.
     :param search: finds another target while this one is silent.
     """
@@ -72,6 +74,7 @@
         position: StreamPosition,
         reply: ReplyWriter,
         connection_pool: ConnectionPool,
+        closed_targets: ClosedTargets,
         clock: Clock,
         search: SuccessorSearch[Any],
     ) -> None:
@@ -82,6 +85,7 @@
         self._position = position
         self._reply = reply
         self._connection_pool = connection_pool
+        self._closed_targets = closed_targets
         self._clock = clock
         self._search = search
         self._connection: target_connection.TargetConnection | None = None
@@ -125,6 +129,12 @@
                     error, target_error.TargetAbsentError
                 ),
             )
+        # The request is sent at once if this returns None.
+        if self._closed_targets.is_closed(self._target):
+            self.close()
+            return AttemptReport(
+                AttemptOutcome.WRONG_TARGET, detail='target takes no requests'
+            )
         return None
 
     def _exchange_guarded(self, exchange: Callable[[], Report]) -> Report:
@@ -176,9 +186,7 @@
             answer = connection.read_head(wait_ms)
         except target_error.TargetTimeoutError:
             return None
-        answer_facts = answer_headers.decode_answer_headers(
-            answer.status, answer.header_map
-        )
+        answer_facts = self._decode_headers(answer)
         is_own = answer_facts.attempt in ('', self._call.headers.attempt)
         if not is_own or not answer_facts.is_not_run:
             return None
@@ -224,9 +232,7 @@
         patience_ms = self._get_first_byte_patience_ms()
         while True:
             answer = self._read_head(connection, patience_ms)
-            answer_facts = answer_headers.decode_answer_headers(
-                answer.status, answer.header_map
-            )
+            answer_facts = self._decode_headers(answer)
             if answer_facts.attempt == self._call.headers.attempt:
                 return answer, answer_facts
             if not answer_facts.attempt and answer_facts.is_not_run:
@@ -238,6 +244,19 @@
             for _ in self._read_chunks(connection, answer, patience_ms):
                 continue
 
+    def _decode_headers(self, answer: Answer) -> AnswerHeaders:
+        """Return the values of a head; record what it says of the target."""
+        answer_facts = answer_headers.decode_answer_headers(
+            answer.status, answer.header_map
+        )
+        if answer_facts.is_leaving and self._closed_targets.record_leaving(
+            self._target
+        ):
+            self._connection_pool.close_idle(
+                (self._target.ip, self._target.port)
+            )
+        return answer_facts
+
     def _read_head(
         self, connection: target_connection.TargetConnection, patience_ms: int
     ) -> Answer:
@@ -349,7 +368,8 @@
     def _release_connection(
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> None:
-        if answer.keeps_connection:
+        is_closed = self._closed_targets.is_closed(self._target)
+        if answer.keeps_connection and not is_closed:
             self._connection_pool.release(connection)
         else:
             connection.close()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -30,6 +30,7 @@
 from lagoonbend_entry._internal.gateway.attempt import Attempt
 from lagoonbend_entry._internal.gateway.attempt import list_relayed_headers
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
@@ -153,6 +154,7 @@
     :param admission: applies the rules to a request.
     :param coordinator: obtains slots for calls.
     :param connection_pool: open connections to targets.
+    :param closed_targets: targets that get no requests.
     :param clock: clock of the instance.
     :param make_retry_share: returns a new retry budget for a service.
     :param instance: this instance's address for peers and its failure
@@ -167,6 +169,7 @@
         admission: Admission,
         coordinator: Coordinator,
         connection_pool: ConnectionPool,
+        closed_targets: ClosedTargets,
         clock: Clock,
         make_retry_share: Callable[[], RetryShare],
         instance: tuple[str, str],
@@ -177,6 +180,7 @@
         self._admission = admission
         self._coordinator = coordinator
         self._connection_pool = connection_pool
+        self._closed_targets = closed_targets
         self._clock = clock
         self._make_retry_share = make_retry_share
         self._rank_order = rank_order
@@ -373,6 +377,16 @@
                 target=decision.target,
                 detail='target has another software version',
             )
+        if self._closed_targets.is_closed(target):
+            # The slot was granted before the target said so.
+            self._coordinator.release(
+                request, decision.target, SlotOutcome.UNSUITED, 0
+            )
+            return AttemptReport(
+                AttemptOutcome.WRONG_TARGET,
+                target=decision.target,
+                detail='target takes no requests',
+            )
         attempt = Attempt(
             progress.call,
             target,
@@ -380,6 +394,7 @@
             progress.position,
             reply,
             self._connection_pool,
+            self._closed_targets,
             self._clock,
             search,
         )
@@ -559,10 +574,12 @@
     def _list_excluded(self, progress: CallProgress) -> Iterator[str]:
         """Yield the targets that must not run the call."""
         yield from progress.excluded
+        service = progress.call.service
+        targets = self._facts.target_directory.list_service(service)
+        yield from self._closed_targets.list_closed(targets)
         if progress.binding is None:
             return
-        service = progress.call.service
-        for target in self._facts.target_directory.list_service(service):
+        for target in targets:
             if not progress.binding.allows(target):
                 yield target.target
 
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/closed_targets.py
@@ -0,0 +1,60 @@
+"""Targets to which this instance sends no requests."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from lagoonbend.facts import ListedTarget
+from lagoonbend_entry._internal.gateway.target_closure import TargetClosure
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+
+MAX_CLOSURES = 4_096
+"""Targets kept at most, the oldest of which are dropped; several times the
+600 targets of the largest fleet, since most restarts bring a new identity."""
+
+
+class ClosedTargets:
+    """Keeps which targets have said in their answers that they leave.
+
+    That holds for one life of a target, whatever the platform lists.
+    """
+
+    def __init__(self) -> None:
+        self._closures: dict[str, TargetClosure] = {}
+
+    def __len__(self) -> int:
+        return len(self._closures)
+
+    def record_leaving(self, target: ListedTarget) -> bool:
+        """Record that a target leaves; return False if that was known.
+
+        :param target: target as listed when the request was sent.
+        """
+        known = self._closures.get(target.target)
+        if known is not None and known.covers(target):
+            return False
+        self._closures.pop(target.target, None)
+        self._closures[target.target] = TargetClosure(target)
+        if len(self._closures) > MAX_CLOSURES:
+            del self._closures[next(iter(self._closures))]
+        log_event(
+            Event.TARGET_LEAVING,
+            target=target.target,
+            service=target.service,
+            address=f'{target.ip}:{target.port}',
+            born_ms=target.born_ms,
+            closed_targets=len(self._closures),
+        )
+        return True
+
+    def is_closed(self, target: ListedTarget) -> bool:
+        """Return True if the target gets no request."""
+        closure = self._closures.get(target.target)
+        return closure is not None and closure.covers(target)
+
+    def list_closed(self, targets: Iterable[ListedTarget]) -> Iterator[str]:
+        """Yield the identities of those targets that get no request."""
+        if self._closures:
+            for target in targets:
+                if self.is_closed(target):
+                    yield target.target
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/connection_pool.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/connection_pool.py
@@ -67,6 +67,11 @@
         connection.idle_since_ms = self._clock.now_ms()
         idle.append(connection)
 
+    def close_idle(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle_connections.pop(address, ()):
+            connection.close()
+
     def close_expired(self) -> None:
         """Close connections that have been idle for too long."""
         now_ms = self._clock.now_ms()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -24,6 +24,7 @@
 from lagoonbend_entry._internal.gateway import caller_connection
 from lagoonbend_entry._internal.gateway.admission import Admission
 from lagoonbend_entry._internal.gateway.call_handler import CallHandler
+from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
@@ -135,6 +136,7 @@
             ),
             self._coordinator,
             self._connection_pool,
+            ClosedTargets(),
             self._clock,
             self._make_retry_share,
             (settings.listen.peers_endpoint, settings.instance.failure_domain),
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
@@ -6,6 +6,7 @@
 from lagoonbend_entry._internal.platform import names
 
 STATUS_WRONG_TARGET = 421
+LEAVING_VALUE = '1'
 
 
 class AnswerHeaders(NamedTuple):
@@ -17,6 +18,7 @@
     :param is_wrong_target: True for status 421: another target has the
         address, or the target has another version of the model.
     :param is_encoded: True if the body has a content encoding.
+    :param is_leaving: True if the target says that it leaves.
     """
 
     attempt: str
@@ -24,6 +26,7 @@
     is_not_run: bool
     is_wrong_target: bool
     is_encoded: bool
+    is_leaving: bool
 
 
 def decode_answer_headers(
@@ -41,4 +44,6 @@
         is_not_run=names.HEADER_NOT_RUN in headers or is_wrong_target,
         is_wrong_target=is_wrong_target,
         is_encoded=encoding not in ('', 'identity'),
+        is_leaving=headers.get(names.HEADER_LEAVING, '').strip()
+        == LEAVING_VALUE,
     )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -21,6 +21,7 @@
 length of the answer."""
 HEADER_NOT_RUN = 'not-executed'
 HEADER_STAMP = 'server-stamp'
+HEADER_LEAVING = 'server-leaving'
 
 HEADERS_SET_BY_INSTANCES = frozenset(
     (
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
@@ -20,6 +20,7 @@
     slots: int
     state: str
     version: object = None
+    born: object = None
 
 
 def decode_target(item: PublishedItem) -> ListedTarget | None:
@@ -44,8 +45,15 @@
         slots=entry.slots,
         is_leaving=entry.state != 'ready',
         software_version=_read_version(entry.version),
+        born_ms=_read_born(entry.born),
     )
 
 
 def _read_version(value: object) -> str | None:
     return value if isinstance(value, str) and value else None
+
+
+def _read_born(value: object) -> int | None:
+    if isinstance(value, int) and not isinstance(value, bool):
+        return value
+    return None
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -58,6 +58,11 @@
         'info',
         'An attempt at a target gave no complete answer.',
     )
+    TARGET_LEAVING = (
+        'LB0208',
+        'info',
+        'A target says in its answers that it leaves.',
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
@@ -15,6 +15,8 @@
     :param is_leaving: True once it accepts no new requests.
     :param software_version: version of its software; None if it isn't known,
         which is the same as that of no other target.
+    :param born_ms: start of this life of the server, in Unix milliseconds of
+        its own clock; None if it isn't known.
     """
 
     target: str
@@ -25,3 +27,4 @@
     slots: int
     is_leaving: bool
     software_version: str | None = None
+    born_ms: int | None = None
