--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -20,8 +20,8 @@
 API_KEY = 'k-first'
 CUSTOMER = 'first-customer'
 FIRST_VERSION = standin_target.FIRST_VERSION
-FIRST_BORN_MS = 1
-"""Start of a target in Unix time, unless another one is given."""
+FIRST_BORN_MS = 1_700_000_000_000
+"""Start of a target in Unix milliseconds, unless another one is given."""
 READY_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
 DOMAINS = ('domain-a', 'domain-b')
@@ -168,10 +168,13 @@
         service: str,
         state: str = 'ready',
         version: str = FIRST_VERSION,
+        born_ms: int = FIRST_BORN_MS,
     ) -> None:
         """Write the registration of a target to the store."""
         endpoint = self.target_proxies.get(name, self.targets[name]).endpoint
-        self.register_endpoint(name, service, endpoint, state, version)
+        self.register_endpoint(
+            name, service, endpoint, state, version, born_ms
+        )
 
     def remove_target(self, name: str) -> None:
         """Remove the registration of a target and stop it."""
@@ -198,11 +201,11 @@
                 'address': endpoint,
                 'zone': DOMAINS[0],
                 'version': version,
+                'born': born_ms,
                 'slots': 4,
                 'state': state,
                 'cold-remaining-ms': 0,
                 'sequence': 1,
-                'born': born_ms,
             },
         )
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -15,6 +15,7 @@
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
+from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.event_splitter import is_complete_event
 from lagoonbend_entry._internal.gateway.event_splitter import split_events
@@ -67,6 +68,7 @@
     :param position: last event of the stream that the caller received.
     :param reply: writes the answer to the caller.
     :param connection_pool: open connections to targets.
+    :param closed_targets: targets that get no requests.
     :param clock: clock of the instance.
     :param search: finds another target while this one is silent.
     :param body_memory: memory of the instance for buffered bodies.
@@ -80,6 +82,7 @@
         position: StreamPosition,
         reply: ReplyWriter,
         connection_pool: ConnectionPool,
+        closed_targets: ClosedTargets,
         clock: Clock,
         search: SuccessorSearch[Any],
         body_memory: BodyMemory,
@@ -91,6 +94,7 @@
         self._position = position
         self._reply = reply
         self._connection_pool = connection_pool
+        self._closed_targets = closed_targets
         self._clock = clock
         self._search = search
         self._body_memory = body_memory
@@ -135,6 +139,12 @@
                     error, target_error.TargetAbsentError
                 ),
             )
+        # The request is sent at once if this returns None.
+        if self._closed_targets.is_closed(self._target):
+            self.close()
+            return AttemptReport(
+                AttemptOutcome.WRONG_TARGET, detail='target takes no requests'
+            )
         return None
 
     def _exchange_guarded(self, exchange: Callable[[], Report]) -> Report:
@@ -186,9 +196,7 @@
             answer = connection.read_head(wait_ms)
         except target_error.TargetTimeoutError:
             return None
-        answer_facts = answer_headers.decode_answer_headers(
-            answer.status, answer.header_map
-        )
+        answer_facts = self._decode_headers(answer)
         is_own = answer_facts.attempt in ('', self._call.headers.attempt)
         if not is_own or not answer_facts.is_not_run:
             return None
@@ -239,9 +247,7 @@
         end_bytes = connection.received_bytes + MAX_FOREIGN_BYTES
         while True:
             answer = self._read_head(connection, patience_ms)
-            answer_facts = answer_headers.decode_answer_headers(
-                answer.status, answer.header_map
-            )
+            answer_facts = self._decode_headers(answer)
             if answer_facts.attempt == self._call.headers.attempt:
                 return answer, answer_facts
             if not answer_facts.attempt and answer_facts.is_not_run:
@@ -263,6 +269,19 @@
                     'answer to an earlier call does not end'
                 )
 
+    def _decode_headers(self, answer: Answer) -> AnswerHeaders:
+        """Return the values of a head; record what it says of the target."""
+        answer_facts = answer_headers.decode_answer_headers(
+            answer.status, answer.header_map
+        )
+        if answer_facts.is_leaving and self._closed_targets.record_leaving(
+            self._target
+        ):
+            self._connection_pool.close_idle(
+                (self._target.ip, self._target.port)
+            )
+        return answer_facts
+
     def _read_head(
         self, connection: target_connection.TargetConnection, patience_ms: int
     ) -> Answer:
@@ -376,7 +395,8 @@
     def _release_connection(
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> None:
-        if answer.keeps_connection:
+        is_closed = self._closed_targets.is_closed(self._target)
+        if answer.keeps_connection and not is_closed:
             self._connection_pool.release(connection)
         else:
             connection.close()
