--- a/tests/unit/test_closed_targets.py
+++ b/tests/unit/test_closed_targets.py
@@ -152,6 +152,7 @@
                     targets,
                     PausedClock(1_000_000),
                     mock.MagicMock(),
+                    mock.MagicMock(),
                 )
                 report = tried.run() if run == 'run' else tried.begin(200)
                 assert report is not None
--- a/tests/unit/test_errors_amid_a_call.py
+++ b/tests/unit/test_errors_amid_a_call.py
@@ -21,6 +21,7 @@
 from lagoonbend_entry._internal.gateway import caller_connection
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.call_handler import CallHandler
+from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.platform import call_headers
 from tests.lib.call_table.recording_caller import RecordingCaller
@@ -74,6 +75,7 @@
             self.admission,
             self.coordinator,
             self.connection_pool,
+            ClosedTargets(),
             self.clock,
             lambda: RetryShare(self.clock, 0.2, 50.0, 10.0),
             ('127.0.0.1:1', 'domain'),
