Test answers in writing at the end of a drain without a process

Traced: it gave the caller 0.2 s of real time to read 12 MB before the process exits; with a load of 19 it got 9.5 to 14.6 of 15.7 MB, all cut by the exit itself, which can't come later, and not by the interrupt that the test is about (that one leaves 3.9 MB).

--- a/tests/functional/test_gateway_lifecycle.py
+++ b/tests/functional/test_gateway_lifecycle.py
@@ -15,9 +15,7 @@
 
 from lagoonbend_devkit._internal.fleet.http import exchange
 from lagoonbend_devkit._internal.gateway import gateway_fleet
-from lagoonbend_devkit._internal.gateway import loopback_server
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
-from lagoonbend_entry.testing import IncomingRequest
 from tests.functional.test_gateway_answers import call
 from tests.lib.pausing_target import PausingTarget
 
@@ -28,7 +26,6 @@
 BROKEN_AFTER_S = 1.1
 """Later than a call may wait for its first slot, and before the end of a
 stream of 1.5 s."""
-LARGE_BODY_BYTES = 15 * 1024 * 1024
 LONG_PAUSE_S = 2.8
 """Pause within a stream that ends just before the timeout of its route."""
 
@@ -54,19 +51,6 @@
 )
 
 
-def send_large_answer(
-    request: IncomingRequest, sock: gevent.socket.socket
-) -> bool:
-    """Answer as a target with a body that fills all buffers on the way."""
-    attempt = request.header_map['attempt-id']
-    sock.sendall(
-        f'HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nServer-Stamp: s\r\n'
-        f'Content-Length: {LARGE_BODY_BYTES}\r\n\r\n'.encode()
-        + b'x' * LARGE_BODY_BYTES
-    )
-    return True
-
-
 def open_stream(
     fleet: gateway_fleet.GatewayFleet, instance: int = 0
 ) -> gevent.socket.socket:
@@ -173,36 +157,6 @@
             self.assertEqual(4, len(fleet.runs))
             self.assertEqual(0, fleet.processes[0].wait(3.0))
 
-    # Guards against a whole answer that is cut while it is written to a slow
-    # caller, because the grace time of the instance ends.
-    def test_answer_in_writing_is_not_cut_by_the_end_of_the_drain(
-        self,
-    ) -> None:
-        """The caller reads on after the other calls have been ended."""
-        server = loopback_server.LoopbackServer(send_large_answer)
-        self.addCleanup(server.stop)
-        with gateway_fleet.GatewayFleet(2, service_count=0) as fleet:
-            fleet.register_endpoint('desk-0', 'desk', server.endpoint)
-            path = fleet.root / 'instance-0.ini'
-            settings = path.read_text(encoding='utf-8')
-            path.write_text(settings + '[bounds]\ngrace_s = 4\n')
-            fleet.processes[0].send(signal.SIGHUP)
-            gevent.sleep(CHANGE_SPREAD_S)
-            stopped_s = time.monotonic()
-            fleet.processes[0].send(signal.SIGTERM)
-            gevent.sleep(1.2)
-            sock = gevent.socket.create_connection(
-                ('127.0.0.1', fleet.callers_port(0))
-            )
-            sock.settimeout(2.0)
-            sock.sendall(REQUEST_HEAD % (b'booking', b'large', b''))
-            answer = sock.recv(4_096)
-            # The drain ends 3.72 s after the signal, the process 0.25 s later.
-            gevent.sleep(stopped_s + 3.77 - time.monotonic())
-            answer += read_to_end(sock)
-            body = answer.partition(b'\r\n\r\n')[2]
-            self.assertEqual(LARGE_BODY_BYTES, len(body))
-
     # Guards against streams that are cut although their rest can run as soon
     # as a slot is free.
     def test_broken_streams_wait_for_their_slots(self) -> None:
