--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -103,7 +103,8 @@
     was sent, and ``versions`` the software version of that target.
     ``excluded`` lists the targets not to be tried again. ``target`` and
     ``version`` are those of the current attempt; ``binding`` is the version
-    to which a stream that has begun is bound. ``failure`` says why the call
+    to which a stream that has begun is bound. ``successor`` is an attempt that
+    was opened while the target was silent. ``failure`` says why the call
     has no answer yet. ``interrupt`` raises an error in the greenlet that
     serves the call.
 
@@ -121,6 +122,7 @@
         self.target = ''
         self.version: str | None = None
         self.binding: VersionBinding | None = None
+        self.successor: OpenAttempt | None = None
         self.send_count = 0
         self.run_count = 0
         self.may_have_run = False
@@ -407,6 +409,8 @@
         search: SuccessorSearch[OpenAttempt],
     ) -> AttemptReport:
         """Run an attempt to its end and release its slot."""
+        if progress.successor is opened:
+            progress.successor = None
         progress.target = opened.target.target
         progress.version = opened.target.software_version
         if not reply.has_begun:
@@ -433,6 +437,8 @@
         """
         slot_outcome = SlotOutcome.CALLER_LEFT
         first_byte_ms = 0
+        if progress.successor is opened:
+            progress.successor = None
         if report is not None:
             slot_outcome = SLOT_OUTCOMES[report.outcome]
             first_byte_ms = report.first_byte_ms
@@ -483,6 +489,7 @@
         if isinstance(opened, AttemptReport):
             progress.excluded.append(decision.target)
             return None
+        progress.successor = opened
         report: AttemptReport | None = None
         is_accepted = False
         try:
@@ -610,12 +617,19 @@
         if report.outcome is AttemptOutcome.WHOLE_ANSWER:
             return NextStep.RELAY
         left_ms = call.expires_at_ms - self._clock.now_ms()
+        # A successor that was given up with the attempt may run the call
+        # although its end has not been counted yet.
+        is_sent_elsewhere = (
+            progress.successor is not None
+            and progress.successor.attempt.is_sent
+            and not search.has_found
+        )
         retry_context = RetryContext(
             report.outcome,
             call.route.may_repeat,
             reply.has_begun,
-            progress.may_have_run,
-            call.route.attempt_limit - progress.run_count,
+            progress.may_have_run or is_sent_elsewhere,
+            call.route.attempt_limit - progress.run_count - is_sent_elsewhere,
             left_ms >= MIN_ATTEMPT_MS,
             True,
         )
