--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -18,6 +18,7 @@
     3: 'drains, planned stops and pauses overlap',
     19: 'answered after 4.1 s: instance paused for 1.1 s at the route timeout',
     31: 'answered after 4.6 s: instance paused at the route timeout',
+    105: 'an instance got SIGHUP before its handlers; no supervisor',
 }
 """Seeds that CI runs: each one that ever failed, with its cause."""
 
