Count all calls that wait at an instance in its metric

lagoonbend_waiting_calls showed, of a service with several pools, the last pool alone; calls that wait for a share of the slots because their decider is silent were not in it; and a service whose pools went to another instance kept its last value.

Ruled out: a count at the callers' side, which can't tell a call that waits here from one that waits at a decider.

Change: PoolSchedulers counts by service over its pools, the coordinator adds both kinds of schedulers, and the gauge of a service without any becomes 0.

Measured: tests.unit.test_waiting_calls failed before in both tests (there was no count over pools; the gauge kept 3), and passes.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -246,11 +246,10 @@
         )
 
     def count_waiting(self) -> dict[str, int]:
-        """Return the number of waiting calls of each service decided here."""
-        return {
-            scheduler.service.name: len(scheduler)
-            for scheduler in self.pool_schedulers.schedulers
-        }
+        """Return the number of calls of each service that wait here."""
+        counts = self.pool_schedulers.count_waiting()
+        counts.update(self._fallback_schedulers.count_waiting())
+        return counts
 
     def count_known(self) -> int:
         """Return the number of instances that share fleet-wide limits."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
@@ -1,5 +1,6 @@
 """The schedulers of several pools at one instance."""
 
+from collections import Counter
 from collections.abc import Callable
 from collections.abc import Iterable
 import math
@@ -63,6 +64,13 @@
         """True while any call waits for a slot."""
         return any(len(scheduler) for scheduler in self.schedulers)
 
+    def count_waiting(self) -> Counter[str]:
+        """Return the number of waiting calls of each service."""
+        counts: Counter[str] = Counter()
+        for scheduler in self.schedulers:
+            counts[scheduler.service.name] += len(scheduler)
+        return counts
+
     def find(self, pool: str) -> PoolScheduler | None:
         """Return the scheduler of a pool, if there is one."""
         return self._schedulers.get(pool)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
@@ -94,6 +94,9 @@
         }
         for name, value in values.items():
             self._state_gauge.set({'name': name}, value)
+        for labels, _ in self._waiting_gauge.get_all():
+            if labels['service'] not in waiting_by_service:
+                self._waiting_gauge.set(labels, 0)
         for service, count in waiting_by_service.items():
             self._waiting_gauge.set({'service': service}, count)
 
--- /dev/null
+++ b/tests/unit/test_waiting_calls.py
@@ -0,0 +1,82 @@
+"""Metric of the calls that wait for slots."""
+
+import types
+from typing import cast
+import unittest
+
+from lagoonbend.clock import PausedClock
+from lagoonbend.facts import ListedTarget
+from lagoonbend.invariants import Invariants
+from lagoonbend.limits import LimitTolerance
+from lagoonbend.limits import SharedLimits
+from lagoonbend.scheduling import Pool
+from lagoonbend.scheduling import SlotRequest
+from lagoonbend_entry._internal.coordination.schedulers import PoolSchedulers
+from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
+
+DOMAINS = ('d0', 'd1')
+TARGETS = [
+    ListedTarget(f't-{domain}', 's', '10.0.0.1', 80, domain, 1, False)
+    for domain in DOMAINS
+]
+FACTS = types.SimpleNamespace(
+    rules=None,
+    target_directory=types.SimpleNamespace(list_service=lambda name: TARGETS),
+)
+
+
+class WaitingCallsTest(unittest.TestCase):
+    """Counts by service."""
+
+    def test_calls_of_all_pools_of_a_service_count(self) -> None:
+        """Guards against a count of the last pool of a service alone."""
+        schedulers = PoolSchedulers(
+            cast(FactsCache, FACTS),
+            PausedClock(),
+            SharedLimits(LimitTolerance()),
+            Invariants(strict=True),
+            lambda decision: None,
+            lambda: None,
+        )
+        for domain in DOMAINS:
+            for number in range(2):
+                schedulers.submit(
+                    SlotRequest(
+                        call=f'{domain}-{number}',
+                        instance='i0',
+                        failure_domain='d0',
+                        pool=Pool('s', domain).name,
+                        rank=0,
+                        route_rank=0,
+                        customer='',
+                        cost_units=0.0,
+                        waited_ms=0,
+                        objective_ms=1_000,
+                        deadline_ms=5_000,
+                    ),
+                    None,
+                )
+        self.assertEqual({'s': 2}, schedulers.count_waiting())
+
+    def test_service_that_is_gone_has_no_waiting_calls(self) -> None:
+        """Guards against the last value of a pool decided elsewhere since."""
+        metrics = GatewayMetrics()
+        counts: tuple[dict[str, int], ...] = ({'s': 3}, {})
+        for waiting in counts:
+            metrics.set_state(
+                fact_age_ms=0,
+                version=1,
+                active_calls=0,
+                opened_connections=0,
+                store_calls=0,
+                reached_instances=1,
+                waiting_by_service=waiting,
+            )
+        self.assertIn(
+            b'lagoonbend_waiting_calls{service="s"} 0', metrics.render()
+        )
+
+
+if __name__ == '__main__':
+    unittest.main()
