Bring calls to their wait for a slot last in the table of read calls

Cause: the calls of a batch were all sent at once, about 180, and the wait for a slot was looked for when the last of them had reached its step. A call of a route with an objective of 300 ms waits for its slot for a second at most; 21 of 35 had been refused by then (no_time_left after 1,005 to 1,184 ms). Others had been granted a slot by their own instance, since no decider had confirmed them within 200 ms (LB0604), and never waited.

Ruled out: a lost call; each of the 35 had its answer in the log.

Change: calls that wait for slots are sent after all others have reached their steps. No check of a cell has changed.

--- a/tests/lib/call_table/batch.py
+++ b/tests/lib/call_table/batch.py
@@ -24,6 +24,15 @@
 from tests.lib.call_table.table_fleet import TARGETS_PER_SERVICE
 
 LOG_DELAY_S = 0.3
+WAITING_TIMEOUT_S = 2.0
+"""Longer than a strict route's call waits for its slot."""
+
+
+class StepNotReached(AssertionError):
+    """A call is not at the step at which the strikes shall apply.
+
+    Not an OSError, which an exchange would take for a failed connection.
+    """
 
 
 class Batch:
@@ -54,8 +63,16 @@
             self._create_play(number, cell)
             for number, cell in enumerate(self._cells)
         ]
-        gevent.joinall([gevent.spawn(play.reach) for play in plays])
-        self._wait_for_waiting()
+        waiting = [play for play in plays if play.cell.step is Step.WAITING]
+        others = [play for play in plays if play not in waiting]
+        # A strict route's call waits for its slot for a second at most.
+        for group in (others, waiting):
+            gevent.joinall([gevent.spawn(play.reach) for play in group])
+        try:
+            self._wait_for_waiting()
+        except StepNotReached:
+            self._end(plays)
+            raise
         for strike in self._strikes:
             strike.apply(self._fleet, self._configuration)
         for strike in self._strikes:
@@ -64,12 +81,18 @@
             script.release()
         gevent.joinall([gevent.spawn(play.finish) for play in plays])
         outcomes = self._judge(plays)
+        self._end(plays)
+        self._fleet.replace_first()
+        return outcomes
+
+    def _end(self, plays: Sequence[CellPlay]) -> None:
+        """Let targets go on, and close all connections."""
+        for script in self._blocker_scripts:
+            script.release()
         for play in plays:
             play.close()
         for blocker in self._blockers:
             blocker.close()
-        self._fleet.replace_first()
-        return outcomes
 
     def _create_play(self, number: int, cell: Cell) -> CellPlay:
         return CellPlay(
@@ -106,9 +129,8 @@
 
     def _wait_for_waiting(self) -> None:
         expected = sum(cell.step is Step.WAITING for cell in self._cells)
-        # Not an OSError, which an exchange would take for a failed connection.
-        error = AssertionError('a call does not wait for its slot')
-        with gevent.Timeout(REACH_TIMEOUT_S, error):
+        error = StepNotReached('a call does not wait for its slot')
+        with gevent.Timeout(WAITING_TIMEOUT_S, error):
             while self._fleet.count_waiting() < expected:
                 gevent.sleep(POLL_S)
 
