Decide on a call here if its decider does not know the targets yet

Callers saw streams cut, and calls refused with no_target, although a target that could serve them was registered.

Cause: the list of targets reaches the instances at different times. A decider that had not read it for seconds (the store was away for others too, or it gets the list from peers) denied calls for want of targets, and the denial was final even if the instance of the call knew targets that the decider did not.

Ruled out: a wait for the decider's list, which costs a broken stream the patience of its caller; a revision of the list in each decision, a field that instances of the build before don't send.

Change: if the pools that were asked deny a call with no_target, another instance has decided, and this instance knows a target of the pool that the call may use, then its fallback schedulers decide, as they do for a silent decider: with this instance's share of the slots and limits.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -13,6 +13,7 @@
 from lagoonbend.limits import SharedLimits
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import HeldSlot
+from lagoonbend.scheduling import Pool
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend.scheduling import SlotRequest
@@ -157,7 +158,9 @@
         """Request a slot and return the decision, which may be a denial.
 
         A call that its pool denies for want of slots or targets is offered to
-        another pool where the expected wait is shorter.
+        another pool where the expected wait is shorter. If its decider knows
+        no target for it and this instance does, the fallback schedulers
+        decide.
 
         :param rule: limit of the customer; None for a public call.
         :param wait_ms: longest time to wait.
@@ -183,9 +186,38 @@
                     request, decision, tried_pools
                 )
             if other_pool is None:
+                waited_ms = self._clock.now_ms() - started_ms
+                if self._knows_more_targets(decision, request):
+                    decision = (
+                        self._request_slot(
+                            current_request,
+                            rule,
+                            FALLBACK,
+                            max(1, wait_ms - waited_ms),
+                        )
+                        or decision
+                    )
                 return decision._replace(pool=request.pool)
             request = request._replace(pool=other_pool)
 
+    def _knows_more_targets(
+        self, decision: SlotDecision, request: SlotRequest
+    ) -> bool:
+        """Return True if a decider knows no target, but this instance does.
+
+        The list of targets reaches the instances at different times.
+        """
+        if decision.denial is not Denial.NO_TARGET:
+            return False
+        if self._deciders.find(request.pool) == self._fleet.address:
+            return False
+        pool = Pool.parse(request.pool)
+        targets = self._facts.target_directory.list_service(pool.service)
+        return any(
+            target.target not in request.excluded
+            for target in pool.select(targets)
+        )
+
     def _acquire_in_pool(
         self, request: SlotRequest, rule: CustomerRule | None, wait_ms: int
     ) -> SlotDecision:
