Log that a decider does not know targets that are known here

A call that its own instance schedules because the decider's list is older looked in the logs like one whose decider was silent, without LB0604. LB0606 names the call, the decider, the pool and the number of targets known here.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -209,14 +209,24 @@
         """
         if decision.denial is not Denial.NO_TARGET:
             return False
-        if self._deciders.find(request.pool) == self._fleet.address:
+        decider = self._deciders.find(request.pool)
+        if decider == self._fleet.address:
             return False
         pool = Pool.parse(request.pool)
         targets = self._facts.target_directory.list_service(pool.service)
-        return any(
+        known_count = sum(
             target.target not in request.excluded
             for target in pool.select(targets)
         )
+        if known_count:
+            log_event(
+                Event.DECIDER_BEHIND,
+                request=request.call,
+                decider=decider,
+                service=request.pool,
+                targets=known_count,
+            )
+        return known_count > 0
 
     def _acquire_in_pool(
         self, request: SlotRequest, rule: CustomerRule | None, wait_ms: int
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -126,6 +126,12 @@
         'info',
         'State of a pool whose slots this instance grants.',
     )
+    DECIDER_BEHIND = (
+        'LB0606',
+        'info',
+        'The instance that grants slots does not know targets that are known '
+        'here.',
+    )
     PART_APPLIED = ('LB0503', 'info', 'A new configuration is in force.')
     PART_REJECTED = ('LB0504', 'error', 'A document failed validation.')
     PART_CONFLICT = (
