Do not report a target as gone that this instance doesn't know yet

Callers of all instances could be denied a target that had just started, for half a second and more: an instance that had not read of its registration was granted a slot there by a decider that had, released the slot as GONE, and the decider took the target as absent for everyone. A release of several targets while a part of the instances reads the list late is enough.

A target that this instance knows to leave, or has known, is gone at a decider with the older list.

Change: the directory knows which names it has listed (4,096 at most). A target that was never listed releases its slot as UNSUITED, which marks nothing; the call goes to another target as before.

Measured: test_target_that_was_never_listed_is_not_gone failed before; all three tests of the class pass.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -359,8 +359,13 @@
         """Return the attempt for a granted slot, or why there is none."""
         target = self._facts.target_directory.find(decision.target)
         if target is None or target.service != progress.call.service:
+            # Of two instances, either can have the newer list.
+            is_gone = self._facts.target_directory.has_listed(decision.target)
             self._coordinator.release(
-                request, decision.target, SlotOutcome.GONE, 0
+                request,
+                decision.target,
+                SlotOutcome.GONE if is_gone else SlotOutcome.UNSUITED,
+                0,
             )
             return AttemptReport(
                 AttemptOutcome.NOT_CONNECTED,
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -11,6 +11,9 @@
 is missing stays usable. Registrations that lapsed during the outage are
 renewed within about two seconds of its end."""
 
+MAX_KNOWN_NAMES = 4_096
+"""Several times the 600 targets of the largest fleet."""
+
 
 class TargetDirectory:
     """Targets by name, tolerant of registrations that lapsed in an outage.
@@ -34,6 +37,7 @@
         self._versions: dict[str, set[str | None]] = {}
         self._gone_versions: dict[str, dict[str | None, int]] = {}
         self._listed_since_ms: int | None = None
+        self._known_names: dict[str, None] = {}
         self.change_count = 0
 
     def __len__(self) -> int:
@@ -68,6 +72,13 @@
         """Return a target that may receive calls."""
         return self._usable.get(name)
 
+    def has_listed(self, name: str) -> bool:
+        """Return True if a target is listed in any state, or has been.
+
+        Of targets that are gone, the last ``MAX_KNOWN_NAMES`` are known.
+        """
+        return name in self._known_names
+
     def list_service(self, service: str) -> tuple[ListedTarget, ...]:
         """Return the targets of a service that may receive calls."""
         return self._by_service.get(service, ())
@@ -140,6 +151,7 @@
                 self._targets.pop(name, None)
             else:
                 self._targets[name] = target
+                self._record_name(name)
             return
         known = self._targets.get(name)
         if known is None:
@@ -155,6 +167,12 @@
         else:
             del self._targets[name]
 
+    def _record_name(self, name: str) -> None:
+        self._known_names.pop(name, None)
+        self._known_names[name] = None
+        if len(self._known_names) > MAX_KNOWN_NAMES:
+            del self._known_names[next(iter(self._known_names))]
+
     def _rebuild(self, now_ms: int) -> None:
         self.change_count += 1
         self._record_versions(now_ms)
