End broken streams to HTTP/1.0 callers with a reset

A caller that speaks HTTP/1.0 gets a stream without chunks, whose end is the close of its connection. A stream that broke, and one whose instance was killed, ended with the same clean close, so the caller took a part for the whole answer.

Ruled out: a stream held back until it is whole, which would give up its first byte; a Content-Length, which isn't known.

Change: the connection of such a stream is set to end with a reset when its head is written, and with a clean close again once all of it has been written. So the end of the process resets it too.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
@@ -3,12 +3,16 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import http
+import struct
 
 import gevent.socket
 
 from lagoonbend.exceptions import CallerGoneError
 
 STREAM_END = b'0\r\n\r\n'
+RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+CLEAN_CLOSE = struct.pack('ii', 0, 0)
+"""Values of ``SO_LINGER``."""
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -71,6 +75,9 @@
         if not self._accepts_chunked:
             framing = []
             self.keeps_connection = False
+            # A clean close is the end of the stream, so that any other end,
+            # that of the process included, has to be a reset.
+            self._set_linger(RESET_ON_CLOSE)
         head = self._encode_head(status, reason, [*headers, *framing])
         self.has_begun = True
         self._write(head + self._encode_chunk(event))
@@ -84,6 +91,8 @@
         self.is_ending = True
         if self._accepts_chunked:
             self._write(STREAM_END)
+        else:
+            self._set_linger(CLEAN_CLOSE)
         self.is_complete = True
 
     def _encode_chunk(self, event: bytes) -> bytes:
@@ -103,6 +112,14 @@
             lines.append('Connection: close')
         return ('\r\n'.join(lines) + '\r\n\r\n').encode('latin-1')
 
+    def _set_linger(self, value: bytes) -> None:
+        try:
+            self._sock.setsockopt(
+                gevent.socket.SOL_SOCKET, gevent.socket.SO_LINGER, value
+            )
+        except OSError as error:
+            raise CallerGoneError(str(error)) from error
+
     def _write(self, data: bytes) -> None:
         try:
             self._sock.sendall(data)
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -6,8 +6,11 @@
 noise or foreign answers, or reject the call as full.
 """
 
+import contextlib
 import unittest
 
+import gevent.socket
+
 from lagoonbend_devkit._internal.fleet.http import Answer
 from lagoonbend_devkit._internal.fleet.http import exchange
 from lagoonbend_devkit._internal.gateway import gateway_fleet
@@ -209,6 +212,29 @@
         self.assertEqual(0, answer.status)
         self.assertEqual(1, len(self.list_runs(attempt)))
 
+    # Guards against a broken stream that looks whole without chunks.
+    def test_broken_stream_to_http_1_0_ends_with_a_reset(self) -> None:
+        """A whole one ends with a clean close."""
+        for fault, is_whole in (('none', True), ('cut-stream', False)):
+            port = self.fleet.callers_port(0)
+            with gevent.socket.create_connection(('127.0.0.1', port)) as sock:
+                sock.sendall(
+                    (
+                        'GET /once-stream/item HTTP/1.0\r\n'
+                        f'Host: {gateway_fleet.HOST}\r\n'
+                        f'Attempt-Id: 1-0-{fault}\r\nX-Fault: {fault}\r\n'
+                        f'Authorization: Bearer {gateway_fleet.API_KEY}\r\n'
+                        '\r\n'
+                    ).encode()
+                )
+                answer = sock.recv(65_536)
+                with contextlib.suppress(ConnectionResetError):
+                    while data := sock.recv(65_536):
+                        answer += data
+                    self.assertTrue(is_whole, answer)
+            self.assertIn(b' 200 ', answer)
+            self.assertEqual(is_whole, b'id: 5' in answer)
+
     def test_deadline_at_a_silent_target_gets_504(self) -> None:
         """A call that may have run at a silent target gets 504."""
         _, answer = call(
