Test targets that want a pause

A target that turns a request away with 503 and Retry-After wants nothing from that instance for so long; instances don't read the header. The stand-in target gets a list of values of Retry-After with which it turns requests away, and a record of when requests reached it.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -52,13 +52,28 @@
     version: str = FIRST_VERSION
 
 
+class TargetArrival(NamedTuple):
+    """A request that reached a target.
+
+    :param attempt: identifier of the caller's attempt.
+    :param at_s: time on the monotonic clock.
+    :param pause_s: pause that the target wants by its answer; 0 for none.
+    """
+
+    attempt: str
+    at_s: float
+    pause_s: float = 0.0
+
+
 class StandinTarget:
     """Executes each request, or injects the fault that ``X-Fault`` names.
 
     A fault that ends with ``@NAME`` applies only to the target of that name.
     ``abandoned_attempts`` lists the attempts whose connection was closed by
     the instance before the answer was complete; ``received_attempts`` lists
-    all that reached the target, rejected ones included. Fault ``turned-away``
+    all that reached the target, rejected ones included, and ``arrivals`` when
+    they did. While ``retry_after_values`` has any, each request is turned away
+    with the next of them, and the last one is kept. Fault ``turned-away``
     rejects the request as full. Fault ``leaving`` answers whole and says that
     the target leaves, ``leaving-turned-away`` says it in a rejection and
     ``leaving-foreign`` in an answer to another attempt. Faults ``pause`` and
@@ -87,6 +102,8 @@
         self.is_open = True
         self.abandoned_attempts: list[str] = []
         self.received_attempts: list[str] = []
+        self.arrivals: list[TargetArrival] = []
+        self.retry_after_values: list[str] = []
         self._runs = runs
         self._event_count = event_count
         self._may_write = gevent.event.Event()
@@ -127,12 +144,13 @@
         if expected != self.name or version != MODEL_VERSION:
             self._send_answer(request, sock, 421, b'', stamp='')
             return True
+        if self.retry_after_values:
+            self._ask_for_pause(attempt, sock)
+            return True
+        self.arrivals.append(TargetArrival(attempt, time.monotonic()))
         fault = self._find_fault(request)
         if fault in REJECTION_HEADERS:
-            head = 'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0'
-            self._write(
-                sock, f'{head}\r\n{REJECTION_HEADERS[fault]}\r\n'.encode()
-            )
+            self._reject(sock, REJECTION_HEADERS[fault])
             return True
         self._runs.append(
             TargetRun(
@@ -143,6 +161,20 @@
             return FAULT_HANDLERS[fault](self, request, sock)
         return self._send_whole_answer(request, sock)
 
+    def _reject(self, sock: gevent.socket.socket, headers: str) -> None:
+        head = 'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0'
+        self._write(sock, f'{head}\r\n{headers}\r\n'.encode())
+
+    def _ask_for_pause(self, attempt: str, sock: gevent.socket.socket) -> None:
+        value = self.retry_after_values[0]
+        if len(self.retry_after_values) > 1:
+            del self.retry_after_values[0]
+        self._reject(sock, f'Retry-After: {value}\r\n')
+        # The pause counts from the answer.
+        self.arrivals.append(
+            TargetArrival(attempt, time.monotonic(), float(value))
+        )
+
     def _find_fault(self, request: IncomingRequest) -> str:
         """Return the fault that a request names for this target."""
         fault, _, faulty_target = request.header_map.get(
