Play a store that comes back from an older copy

Cause: users' new rule: in a drill the store returns from a copy some seconds old, revisions go back and are given out again, and the header Store-Era rises by one. No stand-in played it.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_store.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_store.py
@@ -5,7 +5,9 @@
 
 import base64
 import json
+import time
 from typing import Any
+from typing import NamedTuple
 import urllib.parse
 
 import gevent
@@ -16,6 +18,18 @@
 from lagoonbend_entry.testing import IncomingRequest
 
 MILLISECONDS_PER_SECOND = 1000
+MAX_COPIES = 1_000
+
+
+class _Copy(NamedTuple):
+    """All items as they were after a change.
+
+    :param copied_s: time of the change on the monotonic clock.
+    """
+
+    copied_s: float
+    revision: int
+    items: dict[str, dict[str, Any]]
 
 
 class StandinStore:
@@ -27,7 +41,7 @@
     ``mode`` is ``ok``, ``busy`` (503 to all requests), ``silent`` (no answer)
     or ``gone`` (410 to watches: the history was dropped). A watch that is
     waiting when the mode changes to ``busy`` or ``silent`` is answered 60 s
-    late.
+    late. All answers have the header ``Store-Era``.
     """
 
     def __init__(self) -> None:
@@ -35,7 +49,11 @@
         self.rejected_agent = ''
         self.call_count = 0
         self.revision = 1
+        self.era = 1
+        self._is_away = False
+        self._written: dict[str, bytes | None] = {}
         self._items: dict[str, dict[str, Any]] = {}
+        self._copies: list[_Copy] = [_Copy(time.monotonic(), 1, {})]
         self._changes: list[dict[str, Any]] = []
         self._changed_event = gevent.event.Event()
         self._server = loopback_server.LoopbackServer(self._handle_request)
@@ -47,6 +65,9 @@
 
     def put_bytes(self, key: str, value: bytes) -> None:
         """Write an item with a raw value."""
+        self._written[key] = value
+        if self._is_away:
+            return
         self.revision += 1
         item = {
             'key': key,
@@ -60,12 +81,52 @@
 
     def delete(self, key: str) -> None:
         """Delete an item."""
+        self._written[key] = None
+        if self._is_away:
+            return
         self.revision += 1
         self._items.pop(key, None)
         self._record_change(
             {'key': key, 'revision': self.revision, 'tombstone': True}
         )
 
+    def restore(self, age_s: float, away_s: float) -> None:
+        """Go away, and come back from an older copy.
+
+        What was written since, or meanwhile, is missing until ``write_again``.
+
+        :param age_s: age of the copy.
+        :param away_s: time for which all requests are rejected.
+        """
+        copied_s = time.monotonic() - age_s
+        copy = next(
+            (c for c in reversed(self._copies) if c.copied_s <= copied_s),
+            self._copies[0],
+        )
+        self._is_away = True
+        gevent.sleep(away_s)
+        self._is_away = False
+        self.era += 1
+        self.revision = copy.revision
+        self._items = dict(copy.items)
+        self._changes = [
+            change
+            for change in self._changes
+            if change['revision'] <= copy.revision
+        ]
+        self._copies = [c for c in self._copies if c.revision <= copy.revision]
+        self._wake_watches()
+
+    def write_again(self) -> None:
+        """Write what the operator and the servers wrote and is missing."""
+        for key, value in list(self._written.items()):
+            item = self._items.get(key)
+            kept = item and base64.b64decode(item['value'])
+            if value is None and item is not None:
+                self.delete(key)
+            elif value is not None and value != kept:
+                self.put_bytes(key, value)
+
     def _is_rejected(self, request: IncomingRequest) -> bool:
         agent = request.header_map.get('user-agent', '')
         return bool(agent) and agent == self.rejected_agent
@@ -76,6 +137,13 @@
 
     def _record_change(self, change: dict[str, Any]) -> None:
         self._changes.append(change)
+        self._copies.append(
+            _Copy(time.monotonic(), self.revision, dict(self._items))
+        )
+        del self._copies[:-MAX_COPIES]
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self._changed_event.set()
         self._changed_event = gevent.event.Event()
 
@@ -86,16 +154,16 @@
         if self.mode == 'silent':
             gevent.sleep(60)
             return False
-        if self.mode == 'busy' or self._is_rejected(request):
+        is_busy = self._is_away or self.mode == 'busy'
+        if is_busy or self._is_rejected(request):
             self._send_answer(sock, 503, {})
             return True
         path, _, query = request.path.partition('?')
         query_fields = dict(urllib.parse.parse_qsl(query))
         if path.endswith('kv-range'):
             self._send_range(sock, query_fields)
-        else:
-            self._send_changes(sock, query_fields)
-        return True
+            return True
+        return self._send_changes(sock, query_fields)
 
     def _send_range(
         self, sock: gevent.socket.socket, query_fields: dict[str, str]
@@ -115,31 +183,40 @@
 
     def _send_changes(
         self, sock: gevent.socket.socket, query_fields: dict[str, str]
-    ) -> None:
-        if self.mode == 'gone':
-            self._send_answer(sock, 410, {})
-            return
+    ) -> bool:
         after_revision = int(query_fields['after'])
+        if self.mode == 'gone' or after_revision > self.revision:
+            self._send_answer(sock, 410, {})
+            return True
+        era = self.era
         events = self._find_changes_after(after_revision)
         if not events:
             wait_s = int(query_fields['wait-ms']) / MILLISECONDS_PER_SECOND
             self._changed_event.wait(wait_s)
             if self.mode in ('busy', 'silent'):
                 gevent.sleep(60)
+            if self.era != era:
+                return False
             events = self._find_changes_after(after_revision)
         self._send_answer(
             sock, 200, {'events': events, 'as-of': self.revision}
         )
+        return True
 
     def _find_changes_after(self, after_revision: int) -> list[dict[str, Any]]:
         return [
             item for item in self._changes if item['revision'] > after_revision
         ]
 
-    @staticmethod
     def _send_answer(
-        sock: gevent.socket.socket, status: int, body: dict[str, Any]
+        self,
+        sock: gevent.socket.socket,
+        status: int,
+        body: dict[str, Any],
     ) -> None:
         content = json.dumps(body).encode()
-        head = f'HTTP/1.1 {status} X\r\nContent-Length: {len(content)}\r\n\r\n'
+        head = (
+            f'HTTP/1.1 {status} X\r\nStore-Era: {self.era}\r\n'
+            f'Content-Length: {len(content)}\r\n\r\n'
+        )
         sock.sendall(head.encode() + content)
