Order facts by the store's era, then by revision

Cause: after the store's return from an older copy its revisions are lower than the known one, and given out again. Facts were compared by revision alone.

Ruled out: era and revision in one number, which instances of earlier versions would watch from; to discard proofs of the era before, which refuses calls with keys without need; to count reads of the new era at once, which admits keys whose revocation the copy lacks.

Change: Store-Era is read from all answers. A newer era leads to a listing before the next watch; answers of an earlier one are discarded. The configuration in force counts by its version, also among peers, whose pongs state it. Departures of targets hold for their life. Registrations that the copy lacks have 2 s; reads in these 2 s prove nothing. New fields of messages are optional.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -16,6 +16,7 @@
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend.scheduling import SlotRequest
+from lagoonbend_entry._internal.coordination import facts_exchange
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import origin_exchange
 from lagoonbend_entry._internal.coordination import wire_codec
@@ -132,6 +133,7 @@
             facts.find_only_version,
             lambda service: len(facts.list_versions(service)) > 1,
         )
+        self._facts_exchange = facts_exchange.FactsExchange(facts, clock)
         self.peers = PeerService(
             fleet,
             facts,
@@ -140,6 +142,7 @@
             (self.pool_schedulers, self._fallback_schedulers),
             incarnation,
             self.origins,
+            self._facts_exchange,
         )
         facts.on_change.append(self.origins.apply_facts)
         facts.on_change.append(self.pool_schedulers.apply_facts)
@@ -475,7 +478,7 @@
             case messages.Pong():
                 self._handle_pong(link, message)
             case messages.Items():
-                self._handle_items(message)
+                self._facts_exchange.handle_items(message)
             case messages.Queued():
                 pending = self._pending.get(message.call)
                 if pending is not None:
@@ -534,27 +537,9 @@
                 failure_domain=pong.failure_domain,
                 uptime_ms=pong.uptime_ms,
             )
-        item_cache = self._facts.item_cache
-        if pong.revision > item_cache.complete_revision:
-            link.send(
-                messages.ItemsWanted(
-                    self._clock.now_ms(), item_cache.complete_revision
-                )
-            )
-        elif pong.proof_age_ms is not None:
-            item_cache.mark_verified(
-                pong.revision, pong.sent_ms - pong.proof_age_ms
-            )
-
-    def _handle_items(self, message: messages.Items) -> None:
-        if message.proof_age_ms is None:
-            return
-        self._facts.apply_changes(
-            wire_codec.decode_items(message),
-            message.revision,
-            message.sent_ms - message.proof_age_ms,
-            'peer',
-        )
+        wanted = self._facts_exchange.handle_pong(pong)
+        if wanted is not None:
+            link.send(wanted)
 
     def _report_held_slots(self, link: PeerLink) -> None:
         """Report the slots in use to a decider whose link has opened."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/facts_exchange.py
@@ -0,0 +1,68 @@
+"""Passes published items on between instances."""
+
+from lagoonbend.clock import Clock
+from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.coordination import wire_codec
+from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+
+
+class FactsExchange:
+    """Decides which items are requested, sent and used.
+
+    The configuration in force counts by its version, all else by era and
+    revision. Peers of earlier versions state no era: their items are used
+    only while none is known here.
+
+    :param facts: facts of this instance.
+    :param clock: clock of this instance.
+    """
+
+    def __init__(self, facts: FactsCache, clock: Clock) -> None:
+        self._facts = facts
+        self._clock = clock
+
+    def handle_pong(self, pong: messages.Pong) -> messages.ItemsWanted | None:
+        """Use the proof of a heartbeat, or return a request for its items."""
+        item_cache = self._facts.item_cache
+        if (
+            pong.era,
+            pong.revision,
+        ) > item_cache.position or pong.rules_version > self._facts.version:
+            return messages.ItemsWanted(
+                self._clock.now_ms(),
+                item_cache.complete_revision,
+                item_cache.era,
+                self._facts.version,
+            )
+        if pong.proof_age_ms is not None:
+            item_cache.mark_verified(
+                pong.revision, pong.sent_ms - pong.proof_age_ms, pong.era
+            )
+        return None
+
+    def build_answer(self, wanted: messages.ItemsWanted) -> messages.Items:
+        """Return the items that a peer has requested."""
+        item_cache = self._facts.item_cache
+        items = item_cache.list_since(wanted.since, wanted.era)
+        rules_item = self._facts.rules_item
+        if (
+            wanted.rules_version is not None
+            and wanted.rules_version < self._facts.version
+            and rules_item is not None
+            and rules_item not in items
+        ):
+            items.append(rules_item)
+        return wire_codec.encode_items(
+            wanted, items, item_cache.position, self._facts.age_ms()
+        )
+
+    def handle_items(self, message: messages.Items) -> None:
+        """Apply the items that a peer has sent."""
+        if message.proof_age_ms is None:
+            return
+        self._facts.apply_peer_items(
+            wire_codec.decode_items(message),
+            message.revision,
+            message.sent_ms - message.proof_age_ms,
+            message.era,
+        )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from lagoonbend.facts import NO_ERA
+
 PROTOCOL_VERSION = 1
 
 
@@ -52,7 +54,9 @@
     ``sent_ms`` is copied from the ping, so that the receiver counts the age of
     the contents from its own ping and by its own clock. ``keeps_origins`` is
     True if the instance understands messages on the origins of streams; the
-    field is missing in pongs of earlier versions, which ignore it.
+    field is missing in pongs of earlier versions, which ignore it. So are the
+    era to which ``revision`` belongs and the version of the configuration in
+    force.
     """
 
     sent_ms: int
@@ -67,13 +71,21 @@
     proof_age_ms: int | None
     used: dict[str, float]
     keeps_origins: bool = False
+    era: int = NO_ERA
+    rules_version: int = 0
 
 
 class ItemsWanted(Message):
-    """Requests the published items newer than a revision."""
+    """Requests the published items newer than a revision of an era.
+
+    If the receiver has a configuration of a version above ``rules_version``,
+    it sends that too. Earlier versions name no era and no version.
+    """
 
     sent_ms: int
     since: int
+    era: int | None = None
+    rules_version: int | None = None
 
 
 class WireItem(msgspec.Struct, array_like=True):
@@ -82,6 +94,7 @@
     key: str
     revision: int
     value: bytes | None
+    era: int = NO_ERA
 
 
 class Items(Message):
@@ -91,6 +104,7 @@
     items: list[WireItem]
     revision: int
     proof_age_ms: int | None
+    era: int = NO_ERA
 
 
 class WirePart(msgspec.Struct, array_like=True):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -6,6 +6,7 @@
 from lagoonbend.exceptions import PeerError
 from lagoonbend.facts import CustomerRule
 from lagoonbend.scheduling import SlotOutcome
+from lagoonbend_entry._internal.coordination import facts_exchange
 from lagoonbend_entry._internal.coordination import message_channel
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import origin_exchange
@@ -30,6 +31,7 @@
         for, and those that it uses while no decider answers.
     :param incarnation: identity of this start of the process.
     :param origins: origins of streams.
+    :param exchange: published items for peers.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         all_schedulers: tuple[PoolSchedulers, PoolSchedulers],
         incarnation: str,
         origins: origin_exchange.OriginExchange,
+        exchange: facts_exchange.FactsExchange,
     ) -> None:
         self._fleet = fleet
         self._facts = facts
@@ -50,6 +53,7 @@
         self._all_schedulers = all_schedulers
         self._incarnation = incarnation
         self._origins = origins
+        self._facts_exchange = exchange
         self._channels: dict[str, message_channel.MessageChannel] = {}
 
     def send(self, address: str, message: messages.Message) -> None:
@@ -107,7 +111,7 @@
             case messages.Ping():
                 channel.send(self._make_pong(message))
             case messages.ItemsWanted():
-                channel.send(self._make_items(message))
+                channel.send(self._facts_exchange.build_answer(message))
             case messages.Ask():
                 self._handle_ask(peer, channel, message)
             case messages.Withdraw():
@@ -185,6 +189,8 @@
             self._facts.age_ms(),
             self._sum_used_units() if ping.wants_news else {},
             keeps_origins=True,
+            era=self._facts.item_cache.era,
+            rules_version=self._facts.version,
         )
 
     def _sum_used_units(self) -> dict[str, float]:
@@ -193,12 +199,3 @@
             for customer, units in schedulers.limits.get_used_units().items():
                 used[customer] = used.get(customer, 0.0) + units
         return used
-
-    def _make_items(self, message: messages.ItemsWanted) -> messages.Items:
-        item_cache = self._facts.item_cache
-        return wire_codec.encode_items(
-            message,
-            item_cache.list_since(message.since),
-            item_cache.complete_revision,
-            self._facts.age_ms(),
-        )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
@@ -138,22 +138,24 @@
 def encode_items(
     wanted: messages.ItemsWanted,
     items: Iterable[PublishedItem],
-    revision: int,
+    position: tuple[int, int],
     proof_age_ms: int | None,
 ) -> messages.Items:
     """Return the message that carries published items."""
+    era, revision = position
     return messages.Items(
         wanted.sent_ms,
         [messages.WireItem(*item) for item in items],
         revision,
         proof_age_ms,
+        era,
     )
 
 
 def decode_items(message: messages.Items) -> list[PublishedItem]:
     """Return the published items of a message."""
     return [
-        PublishedItem(item.key, item.revision, item.value)
+        PublishedItem(item.key, item.revision, item.value, item.era)
         for item in message.items
     ]
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -9,6 +9,7 @@
 from lagoonbend.facts import CallerBounds
 from lagoonbend.facts import ItemCache
 from lagoonbend.facts import ListedTarget
+from lagoonbend.facts import NO_ERA
 from lagoonbend.facts import PublishedItem
 from lagoonbend.facts import RuleSet
 from lagoonbend.facts import TargetDirectory
@@ -27,6 +28,10 @@
 MAX_CLOCK_ERROR_MS = 5_000
 """Difference between two clocks' times of day that is allowed for; the users'
 machines may jump by some seconds."""
+REWRITE_MS = 2_000
+"""Time after the return of a store from an older copy within which what its
+writers wrote is written again. Reads in this time don't prove that the facts
+are the newest."""
 
 
 def read_time_of_day_ms() -> int:
@@ -37,6 +42,11 @@
 class FactsCache:
     """Caches published items and the rules and targets decoded from them.
 
+    A store that comes back from an older copy begins a new era. Its listing
+    replaces the items, but the rules in force are replaced only by a higher
+    version: while the copy has a lower one, they keep their place among the
+    items that peers receive.
+
     The callbacks in ``on_change`` run after each change.
 
     :param clock: clock that also advances while the machine is suspended.
@@ -62,6 +72,8 @@
         self._decode_rules = decode_rules
         self._rules_key = rules_key
         self._read_time_of_day_ms = read_time_of_day_ms
+        self._rules_value: bytes | None = None
+        self._settled_ms: int | None = None
 
     @property
     def bounds(self) -> CallerBounds:
@@ -73,6 +85,17 @@
         """Version of the current configuration; 0 if there is none."""
         return self.rules.version if self.rules else 0
 
+    @property
+    def is_settling(self) -> bool:
+        """True while the store may still lack what is written again."""
+        settled_ms = self._settled_ms
+        return settled_ms is not None and self._clock.now_ms() < settled_ms
+
+    @property
+    def rules_item(self) -> PublishedItem | None:
+        """The item with the configuration in force, or else its removal."""
+        return self.item_cache.find(self._rules_key)
+
     def age_ms(self) -> int | None:
         """Return the time since the facts were last confirmed as current."""
         return self.item_cache.age_ms(self._clock.now_ms())
@@ -104,6 +127,9 @@
         age_ms = self.age_ms()
         if version is None or age_ms is None or age_ms >= MAX_VERSIONS_AGE_MS:
             return ''
+        if self.is_settling:
+            # Targets of other versions may not be listed again yet.
+            return ''
         now_ms = self._clock.now_ms()
         last_start_ms = self.target_directory.find_last_start_ms(service)
         is_known = self.target_directory.knows_since(now_ms, longest_ms) or (
@@ -114,22 +140,55 @@
         return version if is_known else ''
 
     def apply_listing(
-        self, items: Iterable[PublishedItem], revision: int, at_ms: int
+        self,
+        items: Iterable[PublishedItem],
+        revision: int,
+        at_ms: int,
+        era: int = NO_ERA,
     ) -> None:
         """Apply a complete listing that was requested at ``at_ms``."""
-        self._apply(self.item_cache.replace('', items, revision), 'listing')
-        self.item_cache.mark_verified(revision, at_ms)
+        self._apply_all(list(items), (era, revision), 'listing')
+        self._confirm((era, revision), at_ms)
 
     def apply_changes(
         self,
         items: Iterable[PublishedItem],
         revision: int,
         at_ms: int,
-        source: str,
+        era: int = NO_ERA,
+    ) -> None:
+        """Apply all changes up to a revision that was current at ``at_ms``.
+
+        Of another era than the known one only the configuration counts, if it
+        has a higher version.
+        """
+        if era == self.item_cache.era:
+            self._apply_changed(list(items), 'watch')
+            self._confirm((era, revision), at_ms)
+        else:
+            self._apply_rules_only(items, 'watch')
+
+    def apply_peer_items(
+        self,
+        items: Iterable[PublishedItem],
+        revision: int,
+        at_ms: int,
+        era: int = NO_ERA,
     ) -> None:
-        """Apply all changes up to a revision that was current at ``at_ms``."""
-        self._apply(self.item_cache.merge(items), source)
-        self.item_cache.mark_verified(revision, at_ms)
+        """Apply what a peer has sent, as it was current at ``at_ms``.
+
+        A peer of a newer era has sent all of that era.
+        """
+        if era > self.item_cache.era:
+            newest = [item for item in items if item.era == era]
+            self._apply_all(newest, (era, revision), 'peer')
+        elif era == self.item_cache.era:
+            self._apply_changed(list(items), 'peer')
+        else:
+            self._apply_rules_only(items, 'peer')
+            return
+        # The peer has proven this itself.
+        self.item_cache.mark_verified(revision, at_ms, era)
 
     def expire(self) -> None:
         """Remove targets whose registration lapsed in an outage for good."""
@@ -138,17 +197,108 @@
         if self.target_directory.change_count != before:
             self._notify()
 
-    def _apply(self, updates: list[PublishedItem], source: str) -> None:
+    def _confirm(self, position: tuple[int, int], at_ms: int) -> None:
+        """Record the time for which the store confirms the facts."""
+        era, revision = position
+        is_settled = self._settled_ms is None or at_ms >= self._settled_ms
+        self.item_cache.mark_verified(
+            revision, at_ms if is_settled else None, era
+        )
+
+    def _apply_all(
+        self,
+        items: list[PublishedItem],
+        position: tuple[int, int],
+        source: str,
+    ) -> None:
+        """Apply all items of an era, unless a newer era is known."""
+        era, revision = position
+        if era < self.item_cache.era:
+            self._apply_rules_only(items, source)
+            return
+        if era > self.item_cache.era:
+            self._begin_era(era, source)
+            is_listed = any(item.key == self._rules_key for item in items)
+            if self._rules_value is not None and not is_listed:
+                items.append(
+                    PublishedItem(
+                        self._rules_key, revision, self._rules_value, era
+                    )
+                )
+        rules = self.rules
+        self._take_rules(items, source)
+        updates = self.item_cache.replace('', items, revision, era)
+        self._apply(updates, source, has_rules=self.rules is not rules)
+
+    def _apply_changed(self, items: list[PublishedItem], source: str) -> None:
+        rules = self.rules
+        self._take_rules(items, source)
+        updates = self.item_cache.merge(items)
+        self._apply(updates, source, has_rules=self.rules is not rules)
+
+    def _apply_rules_only(
+        self, items: Iterable[PublishedItem], source: str
+    ) -> None:
+        rules = self.rules
+        self._take_rules(items, source)
+        self._apply([], source, has_rules=self.rules is not rules)
+
+    def _begin_era(self, era: int, source: str) -> None:
+        before = self.item_cache.era
+        if before == NO_ERA:
+            return
+        now_ms = self._clock.now_ms()
+        log_event(
+            Event.STORE_ERA_CHANGED,
+            source=source,
+            era=era,
+            before=before,
+            revision=self.item_cache.complete_revision,
+            version=self.version,
+            age_ms=self.age_ms(),
+        )
+        self.target_directory.record_outage_end(now_ms)
+        self._settled_ms = now_ms + REWRITE_MS
+
+    def _take_rules(self, items: Iterable[PublishedItem], source: str) -> None:
+        """Apply a configuration of a higher version, whatever its era."""
+        for item in items:
+            if (
+                item.key == self._rules_key
+                and item.value is not None
+                and item.value != self._rules_value
+            ):
+                self._apply_rules(item, item.value, source)
+
+    def _keep_rules_item(self) -> None:
+        """Let the rules in force take the place of a lower version."""
+        known = self.rules_item
+        value = self._rules_value
+        if known is None and value is not None:
+            era, revision = self.item_cache.position
+            self.item_cache.put(
+                PublishedItem(self._rules_key, revision, value, era)
+            )
+        elif known is not None and None not in (known.value, value):
+            self.item_cache.put(known._replace(value=value))
+
+    def _apply(
+        self, updates: list[PublishedItem], source: str, *, has_rules: bool
+    ) -> None:
+        self._keep_rules_item()
         if not updates:
+            if has_rules:
+                self._notify()
             return
         for item in updates:
-            if item.key == self._rules_key:
-                self._apply_rules(item, source)
+            if item.key == self._rules_key and item.value is None:
+                self._log_rejected(item, 'removed')
         now_ms = self._clock.now_ms()
         self.target_directory.apply(updates, now_ms)
         log_event(
             Event.FACTS_CHANGED,
             source=source,
+            era=updates[0].era,
             revision=max(item.revision for item in updates),
             items=len(updates),
             removed=sum(item.value is None for item in updates),
@@ -158,20 +308,13 @@
         )
         self._notify()
 
-    def _apply_rules(self, item: PublishedItem, source: str) -> None:
-        if item.value is None:
-            log_event(
-                Event.RULES_REJECTED, reason='removed', revision=item.revision
-            )
-            return
+    def _apply_rules(
+        self, item: PublishedItem, value: bytes, source: str
+    ) -> None:
         try:
-            rules = self._decode_rules(item.value)
+            rules = self._decode_rules(value)
         except DocumentError as error:
-            log_event(
-                Event.RULES_REJECTED,
-                reason=str(error),
-                revision=item.revision,
-            )
+            self._log_rejected(item, str(error))
             return
         if rules.version <= self.version:
             return
@@ -180,6 +323,7 @@
             version=rules.version,
             before=self.version,
             source=source,
+            era=item.era,
             revision=item.revision,
             customers=[
                 f'{rule.name} {rule.rank} {rule.rate_per_s:.0f}'
@@ -187,6 +331,16 @@
             ],
         )
         self.rules = rules
+        self._rules_value = value
+
+    @staticmethod
+    def _log_rejected(item: PublishedItem, reason: str) -> None:
+        log_event(
+            Event.RULES_REJECTED,
+            reason=reason,
+            era=item.era,
+            revision=item.revision,
+        )
 
     def _notify(self) -> None:
         for notify in self.on_change:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
@@ -9,6 +9,7 @@
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.platform.store_client import HistoryLostError
 from lagoonbend_entry._internal.platform.store_client import StoreClient
+from lagoonbend_entry._internal.platform.store_codec import ItemsPage
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
@@ -83,38 +84,49 @@
 
     def _read_store(self) -> None:
         sent_ms = self._clock.now_ms()
-        if self._needs_listing:
-            self._list_all(sent_ms)
+        era, revision = self._facts.item_cache.position
+        if self._needs_listing or self._client.newest_era > era:
+            self._list_all(sent_ms, era)
             self._needs_listing = False
             return
         wait_ms = self._watch_wait_ms
-        page = self._client.watch(
-            '', self._facts.item_cache.complete_revision, wait_ms
-        )
+        page = self._client.watch('', revision, wait_ms)
+        _check_era(page, era)
         self._record_success()
+        if page.era > era:
+            # The revision has another meaning there; all is listed next.
+            return
         verified_ms = sent_ms
         if not page.items and self._clock.now_ms() - sent_ms >= wait_ms:
             # The store sends an empty answer only once the wait is over, so it
             # confirms the facts for that time.
             verified_ms += wait_ms
         self._facts.apply_changes(
-            page.items, page.revision, verified_ms, 'watch'
+            page.items, page.revision, verified_ms, page.era
         )
         self._watch_wait_ms = (
-            SHORT_WATCH_WAIT_MS if page.items else WATCH_WAIT_MS
+            SHORT_WATCH_WAIT_MS
+            if page.items or self._facts.is_settling
+            else WATCH_WAIT_MS
         )
         if page.items:
             _sleep(PAUSE_AFTER_CHANGES_MS)
 
-    def _list_all(self, sent_ms: int) -> None:
+    def _list_all(self, sent_ms: int, known_era: int) -> None:
         page = self._client.list_items('', '')
-        revision = page.revision
+        era, revision = page.era, page.revision
         items = list(page.items)
         while page.has_more and page.items:
             page = self._client.list_items('', page.items[-1].key)
+            if page.era != era:
+                raise HistoryLostError(
+                    f'era {page.era} within a listing of era {era}',
+                    context='platform service',
+                )
             items.extend(page.items)
+        _check_era(page, known_era)
         self._record_success()
-        self._facts.apply_listing(items, revision, sent_ms)
+        self._facts.apply_listing(items, revision, sent_ms, era)
 
     def _record_success(self) -> None:
         self._retry_ms = MIN_RETRY_MS
@@ -122,21 +134,38 @@
             return
         self.is_store_reachable = True
         if self._has_reached_store:
-            log_event(Event.PLATFORM_BACK, age_ms=self._facts.age_ms())
+            log_event(
+                Event.PLATFORM_BACK,
+                era=self._client.newest_era,
+                age_ms=self._facts.age_ms(),
+            )
             self._facts.target_directory.record_outage_end(
                 self._clock.now_ms()
             )
         self._has_reached_store = True
 
     def _record_failure(self, error: PlatformError) -> None:
+        # A store that has come back is recognised by its answer.
+        self._watch_wait_ms = SHORT_WATCH_WAIT_MS
         if self.is_store_reachable:
             self.is_store_reachable = False
             log_event(
                 Event.PLATFORM_LOST,
                 reason=str(error),
+                era=self._facts.item_cache.era,
+                revision=self._facts.item_cache.complete_revision,
                 age_ms=self._facts.age_ms(),
             )
 
 
+def _check_era(page: ItemsPage, known_era: int) -> None:
+    """Raise PlatformError for an answer of an earlier era."""
+    if page.era < known_era:
+        raise PlatformError(
+            f'answer of era {page.era}, after era {known_era}',
+            context='platform service',
+        )
+
+
 def _sleep(span_ms: int) -> None:
     gevent.sleep(span_ms / MILLISECONDS_PER_SECOND)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_closure.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_closure.py
@@ -14,11 +14,5 @@
     target: ListedTarget
 
     def covers(self, listed: ListedTarget) -> bool:
-        """Return True if a registration is of the life that is closed.
-
-        A registration with an earlier start is an older copy of it.
-        """
-        known = self.target
-        if listed.born_ms is not None and known.born_ms is not None:
-            return listed.born_ms <= known.born_ms
-        return (listed.ip, listed.port) == (known.ip, known.port)
+        """Return True if a registration is of the life that is closed."""
+        return listed.is_same_life(self.target)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -22,6 +22,7 @@
 HEADER_NOT_RUN = 'not-executed'
 HEADER_STAMP = 'server-stamp'
 HEADER_LEAVING = 'server-leaving'
+HEADER_STORE_ERA = 'store-era'
 
 HEADERS_SET_BY_INSTANCES = frozenset(
     (
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
@@ -5,11 +5,13 @@
 
 from lagoonbend.exceptions import NetworkError
 from lagoonbend.exceptions import PlatformError
+from lagoonbend.facts import NO_ERA
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.target_connection import encode_request
 from lagoonbend_entry._internal.platform import names
 from lagoonbend_entry._internal.platform.store_codec import decode_changes
+from lagoonbend_entry._internal.platform.store_codec import decode_era
 from lagoonbend_entry._internal.platform.store_codec import decode_listing
 from lagoonbend_entry._internal.platform.store_codec import ItemsPage
 
@@ -40,6 +42,8 @@
     :param name: name of the instance, sent as User-Agent.
     :param timeout_ms: maximum time to connect, and to wait for an answer
         beyond the time for which a watch is held open.
+
+    ``newest_era`` is the newest era in any answer, whatever its status.
     """
 
     def __init__(
@@ -50,6 +54,7 @@
         self._timeout_ms = timeout_ms
         self._connection: target_connection.TargetConnection | None = None
         self.call_count = 0
+        self.newest_era = NO_ERA
 
     def close(self) -> None:
         """Close the connection."""
@@ -66,7 +71,7 @@
         query = {'prefix': prefix}
         if after_key:
             query['after'] = after_key
-        return decode_listing(self._call(names.RANGE_PATH, query, 0))
+        return decode_listing(*self._call(names.RANGE_PATH, query, 0))
 
     def watch(self, prefix: str, revision: int, wait_ms: int) -> ItemsPage:
         """Wait for changes after a revision and return them.
@@ -82,15 +87,17 @@
             'wait-ms': str(wait_ms),
         }
         try:
-            body = self._call(names.WATCH_PATH, query, wait_ms)
+            body, era = self._call(names.WATCH_PATH, query, wait_ms)
         except PageTooLargeError as error:
             # The same watch would fail again; a listing has smaller pages.
             raise HistoryLostError(
                 error.message, context=names.WATCH_PATH
             ) from error
-        return decode_changes(body)
+        return decode_changes(body, era)
 
-    def _call(self, path: str, query: dict[str, str], wait_ms: int) -> bytes:
+    def _call(
+        self, path: str, query: dict[str, str], wait_ms: int
+    ) -> tuple[bytes, int]:
         self.call_count += 1
         try:
             return self._exchange(path, query, wait_ms)
@@ -105,7 +112,7 @@
 
     def _exchange(
         self, path: str, query: dict[str, str], wait_ms: int
-    ) -> bytes:
+    ) -> tuple[bytes, int]:
         if self._connection is None or not self._connection.is_quiet():
             self.close()
             self._connection = target_connection.TargetConnection.connect(
@@ -121,6 +128,8 @@
             encode_request('GET', full_path, headers, b''), self._timeout_ms
         )
         answer = connection.read_head(wait_ms + self._timeout_ms)
+        era = decode_era(answer.header_map)
+        self.newest_era = max(self.newest_era, era)
         body = self._read_body(connection, answer, path)
         if not connection.is_reusable or not answer.keeps_connection:
             self.close()
@@ -131,7 +140,7 @@
             )
         if answer.status != HTTP_OK:
             raise PlatformError(f'status {answer.status}', context=path)
-        return body
+        return body, era
 
     def _read_body(
         self,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -104,6 +104,11 @@
         'error',
         'A published configuration could not be used.',
     )
+    STORE_ERA_CHANGED = (
+        'LB0510',
+        'warning',
+        'The store has come back from an older copy.',
+    )
     PEER_REACHED = ('LB0600', 'info', 'A peer answers.')
     PEER_LOST = ('LB0601', 'warning', 'The link to a peer is lost.')
     PEER_REJECTED = (
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
@@ -28,3 +28,12 @@
     is_leaving: bool
     software_version: str | None = None
     born_ms: int | None = None
+
+    def is_same_life(self, known: 'ListedTarget') -> bool:
+        """Return True if this registers a known life of the target.
+
+        A registration with an earlier start is an older copy of it.
+        """
+        if self.born_ms is not None and known.born_ms is not None:
+            return self.born_ms <= known.born_ms
+        return (self.ip, self.port) == (known.ip, known.port)
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/published_item.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/published_item.py
@@ -2,6 +2,9 @@
 
 from typing import NamedTuple
 
+NO_ERA = -1
+"""Era of a store, or a peer, that states none; older than any other."""
+
 
 class PublishedItem(NamedTuple):
     """The newest state of a key of the platform, or its removal.
@@ -11,8 +14,16 @@
     :param key: key of the item.
     :param revision: revision of its last change.
     :param value: content in bytes; None if the item was removed.
+    :param era: era of the store in which the item was read; revisions of
+        different eras have no order.
     """
 
     key: str
     revision: int
     value: bytes | None
+    era: int = NO_ERA
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and revision, by which the states of an item are ordered."""
+        return (self.era, self.revision)
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from lagoonbend._internal.facts.departures import Departures
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.published_item import PublishedItem
 
@@ -10,6 +11,10 @@
 """Time after an outage of the platform for which a target whose registration
 is missing stays usable. Registrations that lapsed during the outage are
 renewed within about two seconds of its end."""
+RETURNED_ENTRY_MS = 4 * LAPSE_GRACE_MS
+"""Time for which a target that was removed isn't used if an older copy of the
+store brings its registration back. The platform removes it again after three
+heartbeats of silence; live servers have sent one within ``LAPSE_GRACE_MS``."""
 
 
 class TargetDirectory:
@@ -17,7 +22,8 @@
 
     An entry that is removed while the platform is available is dropped at
     once. One that is missing just after an outage may belong to a live target
-    whose registration lapsed, and stays usable for ``LAPSE_GRACE_MS``.
+    whose registration lapsed, and stays usable for ``LAPSE_GRACE_MS``. A later
+    era of the store doesn't undo that a target leaves or is gone.
 
     :param decode: decodes an item; returns None if it describes no target.
     """
@@ -30,6 +36,9 @@
         self._by_service: dict[str, tuple[ListedTarget, ...]] = {}
         self._usable: dict[str, ListedTarget] = {}
         self._lapsed_until_ms: dict[str, int] = {}
+        self._lapsed_eras: dict[str, int] = {}
+        self._returned_until_ms: dict[str, int] = {}
+        self._departures = Departures()
         self._outage_ended_ms: int | None = None
         self._versions: dict[str, set[str | None]] = {}
         self._gone_versions: dict[str, dict[str | None, int]] = {}
@@ -52,16 +61,20 @@
         self._rebuild(now_ms)
 
     def expire(self, now_ms: int) -> None:
-        """Remove lapsed targets that did not register again in time."""
-        expired = [
-            name
-            for name, end_ms in self._lapsed_until_ms.items()
-            if now_ms >= end_ms
-        ]
+        """Remove lapsed targets that did not register again in time.
+
+        Use those again that an older copy brought back and that are alive.
+        """
+        expired = _pop_expired(self._lapsed_until_ms, now_ms)
         for name in expired:
-            del self._lapsed_until_ms[name]
-            self._targets.pop(name, None)
-        if expired:
+            target = self._targets.pop(name)
+            self._departures.record(name, target, self._lapsed_eras[name])
+        returned = _pop_expired(self._returned_until_ms, now_ms)
+        for name in returned:
+            self._targets[name] = self._targets[name]._replace(
+                is_leaving=False
+            )
+        if expired or returned:
             self._rebuild(now_ms)
 
     def find(self, name: str) -> ListedTarget | None:
@@ -137,10 +150,12 @@
             target = self._decode(item)
             self._lapsed_until_ms.pop(name, None)
             if target is None:
+                self._returned_until_ms.pop(name, None)
                 self._targets.pop(name, None)
             else:
-                self._targets[name] = target
+                self._targets[name] = self._restrict(target, item, now_ms)
             return
+        self._returned_until_ms.pop(name, None)
         known = self._targets.get(name)
         if known is None:
             return
@@ -152,8 +167,30 @@
         )
         if is_lapse and ended_ms is not None:
             self._lapsed_until_ms[name] = ended_ms + LAPSE_GRACE_MS
-        else:
-            del self._targets[name]
+            self._lapsed_eras[name] = item.era
+            return
+        if not known.is_leaving:
+            self._departures.record(name, known, item.era)
+        del self._targets[name]
+
+    def _restrict(
+        self, target: ListedTarget, item: PublishedItem, now_ms: int
+    ) -> ListedTarget:
+        """Return a registered target, as leaving if it may not be used."""
+        name = item.key
+        was_returned = self._returned_until_ms.pop(name, None) is not None
+        departed = self._departures.find(target, item)
+        if target.is_leaving:
+            self._departures.record(name, target, item.era)
+            return target
+        if departed is None:
+            return target
+        if not departed.is_leaving:
+            if was_returned:
+                # Only the first registration may be that of the copy.
+                return target
+            self._returned_until_ms[name] = now_ms + RETURNED_ENTRY_MS
+        return target._replace(is_leaving=True)
 
     def _rebuild(self, now_ms: int) -> None:
         self.change_count += 1
@@ -169,3 +206,10 @@
         self._by_service = {
             service: tuple(targets) for service, targets in by_service.items()
         }
+
+
+def _pop_expired(until_ms: dict[str, int], now_ms: int) -> list[str]:
+    expired = [name for name, end_ms in until_ms.items() if now_ms >= end_ms]
+    for name in expired:
+        del until_ms[name]
+    return expired
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -4,6 +4,7 @@
 from lagoonbend._internal.facts.customer_rule import CustomerRule
 from lagoonbend._internal.facts.item_cache import ItemCache
 from lagoonbend._internal.facts.listed_target import ListedTarget
+from lagoonbend._internal.facts.published_item import NO_ERA
 from lagoonbend._internal.facts.published_item import PublishedItem
 from lagoonbend._internal.facts.route import Route
 from lagoonbend._internal.facts.ruleset import RuleSet
@@ -20,6 +21,7 @@
     'CustomerRule',
     'ItemCache',
     'ListedTarget',
+    'NO_ERA',
     'PublishedItem',
     'Route',
     'RuleSet',
--- a/tests/unit/test_platform_folder.py
+++ b/tests/unit/test_platform_folder.py
@@ -20,7 +20,7 @@
 PLATFORM_NAMES = re.compile(
     r"""['"/](attempt-id|deadline-ms|expect-instance|server-stamp|prefix-hash
     |token-usage|not-executed|server-load|length-hint|kv-\w+|readyz
-    |route-kind|weighted-services|api-keys|rate-per-s|uncached-tokens
+    |route-kind|store-era|server-leaving|weighted-services|api-keys|rate-per-s|uncached-tokens
     |target-latency-ms|gap-target-ms|max-attempts|heartbeat-ms
     |op/config|servers/)""",
     re.IGNORECASE | re.VERBOSE,
