Send no requests to a target that wants a pause

Cause: an instance didn't read Retry-After of a target's 503, so it sent on, and the slot was released as turned away, after which the decider kept all instances away for 150 ms.

Change: the value is decoded beside Server-Leaving (a bad one is ignored, one above 60 s is capped, both are logged at most every 10 s). TargetPauses keeps the end for that life of the target; ClosedTargets answers for leaving and pausing targets alike, so slot requests exclude both, and the check before a request is sent covers both. The slot is released as unsuited, which says nothing about health. If all targets that may still run a call pause, it is refused with targets_paused and the time left, spread; a call that waits for its slot is woken for that. Events LB0209 and LB0210.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -218,7 +218,8 @@
             )
         if self._is_stream(answer):
             return self._relay_stream(connection, answer)
-        return self._read_complete_answer(connection, answer)
+        report = self._read_complete_answer(connection, answer)
+        return report._replace(asks_for_pause=answer_facts.pause_ms > 0)
 
     def _encode_request(self) -> bytes:
         request = self._call.request
@@ -280,6 +281,14 @@
             self._connection_pool.close_idle(
                 (self._target.ip, self._target.port)
             )
+        if answer_facts.pause_ms:
+            self._closed_targets.record_pause(
+                self._target, answer_facts.pause_ms
+            )
+        if answer_facts.unused_retry_after:
+            self._closed_targets.pauses.record_unused_value(
+                self._target, answer_facts.unused_retry_after
+            )
         return answer_facts
 
     def _read_head(
@@ -360,6 +369,7 @@
             detail=f'status {answer.status}',
             is_target_absent=answer_facts.is_wrong_target
             and not self._call.headers.requires_model_version,
+            asks_for_pause=answer_facts.pause_ms > 0,
         )
 
     def _read_complete_answer(
@@ -395,8 +405,8 @@
     def _release_connection(
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> None:
-        is_closed = self._closed_targets.is_closed(self._target)
-        if answer.keeps_connection and not is_closed:
+        is_leaving = self._closed_targets.is_leaving(self._target)
+        if answer.keeps_connection and not is_leaving:
             self._connection_pool.release(connection)
         else:
             connection.close()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
@@ -17,6 +17,7 @@
     :param first_byte_ms: time to first byte; 0 if nothing arrived.
     :param detail: cause, for the log.
     :param is_target_absent: True if the target is no longer at its address.
+    :param asks_for_pause: True if the target wants no requests for a while.
     """
 
     outcome: AttemptOutcome
@@ -26,3 +27,4 @@
     first_byte_ms: int = 0
     detail: str = ''
     is_target_absent: bool = False
+    asks_for_pause: bool = False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -11,6 +11,7 @@
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import CallerGoneError
 from lagoonbend.facts import compute_origin_key
+from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import StreamOrigin
 from lagoonbend.facts import VersionBinding
 from lagoonbend.outcomes import AttemptOutcome
@@ -85,6 +86,7 @@
     Denial.OVERLOADED: RefusalReason.OVERLOADED,
     Denial.NO_TIME_LEFT: RefusalReason.NO_TIME_LEFT,
     Denial.NO_TARGET: RefusalReason.NO_TARGET,
+    Denial.TARGETS_PAUSED: RefusalReason.TARGETS_PAUSED,
 }
 
 
@@ -96,6 +98,10 @@
     """The instance exits before the call can be completed."""
 
 
+class TargetsPausedError(Exception):
+    """All targets that may run a waiting call have asked for a pause."""
+
+
 class CallProgress:
     """State of a call across its attempts.
 
@@ -106,7 +112,7 @@
     to which a stream that has begun is bound. ``successor`` is an attempt that
     was opened while the target was silent. ``failure`` says why the call
     has no answer yet. ``interrupt`` raises an error in the greenlet that
-    serves the call.
+    serves the call, ``slot_wait`` only while it waits for a slot.
 
     :param call: admitted call.
     """
@@ -114,6 +120,7 @@
     def __init__(self, call: AdmittedCall) -> None:
         self.call = call
         self.interrupt = Interrupt()
+        self.slot_wait: Interrupt | None = None
         self.position = StreamPosition()
         self.attempt_history: list[str] = []
         self.versions: list[str] = []
@@ -190,6 +197,7 @@
         self._slot_request_count = 0
         self.latest_end_ms: int | None = None
         self._active_calls: dict[CallProgress, ReplyWriter] = {}
+        closed_targets.on_closed.append(self._end_slot_waits)
 
     @property
     def active_count(self) -> int:
@@ -344,9 +352,7 @@
                     RefusalReason.MAY_HAVE_RUN, DEFAULT_RETRY_AFTER_MS
                 )
             if step is NextStep.REFUSE_NOT_RUN:
-                return GatewayRefusal(
-                    RefusalReason.NOT_SENT, DEFAULT_RETRY_AFTER_MS
-                )
+                return self._build_not_sent_refusal(progress)
 
     def _open_attempt(
         self,
@@ -455,6 +461,9 @@
                 progress.run_count += 1
                 progress.may_have_run = True
         progress.first_byte_ms = progress.first_byte_ms or first_byte_ms
+        if report is not None and report.asks_for_pause:
+            # The other instances go on using the target as before.
+            slot_outcome = SlotOutcome.UNSUITED
         self._coordinator.release(
             opened.request, target.target, slot_outcome, first_byte_ms
         )
@@ -593,12 +602,73 @@
     ) -> tuple[SlotRequest, SlotDecision]:
         """Request a slot and return the decision, which may be a denial."""
         call = progress.call
-        request = self._build_slot_request(
-            progress, reply, is_sent=progress.send_count > 0
+        while True:
+            request = self._build_slot_request(
+                progress, reply, is_sent=progress.send_count > 0
+            )
+            pause_ms = self._find_pause_ms(progress)
+            if pause_ms is not None:
+                return request, self._deny_in_pause(request, pause_ms)
+            wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
+            progress.slot_wait = Interrupt()
+            try:
+                return request, self._coordinator.acquire(
+                    request, call.customer, wait_ms
+                )
+            except TargetsPausedError:
+                continue
+            finally:
+                progress.slot_wait.is_over = True
+
+    def _deny_in_pause(
+        self, request: SlotRequest, pause_ms: int
+    ) -> SlotDecision:
+        return SlotDecision(
+            request.call,
+            request.instance,
+            denial=Denial.TARGETS_PAUSED,
+            retry_after_ms=self._closed_targets.pauses.spread_return_ms(
+                pause_ms
+            ),
+            pool=request.pool,
         )
-        wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
-        decision = self._coordinator.acquire(request, call.customer, wait_ms)
-        return request, decision
+
+    def _find_pause_ms(self, progress: CallProgress) -> int | None:
+        """Return the time to the end of the first pause.
+
+        :returns: None unless all targets that may still run the call pause.
+        """
+        pauses = self._closed_targets.pauses
+        if not pauses:
+            return None
+        service = progress.call.service
+        first_ms: int | None = None
+        for target in self._facts.target_directory.list_service(service):
+            if self._closed_targets.is_leaving(target) or (
+                progress.binding and not progress.binding.allows(target)
+            ):
+                continue
+            left_ms = pauses.find_left_ms(target)
+            if left_ms:
+                first_ms = min(left_ms, first_ms or left_ms)
+            elif target.target not in progress.excluded:
+                return None
+        return first_ms
+
+    def _end_slot_waits(self, closed: ListedTarget) -> None:
+        """End the waits of calls that no target may run before a pause ends.
+
+        :param closed: target that has just been closed.
+        """
+        for progress in self._active_calls:
+            wait = progress.slot_wait
+            if (
+                wait is not None
+                and not wait.is_over
+                and progress.call.service == closed.service
+                and self._find_pause_ms(progress) is not None
+            ):
+                wait.throw(TargetsPausedError())
 
     def _choose_next_step(
         self,
@@ -766,6 +836,19 @@
         denial = decision.denial or Denial.NO_TARGET
         return GatewayRefusal(DENIAL_REASONS[denial], decision.retry_after_ms)
 
+    def _build_not_sent_refusal(
+        self, progress: CallProgress
+    ) -> GatewayRefusal:
+        pause_ms = self._find_pause_ms(progress)
+        if pause_ms is None:
+            return GatewayRefusal(
+                RefusalReason.NOT_SENT, DEFAULT_RETRY_AFTER_MS
+            )
+        return GatewayRefusal(
+            RefusalReason.TARGETS_PAUSED,
+            self._closed_targets.pauses.spread_return_ms(pause_ms),
+        )
+
     @staticmethod
     def _build_deadline_refusal(progress: CallProgress) -> GatewayRefusal:
         if progress.may_have_run:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/closed_targets.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/closed_targets.py
@@ -1,10 +1,12 @@
 """Targets to which this instance sends no requests."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
 
 from lagoonbend.facts import ListedTarget
 from lagoonbend_entry._internal.gateway.target_closure import TargetClosure
+from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 
@@ -16,10 +18,16 @@
 class ClosedTargets:
     """Keeps which targets have said in their answers that they leave.
 
-    That holds for one life of a target, whatever the platform lists.
+    That holds for one life of a target, whatever the platform lists. Targets
+    that have asked for a pause are closed as well, until it ends. The
+    callbacks in ``on_closed`` run when a target is closed.
+
+    :param pauses: pauses that targets have asked for.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, pauses: TargetPauses) -> None:
+        self.pauses = pauses
+        self.on_closed: list[Callable[[ListedTarget], None]] = []
         self._closures: dict[str, TargetClosure] = {}
 
     def __len__(self) -> int:
@@ -45,16 +53,33 @@
             born_ms=target.born_ms,
             closed_targets=len(self._closures),
         )
+        self._notify(target)
         return True
 
+    def record_pause(self, target: ListedTarget, pause_ms: int) -> None:
+        """Record that a target asks for a pause.
+
+        :param target: target as listed when the request was sent.
+        """
+        if self.pauses.record(target, pause_ms):
+            self._notify(target)
+
     def is_closed(self, target: ListedTarget) -> bool:
-        """Return True if the target gets no request."""
+        """Return True if the target gets no request now."""
+        return self.is_leaving(target) or self.pauses.find_left_ms(target) > 0
+
+    def is_leaving(self, target: ListedTarget) -> bool:
+        """Return True if the target gets no request in its life."""
         closure = self._closures.get(target.target)
         return closure is not None and closure.covers(target)
 
     def list_closed(self, targets: Iterable[ListedTarget]) -> Iterator[str]:
-        """Yield the identities of those targets that get no request."""
-        if self._closures:
+        """Yield the identities of those targets that get no request now."""
+        if self._closures or self.pauses:
             for target in targets:
                 if self.is_closed(target):
                     yield target.target
+
+    def _notify(self, target: ListedTarget) -> None:
+        for notify in self.on_closed:
+            notify(target)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -29,6 +29,7 @@
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.store_watcher import StoreWatcher
+from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.gateway.tcp_socket import set_tcp_options
 from lagoonbend_entry._internal.gateway.text_server import HTTP_OK
 from lagoonbend_entry._internal.gateway.text_server import TextServer
@@ -136,7 +137,7 @@
             ),
             self._coordinator,
             self._connection_pool,
-            ClosedTargets(),
+            ClosedTargets(TargetPauses(self._clock, random.Random())),
             self._clock,
             self._make_retry_share,
             (settings.listen.peers_endpoint, settings.instance.failure_domain),
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_reason.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_reason.py
@@ -18,6 +18,7 @@
     OVERLOADED = ('overloaded', 503)
     NO_TIME_LEFT = ('no_time_left', 503)
     NO_TARGET = ('no_target', 503)
+    TARGETS_PAUSED = ('targets_paused', 503)
     UNKNOWN_ORIGIN = ('unknown_origin', 503)
     STOPPING = ('stopping', 503)
     NOT_SENT = ('not_sent', 503)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_closure.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_closure.py
@@ -9,9 +9,11 @@
     """Closure of one life of a target.
 
     :param target: target as it was listed when it asked for this.
+    :param end_ms: end on the instance's clock; None for all of that life.
     """
 
     target: ListedTarget
+    end_ms: int | None = None
 
     def covers(self, listed: ListedTarget) -> bool:
         """Return True if a registration is of the life that is closed.
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
@@ -1,12 +1,23 @@
 """Decodes the headers of a target's answer."""
 
 from collections.abc import Mapping
+import math
+import re
 from typing import NamedTuple
 
 from lagoonbend_entry._internal.platform import names
 
 STATUS_WRONG_TARGET = 421
+STATUS_UNAVAILABLE = 503
 LEAVING_VALUE = '1'
+SECONDS_PATTERN = re.compile(r'\d+\.?\d*|\.\d+', re.ASCII)
+MAX_PAUSE_MS = 60_000
+"""Longest pause that a target is granted, four times the longest time that
+callers wait. A value beyond that is rather an error, such as milliseconds, and
+must not keep a target unused for its whole life; if it is meant, the target
+asks again after this time."""
+MAX_SHOWN_CHARS = 40
+MILLISECONDS_PER_SECOND = 1000
 
 
 class AnswerHeaders(NamedTuple):
@@ -19,6 +30,10 @@
         address, or the target has another version of the model.
     :param is_encoded: True if the body has a content encoding.
     :param is_leaving: True if the target says that it leaves.
+    :param pause_ms: time for which the target wants no further requests from
+        this instance; 0 if it doesn't ask for a pause.
+    :param unused_retry_after: start of a value of ``Retry-After`` that is
+        ignored or capped; empty if there is none.
     """
 
     attempt: str
@@ -27,6 +42,8 @@
     is_wrong_target: bool
     is_encoded: bool
     is_leaving: bool
+    pause_ms: int
+    unused_retry_after: str
 
 
 def decode_answer_headers(
@@ -38,6 +55,7 @@
     """
     encoding = headers.get('content-encoding', '').strip().lower()
     is_wrong_target = status == STATUS_WRONG_TARGET
+    pause_ms, unused_retry_after = _decode_pause(status, headers)
     return AnswerHeaders(
         attempt=headers.get(names.HEADER_ATTEMPT, ''),
         is_signed=names.HEADER_STAMP in headers,
@@ -46,4 +64,20 @@
         is_encoded=encoding not in ('', 'identity'),
         is_leaving=headers.get(names.HEADER_LEAVING, '').strip()
         == LEAVING_VALUE,
+        pause_ms=pause_ms,
+        unused_retry_after=unused_retry_after,
     )
+
+
+def _decode_pause(status: int, headers: Mapping[str, str]) -> tuple[int, str]:
+    """Return the pause in milliseconds, and the value if it isn't used."""
+    value = headers.get(names.HEADER_RETRY_AFTER)
+    if status != STATUS_UNAVAILABLE or value is None:
+        return 0, ''
+    shown = repr(value[:MAX_SHOWN_CHARS])
+    if not SECONDS_PATTERN.fullmatch(value.strip()):
+        return 0, shown
+    pause_ms = float(value) * MILLISECONDS_PER_SECOND
+    if pause_ms > MAX_PAUSE_MS:
+        return MAX_PAUSE_MS, shown
+    return math.ceil(pause_ms), ''
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -22,6 +22,7 @@
 HEADER_NOT_RUN = 'not-executed'
 HEADER_STAMP = 'server-stamp'
 HEADER_LEAVING = 'server-leaving'
+HEADER_RETRY_AFTER = 'retry-after'
 
 HEADERS_SET_BY_INSTANCES = frozenset(
     (
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -63,6 +63,16 @@
         'info',
         'A target says in its answers that it leaves.',
     )
+    TARGET_PAUSED = (
+        'LB0209',
+        'info',
+        'A target asks for a pause in its answers.',
+    )
+    PAUSE_NOT_USED = (
+        'LB0210',
+        'warning',
+        "A target's Retry-After is ignored or capped.",
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/denial.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/denial.py
@@ -4,9 +4,13 @@
 
 
 class Denial(enum.Enum):
-    """Why a call is denied a slot; the values are sent between instances."""
+    """Why a call is denied a slot; the values are sent between instances.
+
+    ``TARGETS_PAUSED`` is never sent: an instance denies the call itself.
+    """
 
     OVER_LIMIT = 'over_limit'
     OVERLOADED = 'overloaded'
     NO_TIME_LEFT = 'no_time_left'
     NO_TARGET = 'no_target'
+    TARGETS_PAUSED = 'targets_paused'
--- a/tests/unit/test_closed_targets.py
+++ b/tests/unit/test_closed_targets.py
@@ -4,6 +4,8 @@
 and against one that outlives the target.
 """
 
+from collections.abc import Callable
+import random
 import unittest
 from unittest import mock
 
@@ -15,6 +17,7 @@
 from lagoonbend_entry._internal.gateway import closed_targets
 from lagoonbend_entry._internal.gateway import connection_pool
 from lagoonbend_entry._internal.gateway import target_connection
+from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.platform import answer_headers
 from lagoonbend_entry._internal.platform.target_codec import decode_target
 
@@ -34,12 +37,17 @@
     )
 
 
+def build_pauses() -> TargetPauses:
+    """Return a record of pauses that has none."""
+    return TargetPauses(PausedClock(1_000_000), random.Random(1))
+
+
 class ClosedTargetsTest(unittest.TestCase):
     """Which registrations are of the life of the target that leaves."""
 
     def setUp(self) -> None:
         """Let one target leave."""
-        self.closed_targets = closed_targets.ClosedTargets()
+        self.closed_targets = closed_targets.ClosedTargets(build_pauses())
         self.closed_targets.record_leaving(build_target())
 
     # Guards against targets that are closed because another one leaves.
@@ -125,18 +133,29 @@
 
 
 class OlderGrantTest(unittest.TestCase):
-    """A slot that was granted before the target said that it leaves."""
+    """A slot that was granted before the target closed."""
 
     # Guards against a request that is sent after a connection has opened,
     # since the target was open when the slot was granted.
     def test_request_is_not_sent(self) -> None:
         """The leaving becomes known while the connection is opened."""
-        targets = closed_targets.ClosedTargets()
+        self.check_not_sent(lambda t: t.record_leaving(build_target()))
+
+    # Guards against the same for a target that wants a pause.
+    def test_request_is_not_sent_in_a_pause(self) -> None:
+        """The pause becomes known while the connection is opened."""
+        self.check_not_sent(lambda t: t.record_pause(build_target(), 500))
+
+    def check_not_sent(
+        self, close: Callable[[closed_targets.ClosedTargets], object]
+    ) -> None:
+        """Check that no request is sent to a target that closes late."""
+        targets = closed_targets.ClosedTargets(build_pauses())
         connection = mock.Mock(spec=target_connection.TargetConnection)
         pool = mock.Mock(spec=connection_pool.ConnectionPool)
 
         def acquire(*unused: object, **options: object) -> mock.Mock:
-            targets.record_leaving(build_target())
+            close(targets)
             return connection
 
         pool.acquire.side_effect = acquire
--- a/tests/unit/test_end_of_a_drain.py
+++ b/tests/unit/test_end_of_a_drain.py
@@ -4,6 +4,7 @@
 and against a call that goes on unanswered until the process exits.
 """
 
+import random
 import unittest
 from unittest import mock
 
@@ -23,6 +24,7 @@
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
+from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry.testing import IncomingRequest
 from tests.unit.test_errors_amid_a_call import ROUTE
@@ -60,7 +62,7 @@
             admission,
             coordinator,
             mock.Mock(),
-            ClosedTargets(),
+            ClosedTargets(TargetPauses(self.clock, random.Random(1))),
             self.clock,
             lambda: RetryShare(self.clock, 0.2, 50.0, 10.0),
             ('127.0.0.1:1', 'domain'),
--- a/tests/unit/test_errors_amid_a_call.py
+++ b/tests/unit/test_errors_amid_a_call.py
@@ -4,6 +4,7 @@
 without an answer, or that ends the next request on it too.
 """
 
+import random
 import unittest
 from unittest import mock
 
@@ -23,6 +24,7 @@
 from lagoonbend_entry._internal.gateway.call_handler import CallHandler
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
+from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.platform import call_headers
 from tests.lib.call_table.recording_caller import RecordingCaller
 
@@ -75,7 +77,7 @@
             self.admission,
             self.coordinator,
             self.connection_pool,
-            ClosedTargets(),
+            ClosedTargets(TargetPauses(self.clock, random.Random(1))),
             self.clock,
             lambda: RetryShare(self.clock, 0.2, 50.0, 10.0),
             ('127.0.0.1:1', 'domain'),
