--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -245,9 +245,12 @@
 
     def _begin_era(self, era: int, source: str) -> None:
         before = self.item_cache.era
+        now_ms = self._clock.now_ms()
+        if before != NO_ERA or source == 'peer':
+            # The peer may have learned of the era just now.
+            self._settled_ms = now_ms + REWRITE_MS
         if before == NO_ERA:
             return
-        now_ms = self._clock.now_ms()
         log_event(
             Event.STORE_ERA_CHANGED,
             source=source,
@@ -258,7 +261,6 @@
             age_ms=self.age_ms(),
         )
         self.target_directory.record_outage_end(now_ms)
-        self._settled_ms = now_ms + REWRITE_MS
 
     def _take_rules(self, items: Iterable[PublishedItem], source: str) -> None:
         """Apply a configuration of a higher version, whatever its era."""
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/departures.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/departures.py
@@ -46,9 +46,9 @@
         :returns: None if it didn't, or is a new life of it.
         """
         known = self._by_key.get(item.key)
-        if known is None:
+        if known is None or not target.is_same_life(known.target):
             return None
-        if item.era > known.era and target.is_same_life(known.target):
+        if item.era > known.era:
             return known.target
         del self._by_key[item.key]
         return None
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
@@ -37,3 +37,9 @@
         if self.born_ms is not None and known.born_ms is not None:
             return self.born_ms <= known.born_ms
         return (self.ip, self.port) == (known.ip, known.port)
+
+    def is_followed_by(self, later: 'ListedTarget') -> bool:
+        """Return True if a registration is of a later life."""
+        if self.born_ms is None or later.born_ms is None:
+            return False
+        return self.born_ms < later.born_ms
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -179,6 +179,10 @@
         """Return a registered target, as leaving if it may not be used."""
         name = item.key
         was_returned = self._returned_until_ms.pop(name, None) is not None
+        known = self._targets.get(name)
+        if known is not None and known.is_followed_by(target):
+            ended = known._replace(is_leaving=True)
+            self._departures.record(name, ended, item.era)
         departed = self._departures.find(target, item)
         if target.is_leaving:
             self._departures.record(name, target, item.era)
