Split the call handler by what it does

Ruled out: a split of the attempts' life (open, run, close, successor), whose steps share too much state to be read apart.

Change: code is moved; statements change only where a method has become a method of another object, and refusals are built by class methods of GatewayRefusal.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -1,18 +1,14 @@
 """Handles a caller's request from receipt to the final answer."""
 
 from collections.abc import Callable
-from collections.abc import Iterator
 import contextlib
-from typing import NamedTuple
 
 import gevent
 import msgspec
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import CallerGoneError
-from lagoonbend.facts import compute_origin_key
 from lagoonbend.facts import ListedTarget
-from lagoonbend.facts import StreamOrigin
 from lagoonbend.facts import VersionBinding
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.outcomes import decide_next_step
@@ -25,43 +21,31 @@
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
+from lagoonbend_entry._internal.gateway import gateway_refusal
 from lagoonbend_entry._internal.gateway.admission import Admission
-from lagoonbend_entry._internal.gateway.admission import count_cost_units
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.attempt import Attempt
 from lagoonbend_entry._internal.gateway.attempt import list_relayed_headers
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
+from lagoonbend_entry._internal.gateway.call_log import CallLog
+from lagoonbend_entry._internal.gateway.call_progress import CallProgress
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
+from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
-from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
+from lagoonbend_entry._internal.gateway.resumed_streams import ResumedStreams
+from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
-from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry._internal.platform import refusal_headers
-from lagoonbend_entry._internal.utils.event import Event
-from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 from lagoonbend_entry._internal.utils.interrupt import Interrupt
 
-DEFAULT_RETRY_AFTER_MS = 1_000
-"""``Retry-After`` of a refusal for which no better value is known."""
-ORIGIN_GRACE_MS = 1_000
-"""Time by which the origin of a stream is kept longer than its caller may
-take the stream up, for clocks and delays."""
-MAX_ORIGIN_MS = 60_000
-"""Bound on the time for which an origin is kept; callers set their deadlines
-themselves, at 15 s at most in the users' deployments."""
-CALLER_PATIENCE_MS = 2_000
-"""Shortest pause in a stream after which a caller gives it up."""
-STOPPING_RETRY_AFTER_MS = 100
-"""``Retry-After`` of a stopping instance: other instances serve at once, on a
-new connection."""
 HANDOVER_MS = 200
 """Time for which a silent target keeps a call after it has been sent to
 another one. A target that is full rejects a call at once; the platform allows
@@ -81,13 +65,6 @@
     AttemptOutcome.SILENT: SlotOutcome.SILENT,
     AttemptOutcome.BROKEN_STREAM: SlotOutcome.BAD_ANSWER,
 }
-DENIAL_REASONS = {
-    Denial.OVER_LIMIT: RefusalReason.OVER_LIMIT,
-    Denial.OVERLOADED: RefusalReason.OVERLOADED,
-    Denial.NO_TIME_LEFT: RefusalReason.NO_TIME_LEFT,
-    Denial.NO_TARGET: RefusalReason.NO_TARGET,
-    Denial.TARGETS_PAUSED: RefusalReason.TARGETS_PAUSED,
-}
 
 
 class DeadlineExceededError(Exception):
@@ -102,54 +79,6 @@
     """All targets that may run a waiting call have asked for a pause."""
 
 
-class CallProgress:
-    """State of a call across its attempts.
-
-    ``attempt_history`` has an entry ``target:outcome`` for each attempt that
-    was sent, and ``versions`` the software version of that target.
-    ``excluded`` lists the targets not to be tried again. ``target`` and
-    ``version`` are those of the current attempt; ``binding`` is the version
-    to which a stream that has begun is bound. ``successor`` is an attempt that
-    was opened while the target was silent. ``failure`` says why the call
-    has no answer yet. ``interrupt`` raises an error in the greenlet that
-    serves the call, ``slot_wait`` only while it waits for a slot.
-
-    :param call: admitted call.
-    """
-
-    def __init__(self, call: AdmittedCall) -> None:
-        self.call = call
-        self.interrupt = Interrupt()
-        self.slot_wait: Interrupt | None = None
-        self.position = StreamPosition()
-        self.attempt_history: list[str] = []
-        self.versions: list[str] = []
-        self.excluded: list[str] = []
-        self.pool = ''
-        self.target = ''
-        self.version: str | None = None
-        self.binding: VersionBinding | None = None
-        self.successor: OpenAttempt | None = None
-        self.send_count = 0
-        self.run_count = 0
-        self.may_have_run = False
-        self.waited_ms = 0
-        self.first_byte_ms = 0
-        self.failure = ''
-
-
-class GatewayRefusal(NamedTuple):
-    """An error answer generated by the instance itself.
-
-    :param reason: reason for the refusal.
-    :param retry_after_ms: time after which the caller may retry; None if a
-        retry is of no use.
-    """
-
-    reason: RefusalReason
-    retry_after_ms: int | None = None
-
-
 class CallHandler:
     """Admits calls, obtains slots at targets and forwards calls to them.
 
@@ -190,11 +119,17 @@
         self._closed_targets = closed_targets
         self._clock = clock
         self._make_retry_share = make_retry_share
-        self._rank_order = rank_order
-        self._metrics = metrics
-        self._address, self._failure_domain = instance
+        self._resumed_streams = ResumedStreams(facts, coordinator.origins)
+        self._slot_requests = SlotRequests(
+            facts,
+            coordinator.pools,
+            closed_targets,
+            clock,
+            instance,
+            rank_order,
+        )
+        self._call_log = CallLog(facts, clock, metrics)
         self._retry_shares: dict[str, RetryShare] = {}
-        self._slot_request_count = 0
         self.latest_end_ms: int | None = None
         self._active_calls: dict[CallProgress, ReplyWriter] = {}
         closed_targets.on_closed.append(self._end_slot_waits)
@@ -216,7 +151,7 @@
     def report_unanswered(self, cause: str) -> None:
         """Log each active call, whose answer the instance can't complete."""
         for progress in self._active_calls:
-            self._record_unanswered(progress, cause)
+            self._call_log.record_unanswered(progress, cause)
 
     def serve(self, request: IncomingRequest, reply: ReplyWriter) -> None:
         """Answer a request completely, unless the caller disconnects."""
@@ -264,10 +199,10 @@
             refusal = self._run_attempts(progress, reply)
         except DeadlineExceededError:
             progress.failure = 'time is up'
-            refusal = self._build_deadline_refusal(progress)
+            refusal = GatewayRefusal.from_deadline(progress)
         except InstanceStoppingError:
             progress.failure = 'instance stops'
-            refusal = self._build_stop_refusal(progress)
+            refusal = GatewayRefusal.from_stop(progress)
         except CallerGoneError:
             outcome = 'caller_left'
             return
@@ -279,8 +214,8 @@
                 self._refuse(progress, reply, refusal)
             elif refusal is not None:
                 outcome = 'stream_broken'
-                self._record_unanswered(progress, progress.failure)
-            self._record_outcome(progress, outcome, refusal)
+                self._call_log.record_unanswered(progress, progress.failure)
+            self._call_log.record_end(progress, outcome, refusal)
 
     def _run_attempts(
         self, progress: CallProgress, reply: ReplyWriter
@@ -290,11 +225,12 @@
         retry_share = self._get_retry_share(call.service)
         retry_share.record_request()
         if call.route.is_streaming and call.headers.last_event:
-            progress.binding = self._find_origin_binding(call)
+            progress.binding = self._resumed_streams.find(call)
             if progress.binding is None:
                 progress.failure = 'origin of the stream is not known'
                 return GatewayRefusal(
-                    RefusalReason.UNKNOWN_ORIGIN, DEFAULT_RETRY_AFTER_MS
+                    RefusalReason.UNKNOWN_ORIGIN,
+                    gateway_refusal.DEFAULT_RETRY_AFTER_MS,
                 )
         search: SuccessorSearch[OpenAttempt] = SuccessorSearch(
             lambda: self._open_successor(progress, reply, retry_share, search),
@@ -317,7 +253,7 @@
         call = progress.call
         if self._clock.now_ms() + MIN_ATTEMPT_MS >= call.expires_at_ms:
             progress.failure = 'no time left'
-            return self._build_deadline_refusal(progress)
+            return GatewayRefusal.from_deadline(progress)
         while True:
             opened: OpenAttempt | AttemptReport | None = search.take()
             if opened is None:
@@ -328,7 +264,7 @@
                     progress.failure = (
                         f'{progress.failure}; {decision.denial.value}'
                     )
-                    return self._build_denial_refusal(progress, decision)
+                    return GatewayRefusal.from_denial(progress, decision)
                 opened = self._open_attempt(
                     progress, reply, request, decision, search
                 )
@@ -346,10 +282,11 @@
             if step is NextStep.BREAK_STREAM:
                 return GatewayRefusal(RefusalReason.MAY_HAVE_RUN)
             if self._clock.now_ms() + MIN_ATTEMPT_MS >= call.expires_at_ms:
-                return self._build_deadline_refusal(progress)
+                return GatewayRefusal.from_deadline(progress)
             if step is NextStep.FAIL_MAY_HAVE_RUN:
                 return GatewayRefusal(
-                    RefusalReason.MAY_HAVE_RUN, DEFAULT_RETRY_AFTER_MS
+                    RefusalReason.MAY_HAVE_RUN,
+                    gateway_refusal.DEFAULT_RETRY_AFTER_MS,
                 )
             if step is NextStep.REFUSE_NOT_RUN:
                 return self._build_not_sent_refusal(progress)
@@ -425,7 +362,7 @@
         progress.target = opened.target.target
         progress.version = opened.target.software_version
         if not reply.has_begun:
-            self._record_origin(progress.call, progress.version)
+            self._resumed_streams.record(progress.call, progress.version)
         report: AttemptReport | None = None
         try:
             report = opened.attempt.run()._replace(target=progress.target)
@@ -493,7 +430,7 @@
         ):
             return None
         self._bind_stream(progress, reply)
-        request = self._build_slot_request(
+        request = self._slot_requests.build(
             progress, reply, is_sent=True, excluded=(progress.target,)
         )
         decision = self._coordinator.acquire(request, call.customer, left_ms)
@@ -514,7 +451,7 @@
             if not is_accepted:
                 self._close_attempt(progress, opened, report)
         if report is not None:
-            self._log_attempt(progress, report, 'stay')
+            self._call_log.record_attempt(progress, report, 'stay')
             progress.excluded.append(decision.target)
         return opened if is_accepted else None
 
@@ -525,93 +462,21 @@
         successor.attempt.close()
         self._close_attempt(progress, successor, None)
 
-    def _find_origin_binding(
-        self, call: AdmittedCall
-    ) -> VersionBinding | None:
-        """Return the version of the stream that a caller takes up.
-
-        While a service has one version, that one began the stream. Otherwise
-        the version must be known, here or at a peer.
-
-        :returns: None if it isn't known.
-        """
-        origins = self._coordinator.origins
-        service = call.service
-        key = self._compute_origin_key(call)
-        origin = origins.find(key) if key is not None else None
-        version = self._facts.find_only_version(service)
-        if origin is not None or version:
-            return VersionBinding(origin.version if origin else version)
-        if key is None:
-            return None
-        answer = origins.ask(key, service)
-        if answer.origin is not None:
-            return VersionBinding(answer.origin.version)
-        # A peer that has run for longer may know what this instance doesn't.
-        is_agreed = self._facts.list_versions(service) == answer.only_versions
-        if len(answer.only_versions) == 1 and is_agreed:
-            return VersionBinding(next(iter(answer.only_versions)))
-        return None
-
-    def _record_origin(self, call: AdmittedCall, version: str | None) -> None:
-        """Record the version of a stream that its caller may take up."""
-        key = self._compute_origin_key(call)
-        is_resumable = call.route.is_streaming and call.route.is_resumable
-        if key is None or not is_resumable:
-            return
-        wait_ms = min(
-            call.headers.deadline_ms or call.route.timeout_ms, MAX_ORIGIN_MS
-        )
-        self._coordinator.origins.record(
-            call.service,
-            StreamOrigin(
-                key,
-                version or '',
-                call.request.received_ms + wait_ms + ORIGIN_GRACE_MS,
-            ),
-        )
-
-    @staticmethod
-    def _compute_origin_key(call: AdmittedCall) -> int | None:
-        """Return the key of the stream that a call begins or continues.
-
-        :returns: None if the caller doesn't name the attempt.
-        """
-        attempt = call.headers.attempt
-        if call.headers.last_event:
-            attempt = call.headers.continued_attempt
-        if not attempt:
-            return None
-        customer = call.customer.name if call.customer else ''
-        return compute_origin_key(customer, call.service, attempt)
-
     def _bind_stream(self, progress: CallProgress, reply: ReplyWriter) -> None:
         """Bind a stream that has begun to the version of its target."""
         if reply.has_begun and progress.binding is None:
             progress.binding = VersionBinding(progress.version)
 
-    def _list_excluded(self, progress: CallProgress) -> Iterator[str]:
-        """Yield the targets that must not run the call."""
-        yield from progress.excluded
-        service = progress.call.service
-        targets = self._facts.target_directory.list_service(service)
-        yield from self._closed_targets.list_closed(targets)
-        if progress.binding is None:
-            return
-        for target in targets:
-            if not progress.binding.allows(target):
-                yield target.target
-
     def _acquire(
         self, progress: CallProgress, reply: ReplyWriter
     ) -> tuple[SlotRequest, SlotDecision]:
         """Request a slot and return the decision, which may be a denial."""
         call = progress.call
         while True:
-            request = self._build_slot_request(
+            request = self._slot_requests.build(
                 progress, reply, is_sent=progress.send_count > 0
             )
-            pause_ms = self._find_pause_ms(progress)
+            pause_ms = self._slot_requests.find_pause_ms(progress)
             if pause_ms is not None:
                 return request, self._deny_in_pause(request, pause_ms)
             wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
@@ -638,28 +503,6 @@
             pool=request.pool,
         )
 
-    def _find_pause_ms(self, progress: CallProgress) -> int | None:
-        """Return the time to the end of the first pause.
-
-        :returns: None unless all targets that may still run the call pause.
-        """
-        pauses = self._closed_targets.pauses
-        if not pauses:
-            return None
-        service = progress.call.service
-        first_ms: int | None = None
-        for target in self._facts.target_directory.list_service(service):
-            if self._closed_targets.is_leaving(target) or (
-                progress.binding and not progress.binding.allows(target)
-            ):
-                continue
-            left_ms = pauses.find_left_ms(target)
-            if left_ms:
-                first_ms = min(left_ms, first_ms or left_ms)
-            elif target.target not in progress.excluded:
-                return None
-        return first_ms
-
     def _end_slot_waits(self, closed: ListedTarget) -> None:
         """End the waits of calls that no target may run before a pause ends.
 
@@ -671,7 +514,7 @@
                 wait is not None
                 and not wait.is_over
                 and progress.call.service == closed.service
-                and self._find_pause_ms(progress) is not None
+                and self._slot_requests.find_pause_ms(progress) is not None
             ):
                 wait.throw(TargetsPausedError())
 
@@ -717,7 +560,7 @@
         ):
             retry_context = retry_context._replace(has_budget=False)
             step = decide_next_step(retry_context)
-        self._log_attempt(
+        self._call_log.record_attempt(
             progress,
             report,
             step.value,
@@ -727,34 +570,6 @@
             progress.excluded.append(report.target)
         return step
 
-    def _log_attempt(
-        self,
-        progress: CallProgress,
-        report: AttemptReport,
-        next_step: str,
-        *,
-        has_budget: bool = True,
-    ) -> None:
-        call = progress.call
-        log_event(
-            Event.ATTEMPT_FAILED,
-            request=call.headers.attempt,
-            service=call.service,
-            target=report.target,
-            software=self._find_version(report.target),
-            end=report.outcome.label,
-            verdict=report.outcome.verdict.value,
-            detail=report.detail,
-            first_ms=report.first_byte_ms,
-            left_ms=call.expires_at_ms - self._clock.now_ms(),
-            has_budget=has_budget,
-            next=next_step,
-        )
-
-    def _find_version(self, name: str) -> str:
-        target = self._facts.target_directory.find(name)
-        return (target.software_version if target else None) or ''
-
     @staticmethod
     def _relay(reply: ReplyWriter, report: AttemptReport) -> None:
         if report.answer is None:
@@ -766,62 +581,6 @@
             report.body,
         )
 
-    def _build_slot_request(
-        self,
-        progress: CallProgress,
-        reply: ReplyWriter,
-        *,
-        is_sent: bool,
-        excluded: tuple[str, ...] = (),
-    ) -> SlotRequest:
-        """Return a slot request for the next attempt.
-
-        The rest of a stream that has begun counts as a call that arrives now
-        and has to go on before its caller gives up.
-
-        :param is_sent: True if the call has been sent already; it costs no
-            units of its customer's limit again.
-        :param excluded: further targets that are not to be tried.
-        """
-        call = progress.call
-        all_excluded = (*self._list_excluded(progress), *excluded)
-        self._slot_request_count += 1
-        now_ms = self._clock.now_ms()
-        arrived_ms = now_ms if reply.has_begun else call.request.received_ms
-        customer = call.customer
-        output_tokens = call.headers.output_tokens
-        if call.headers.estimated_output_tokens:
-            output_tokens = min(
-                output_tokens, 2 * call.headers.estimated_output_tokens
-            )
-        return SlotRequest(
-            call=f'{call.headers.attempt}/{self._slot_request_count}',
-            instance=self._address,
-            failure_domain=self._failure_domain,
-            pool=self._coordinator.pools.choose(
-                call.service, call.headers.prompt, all_excluded
-            ),
-            rank=self._rank_order(
-                customer.rank if customer else None, call.route.rank
-            ),
-            route_rank=call.route.rank,
-            customer=customer.name if customer else '',
-            cost_units=(
-                0.0 if is_sent else count_cost_units(customer, call.headers)
-            ),
-            waited_ms=now_ms - arrived_ms,
-            objective_ms=(
-                max(call.route.objective_ms, CALLER_PATIENCE_MS)
-                if reply.has_begun
-                else call.route.objective_ms
-            ),
-            deadline_ms=call.expires_at_ms - arrived_ms,
-            prompt=call.headers.prompt,
-            output_tokens=output_tokens,
-            body_bytes=len(call.request.body),
-            excluded=all_excluded,
-        )
-
     def _get_retry_share(self, service: str) -> RetryShare:
         retry_share = self._retry_shares.get(service)
         if retry_share is None:
@@ -830,46 +589,19 @@
         retry_share.instance_count = self._coordinator.count_known()
         return retry_share
 
-    @staticmethod
-    def _build_denial_refusal(
-        progress: CallProgress, decision: SlotDecision
-    ) -> GatewayRefusal:
-        if progress.may_have_run:
-            return GatewayRefusal(
-                RefusalReason.MAY_HAVE_RUN, DEFAULT_RETRY_AFTER_MS
-            )
-        denial = decision.denial or Denial.NO_TARGET
-        return GatewayRefusal(DENIAL_REASONS[denial], decision.retry_after_ms)
-
     def _build_not_sent_refusal(
         self, progress: CallProgress
     ) -> GatewayRefusal:
-        pause_ms = self._find_pause_ms(progress)
+        pause_ms = self._slot_requests.find_pause_ms(progress)
         if pause_ms is None:
             return GatewayRefusal(
-                RefusalReason.NOT_SENT, DEFAULT_RETRY_AFTER_MS
+                RefusalReason.NOT_SENT, gateway_refusal.DEFAULT_RETRY_AFTER_MS
             )
         return GatewayRefusal(
             RefusalReason.TARGETS_PAUSED,
             self._closed_targets.pauses.spread_return_ms(pause_ms),
         )
 
-    @staticmethod
-    def _build_deadline_refusal(progress: CallProgress) -> GatewayRefusal:
-        if progress.may_have_run:
-            return GatewayRefusal(RefusalReason.TIME_UP)
-        return GatewayRefusal(
-            RefusalReason.NO_TIME_LEFT, DEFAULT_RETRY_AFTER_MS
-        )
-
-    @staticmethod
-    def _build_stop_refusal(progress: CallProgress) -> GatewayRefusal:
-        if progress.may_have_run:
-            return GatewayRefusal(
-                RefusalReason.MAY_HAVE_RUN, DEFAULT_RETRY_AFTER_MS
-            )
-        return GatewayRefusal(RefusalReason.STOPPING, STOPPING_RETRY_AFTER_MS)
-
     def _refuse_unadmitted(
         self,
         request: IncomingRequest,
@@ -877,21 +609,13 @@
         reason: RefusalReason,
     ) -> None:
         retry_after_ms = (
-            DEFAULT_RETRY_AFTER_MS if reason.status == 503 else None
+            gateway_refusal.DEFAULT_RETRY_AFTER_MS
+            if reason.status == 503
+            else None
         )
         if reason is RefusalReason.STOPPING:
-            retry_after_ms = STOPPING_RETRY_AFTER_MS
-        self._metrics.count_call('', reason.label, 0, 0)
-        log_event(
-            Event.CALL_NOT_ADMITTED,
-            request=call_headers.decode_call_headers(
-                request.header_map
-            ).attempt,
-            reason=reason.label,
-            path=request.path[:80],
-            version=self._facts.version,
-            fact_age_ms=self._facts.age_ms(),
-        )
+            retry_after_ms = gateway_refusal.STOPPING_RETRY_AFTER_MS
+        self._call_log.record_not_admitted(request, reason)
         self._send_refusal(
             request, reply, GatewayRefusal(reason, retry_after_ms)
         )
@@ -915,56 +639,3 @@
         )
         body = msgspec.json.encode({'reason': reason.label})
         reply.send_answer(reason.status, b'', headers, body)
-
-    def _record_unanswered(self, progress: CallProgress, cause: str) -> None:
-        call = progress.call
-        self._metrics.count_unanswered(cause.partition(':')[0])
-        log_event(
-            Event.CALL_UNANSWERED,
-            request=call.headers.attempt,
-            cause=cause,
-            route=call.route.name,
-            service=call.service,
-            targets=progress.attempt_history,
-            last_event=progress.position.last_id or '',
-            total_ms=self._clock.now_ms() - call.request.received_ms,
-            left_ms=call.expires_at_ms - self._clock.now_ms(),
-            version=self._facts.version,
-        )
-
-    def _record_outcome(
-        self,
-        progress: CallProgress,
-        outcome: str,
-        refusal: GatewayRefusal | None,
-    ) -> None:
-        call = progress.call
-        total_ms = self._clock.now_ms() - call.request.received_ms
-        self._metrics.count_call(
-            call.route.name, outcome, progress.first_byte_ms, total_ms
-        )
-        for step in progress.attempt_history:
-            target, _, slot_outcome = step.rpartition(':')
-            self._metrics.count_attempt(target, slot_outcome)
-        log_event(
-            Event.CALL_ENDED,
-            request=call.headers.attempt,
-            outcome=outcome,
-            route=call.route.name,
-            service=call.service,
-            level=call.route.rank,
-            customer=call.customer.name if call.customer else '',
-            pool=progress.pool,
-            targets=progress.attempt_history,
-            software=progress.versions,
-            continues=call.headers.continued_attempt,
-            bound_to=progress.binding.version if progress.binding else None,
-            last_event=progress.position.last_id or '',
-            waited_ms=progress.waited_ms,
-            first_ms=progress.first_byte_ms,
-            total_ms=total_ms,
-            objective_ms=call.route.objective_ms,
-            retry_after_ms=refusal.retry_after_ms if refusal else None,
-            version=call.version,
-            fact_age_ms=call.fact_age_ms,
-        )
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -0,0 +1,43 @@
+"""State of a call that is being served."""
+
+from lagoonbend.facts import VersionBinding
+from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
+from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
+from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
+from lagoonbend_entry._internal.utils.interrupt import Interrupt
+
+
+class CallProgress:
+    """State of a call across its attempts.
+
+    ``attempt_history`` has an entry ``target:outcome`` for each attempt that
+    was sent, and ``versions`` the software version of that target.
+    ``excluded`` lists the targets not to be tried again. ``target`` and
+    ``version`` are those of the current attempt; ``binding`` is the version
+    to which a stream that has begun is bound. ``successor`` is an attempt that
+    was opened while the target was silent. ``failure`` says why the call
+    has no answer yet. ``interrupt`` raises an error in the greenlet that
+    serves the call, ``slot_wait`` only while it waits for a slot.
+
+    :param call: admitted call.
+    """
+
+    def __init__(self, call: AdmittedCall) -> None:
+        self.call = call
+        self.interrupt = Interrupt()
+        self.slot_wait: Interrupt | None = None
+        self.position = StreamPosition()
+        self.attempt_history: list[str] = []
+        self.versions: list[str] = []
+        self.excluded: list[str] = []
+        self.pool = ''
+        self.target = ''
+        self.version: str | None = None
+        self.binding: VersionBinding | None = None
+        self.successor: OpenAttempt | None = None
+        self.send_count = 0
+        self.run_count = 0
+        self.may_have_run = False
+        self.waited_ms = 0
+        self.first_byte_ms = 0
+        self.failure = ''
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
@@ -0,0 +1,86 @@
+"""Versions of the streams that callers may take up again."""
+
+from lagoonbend.facts import compute_origin_key
+from lagoonbend.facts import StreamOrigin
+from lagoonbend.facts import VersionBinding
+from lagoonbend_entry._internal.coordination import origin_exchange
+from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
+from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+
+ORIGIN_GRACE_MS = 1_000
+"""Time by which the origin of a stream is kept longer than its caller may
+take the stream up, for clocks and delays."""
+MAX_ORIGIN_MS = 60_000
+"""Bound on the time for which an origin is kept; callers set their deadlines
+themselves, at 15 s at most in the users' deployments."""
+
+
+class ResumedStreams:
+    """Finds and records which software version began a stream.
+
+    :param facts: configuration and target list as last read.
+    :param origins: origins of streams, here and at peers.
+    """
+
+    def __init__(
+        self, facts: FactsCache, origins: origin_exchange.OriginExchange
+    ) -> None:
+        self._facts = facts
+        self._origins = origins
+
+    def find(self, call: AdmittedCall) -> VersionBinding | None:
+        """Return the version of the stream that a caller takes up.
+
+        While a service has one version, that one began the stream. Otherwise
+        the version must be known, here or at a peer.
+
+        :returns: None if it isn't known.
+        """
+        service = call.service
+        key = self._compute_origin_key(call)
+        origin = self._origins.find(key) if key is not None else None
+        version = self._facts.find_only_version(service)
+        if origin is not None or version:
+            return VersionBinding(origin.version if origin else version)
+        if key is None:
+            return None
+        answer = self._origins.ask(key, service)
+        if answer.origin is not None:
+            return VersionBinding(answer.origin.version)
+        # A peer that has run for longer may know what this instance doesn't.
+        is_agreed = self._facts.list_versions(service) == answer.only_versions
+        if len(answer.only_versions) == 1 and is_agreed:
+            return VersionBinding(next(iter(answer.only_versions)))
+        return None
+
+    def record(self, call: AdmittedCall, version: str | None) -> None:
+        """Record the version of a stream that its caller may take up."""
+        key = self._compute_origin_key(call)
+        is_resumable = call.route.is_streaming and call.route.is_resumable
+        if key is None or not is_resumable:
+            return
+        wait_ms = min(
+            call.headers.deadline_ms or call.route.timeout_ms, MAX_ORIGIN_MS
+        )
+        self._origins.record(
+            call.service,
+            StreamOrigin(
+                key,
+                version or '',
+                call.request.received_ms + wait_ms + ORIGIN_GRACE_MS,
+            ),
+        )
+
+    @staticmethod
+    def _compute_origin_key(call: AdmittedCall) -> int | None:
+        """Return the key of the stream that a call begins or continues.
+
+        :returns: None if the caller doesn't name the attempt.
+        """
+        attempt = call.headers.attempt
+        if call.headers.last_event:
+            attempt = call.headers.continued_attempt
+        if not attempt:
+            return None
+        customer = call.customer.name if call.customer else ''
+        return compute_origin_key(customer, call.service, attempt)
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
@@ -0,0 +1,136 @@
+"""Requests for the slots of calls."""
+
+from collections.abc import Iterator
+
+from lagoonbend.clock import Clock
+from lagoonbend.scheduling import RankOrder
+from lagoonbend.scheduling import SlotRequest
+from lagoonbend_entry._internal.coordination.pool_chooser import PoolChooser
+from lagoonbend_entry._internal.gateway.admission import count_cost_units
+from lagoonbend_entry._internal.gateway.call_progress import CallProgress
+from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
+from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
+
+CALLER_PATIENCE_MS = 2_000
+"""Shortest pause in a stream after which a caller gives it up."""
+
+
+class SlotRequests:
+    """Builds slot requests, and tells when none is of use.
+
+    :param facts: configuration and target list as last read.
+    :param pools: chooses the pools of calls.
+    :param closed_targets: targets that get no requests.
+    :param clock: clock of the instance.
+    :param instance: this instance's address for peers and its failure
+        domain.
+    :param rank_order: combines the rank of a customer and of a route.
+    """
+
+    def __init__(
+        self,
+        facts: FactsCache,
+        pools: PoolChooser,
+        closed_targets: ClosedTargets,
+        clock: Clock,
+        instance: tuple[str, str],
+        rank_order: RankOrder,
+    ) -> None:
+        self._facts = facts
+        self._pools = pools
+        self._closed_targets = closed_targets
+        self._clock = clock
+        self._rank_order = rank_order
+        self._address, self._failure_domain = instance
+        self._count = 0
+
+    def build(
+        self,
+        progress: CallProgress,
+        reply: ReplyWriter,
+        *,
+        is_sent: bool,
+        excluded: tuple[str, ...] = (),
+    ) -> SlotRequest:
+        """Return a slot request for the next attempt.
+
+        The rest of a stream that has begun counts as a call that arrives now
+        and has to go on before its caller gives up.
+
+        :param is_sent: True if the call has been sent already; it costs no
+            units of its customer's limit again.
+        :param excluded: further targets that are not to be tried.
+        """
+        call = progress.call
+        all_excluded = (*self._list_excluded(progress), *excluded)
+        self._count += 1
+        now_ms = self._clock.now_ms()
+        arrived_ms = now_ms if reply.has_begun else call.request.received_ms
+        customer = call.customer
+        output_tokens = call.headers.output_tokens
+        if call.headers.estimated_output_tokens:
+            output_tokens = min(
+                output_tokens, 2 * call.headers.estimated_output_tokens
+            )
+        return SlotRequest(
+            call=f'{call.headers.attempt}/{self._count}',
+            instance=self._address,
+            failure_domain=self._failure_domain,
+            pool=self._pools.choose(
+                call.service, call.headers.prompt, all_excluded
+            ),
+            rank=self._rank_order(
+                customer.rank if customer else None, call.route.rank
+            ),
+            route_rank=call.route.rank,
+            customer=customer.name if customer else '',
+            cost_units=(
+                0.0 if is_sent else count_cost_units(customer, call.headers)
+            ),
+            waited_ms=now_ms - arrived_ms,
+            objective_ms=(
+                max(call.route.objective_ms, CALLER_PATIENCE_MS)
+                if reply.has_begun
+                else call.route.objective_ms
+            ),
+            deadline_ms=call.expires_at_ms - arrived_ms,
+            prompt=call.headers.prompt,
+            output_tokens=output_tokens,
+            body_bytes=len(call.request.body),
+            excluded=all_excluded,
+        )
+
+    def find_pause_ms(self, progress: CallProgress) -> int | None:
+        """Return the time to the end of the first pause.
+
+        :returns: None unless all targets that may still run the call pause.
+        """
+        pauses = self._closed_targets.pauses
+        if not pauses:
+            return None
+        service = progress.call.service
+        first_ms: int | None = None
+        for target in self._facts.target_directory.list_service(service):
+            if self._closed_targets.is_leaving(target) or (
+                progress.binding and not progress.binding.allows(target)
+            ):
+                continue
+            left_ms = pauses.find_left_ms(target)
+            if left_ms:
+                first_ms = min(left_ms, first_ms or left_ms)
+            elif target.target not in progress.excluded:
+                return None
+        return first_ms
+
+    def _list_excluded(self, progress: CallProgress) -> Iterator[str]:
+        """Yield the targets that must not run the call."""
+        yield from progress.excluded
+        service = progress.call.service
+        targets = self._facts.target_directory.list_service(service)
+        yield from self._closed_targets.list_closed(targets)
+        if progress.binding is None:
+            return
+        for target in targets:
+            if not progress.binding.allows(target):
+                yield target.target
--- a/tests/unit/test_sent_successor.py
+++ b/tests/unit/test_sent_successor.py
@@ -11,6 +11,7 @@
 from lagoonbend.outcomes import NextStep
 from lagoonbend_entry._internal.gateway import call_handler
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.call_progress import CallProgress
 from tests.unit.test_errors_amid_a_call import ROUTE
 
 LEFT_MS = 1_000
@@ -27,7 +28,7 @@
         call.route = ROUTE._replace(
             is_idempotent=True, attempt_limit=attempt_limit
         )
-        progress = call_handler.CallProgress(call)
+        progress = CallProgress(call)
         progress.successor = mock.Mock()
         progress.successor.attempt.is_sent = is_sent
         if outcome is AttemptOutcome.RESET:
