Play targets that want a pause in the soak, and check BUDGET

A group of faults of its own lets a target turn all requests away for up to 0.3 s and ask for a pause of 0.7 to 2.5 s, so that kept seeds inject what they did. pause_is_kept counts the requests of an instance that reach a target from half a second after that answer to its end; a restart or a pause of the instance, or a harmed link, excuses them. A target that wants a pause counts neither as sound for the shares of streams nor as unused for a call that another one broke off.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -58,11 +58,18 @@
     :param attempt: identifier of the caller's attempt.
     :param at_s: time on the monotonic clock.
     :param pause_s: pause that the target wants by its answer; 0 for none.
+    :param answered_s: time of that answer, from which the pause counts.
     """
 
     attempt: str
     at_s: float
     pause_s: float = 0.0
+    answered_s: float = 0.0
+
+    @property
+    def pause_end_s(self) -> float:
+        """End of the pause that the target wants."""
+        return self.answered_s + self.pause_s
 
 
 class StandinTarget:
@@ -166,13 +173,13 @@
         self._write(sock, f'{head}\r\n{headers}\r\n'.encode())
 
     def _ask_for_pause(self, attempt: str, sock: gevent.socket.socket) -> None:
+        at_s = time.monotonic()
         value = self.retry_after_values[0]
         if len(self.retry_after_values) > 1:
             del self.retry_after_values[0]
         self._reject(sock, f'Retry-After: {value}\r\n')
-        # The pause counts from the answer.
         self.arrivals.append(
-            TargetArrival(attempt, time.monotonic(), float(value))
+            TargetArrival(attempt, at_s, float(value), time.monotonic())
         )
 
     def _find_fault(self, request: IncomingRequest) -> str:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
@@ -150,10 +150,11 @@
         if period.start_s <= call.end_s
         and period.end_s + CONFIG_APPLY_S >= call.sent_s
     }
+    pausing_targets = history.list_pausing_targets(call.sent_s, call.end_s)
     return any(
         target.partition('-')[0] == service
         and _is_usable(call, history, target, version)
-        and target not in used_targets | drained_targets
+        and target not in used_targets | drained_targets | pausing_targets
         and not history.is_link_harmed(target, call.sent_s, call.end_s)
         for target in history.link_faults
     )
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
@@ -22,6 +22,11 @@
 """Time-out of the routes plus one second. Time during which the instance was
 paused doesn't count."""
 
+PAUSE_GRACE_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
+"""Time from the answer with which a target asks for a pause, and number of
+requests after it, that the users' rule BUDGET allows."""
+
 
 class GuaranteeViolation(NamedTuple):
     """A guarantee that did not hold in a soak.
@@ -171,6 +176,42 @@
             yield call, describe_unanswered(call, history)
 
 
+@register_check('pause_is_kept')
+def check_pauses(
+    calls: list[SoakCall], history: SoakHistory
+) -> Iterator[tuple[SoakCall, str]]:
+    """A target that wants a pause gets no requests from that instance.
+
+    A restart, a pause or a cut of the instance excuses it.
+    """
+    calls_by_attempt = {call.attempt: call for call in calls}
+    for target, arrivals in history.arrivals.items():
+        known = [
+            (item, calls_by_attempt[item.attempt])
+            for item in sorted(arrivals, key=lambda item: item.at_s)
+            if item.attempt in calls_by_attempt
+        ]
+        for asked, asked_call in known:
+            start_s, end_s = asked.answered_s, asked.pause_end_s
+            instance = asked_call.instance
+            late_calls = [
+                call
+                for item, call in known
+                if call.instance == instance
+                and start_s + PAUSE_GRACE_S < item.at_s < end_s
+            ]
+            if (
+                len(late_calls) > MAX_REQUESTS_IN_PAUSE
+                and not history.is_interrupted(instance, start_s, end_s)
+                and not history.is_link_harmed(target, start_s, end_s)
+            ):
+                yield (
+                    late_calls[-1],
+                    f'{len(late_calls)} requests of instance {instance} in'
+                    f' {asked.pause_s:.1f} s after {target} asked for a pause',
+                )
+
+
 def describe_unanswered(call: SoakCall, history: SoakHistory) -> str:
     """Return what the record shows of a call without a whole answer."""
     targets = [run.target for run in history.list_runs(call.attempt)]
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -30,6 +30,10 @@
 MAX_CHANGE_COUNT = 5
 SILENCE_S = 1.0
 """Silence of a sound target that the users' rules count as no trouble."""
+ASKED_PAUSE_S = (0.7, 2.5)
+"""Range of the pause that a target asks for."""
+SHEDDING_S = (0.05, 0.3)
+"""Range of the time for which such a target turns all requests away."""
 ENGINE_SERVICE = 'chat'
 RELEASE_INTERVAL_S = (0.5, 1.5)
 """Range of the time between two steps of a release."""
@@ -110,10 +114,12 @@
 belongs to another group, so that kept seeds inject the same faults again."""
 SERIES = 'series'
 RELEASE = 'release'
+SHEDDING = 'shedding'
 SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {
     SINGLE: {},
     SERIES: {},
     RELEASE: {},
+    SHEDDING: {},
 }
 
 
@@ -291,6 +297,16 @@
         gevent.sleep(context.rng.uniform(*SERIES_INTERVAL_S))
 
 
+@register_fault('ask_for_pause', SHEDDING)
+def ask_for_pause(context: FaultContext) -> None:
+    """Let a target turn requests away for a moment and ask for a pause."""
+    target = context.fleet.targets[context.rng.choice(context.serving_targets)]
+    pause_s = context.rng.uniform(*ASKED_PAUSE_S)
+    target.retry_after_values = [f'{pause_s:.3f}']
+    gevent.sleep(context.rng.uniform(*SHEDDING_S))
+    target.retry_after_values = []
+
+
 @register_fault('release', RELEASE)
 def release(context: FaultContext) -> None:
     """Replace the engines by engines of the next version.
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
@@ -6,6 +6,7 @@
 import math
 from typing import NamedTuple
 
+from lagoonbend_devkit._internal.gateway.standin_target import TargetArrival
 from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
@@ -29,6 +30,7 @@
     :param store_faults: times at which the store or its link was harmed.
     :param target_periods: period in which each target was registered as
         ready, by its name.
+    :param arrivals: requests that reached each target, by its name.
     """
 
     runs: Sequence[TargetRun] = ()
@@ -39,6 +41,7 @@
     configuration_times_s: Sequence[float] = ()
     store_faults: Sequence[LinkFault] = ()
     target_periods: Mapping[str, TargetPeriod] = {}
+    arrivals: Mapping[str, Sequence[TargetArrival]] = {}
 
     def list_runs(self, attempt: str) -> list[TargetRun]:
         """Return the runs of an attempt."""
@@ -63,6 +66,19 @@
             for fault in self.link_faults.get(target, ())
         )
 
+    def list_pausing_targets(self, start_s: float, end_s: float) -> set[str]:
+        """Return the targets that wanted a pause from any instance."""
+        return {
+            target
+            for target, arrivals in self.arrivals.items()
+            if any(
+                item.pause_s
+                and item.at_s <= end_s
+                and item.pause_end_s >= start_s
+                for item in arrivals
+            )
+        }
+
     def list_sound_targets(
         self, service: str, start_s: float, end_s: float
     ) -> list[str]:
@@ -72,13 +88,14 @@
             for period in self.drained_periods
             if period.start_s <= end_s and period.end_s >= start_s
         }
+        pausing_targets = self.list_pausing_targets(start_s, end_s)
         return [
             target
             for target, period in self.target_periods.items()
             if period.service == service
             and period.start_s <= start_s
             and period.end_s >= end_s
-            and target not in drained_targets
+            and target not in drained_targets | pausing_targets
             and not self.is_link_harmed(target, start_s, end_s)
         ]
 
@@ -86,22 +103,22 @@
         self, instance: int, start_s: float, end_s: float
     ) -> bool:
         """Return whether a fault disturbed an instance or the store."""
-        return (
-            any(
-                down_start_s <= end_s and down_end_s >= start_s
-                for down_start_s, down_end_s in self.list_down_periods(
-                    instance
-                )
-            )
-            or any(
-                period.instance == instance
-                and period.start_s <= end_s
-                and period.end_s >= start_s
-                for period in self.paused_periods
-            )
-            or any(
-                fault.overlaps(start_s, end_s) for fault in self.store_faults
-            )
+        return self.is_interrupted(instance, start_s, end_s) or any(
+            fault.overlaps(start_s, end_s) for fault in self.store_faults
+        )
+
+    def is_interrupted(
+        self, instance: int, start_s: float, end_s: float
+    ) -> bool:
+        """Return whether an instance was down or paused in a period."""
+        return any(
+            down_start_s <= end_s and down_end_s >= start_s
+            for down_start_s, down_end_s in self.list_down_periods(instance)
+        ) or any(
+            period.instance == instance
+            and period.start_s <= end_s
+            and period.end_s >= start_s
+            for period in self.paused_periods
         )
 
     def list_down_periods(
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
@@ -1,5 +1,6 @@
 """The fault soak and the checks of its results."""
 
+from lagoonbend_devkit._internal.gateway.standin_target import TargetArrival
 from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
 from lagoonbend_devkit._internal.soak.call_failure import CallFailure
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
@@ -31,6 +32,7 @@
     'SoakHistory',
     'SoakReport',
     'Supervisor',
+    'TargetArrival',
     'TargetRun',
     'StreamShares',
     'TargetPeriod',
--- a/tests/functional/test_pausing_targets.py
+++ b/tests/functional/test_pausing_targets.py
@@ -66,7 +66,7 @@
         self.target.retry_after_values = []
         self.assertGreaterEqual(len(self.target.arrivals), len(values))
         self.assertTrue(all(item.pause_s for item in self.target.arrivals))
-        return self.target.arrivals[-1].at_s
+        return self.target.arrivals[-1].answered_s
 
     def leave_only_one(self) -> None:
         """Let all other targets of the service drain."""
@@ -111,7 +111,7 @@
         arrival_count = len(self.target.arrivals)
         self.assertLessEqual(arrival_count, 4)
         answers.append(call(self.fleet, 'look-up')[1])
-        left_s = self.target.arrivals[-1].at_s + PAUSE_S - time.monotonic()
+        left_s = self.target.arrivals[-1].pause_end_s - time.monotonic()
         for answer in answers:
             self.assertEqual(503, answer.status)
             self.assertIn(b'targets_paused', answer.body)
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -17,6 +17,7 @@
 from lagoonbend_devkit.soak import SoakHistory
 from lagoonbend_devkit.soak import StreamShares
 from lagoonbend_devkit.soak import sum_shares
+from lagoonbend_devkit.soak import TargetArrival
 from lagoonbend_devkit.soak import TargetPeriod
 from lagoonbend_devkit.soak import TargetRun
 from lagoonbend_entry.testing import IncomingRequest
@@ -140,6 +141,51 @@
     }
 
 
+class ChecksOfPausesTest(unittest.TestCase):
+    """A target asks instance 0 for a pause of 2 s, which ends at 13 s."""
+
+    def is_kept(
+        self,
+        *times_s: float,
+        instance: int = 0,
+        history: SoakHistory = SOUND_HISTORY,
+    ) -> bool:
+        """Return whether requests at some times are allowed.
+
+        :param instance: number of the instance that sends them.
+        """
+        arrivals = [TargetArrival('a1', 10.0, 2.0, 11.0)]
+        calls = [VALID_CALL]
+        for number, at_s in enumerate(times_s):
+            attempt = f'late-{number}'
+            arrivals.append(TargetArrival(attempt, at_s))
+            calls.append(
+                VALID_CALL._replace(attempt=attempt, instance=instance)
+            )
+        violations = find_violations(
+            calls, history._replace(arrivals={'desk-0': arrivals})
+        )
+        return 'pause_is_kept' not in {item.guarantee for item in violations}
+
+    def test_third_request_in_a_pause_is_seen(self) -> None:
+        """Those in the first half of a second and after the end may come."""
+        self.assertFalse(self.is_kept(11.6, 12.0, 12.9))
+        self.assertTrue(self.is_kept(10.5, 11.4, 11.6, 12.9, 13.1))
+        self.assertTrue(self.is_kept(11.6, 12.0, 12.9, instance=1))
+
+    def test_interruption_excuses_requests_in_a_pause(self) -> None:
+        """A restart, a pause of the instance, or a cut of its link."""
+        killed = InstanceEvent(0, InstanceEventKind.KILLED, 11.5)
+        for history in (
+            SoakHistory(events=[killed]),
+            SoakHistory(paused_periods=[PausedPeriod(0, 11.2, 11.3)]),
+            SoakHistory(link_faults={'desk-0': (LinkFault(11.2, 11.3),)}),
+        ):
+            with self.subTest(history):
+                is_kept = self.is_kept(11.6, 12.0, 12.9, history=history)
+                self.assertTrue(is_kept)
+
+
 class SoakChecksTest(unittest.TestCase):
     """Each test lets calls fail one check."""
 
