Send a listing to peers that may lack a removal

Cause, found by the random plays, in one era too: an instance that started, or listed anew, after a target was removed has no trace of it. It told a peer that nothing was missing up to its revision, and the peer kept the target in its list for good. A late listing could bring such a target back in the same way, and a listing without a configuration removed it from the items for peers.

Change: the cache knows from which position on it has all removals, and a peer from before gets all items, marked as a listing (optional field). Unknown items that are no newer than what is complete are dropped.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/facts_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/facts_exchange.py
@@ -43,7 +43,15 @@
     def build_answer(self, wanted: messages.ItemsWanted) -> messages.Items:
         """Return the items that a peer has requested."""
         item_cache = self._facts.item_cache
-        items = item_cache.list_since(wanted.since, wanted.era)
+        # Removals before the start of the history are not known here.
+        is_listing = (
+            wanted.era is not None
+            and (wanted.era, wanted.since) < item_cache.history_start
+        )
+        if is_listing:
+            items = [item for item in item_cache if item.value is not None]
+        else:
+            items = item_cache.list_since(wanted.since, wanted.era)
         rules_item = self._facts.rules_item
         if (
             wanted.rules_version is not None
@@ -52,9 +60,11 @@
             and rules_item not in items
         ):
             items.append(rules_item)
-        return wire_codec.encode_items(
+        message = wire_codec.encode_items(
             wanted, items, item_cache.position, self._facts.age_ms()
         )
+        message.is_listing = is_listing
+        return message
 
     def handle_items(self, message: messages.Items) -> None:
         """Apply the items that a peer has sent."""
@@ -65,4 +75,5 @@
             message.revision,
             message.sent_ms - message.proof_age_ms,
             message.era,
+            is_listing=message.is_listing,
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -98,13 +98,18 @@
 
 
 class Items(Message):
-    """Answer to ``ItemsWanted``: nothing up to ``revision`` is missing."""
+    """Answer to ``ItemsWanted``: nothing up to ``revision`` is missing.
+
+    If ``is_listing``, what isn't among the items was removed; earlier versions
+    ignore the field.
+    """
 
     sent_ms: int
     items: list[WireItem]
     revision: int
     proof_age_ms: int | None
     era: int = NO_ERA
+    is_listing: bool = False
 
 
 class WirePart(msgspec.Struct, array_like=True):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -174,12 +174,18 @@
         revision: int,
         at_ms: int,
         era: int = NO_ERA,
+        *,
+        is_listing: bool = False,
     ) -> None:
         """Apply what a peer has sent, as it was current at ``at_ms``.
 
         A peer of a newer era has sent all of that era.
+
+        :param is_listing: True if it has sent all items.
         """
-        if era > self.item_cache.era:
+        if era > self.item_cache.era or (
+            is_listing and era == self.item_cache.era
+        ):
             newest = [item for item in items if item.era == era]
             self._apply_all(newest, (era, revision), 'peer')
         elif era == self.item_cache.era:
@@ -218,13 +224,6 @@
             return
         if era > self.item_cache.era:
             self._begin_era(era, source)
-            is_listed = any(item.key == self._rules_key for item in items)
-            if self._rules_value is not None and not is_listed:
-                items.append(
-                    PublishedItem(
-                        self._rules_key, revision, self._rules_value, era
-                    )
-                )
         rules = self.rules
         self._take_rules(items, source)
         updates = self.item_cache.replace('', items, revision, era)
@@ -273,15 +272,17 @@
                 self._apply_rules(item, item.value, source)
 
     def _keep_rules_item(self) -> None:
-        """Let the rules in force take the place of a lower version."""
+        """Let the rules in force replace a lower version or a removal."""
         known = self.rules_item
         value = self._rules_value
-        if known is None and value is not None:
+        if value is None:
+            return
+        if known is None:
             era, revision = self.item_cache.position
             self.item_cache.put(
                 PublishedItem(self._rules_key, revision, value, era)
             )
-        elif known is not None and None not in (known.value, value):
+        elif known.value != value:
             self.item_cache.put(known._replace(value=value))
 
     def _apply(
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/item_cache.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/item_cache.py
@@ -17,12 +17,15 @@
     ``complete_revision`` is missing, and ``verified_ms`` is the last time at
     which this was confirmed to be the newest state of the platform. Times are
     those of a clock that also advances while the machine is suspended.
+    Removals are known from ``history_start`` on, the position of the last
+    listing that was newer than what was known.
     """
 
     def __init__(self) -> None:
         self._items: dict[str, PublishedItem] = {}
         self.era = NO_ERA
         self.complete_revision = 0
+        self.history_start = (NO_ERA, 0)
         self.verified_ms: int | None = None
 
     def __iter__(self) -> Iterator[PublishedItem]:
@@ -61,6 +64,12 @@
         :param era: era of the listing.
         """
         listed = list(items)
+        self.history_start = max(
+            self.history_start,
+            (era, revision)
+            if (era, revision) > self.position
+            else (NO_ERA, 0),
+        )
         present = {item.key for item in listed}
         removed = [
             PublishedItem(item.key, revision, None, era)
@@ -120,7 +129,9 @@
 
     def _store_if_newer(self, item: PublishedItem) -> bool:
         known = self._items.get(item.key)
-        if known is not None and known.position >= item.position:
+        # Of an item that isn't known, nothing up to this position is left.
+        newest = self.position if known is None else known.position
+        if newest >= item.position:
             return False
         self._items[item.key] = item
         return True
