Take waits for a processor off the delays beside endless bytes

Cause: the test compared calls to an instance that reads endless bytes with calls to an idle instance. At a load of 30 on 8 cores, two of four tests failed: median 0.63 s above the idle instance's (bound 0.3), and maximum 0.56 s above (bound 0.5). An idle process gets a processor at once, one that works waits for its share, so the idle instance doesn't show what the machine adds.

Ruled out: wider bounds; a repeat of the test.

Change: each delay is measured without the time for which the instance or the caller was ready to run and didn't (schedstat), the longer of the two. On a quiet machine nothing is taken off, where the median of the other instance was before; so the check is stricter there.

--- a/tests/functional/test_bytes_without_end.py
+++ b/tests/functional/test_bytes_without_end.py
@@ -4,6 +4,7 @@
 answer them.
 """
 
+import os
 import pathlib
 import statistics
 import time
@@ -25,11 +26,12 @@
 MAX_MEMORY_KB = 128 * 1_024
 """Memory of the smallest instance."""
 OBJECTIVE_S = 0.3
-"""Objective of the routes, for the median of other calls meanwhile, beyond
-that of calls to an instance which gets no such bytes."""
+"""Objective of the routes, for the median of other calls meanwhile, without
+the time for which the instance or the caller waited for a processor."""
 MAX_DELAY_S = 0.5
 """The same for the slowest; the endless bytes are sent by the process that
 makes the calls, which delays them too."""
+NANOSECONDS_PER_SECOND = 1_000_000_000
 CHUNK = b'10000\r\n' + b'x' * 65_536 + b'\r\n'
 SMALL_CHUNK = b'1\r\nx\r\n'
 REJECTION = (
@@ -157,9 +159,6 @@
     ) -> None:
         """Check the memory of the instance and the delay of other calls.
 
-        A second instance, which gets none of the bytes, shows the delays that
-        the machine adds at that moment.
-
         :param pause_s: pause between pieces; if there is one, all calls must
             be under way at once.
         """
@@ -170,10 +169,9 @@
         )
         service = 'chat' if 'stream' in route else 'desk'
         delays_s: list[float] = []
-        usual_delays_s: list[float] = []
         try:
             with gateway_fleet.GatewayFleet(
-                2,
+                1,
                 engine_count=0 if service == 'chat' else 1,
                 service_count=0 if service == 'desk' else 1,
             ) as fleet:
@@ -194,15 +192,7 @@
                     for _ in range(CALL_COUNT)
                 ]
                 while not all(greenlet.ready() for greenlet in calls):
-                    for instance, all_s in enumerate(
-                        (delays_s, usual_delays_s)
-                    ):
-                        start_s = time.monotonic()
-                        _, answer = call(
-                            fleet, other, instance=instance, method='GET'
-                        )
-                        all_s.append(time.monotonic() - start_s)
-                        self.assertEqual(200, answer.status)
+                    delays_s.append(self.measure_delay_s(fleet, other))
                     gevent.sleep(0.05)
                 memory_kb = find_peak_memory_kb(fleet)
                 self.assertTrue(fleet.processes[0].is_running)
@@ -211,9 +201,23 @@
         if pause_s:
             self.assertGreaterEqual(targets.max_active_count, CALL_COUNT)
         self.assertLess(memory_kb, MAX_MEMORY_KB)
-        usual_s = statistics.median(usual_delays_s)
-        self.assertLess(statistics.median(delays_s) - usual_s, OBJECTIVE_S)
-        self.assertLess(max(delays_s) - max(usual_delays_s), MAX_DELAY_S)
+        self.assertLess(statistics.median(delays_s), OBJECTIVE_S)
+        self.assertLess(max(delays_s), MAX_DELAY_S)
+
+    def measure_delay_s(
+        self, fleet: gateway_fleet.GatewayFleet, route: str
+    ) -> float:
+        """Send a call; return its time without waits for a processor."""
+        pids = (fleet.processes[0].pid, os.getpid())
+        start_waits_s = [read_processor_wait_s(pid) for pid in pids]
+        start_s = time.monotonic()
+        _, answer = call(fleet, route, method='GET')
+        duration_s = time.monotonic() - start_s
+        self.assertEqual(200, answer.status)
+        return duration_s - max(
+            read_processor_wait_s(pid) - start_wait_s
+            for pid, start_wait_s in zip(pids, start_waits_s, strict=True)
+        )
 
     # Guards against an instance that is killed for the sum of its heads.
     def test_heads(self) -> None:
@@ -236,6 +240,12 @@
         self.play(OWN_ANSWER, CHUNK, 'look-up')
 
 
+def read_processor_wait_s(pid: int) -> float:
+    """Return how long a process has been ready to run and not running."""
+    path = pathlib.Path(f'/proc/{pid}/schedstat')
+    return int(path.read_text().split()[1]) / NANOSECONDS_PER_SECOND
+
+
 def find_peak_memory_kb(fleet: gateway_fleet.GatewayFleet) -> int:
     """Return the peak of the resident memory of the first instance."""
     path = pathlib.Path(f'/proc/{fleet.processes[0].pid}/status')
