Apply an instance's share of the slots to a new pool at once

Callers could be sent to more slots than the instance's share: a fallback scheduler granted all slots of its targets until the next cycle, 50 to 250 ms after its first call. Since calls also go there when a decider has an older list, many instances could do so for a target that has just started, which then turns calls away.

Ruled out: a cycle before the first call, which would delay it.

Change: the schedulers of an instance keep the share and the unreachable domains of their last cycle and apply them to a pool when it is created.

Measured: test_share_holds_for_a_new_pool failed before (0 waiting calls of 2 with a share of half of 2 slots) and passes.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
@@ -44,6 +44,8 @@
         self._deliver = deliver
         self._on_waiting = on_waiting
         self._schedulers: dict[str, PoolScheduler] = {}
+        self._share = 1.0
+        self._unreachable_domains: frozenset[str] = frozenset()
 
     @property
     def pools(self) -> list[str]:
@@ -87,6 +89,7 @@
             )
             self._schedulers[pool] = scheduler
             self._apply_facts_to(pool, scheduler)
+            self._apply_share_to(scheduler)
         return scheduler
 
     def remove(self, pool: str) -> PoolScheduler | None:
@@ -119,15 +122,21 @@
         :param unreachable_domains: domains of which no instance is within
             reach.
         """
+        self._share = share
+        self._unreachable_domains = unreachable_domains
         for scheduler in list(self._schedulers.values()):
-            targets = scheduler.targets
-            targets.share = share
-            targets.unreachable_domains = unreachable_domains
-            if share < 1.0:
-                slots = math.ceil(targets.slot_count * share)
-                targets.slot_limit = max(1, slots)
+            self._apply_share_to(scheduler)
             self.deliver(scheduler.expire())
 
+    def _apply_share_to(self, scheduler: PoolScheduler) -> None:
+        targets = scheduler.targets
+        targets.share = self._share
+        targets.unreachable_domains = self._unreachable_domains
+        targets.slot_limit = None
+        if self._share < 1.0:
+            slots = math.ceil(targets.slot_count * self._share)
+            targets.slot_limit = max(1, slots)
+
     def _apply_facts_to(self, pool: str, scheduler: PoolScheduler) -> None:
         parsed_pool = Pool.parse(pool)
         targets = parsed_pool.select(
--- a/tests/unit/test_waiting_calls.py
+++ b/tests/unit/test_waiting_calls.py
@@ -1,4 +1,4 @@
-"""Metric of the calls that wait for slots."""
+"""Calls that wait for slots at an instance."""
 
 import types
 from typing import cast
@@ -26,39 +26,55 @@
 )
 
 
+def build_schedulers() -> PoolSchedulers:
+    """Return schedulers that have no pool yet."""
+    return PoolSchedulers(
+        cast(FactsCache, FACTS),
+        PausedClock(),
+        SharedLimits(LimitTolerance()),
+        Invariants(strict=True),
+        lambda decision: None,
+        lambda: None,
+    )
+
+
+def submit(schedulers: PoolSchedulers, pool: Pool, number: int) -> None:
+    """Submit a call."""
+    request = SlotRequest(
+        call=f'{pool.name}-{number}',
+        instance='i0',
+        failure_domain='d0',
+        pool=pool.name,
+        rank=0,
+        route_rank=0,
+        customer='',
+        cost_units=0.0,
+        waited_ms=0,
+        objective_ms=1_000,
+        deadline_ms=5_000,
+    )
+    schedulers.submit(request, None)
+
+
 class WaitingCallsTest(unittest.TestCase):
     """Counts by service."""
 
     def test_calls_of_all_pools_of_a_service_count(self) -> None:
         """Guards against a count of the last pool of a service alone."""
-        schedulers = PoolSchedulers(
-            cast(FactsCache, FACTS),
-            PausedClock(),
-            SharedLimits(LimitTolerance()),
-            Invariants(strict=True),
-            lambda decision: None,
-            lambda: None,
-        )
+        schedulers = build_schedulers()
         for domain in DOMAINS:
             for number in range(2):
-                schedulers.submit(
-                    SlotRequest(
-                        call=f'{domain}-{number}',
-                        instance='i0',
-                        failure_domain='d0',
-                        pool=Pool('s', domain).name,
-                        rank=0,
-                        route_rank=0,
-                        customer='',
-                        cost_units=0.0,
-                        waited_ms=0,
-                        objective_ms=1_000,
-                        deadline_ms=5_000,
-                    ),
-                    None,
-                )
+                submit(schedulers, Pool('s', domain), number)
         self.assertEqual({'s': 2}, schedulers.count_waiting())
 
+    def test_share_holds_for_a_new_pool(self) -> None:
+        """Guards against all slots of a target that is new to an instance."""
+        schedulers = build_schedulers()
+        schedulers.run_cycle(0.5, frozenset())
+        for number in range(2):
+            submit(schedulers, Pool('s'), number)
+        self.assertEqual({'s': 1}, schedulers.count_waiting())
+
     def test_service_that_is_gone_has_no_waiting_calls(self) -> None:
         """Guards against the last value of a pool decided elsewhere since."""
         metrics = GatewayMetrics()
