Word LB0606 for deciders that know the target and can't use it

A decider that has taken a target for absent denies a call too, so its list need not be older. Found by a review; the event says what is known: the decider has no target for the call, and this instance knows one.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -144,8 +144,8 @@
     DECIDER_BEHIND = (
         'LB0606',
         'info',
-        'The instance that grants slots does not know targets that are known '
-        'here.',
+        'The instance that grants slots has no target for a call; one is '
+        'known here.',
     )
     PART_APPLIED = ('LB0503', 'info', 'A new configuration is in force.')
     PART_REJECTED = ('LB0504', 'error', 'A document failed validation.')
