Let the store of the soak come back from an older copy

Change: fault restore_store in a group of its own, so that the other faults of kept seeds stay as they are. What the copy lacks is written again within 1.9 s. Registrations that the store had lost count as not ready for that time, and a target that was draining comes back as another life, as the users' pages say.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_store.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_store.py
@@ -90,13 +90,14 @@
             {'key': key, 'revision': self.revision, 'tombstone': True}
         )
 
-    def restore(self, age_s: float, away_s: float) -> None:
+    def restore(self, age_s: float, away_s: float) -> float:
         """Go away, and come back from an older copy.
 
         What was written since, or meanwhile, is missing until ``write_again``.
 
         :param age_s: age of the copy.
         :param away_s: time for which all requests are rejected.
+        :returns: time on the monotonic clock since which writes are missing.
         """
         copied_s = time.monotonic() - age_s
         copy = next(
@@ -116,6 +117,7 @@
         ]
         self._copies = [c for c in self._copies if c.revision <= copy.revision]
         self._wake_watches()
+        return copy.copied_s
 
     def write_again(self) -> None:
         """Write what the operator and the servers wrote and is missing."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -24,6 +24,7 @@
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
 from lagoonbend_devkit._internal.soak.soak_faults import RELEASE
+from lagoonbend_devkit._internal.soak.soak_faults import RESTORE
 from lagoonbend_devkit._internal.soak.soak_faults import SERIES
 from lagoonbend_devkit._internal.soak.soak_faults import SINGLE
 from lagoonbend_devkit._internal.soak.soak_faults import SOAK_FAULTS
@@ -36,7 +37,7 @@
 from lagoonbend_devkit._internal.soak.supervisor import Supervisor
 
 CALLER_HABITS = (*[BRIEF] * 8, LOYAL, EAGER, PIPELINING, PIPELINING)
-MEAN_FAULT_INTERVALS_S = {SINGLE: 0.6, SERIES: 2.0, RELEASE: 4.0}
+MEAN_FAULT_INTERVALS_S = {SINGLE: 0.6, SERIES: 2.0, RELEASE: 4.0, RESTORE: 6.0}
 """Mean time between the starts of two faults of a group. A single fault lasts
 up to 2.5 s, so that several overlap."""
 POLL_INTERVAL_S = 0.05
@@ -183,7 +184,7 @@
                     gevent.spawn(
                         self._inject_group, context.with_group(group), group
                     )
-                    for group in (SERIES, RELEASE)
+                    for group in (SERIES, RELEASE, RESTORE)
                 ),
             ],
             raise_error=True,
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -36,6 +36,11 @@
 TARGET_DRAIN_S = 4.0
 """Time until a draining target is removed; longer than the time-out of the
 routes, so that its streams have ended."""
+COPY_AGE_S = (1.0, 5.0)
+"""Range of the age of the copy from which the store comes back."""
+MAX_REWRITE_S = 1.9
+"""Longest time until what the copy lacks is written again; the users' pages
+give about two seconds."""
 STORE_FAULT_MODES = ('busy', 'silent', 'gone')
 PROXY_FAULT_MODES = (
     ProxyMode.DELAY,
@@ -80,6 +85,8 @@
             for name in target_proxies
         }
         self.release_lock = gevent.lock.BoundedSemaphore()
+        self.born_ms: dict[str, int] = {}
+        self.restore_lock = gevent.lock.BoundedSemaphore()
 
     def record_event(self, instance: int, kind: InstanceEventKind) -> None:
         """Record what is about to be done to an instance."""
@@ -110,10 +117,12 @@
 belongs to another group, so that kept seeds inject the same faults again."""
 SERIES = 'series'
 RELEASE = 'release'
+RESTORE = 'restore'
 SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {
     SINGLE: {},
     SERIES: {},
     RELEASE: {},
+    RESTORE: {},
 }
 
 
@@ -249,10 +258,15 @@
     duration_s = context.choose_duration_s()
     service, version, *_ = context.target_periods[name]
     start_s = time.monotonic()
-    context.fleet.register_target(name, service, 'draining', version)
+    born_ms = context.born_ms.get(name, gateway_fleet.FIRST_BORN_MS)
+    context.fleet.register_target(name, service, 'draining', version, born_ms)
     gevent.sleep(duration_s)
     if context.target_periods[name].end_s == math.inf:
-        context.fleet.register_target(name, service, version=version)
+        # A target that leaves comes back as another life only.
+        context.born_ms[name] = born_ms + 1
+        context.fleet.register_target(
+            name, service, version=version, born_ms=born_ms + 1
+        )
     context.drained_periods.append(
         DrainedPeriod(name, start_s, time.monotonic())
     )
@@ -321,6 +335,31 @@
     gevent.joinall(remove_greenlets, raise_error=True)
 
 
+@register_fault('restore_store', RESTORE)
+def restore_store(context: FaultContext) -> None:
+    """Let the store come back from an older copy; all is written again."""
+    with context.restore_lock:
+        age_s = context.rng.uniform(*COPY_AGE_S)
+        start_s = time.monotonic()
+        store = context.fleet.store
+        copied_s = store.restore(age_s, context.rng.uniform(0.1, 1.0))
+        gevent.sleep(context.rng.uniform(0.0, MAX_REWRITE_S))
+        store.write_again()
+        end_s = time.monotonic()
+        context.store_faults.append(LinkFault(start_s, end_s))
+        # The store had lost these registrations.
+        context.drained_periods.extend(
+            DrainedPeriod(name, start_s, end_s)
+            for name, period in context.target_periods.items()
+            if copied_s <= period.start_s <= end_s
+        )
+        context.drained_periods.extend(
+            DrainedPeriod(period.target, start_s, end_s)
+            for period in list(context.drained_periods)
+            if period.end_s >= copied_s
+        )
+
+
 def _start_replacement(context: FaultContext, name: str, version: str) -> None:
     """Start a target that takes the place of another one in later faults."""
     number = context.serving_targets.index(name)
@@ -337,6 +376,7 @@
     context.target_periods[name] = context.target_periods[name]._replace(
         end_s=time.monotonic()
     )
-    context.fleet.register_target(name, service, 'draining', version)
+    born_ms = context.born_ms.get(name, gateway_fleet.FIRST_BORN_MS)
+    context.fleet.register_target(name, service, 'draining', version, born_ms)
     gevent.sleep(TARGET_DRAIN_S)
     context.fleet.remove_target(name)
