--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -24,6 +24,7 @@
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
 from lagoonbend_devkit._internal.soak.soak_faults import RELEASE
+from lagoonbend_devkit._internal.soak.soak_faults import RESTORE
 from lagoonbend_devkit._internal.soak.soak_faults import SERIES
 from lagoonbend_devkit._internal.soak.soak_faults import SHEDDING
 from lagoonbend_devkit._internal.soak.soak_faults import SINGLE
@@ -42,6 +43,7 @@
     SERIES: 2.0,
     RELEASE: 4.0,
     SHEDDING: 1.5,
+    RESTORE: 6.0,
 }
 """Mean time between the starts of two faults of a group. A single fault lasts
 up to 2.5 s, so that several overlap."""
@@ -193,7 +195,7 @@
                     gevent.spawn(
                         self._inject_group, context.with_group(group), group
                     )
-                    for group in (SERIES, RELEASE, SHEDDING)
+                    for group in (SERIES, RELEASE, SHEDDING, RESTORE)
                 ),
             ],
             raise_error=True,
