Expire lapsed targets that were removed again

Cause: a second, newer tombstone of a lapsed target, applied after the grace and before expire(), dropped the target but not its lapse. expire() raised KeyError, and the targets that lapsed after it stayed in use.

Change: the drop ends the lapse, expire() passes over names that are gone, and the eras of lapses are dropped with them.

Measured: the new test failed before with KeyError; it passes. So do test_store_eras, test_store_restored, test_facts_with_an_age and test_target_not_listed_yet (25 tests).

--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -70,8 +70,10 @@
         """
         expired = _pop_expired(self._lapsed_until_ms, now_ms)
         for name in expired:
-            target = self._targets.pop(name)
-            self._departures.record(name, target, self._lapsed_eras[name])
+            era = self._lapsed_eras.pop(name)
+            target = self._targets.pop(name, None)
+            if target is not None:
+                self._departures.record(name, target, era)
         returned = _pop_expired(self._returned_until_ms, now_ms)
         for name in returned:
             self._targets[name] = self._targets[name]._replace(
@@ -158,7 +160,7 @@
         name = item.key
         if item.value is not None:
             target = self._decode(item)
-            self._lapsed_until_ms.pop(name, None)
+            self._end_lapse(name)
             if target is None:
                 self._returned_until_ms.pop(name, None)
                 self._targets.pop(name, None)
@@ -180,10 +182,15 @@
             self._lapsed_until_ms[name] = ended_ms + LAPSE_GRACE_MS
             self._lapsed_eras[name] = item.era
             return
+        self._end_lapse(name)
         if not known.is_leaving:
             self._departures.record(name, known, item.era)
         del self._targets[name]
 
+    def _end_lapse(self, name: str) -> None:
+        self._lapsed_until_ms.pop(name, None)
+        self._lapsed_eras.pop(name, None)
+
     def _restrict(
         self, target: ListedTarget, item: PublishedItem, now_ms: int
     ) -> ListedTarget:
--- /dev/null
+++ b/tests/unit/test_targets_over_eras.py
@@ -0,0 +1,59 @@
+"""Targets that lapse, and that an older copy of the store brings back.
+
+Guards against a live target that is dropped or left unused.
+"""
+
+import unittest
+
+from lagoonbend.facts import ListedTarget
+from lagoonbend.facts import PublishedItem
+from lagoonbend.facts import TargetDirectory
+
+
+def read_target(item: PublishedItem) -> ListedTarget:
+    """Decode a state."""
+    is_leaving = item.value == b'leaving'
+    return ListedTarget(
+        item.key, 'desk', '10.0.0.1', 80, 'd', 4, is_leaving, None, 1
+    )
+
+
+class TargetsOverErasTest(unittest.TestCase):
+    """Changes at given times, in milliseconds."""
+
+    def setUp(self) -> None:
+        """Begin without targets."""
+        self.directory = TargetDirectory(read_target)
+
+    def apply(
+        self,
+        era: int,
+        revision: int,
+        value: bytes | None,
+        now_ms: int,
+        name: str = 'x',
+    ) -> None:
+        """Apply the state of a target."""
+        item = PublishedItem(name, revision, value, era)
+        self.directory.apply([item], now_ms)
+
+    def list_names(self) -> list[str]:
+        """Return the names of the targets that may be used."""
+        return [each.target for each in self.directory.list_service('desk')]
+
+    def test_removed_again_after_its_lapse(self) -> None:
+        """The other lapsed targets are removed too."""
+        for name in 'xy':
+            self.apply(-1, 1, b'ready', 0, name)
+        self.directory.record_outage_end(0)
+        for name in 'xy':
+            self.apply(-1, 2, None, 100, name)
+        self.assertEqual(['x', 'y'], self.list_names())
+        self.apply(-1, 3, None, 2_100)
+        self.directory.expire(2_200)
+        self.assertEqual([], self.list_names())
+        self.assertEqual(0, len(self.directory))
+
+
+if __name__ == '__main__':
+    unittest.main()
