Forget the departure of a target that proved alive

Cause: the departure of a removed target stayed known after it had registered again, or had been listed for 8 s, in a later era. Each later change of its entry, and each further drill, took it out for 8 s again.

Change: Departures.forget(), called where such a target is used again.

Measured: the new test failed before for both proofs; it passes.

--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/departures.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/departures.py
@@ -38,6 +38,10 @@
         if len(self._by_key) > MAX_DEPARTURES:
             del self._by_key[next(iter(self._by_key))]
 
+    def forget(self, key: str) -> None:
+        """Forget the departure of a target that is alive."""
+        self._by_key.pop(key, None)
+
     def find(
         self, target: ListedTarget, item: PublishedItem
     ) -> ListedTarget | None:
@@ -50,5 +54,5 @@
             return None
         if item.era > known.era:
             return known.target
-        del self._by_key[item.key]
+        self.forget(item.key)
         return None
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -76,6 +76,7 @@
                 self._departures.record(name, target, era)
         returned = _pop_expired(self._returned_until_ms, now_ms)
         for name in returned:
+            self._departures.forget(name)
             self._targets[name] = self._targets[name]._replace(
                 is_leaving=False
             )
@@ -210,6 +211,7 @@
         if not departed.is_leaving:
             if was_returned:
                 # Only the first registration may be that of the copy.
+                self._departures.forget(name)
                 return target
             self._returned_until_ms[name] = now_ms + RETURNED_ENTRY_MS
         return target._replace(is_leaving=True)
--- a/tests/unit/test_targets_over_eras.py
+++ b/tests/unit/test_targets_over_eras.py
@@ -54,6 +54,24 @@
         self.assertEqual([], self.list_names())
         self.assertEqual(0, len(self.directory))
 
+    def test_alive_after_an_older_copy(self) -> None:
+        """A removed target that proved alive isn't taken out again."""
+        for proof in ('registration', 'time'):
+            with self.subTest(proof=proof):
+                self.setUp()
+                self.apply(1, 5, b'ready', 0)
+                self.apply(1, 6, None, 0)
+                self.apply(2, 3, b'ready', 100)
+                self.assertEqual([], self.list_names())
+                if proof == 'registration':
+                    self.apply(2, 4, b'ready', 200)
+                self.directory.expire(8_100)
+                self.assertEqual(['x'], self.list_names())
+                self.apply(2, 5, b'ready', 8_200)
+                self.assertEqual(['x'], self.list_names())
+                self.apply(3, 4, b'ready', 8_300)
+                self.assertEqual(['x'], self.list_names())
+
 
 if __name__ == '__main__':
     unittest.main()
