Use targets that register after the start of an era

Cause: every registration of a removed target that was read in a later era counted as one from the copy. One that was written in the new era waited for 8 s without need.

Change: the directory knows the revision of the listing that began the era. Only what is no newer may come from the copy; above it, the departure of a target that wasn't leaving is forgotten.

Measured: the new test failed before (with a begin_era() that did nothing) and passes. A leaving still holds, which passed before too.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -224,6 +224,7 @@
             return
         if era > self.item_cache.era:
             self._begin_era(era, source)
+            self.target_directory.begin_era(era, revision)
         rules = self.rules
         self._take_rules(items, source)
         updates = self.item_cache.replace('', items, revision, era)
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -5,6 +5,7 @@
 
 from lagoonbend._internal.facts.departures import Departures
 from lagoonbend._internal.facts.listed_target import ListedTarget
+from lagoonbend._internal.facts.published_item import NO_ERA
 from lagoonbend._internal.facts.published_item import PublishedItem
 
 LAPSE_GRACE_MS = 2_000
@@ -41,6 +42,7 @@
         self._lapsed_eras: dict[str, int] = {}
         self._returned_until_ms: dict[str, int] = {}
         self._departures = Departures()
+        self._era_start = (NO_ERA, 0)
         self._outage_ended_ms: int | None = None
         self._versions: dict[str, set[str | None]] = {}
         self._gone_versions: dict[str, dict[str | None, int]] = {}
@@ -55,6 +57,13 @@
         """Record that the platform is available again."""
         self._outage_ended_ms = now_ms
 
+    def begin_era(self, era: int, revision: int) -> None:
+        """Record the position of the listing that began an era.
+
+        A registration of that era above it was written by a live target.
+        """
+        self._era_start = (era, revision)
+
     def apply(self, items: Iterable[PublishedItem], now_ms: int) -> None:
         """Apply changed items."""
         if self._listed_since_ms is None:
@@ -209,8 +218,11 @@
         if departed is None:
             return target
         if not departed.is_leaving:
-            if was_returned:
-                # Only the first registration may be that of the copy.
+            era, revision = self._era_start
+            is_new = item.era == era and item.revision > revision
+            if was_returned or is_new:
+                # Only the first registration may be that of the copy, and
+                # only if the first listing contains it.
                 self._departures.forget(name)
                 return target
             self._returned_until_ms[name] = now_ms + RETURNED_ENTRY_MS
--- a/tests/unit/test_targets_over_eras.py
+++ b/tests/unit/test_targets_over_eras.py
@@ -72,6 +72,21 @@
                 self.apply(3, 4, b'ready', 8_300)
                 self.assertEqual(['x'], self.list_names())
 
+    def test_registration_after_the_start_of_an_era(self) -> None:
+        """Only what the first listing contains may be that of the copy."""
+        self.apply(1, 5, b'ready', 0)
+        self.apply(1, 6, None, 0)
+        self.directory.begin_era(2, 3)
+        self.apply(2, 4, b'ready', 100)
+        self.assertEqual(['x'], self.list_names())
+
+    def test_leaving_holds_after_the_start_of_an_era(self) -> None:
+        """A registration that is renewed doesn't end it."""
+        self.apply(1, 5, b'leaving', 0)
+        self.directory.begin_era(2, 3)
+        self.apply(2, 4, b'ready', 100)
+        self.assertEqual([], self.list_names())
+
 
 if __name__ == '__main__':
     unittest.main()
