Extend lapses when a further outage ends

Cause: a target that lapsed in one drill kept the end of that drill's grace when another followed within 2 s, and was dropped before live servers had their time to register again.

Change: record_outage_end() extends every lapse.

Measured: the new test failed before; it passes.

--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -56,6 +56,8 @@
     def record_outage_end(self, now_ms: int) -> None:
         """Record that the platform is available again."""
         self._outage_ended_ms = now_ms
+        for name in self._lapsed_until_ms:
+            self._lapsed_until_ms[name] = now_ms + LAPSE_GRACE_MS
 
     def begin_era(self, era: int, revision: int) -> None:
         """Record the position of the listing that began an era.
--- a/tests/unit/test_targets_over_eras.py
+++ b/tests/unit/test_targets_over_eras.py
@@ -87,6 +87,17 @@
         self.apply(2, 4, b'ready', 100)
         self.assertEqual([], self.list_names())
 
+    def test_second_outage_within_the_grace(self) -> None:
+        """A lapsed target has the whole time after the second one."""
+        self.apply(1, 1, b'ready', 0)
+        self.directory.record_outage_end(0)
+        self.apply(2, 1, None, 100)
+        self.directory.record_outage_end(1_500)
+        self.directory.expire(3_499)
+        self.assertEqual(['x'], self.list_names())
+        self.directory.expire(3_500)
+        self.assertEqual([], self.list_names())
+
 
 if __name__ == '__main__':
     unittest.main()
