Keep the departure of a later life

Cause: the leaving of a later life was overwritten by that of an earlier one from an older copy. A newer copy then brought the later life back as ready.

Change: Departures.record() ignores an earlier life than the known one.

Measured: the new test failed before; it passes.

--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/departures.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/departures.py
@@ -29,10 +29,15 @@
     def record(self, key: str, target: ListedTarget, era: int) -> None:
         """Record that a target leaves, or that it was removed.
 
+        Ignored if a later life of it is known to have left.
+
         :param key: key of its item.
         :param target: target as last listed.
         :param era: era of the store that says so.
         """
+        known = self._by_key.get(key)
+        if known is not None and target.is_followed_by(known.target):
+            return
         self._by_key.pop(key, None)
         self._by_key[key] = _Departure(target, era)
         if len(self._by_key) > MAX_DEPARTURES:
--- a/tests/unit/test_targets_over_eras.py
+++ b/tests/unit/test_targets_over_eras.py
@@ -11,10 +11,12 @@
 
 
 def read_target(item: PublishedItem) -> ListedTarget:
-    """Decode a state."""
-    is_leaving = item.value == b'leaving'
+    """Decode a state and a start, which is 1 if it isn't given."""
+    state, _, start = (item.value or b'').decode().partition(' ')
+    is_leaving = state == 'leaving'
+    born_ms = int(start or 1)
     return ListedTarget(
-        item.key, 'desk', '10.0.0.1', 80, 'd', 4, is_leaving, None, 1
+        item.key, 'desk', '10.0.0.1', 80, 'd', 4, is_leaving, None, born_ms
     )
 
 
@@ -98,6 +100,15 @@
         self.directory.expire(3_500)
         self.assertEqual([], self.list_names())
 
+    def test_earlier_life_after_a_later_leaving(self) -> None:
+        """An older copy doesn't undo the leaving of the later life."""
+        self.apply(1, 5, b'leaving 2', 0)
+        self.directory.begin_era(2, 2)
+        self.apply(2, 2, b'leaving 1', 100)
+        self.directory.begin_era(3, 4)
+        self.apply(3, 4, b'ready 2', 200)
+        self.assertEqual([], self.list_names())
+
 
 if __name__ == '__main__':
     unittest.main()
