Send keys in place of full listings within an era

Cause: an instance knows no removals from before its first listing or a relisting, and sent all items to each peer that was further back, also where the store states no era. Several peers at the same position were all asked.

Ruled out: sending the changes alone, which loses the removals.

Change: within an era, Items carries the changes and, in a new last optional field, the keys of all items that exist; the receiver removes what isn't named and is no newer than the message. Listings are sent over a change of era only. The same position is requested once in 200 ms. Peers of earlier versions get what they got before.

Measured: the two new tests failed before (all items sent; asked again); they pass, with the random plays. Bytes were not measured.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/facts_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/facts_exchange.py
@@ -5,6 +5,10 @@
 from lagoonbend_entry._internal.coordination import wire_codec
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 
+REQUEST_INTERVAL_MS = 200
+"""Time within which the items up to a position are requested only once,
+whichever peers have them."""
+
 
 class FactsExchange:
     """Decides which items are requested, sent and used.
@@ -20,6 +24,7 @@
     def __init__(self, facts: FactsCache, clock: Clock) -> None:
         self._facts = facts
         self._clock = clock
+        self._requested_ms: dict[tuple[int, int, int], int] = {}
 
     def handle_pong(self, pong: messages.Pong) -> messages.ItemsWanted | None:
         """Use the proof of a heartbeat, or return a request for its items."""
@@ -28,8 +33,11 @@
             pong.era,
             pong.revision,
         ) > item_cache.position or pong.rules_version > self._facts.version:
+            now_ms = self._clock.now_ms()
+            if not self._record_request(pong, now_ms):
+                return None
             return messages.ItemsWanted(
-                self._clock.now_ms(),
+                now_ms,
                 item_cache.complete_revision,
                 item_cache.era,
                 self._facts.version,
@@ -40,14 +48,28 @@
             )
         return None
 
+    def _record_request(self, pong: messages.Pong, now_ms: int) -> bool:
+        """Return False if the same was requested just now."""
+        self._requested_ms = {
+            position: sent_ms
+            for position, sent_ms in self._requested_ms.items()
+            if now_ms - sent_ms < REQUEST_INTERVAL_MS
+        }
+        position = (pong.era, pong.revision, pong.rules_version)
+        if position in self._requested_ms:
+            return False
+        self._requested_ms[position] = now_ms
+        return True
+
     def build_answer(self, wanted: messages.ItemsWanted) -> messages.Items:
         """Return the items that a peer has requested."""
         item_cache = self._facts.item_cache
         # Removals before the start of the history are not known here.
-        is_listing = (
+        lacks_removals = (
             wanted.era is not None
             and (wanted.era, wanted.since) < item_cache.history_start
         )
+        is_listing = lacks_removals and wanted.era != item_cache.era
         if is_listing:
             items = [item for item in item_cache if item.value is not None]
         else:
@@ -64,6 +86,10 @@
             wanted, items, item_cache.position, self._facts.age_ms()
         )
         message.is_listing = is_listing
+        if lacks_removals and not is_listing:
+            message.live_keys = [
+                item.key for item in item_cache if item.value is not None
+            ]
         return message
 
     def handle_items(self, message: messages.Items) -> None:
@@ -76,4 +102,5 @@
             message.sent_ms - message.proof_age_ms,
             message.era,
             is_listing=message.is_listing,
+            live_keys=message.live_keys,
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -100,8 +100,8 @@
 class Items(Message):
     """Answer to ``ItemsWanted``: nothing up to ``revision`` is missing.
 
-    If ``is_listing``, what isn't among the items was removed; earlier versions
-    ignore the field.
+    If ``is_listing``, what isn't among the items was removed. If there are
+    ``live_keys``, what they don't name was. Earlier versions ignore both.
     """
 
     sent_ms: int
@@ -110,6 +110,7 @@
     proof_age_ms: int | None
     era: int = NO_ERA
     is_listing: bool = False
+    live_keys: list[str] | None = None
 
 
 class WirePart(msgspec.Struct, array_like=True):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -176,12 +176,15 @@
         era: int = NO_ERA,
         *,
         is_listing: bool = False,
+        live_keys: Iterable[str] | None = None,
     ) -> None:
         """Apply what a peer has sent, as it was current at ``at_ms``.
 
         A peer of a newer era has sent all of that era.
 
         :param is_listing: True if it has sent all items.
+        :param live_keys: keys of all items that exist; None if the items
+            contain the removals.
         """
         if era > self.item_cache.era or (
             is_listing and era == self.item_cache.era
@@ -189,7 +192,10 @@
             newest = [item for item in items if item.era == era]
             self._apply_all(newest, (era, revision), 'peer')
         elif era == self.item_cache.era:
-            self._apply_changed(list(items), 'peer')
+            if live_keys is None:
+                self._apply_changed(list(items), 'peer')
+            else:
+                self._apply_named(list(items), set(live_keys), (era, revision))
         else:
             self._apply_rules_only(items, 'peer')
             return
@@ -236,6 +242,20 @@
         updates = self.item_cache.merge(items)
         self._apply(updates, source, has_rules=self.rules is not rules)
 
+    def _apply_named(
+        self,
+        items: list[PublishedItem],
+        live_keys: set[str],
+        position: tuple[int, int],
+    ) -> None:
+        era, revision = position
+        rules = self.rules
+        self._take_rules(items, 'peer')
+        updates = self.item_cache.merge_changes(
+            items, live_keys, revision, era
+        )
+        self._apply(updates, 'peer', has_rules=self.rules is not rules)
+
     def _apply_rules_only(
         self, items: Iterable[PublishedItem], source: str
     ) -> None:
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/item_cache.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/item_cache.py
@@ -64,22 +64,48 @@
         :param era: era of the listing.
         """
         listed = list(items)
+        present = {item.key for item in listed}
+        return self._merge_complete(prefix, listed, present, (era, revision))
+
+    def merge_changes(
+        self,
+        items: Iterable[PublishedItem],
+        live_keys: Iterable[str],
+        revision: int,
+        era: int,
+    ) -> list[PublishedItem]:
+        """Merge changes, and remove what no longer exists.
+
+        :param items: all items of the era that changed after the position of
+            this cache and that still exist.
+        :param live_keys: keys of all items that exist at the given position.
+        :returns: items that changed.
+        """
+        return self._merge_complete(
+            '', list(items), set(live_keys), (era, revision)
+        )
+
+    def _merge_complete(
+        self,
+        prefix: str,
+        items: list[PublishedItem],
+        present: set[str],
+        position: tuple[int, int],
+    ) -> list[PublishedItem]:
+        era, revision = position
         self.history_start = max(
             self.history_start,
-            (era, revision)
-            if (era, revision) > self.position
-            else (NO_ERA, 0),
+            position if position > self.position else (NO_ERA, 0),
         )
-        present = {item.key for item in listed}
         removed = [
             PublishedItem(item.key, revision, None, era)
             for item in self._items.values()
             if item.key.startswith(prefix)
             and item.key not in present
             and item.value is not None
-            and item.position <= (era, revision)
+            and item.position <= position
         ]
-        return self.merge(listed + removed)
+        return self.merge(items + removed)
 
     def mark_verified(
         self, revision: int, at_ms: int | None, era: int = NO_ERA
--- a/tests/unit/test_store_eras.py
+++ b/tests/unit/test_store_eras.py
@@ -326,6 +326,39 @@
             world.instances[0].hear(world.instances[1])
         self.assertEqual(set(), world.instances[0].list_ready())
 
+    def test_listed_peer_sends_changes_and_names(self) -> None:
+        """Within an era, only a few items are sent, and all keys."""
+        for era in (-1, 1):
+            with self.subTest(era=era):
+                clock = PausedClock(1_000)
+                behind, ahead = Instance(clock), Instance(clock)
+                kept = PublishedItem('kept', 1, b'ready 1', era)
+                gone = PublishedItem('gone', 2, b'ready 1', era)
+                added = PublishedItem('added', 4, b'ready 1', era)
+                behind.facts.apply_listing([kept, gone], 2, 900, era)
+                ahead.facts.apply_listing([kept, added], 4, 900, era)
+                wanted = messages.ItemsWanted(1_000, 2, era, 0)
+                answer = ahead.exchange.build_answer(wanted)
+                self.assertEqual(['added'], [i.key for i in answer.items])
+                self.assertFalse(answer.is_listing)
+                behind.exchange.handle_items(answer)
+                self.assertEqual({'kept', 'added'}, behind.list_ready())
+                self.assertEqual((era, 4), behind.facts.item_cache.position)
+
+    def test_peers_are_asked_once(self) -> None:
+        """Several that are at the same position aren't all asked at once."""
+        clock = PausedClock(1_000)
+        instance = Instance(clock)
+        pong = messages.Pong(
+            1_000, 'p', 'd', 'x', 0, False, [], [], 7, 0, {}, True, 1, 2
+        )
+        self.assertIsNotNone(instance.exchange.handle_pong(pong))
+        self.assertIsNone(instance.exchange.handle_pong(pong))
+        pong.revision = 8
+        self.assertIsNotNone(instance.exchange.handle_pong(pong))
+        clock.advance(200)
+        self.assertIsNotNone(instance.exchange.handle_pong(pong))
+
     def test_messages_of_earlier_versions(self) -> None:
         """They have no era, and their decoders ignore the new fields."""
         earlier = msgspec.msgpack.encode(['ItemsWanted', 7, 3])
