Pace the reads of a store around a new era

Cause: the watch after an answer of a newer era, and after the listing that began one, was held for 1.8 s, so that the first proof after the 2 s of rewriting came late. A listing of an earlier era than the newest answer was repeated without a pause.

Change: those watches are short. Such a listing is discarded as other answers of earlier eras are, and repeated after the retry time.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
@@ -95,6 +95,7 @@
         self._record_success()
         if page.era > era:
             # The revision has another meaning there; all is listed next.
+            self._watch_wait_ms = SHORT_WATCH_WAIT_MS
             return
         verified_ms = sent_ms
         if not page.items and self._clock.now_ms() - sent_ms >= wait_ms:
@@ -124,8 +125,10 @@
                     context='platform service',
                 )
             items.extend(page.items)
-        _check_era(page, known_era)
+        _check_era(page, max(known_era, self._client.newest_era))
         self._record_success()
+        if era > known_era:
+            self._watch_wait_ms = SHORT_WATCH_WAIT_MS
         self._facts.apply_listing(items, revision, sent_ms, era)
 
     def _record_success(self) -> None:
