--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/departures.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/departures.py
@@ -29,15 +29,24 @@
     def record(self, key: str, target: ListedTarget, era: int) -> None:
         """Record that a target leaves, or that it was removed.
 
+        Ignored if a later life of it is known to have left.
+
         :param key: key of its item.
         :param target: target as last listed.
         :param era: era of the store that says so.
         """
+        known = self._by_key.get(key)
+        if known is not None and target.is_followed_by(known.target):
+            return
         self._by_key.pop(key, None)
         self._by_key[key] = _Departure(target, era)
         if len(self._by_key) > MAX_DEPARTURES:
             del self._by_key[next(iter(self._by_key))]
 
+    def forget(self, key: str) -> None:
+        """Forget the departure of a target that is alive."""
+        self._by_key.pop(key, None)
+
     def find(
         self, target: ListedTarget, item: PublishedItem
     ) -> ListedTarget | None:
@@ -50,5 +59,5 @@
             return None
         if item.era > known.era:
             return known.target
-        del self._by_key[item.key]
+        self.forget(item.key)
         return None
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -5,6 +5,7 @@
 
 from lagoonbend._internal.facts.departures import Departures
 from lagoonbend._internal.facts.listed_target import ListedTarget
+from lagoonbend._internal.facts.published_item import NO_ERA
 from lagoonbend._internal.facts.published_item import PublishedItem
 
 LAPSE_GRACE_MS = 2_000
@@ -41,6 +42,7 @@
         self._lapsed_eras: dict[str, int] = {}
         self._returned_until_ms: dict[str, int] = {}
         self._departures = Departures()
+        self._era_start = (NO_ERA, 0)
         self._outage_ended_ms: int | None = None
         self._versions: dict[str, set[str | None]] = {}
         self._gone_versions: dict[str, dict[str | None, int]] = {}
@@ -54,6 +56,15 @@
     def record_outage_end(self, now_ms: int) -> None:
         """Record that the platform is available again."""
         self._outage_ended_ms = now_ms
+        for name in self._lapsed_until_ms:
+            self._lapsed_until_ms[name] = now_ms + LAPSE_GRACE_MS
+
+    def begin_era(self, era: int, revision: int) -> None:
+        """Record the position of the listing that began an era.
+
+        A registration of that era above it was written by a live target.
+        """
+        self._era_start = (era, revision)
 
     def apply(self, items: Iterable[PublishedItem], now_ms: int) -> None:
         """Apply changed items."""
@@ -70,10 +81,13 @@
         """
         expired = _pop_expired(self._lapsed_until_ms, now_ms)
         for name in expired:
-            target = self._targets.pop(name)
-            self._departures.record(name, target, self._lapsed_eras[name])
+            era = self._lapsed_eras.pop(name)
+            target = self._targets.pop(name, None)
+            if target is not None:
+                self._departures.record(name, target, era)
         returned = _pop_expired(self._returned_until_ms, now_ms)
         for name in returned:
+            self._departures.forget(name)
             self._targets[name] = self._targets[name]._replace(
                 is_leaving=False
             )
@@ -158,7 +172,7 @@
         name = item.key
         if item.value is not None:
             target = self._decode(item)
-            self._lapsed_until_ms.pop(name, None)
+            self._end_lapse(name)
             if target is None:
                 self._returned_until_ms.pop(name, None)
                 self._targets.pop(name, None)
@@ -180,10 +194,15 @@
             self._lapsed_until_ms[name] = ended_ms + LAPSE_GRACE_MS
             self._lapsed_eras[name] = item.era
             return
+        self._end_lapse(name)
         if not known.is_leaving:
             self._departures.record(name, known, item.era)
         del self._targets[name]
 
+    def _end_lapse(self, name: str) -> None:
+        self._lapsed_until_ms.pop(name, None)
+        self._lapsed_eras.pop(name, None)
+
     def _restrict(
         self, target: ListedTarget, item: PublishedItem, now_ms: int
     ) -> ListedTarget:
@@ -201,8 +220,12 @@
         if departed is None:
             return target
         if not departed.is_leaving:
-            if was_returned:
-                # Only the first registration may be that of the copy.
+            era, revision = self._era_start
+            is_new = item.era == era and item.revision > revision
+            if was_returned or is_new:
+                # Only the first registration may be that of the copy, and
+                # only if the first listing contains it.
+                self._departures.forget(name)
                 return target
             self._returned_until_ms[name] = now_ms + RETURNED_ENTRY_MS
         return target._replace(is_leaving=True)
