Spend the retry budget only after attempts that were sent

Cause: the budget was spent after each attempt of a call that had been sent once. That holds for a grant that was given back without a request too (target not listed here, other version, closed, not connected), so the retry that had been paid was paid again, and an empty budget broke a stream. Ruled out: a refund for such a grant; it would need the time of the entry. Change: the report says whether the attempt was sent, and only then does the retry that follows take a unit. Measured: the new test failed before (4 units spent where 2 retries arrived) and passes now.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -365,7 +365,9 @@
             self._resumed_streams.record(progress.call, progress.version)
         report: AttemptReport | None = None
         try:
-            report = opened.attempt.run()._replace(target=progress.target)
+            report = opened.attempt.run()._replace(
+                target=progress.target, is_sent=opened.attempt.is_sent
+            )
             return report
         finally:
             if not search.has_found:
@@ -528,8 +530,9 @@
     ) -> NextStep:
         """Return what follows an attempt.
 
-        Once the call has been sent, a retry must fit the retry budget. That
-        of a successor that was found has been taken from it already.
+        A retry after an attempt that was sent must fit the retry budget. That
+        of a successor that was found has been taken from it already, and so
+        has that of an attempt that was not sent, unless it was the first.
         """
         call = progress.call
         if report.outcome is AttemptOutcome.WHOLE_ANSWER:
@@ -554,7 +557,7 @@
         step = decide_next_step(retry_context)
         if (
             step is NextStep.RETRY
-            and progress.send_count
+            and report.is_sent
             and not search.has_found
             and not retry_share.spend()
         ):
--- a/tests/unit/test_errors_amid_a_call.py
+++ b/tests/unit/test_errors_amid_a_call.py
@@ -54,8 +54,8 @@
 TARGET = ListedTarget('target', 'service', '127.0.0.1', 1, 'domain', 4, False)
 
 
-class ErrorsAmidACallTest(unittest.TestCase):
-    """A component raises an error in the first of two calls."""
+class HandlerCase(unittest.TestCase):
+    """A handler with simulated components."""
 
     def setUp(self) -> None:
         """Create a handler with components that can be made to fail."""
@@ -98,6 +98,10 @@
             request.received_ms + ROUTE.timeout_ms,
         )
 
+
+class ErrorsAmidACallTest(HandlerCase):
+    """A component raises an error in the first of two calls."""
+
     def exchange(self) -> list[int]:
         """Send two requests at once; return the statuses of whole answers."""
         listener = gevent.socket.socket()
--- /dev/null
+++ b/tests/unit/test_unsent_attempts.py
@@ -0,0 +1,67 @@
+"""Grants that a call gives back without having sent a request.
+
+Guards against a retry or a charge for each of them.
+"""
+
+import unittest
+from unittest import mock
+
+from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend.scheduling import SlotDecision
+from lagoonbend_entry._internal.gateway.answer import Answer
+from lagoonbend_entry._internal.gateway.attempt import Attempt
+from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry.testing import IncomingRequest
+from tests.unit import test_errors_amid_a_call
+
+TARGET = test_errors_amid_a_call.TARGET
+
+
+class UnsentAttemptsTest(test_errors_amid_a_call.HandlerCase):
+    """Some of the targets that are granted are not listed here."""
+
+    def play(self, *is_listed: bool) -> mock.Mock:
+        """Serve a call; return its retry budget.
+
+        All targets but the last turn the call away.
+        """
+        directory = self.facts.target_directory
+        directory.find.side_effect = {TARGET.target: TARGET}.get
+        self.coordinator.acquire.side_effect = [
+            SlotDecision('c', 'i', TARGET.target if listed else 'unlisted')
+            for listed in is_listed
+        ]
+        left = sum(is_listed)
+
+        def run(tried: Attempt) -> AttemptReport:
+            nonlocal left
+            left -= 1
+            tried.is_sent = True
+            if left:
+                return AttemptReport(AttemptOutcome.TURNED_AWAY)
+            return AttemptReport(AttemptOutcome.WHOLE_ANSWER, answer=Answer())
+
+        share = mock.Mock()
+        request = IncomingRequest(
+            'POST', '/x', [], {}, b'', True, True, self.clock.now_ms()
+        )
+        with (
+            mock.patch.object(
+                self.handler, '_make_retry_share', lambda: share
+            ),
+            mock.patch.object(Attempt, 'run', run),
+        ):
+            self.handler.serve(request, mock.Mock(has_begun=False))
+        self.assertEqual(0, left)
+        return share
+
+    # Guards against a stream that breaks although its retry has been paid.
+    def test_only_attempts_that_arrive_use_up_the_budget(self) -> None:
+        """The first one is no retry."""
+        share = self.play(True, False, False, True, True)
+        self.assertEqual(2, share.spend.call_count)
+        self.assertEqual(0, self.play(False, True).spend.call_count)
+
+
+if __name__ == '__main__':
+    unittest.main()
