Charge a call to its customer's limit once

Cause: a slot request cost no units only once the call had been sent. A grant that was given back without a request kept its units, and the next grant took them again, up to a 429 that the customer's calls had not earned. Ruled out: a refund when a slot is given back; the decider can't tell it from an attempt that ran. Change: the call remembers that it was granted a slot, and costs nothing from then on, at a successor's request too.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -433,7 +433,7 @@
             return None
         self._bind_stream(progress, reply)
         request = self._slot_requests.build(
-            progress, reply, is_sent=True, excluded=(progress.target,)
+            progress, reply, excluded=(progress.target,)
         )
         decision = self._coordinator.acquire(request, call.customer, left_ms)
         if decision.denial is not None:
@@ -475,22 +475,23 @@
         """Request a slot and return the decision, which may be a denial."""
         call = progress.call
         while True:
-            request = self._slot_requests.build(
-                progress, reply, is_sent=progress.send_count > 0
-            )
+            request = self._slot_requests.build(progress, reply)
             pause_ms = self._slot_requests.find_pause_ms(progress)
             if pause_ms is not None:
                 return request, self._deny_in_pause(request, pause_ms)
             wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
             progress.slot_wait = Interrupt()
             try:
-                return request, self._coordinator.acquire(
+                decision = self._coordinator.acquire(
                     request, call.customer, wait_ms
                 )
             except TargetsPausedError:
                 continue
             finally:
                 progress.slot_wait.is_over = True
+            if decision.denial is None:
+                progress.is_charged = True
+            return request, decision
 
     def _deny_in_pause(
         self, request: SlotRequest, pause_ms: int
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -15,9 +15,11 @@
     ``excluded`` lists the targets not to be tried again. ``target`` and
     ``version`` are those of the current attempt; ``binding`` is the version
     to which a stream that has begun is bound. ``successor`` is an attempt that
-    was opened while the target was silent. ``failure`` says why the call
-    has no answer yet. ``interrupt`` raises an error in the greenlet that
-    serves the call, ``slot_wait`` only while it waits for a slot.
+    was opened while the target was silent. ``is_charged`` is set once a slot
+    has been granted, which takes the call's units from its customer's limit.
+    ``failure`` says why the call has no answer yet. ``interrupt`` raises an
+    error in the greenlet that serves the call, ``slot_wait`` only while it
+    waits for a slot.
 
     :param call: admitted call.
     """
@@ -35,6 +37,7 @@
         self.version: str | None = None
         self.binding: VersionBinding | None = None
         self.successor: OpenAttempt | None = None
+        self.is_charged = False
         self.send_count = 0
         self.run_count = 0
         self.may_have_run = False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
@@ -49,17 +49,14 @@
         self,
         progress: CallProgress,
         reply: ReplyWriter,
-        *,
-        is_sent: bool,
         excluded: tuple[str, ...] = (),
     ) -> SlotRequest:
         """Return a slot request for the next attempt.
 
         The rest of a stream that has begun counts as a call that arrives now
-        and has to go on before its caller gives up.
+        and has to go on before its caller gives up. A call that has been
+        granted a slot costs no units of its customer's limit again.
 
-        :param is_sent: True if the call has been sent already; it costs no
-            units of its customer's limit again.
         :param excluded: further targets that are not to be tried.
         """
         call = progress.call
@@ -86,7 +83,9 @@
             route_rank=call.route.rank,
             customer=customer.name if customer else '',
             cost_units=(
-                0.0 if is_sent else count_cost_units(customer, call.headers)
+                0.0
+                if progress.is_charged
+                else count_cost_units(customer, call.headers)
             ),
             waited_ms=now_ms - arrived_ms,
             objective_ms=(
--- a/tests/unit/test_unsent_attempts.py
+++ b/tests/unit/test_unsent_attempts.py
@@ -6,6 +6,7 @@
 import unittest
 from unittest import mock
 
+from lagoonbend.facts import CustomerRule
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend_entry._internal.gateway.answer import Answer
@@ -62,6 +63,19 @@
         self.assertEqual(2, share.spend.call_count)
         self.assertEqual(0, self.play(False, True).spend.call_count)
 
+    # Guards against a customer that is refused before its limit is reached.
+    def test_call_is_charged_once(self) -> None:
+        """The units are taken with the first grant."""
+        customer = CustomerRule('customer', rate_per_s=1.0, burst=6.0)
+        self.admission.admit.side_effect = lambda request: self.admit(
+            request
+        )._replace(customer=customer)
+        self.play(False, False, True)
+        requests = [
+            item.args[0] for item in self.coordinator.acquire.call_args_list
+        ]
+        self.assertEqual([1.0, 0.0, 0.0], [r.cost_units for r in requests])
+
 
 if __name__ == '__main__':
     unittest.main()
