Renew the slot requests of waiting calls after a pause

Cause: a call that waited for a slot kept the exclusions with which it had asked. After the pause, later calls of lower rank got the target, and the call was denied (no_time_left). A call that the target itself had turned away, or that had given its slot back, excluded it for good. Ruled out: the exclusions in the decider's queue changed by a message; the withdrawal and the new request exist already. Change: a greenlet per pause waits for its end, also if it is lengthened, and interrupts the waits whose request excludes the target. An interrupt of a wait is thrown once. A closed target is excluded for good only the second time, so that a call isn't granted and given back, or turned away, again and again.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -143,7 +143,9 @@
         if self._closed_targets.is_closed(self._target):
             self.close()
             return AttemptReport(
-                AttemptOutcome.WRONG_TARGET, detail='target takes no requests'
+                AttemptOutcome.WRONG_TARGET,
+                detail='target takes no requests',
+                is_target_closed=True,
             )
         return None
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
@@ -18,6 +18,8 @@
     :param detail: cause, for the log.
     :param is_target_absent: True if the target is no longer at its address.
     :param asks_for_pause: True if the target wants no requests for a while.
+    :param is_target_closed: True if the target got no request because it
+        leaves or pauses.
     :param is_sent: True if the call has been sent to the target.
     """
 
@@ -29,4 +31,5 @@
     detail: str = ''
     is_target_absent: bool = False
     asks_for_pause: bool = False
+    is_target_closed: bool = False
     is_sent: bool = False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -75,8 +75,8 @@
     """The instance exits before the call can be completed."""
 
 
-class TargetsPausedError(Exception):
-    """All targets that may run a waiting call have asked for a pause."""
+class SlotRequestOutdatedError(Exception):
+    """Other targets may run a waiting call than when it asked for a slot."""
 
 
 class CallHandler:
@@ -133,6 +133,7 @@
         self.latest_end_ms: int | None = None
         self._active_calls: dict[CallProgress, ReplyWriter] = {}
         closed_targets.on_closed.append(self._end_slot_waits)
+        closed_targets.on_opened.append(self._renew_slot_requests)
 
     @property
     def active_count(self) -> int:
@@ -334,6 +335,7 @@
                 AttemptOutcome.WRONG_TARGET,
                 target=decision.target,
                 detail='target takes no requests',
+                is_target_closed=True,
             )
         attempt = Attempt(
             progress.call,
@@ -440,7 +442,7 @@
             return None
         opened = self._open_attempt(progress, reply, request, decision, search)
         if isinstance(opened, AttemptReport):
-            progress.excluded.append(decision.target)
+            progress.exclude(opened)
             return None
         progress.successor = opened
         report: AttemptReport | None = None
@@ -454,7 +456,7 @@
                 self._close_attempt(progress, opened, report)
         if report is not None:
             self._call_log.record_attempt(progress, report, 'stay')
-            progress.excluded.append(decision.target)
+            progress.exclude(report._replace(target=decision.target))
         return opened if is_accepted else None
 
     def _drop_successor(
@@ -480,15 +482,17 @@
             if pause_ms is not None:
                 return request, self._deny_in_pause(request, pause_ms)
             wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
-            progress.slot_wait = Interrupt()
+            progress.slot_request = request
+            progress.slot_wait = wait = Interrupt()
             try:
                 decision = self._coordinator.acquire(
                     request, call.customer, wait_ms
                 )
-            except TargetsPausedError:
+            except SlotRequestOutdatedError:
                 continue
             finally:
-                progress.slot_wait.is_over = True
+                wait.is_over = True
+                progress.slot_wait = None
             if decision.denial is None:
                 progress.is_charged = True
             return request, decision
@@ -512,14 +516,36 @@
         :param closed: target that has just been closed.
         """
         for progress in self._active_calls:
-            wait = progress.slot_wait
             if (
-                wait is not None
-                and not wait.is_over
+                progress.slot_wait is not None
                 and progress.call.service == closed.service
                 and self._slot_requests.find_pause_ms(progress) is not None
             ):
-                wait.throw(TargetsPausedError())
+                self._interrupt_slot_wait(progress)
+
+    def _renew_slot_requests(self, opened: ListedTarget) -> None:
+        """Let waiting calls ask again whose requests exclude a target.
+
+        :param opened: target whose pause has just ended.
+        """
+        name = opened.target
+        for progress in self._active_calls:
+            request = progress.slot_request
+            if (
+                progress.slot_wait is not None
+                and request is not None
+                and progress.call.service == opened.service
+                and name in request.excluded
+                and name not in progress.excluded
+            ):
+                self._interrupt_slot_wait(progress)
+
+    @staticmethod
+    def _interrupt_slot_wait(progress: CallProgress) -> None:
+        """Interrupt a wait once: the withdrawal of its request may wait."""
+        wait, progress.slot_wait = progress.slot_wait, None
+        if wait is not None:
+            wait.throw(SlotRequestOutdatedError())
 
     def _choose_next_step(
         self,
@@ -571,7 +597,7 @@
             has_budget=retry_context.has_budget,
         )
         if step is NextStep.RETRY:
-            progress.excluded.append(report.target)
+            progress.exclude(report)
         return step
 
     @staticmethod
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -1,7 +1,9 @@
 """State of a call that is being served."""
 
 from lagoonbend.facts import VersionBinding
+from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
+from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
 from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
 from lagoonbend_entry._internal.utils.interrupt import Interrupt
@@ -19,7 +21,7 @@
     has been granted, which takes the call's units from its customer's limit.
     ``failure`` says why the call has no answer yet. ``interrupt`` raises an
     error in the greenlet that serves the call, ``slot_wait`` only while it
-    waits for a slot.
+    waits for a slot, with ``slot_request``.
 
     :param call: admitted call.
     """
@@ -28,10 +30,12 @@
         self.call = call
         self.interrupt = Interrupt()
         self.slot_wait: Interrupt | None = None
+        self.slot_request: SlotRequest | None = None
         self.position = StreamPosition()
         self.attempt_history: list[str] = []
         self.versions: list[str] = []
         self.excluded: list[str] = []
+        self._closed_once: set[str] = set()
         self.pool = ''
         self.target = ''
         self.version: str | None = None
@@ -44,3 +48,15 @@
         self.waited_ms = 0
         self.first_byte_ms = 0
         self.failure = ''
+
+    def exclude(self, report: AttemptReport) -> None:
+        """Exclude the target of an attempt from further ones.
+
+        A closed target is excluded while it is closed; for good the second
+        time, so that short pauses don't lead to a retry each.
+        """
+        is_closed = report.asks_for_pause or report.is_target_closed
+        if is_closed and report.target not in self._closed_once:
+            self._closed_once.add(report.target)
+        else:
+            self.excluded.append(report.target)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/closed_targets.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/closed_targets.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+import gevent
+
 from lagoonbend.facts import ListedTarget
 from lagoonbend_entry._internal.gateway.target_closure import TargetClosure
 from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
@@ -13,6 +15,7 @@
 MAX_CLOSURES = 4_096
 """Targets kept at most, the oldest of which are dropped; several times the
 600 targets of the largest fleet, since most restarts bring a new identity."""
+MILLISECONDS_PER_SECOND = 1000
 
 
 class ClosedTargets:
@@ -20,7 +23,8 @@
 
     That holds for one life of a target, whatever the platform lists. Targets
     that have asked for a pause are closed as well, until it ends. The
-    callbacks in ``on_closed`` run when a target is closed.
+    callbacks in ``on_closed`` run when a target is closed, those in
+    ``on_opened`` when its pause has ended.
 
     :param pauses: pauses that targets have asked for.
     """
@@ -28,6 +32,7 @@
     def __init__(self, pauses: TargetPauses) -> None:
         self.pauses = pauses
         self.on_closed: list[Callable[[ListedTarget], None]] = []
+        self.on_opened: list[Callable[[ListedTarget], None]] = []
         self._closures: dict[str, TargetClosure] = {}
 
     def __len__(self) -> int:
@@ -62,6 +67,7 @@
         :param target: target as listed when the request was sent.
         """
         if self.pauses.record(target, pause_ms):
+            gevent.spawn(self._await_end, target)
             self._notify(target)
 
     def is_closed(self, target: ListedTarget) -> bool:
@@ -80,6 +86,13 @@
                 if self.is_closed(target):
                     yield target.target
 
+    def _await_end(self, target: ListedTarget) -> None:
+        while left_ms := self.pauses.find_left_ms(target):
+            gevent.sleep(left_ms / MILLISECONDS_PER_SECOND)
+        if not self.is_leaving(target):
+            for notify in self.on_opened:
+                notify(target)
+
     def _notify(self, target: ListedTarget) -> None:
         for notify in self.on_closed:
             notify(target)
--- a/tests/unit/test_target_pauses.py
+++ b/tests/unit/test_target_pauses.py
@@ -258,6 +258,51 @@
                     self.closed_targets.record_pause(self.open_target, 2_000)
                 self.check_refused(greenlet)
 
+    # Guards against a target that is left to later calls after its pause.
+    def test_waiting_call_asks_again_after_a_pause(self) -> None:
+        """The end of a pause that was lengthened counts."""
+        other = build_target('i-4')._replace(software_version='v1')
+        self.targets.append(other)
+        self.closed_targets.record_pause(other, 50)
+        self.closed_targets.record_pause(other, 150)
+        self.serve()
+        gevent.sleep(0.1)
+        self.assertEqual([True], self.list_excluding('i-4'))
+        gevent.sleep(0.2)
+        self.assertEqual([True, False], self.list_excluding('i-4'))
+
+    # Guards against a target that is lost to a call for one pause, and
+    # against a call that follows each of many short ones.
+    def test_target_is_excluded_for_good_after_two_pauses(self) -> None:
+        """It turns the call away with a pause of 20 ms each time."""
+        self.targets.append(
+            build_target('i-4')._replace(software_version='v1')
+        )
+
+        def acquire(*unused: object) -> SlotDecision:
+            if self.list_excluding('i-1')[-1]:
+                gevent.event.Event().wait(5.0)
+            return SlotDecision('c', 'i', 'i-1')
+
+        def run(tried: object) -> AttemptReport:
+            self.closed_targets.record_pause(self.open_target, 20)
+            return AttemptReport(
+                AttemptOutcome.TURNED_AWAY, asks_for_pause=True
+            )
+
+        self.coordinator.acquire.side_effect = acquire
+        with mock.patch.object(Attempt, 'run', run):
+            self.serve()
+            gevent.sleep(0.2)
+        self.assertEqual(
+            [False, True, False, True], self.list_excluding('i-1')
+        )
+
+    def list_excluding(self, target: str) -> list[bool]:
+        """Return for each slot request whether it excludes a target."""
+        calls = self.coordinator.acquire.call_args_list
+        return [target in item.args[0].excluded for item in calls]
+
 
 if __name__ == '__main__':
     unittest.main()
