Drop a pause when it ends

Cause: ended pauses were kept until the next one began. list_closed goes through all targets of a service for each call as long as any are kept. Ruled out: a check by time in list_closed; it would be paid per call. Change: what waits for the end of a pause drops it. Measured: the extended test failed before (1 pause kept after its end) and passes now.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/closed_targets.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/closed_targets.py
@@ -89,6 +89,7 @@
     def _await_end(self, target: ListedTarget) -> None:
         while left_ms := self.pauses.find_left_ms(target):
             gevent.sleep(left_ms / MILLISECONDS_PER_SECOND)
+        self.pauses.drop_ended()
         if not self.is_leaving(target):
             for notify in self.on_opened:
                 notify(target)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_pauses.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_pauses.py
@@ -54,7 +54,7 @@
                 end_ms=max(now_ms + left_ms, end_ms)
             )
             return False
-        self._drop_ended(now_ms)
+        self.drop_ended()
         self._closures.pop(target.target, None)
         self._closures[target.target] = TargetClosure(target, end_ms)
         if len(self._closures) > MAX_PAUSES:
@@ -104,7 +104,9 @@
         spread_ms = max(MIN_SPREAD_MS, SPREAD_SHARE * left_ms)
         return left_ms + int(self._random_source.uniform(0, spread_ms))
 
-    def _drop_ended(self, now_ms: int) -> None:
+    def drop_ended(self) -> None:
+        """Drop the pauses that have ended."""
+        now_ms = self._clock.now_ms()
         self._closures = {
             name: closure
             for name, closure in self._closures.items()
--- a/tests/unit/test_target_pauses.py
+++ b/tests/unit/test_target_pauses.py
@@ -270,6 +270,8 @@
         self.assertEqual([True], self.list_excluding('i-4'))
         gevent.sleep(0.2)
         self.assertEqual([True, False], self.list_excluding('i-4'))
+        # Each call would pay for a pause that is kept.
+        self.assertEqual(0, len(self.closed_targets.pauses))
 
     # Guards against a target that is lost to a call for one pause, and
     # against a call that follows each of many short ones.
