Do not close a connection that was given back

Cause: an attempt kept its reference to a connection that it had given to the pool. An error after that, such as a caller that leaves while the end of its stream is written, closed it there, or under the next call.

Change: the attempt drops the reference when it gives the connection back.

Ruled out: to write the end of the stream first. A slow caller would keep the connection from other calls, and the target's stream is whole anyway.

Measured: the unit test passes; 73 tests of attempts, answers, leaving, pausing and endless targets pass once.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -407,6 +407,8 @@
     def _release_connection(
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> None:
+        # Once it is kept, it may serve another call.
+        self._connection = None
         is_leaving = self._closed_targets.is_leaving(self._target)
         if answer.keeps_connection and not is_leaving:
             self._connection_pool.release(connection)
