--- a/tests/lib/pool_world.py
+++ b/tests/lib/pool_world.py
@@ -118,6 +118,7 @@
         rule: CustomerRule | None = None,
         cost_units: float = 0.0,
         session: str = '',
+        excluded: tuple[str, ...] = (),
     ) -> CallRecord:
         """Submit a call that arrives now and return its record."""
         number = next(self._sequence)
@@ -134,6 +135,7 @@
             objective_ms=kind.objective_ms,
             deadline_ms=kind.deadline_ms,
             prompt=(PromptBlock(session or f'p{number}', kind.prompt_tokens),),
+            excluded=excluded,
         )
         record = CallRecord(request, kind, self.clock.now_ms())
         self.records[request.call] = record
