Add a test of the choice of a pool for calls that exclude a target

Cause: the targets of every pool of a service are selected again for each call that excludes any target.

--- a/tests/unit/test_pools_of_a_large_service.py
+++ b/tests/unit/test_pools_of_a_large_service.py
@@ -84,6 +84,16 @@
         pool = Pool.parse(self.chooser.choose('chat', (), excluded))
         self.assertGreater(pool.shard_count, 1)
 
+    def test_targets_of_pools_are_not_selected_for_each_call(self) -> None:
+        """Guards against a cost of each call that grows with the targets."""
+        excluded = (self.targets[0].target,)
+        self.chooser.choose('chat', ())
+        with unittest.mock.patch.object(
+            Pool, 'select', return_value=()
+        ) as select:
+            self.chooser.choose('chat', (), excluded)
+        select.assert_not_called()
+
 
 class PoolsTest(unittest.TestCase):
     """Assignment of targets to pools, and choice of the pool of a call."""
