Wait for a short pause with a stream that has begun

Cause: a stream whose other targets all paused was cut at once, however short the pause. Ruled out: a wait for calls that have not begun; they get a refusal with a time to return instead. Change: the rest of a stream waits for the first end of a pause that lies within the patience of its caller (2 s) and the time of the call, then looks again.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -40,6 +40,7 @@
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.resumed_streams import ResumedStreams
+from lagoonbend_entry._internal.gateway.slot_requests import CALLER_PATIENCE_MS
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
 from lagoonbend_entry._internal.platform import refusal_headers
@@ -53,6 +54,7 @@
 MIN_ATTEMPT_MS = 50
 """Remaining time below which no further attempt is made: an answer could
 not arrive in time."""
+MILLISECONDS_PER_SECOND = 1000
 
 SLOT_OUTCOMES = {
     AttemptOutcome.WHOLE_ANSWER: SlotOutcome.ANSWERED,
@@ -474,12 +476,25 @@
     def _acquire(
         self, progress: CallProgress, reply: ReplyWriter
     ) -> tuple[SlotRequest, SlotDecision]:
-        """Request a slot and return the decision, which may be a denial."""
+        """Request a slot and return the decision, which may be a denial.
+
+        The rest of a stream waits for the end of a pause that is short enough
+        for its caller.
+        """
         call = progress.call
+        patience_end_ms = min(
+            self._clock.now_ms() + CALLER_PATIENCE_MS,
+            call.expires_at_ms - MIN_ATTEMPT_MS,
+        )
         while True:
             request = self._slot_requests.build(progress, reply)
             pause_ms = self._slot_requests.find_pause_ms(progress)
             if pause_ms is not None:
+                pause_end_ms = self._clock.now_ms() + pause_ms
+                if reply.has_begun and pause_end_ms < patience_end_ms:
+                    progress.waited_ms += pause_ms
+                    gevent.sleep(pause_ms / MILLISECONDS_PER_SECOND)
+                    continue
                 return request, self._deny_in_pause(request, pause_ms)
             wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
             progress.slot_request = request
--- a/tests/unit/test_target_pauses.py
+++ b/tests/unit/test_target_pauses.py
@@ -204,9 +204,9 @@
             mock.Mock(),
         )
 
-    def serve(self) -> gevent.Greenlet:
+    def serve(self, *, has_begun: bool = False) -> gevent.Greenlet:
         """Serve a stream that the first version has begun."""
-        self.reply = mock.Mock(has_begun=False)
+        self.reply = mock.Mock(has_begun=has_begun)
         greenlet = gevent.spawn(self.handler.serve, REQUEST, self.reply)
         gevent.sleep(0.01)
         return greenlet
@@ -258,6 +258,18 @@
                     self.closed_targets.record_pause(self.open_target, 2_000)
                 self.check_refused(greenlet)
 
+    # Guards against a stream that is cut although its target is soon back.
+    def test_stream_that_has_begun_waits_for_a_short_pause(self) -> None:
+        """It is ended at once in a pause that its caller won't wait for."""
+        self.closed_targets.record_pause(self.open_target, 100)
+        greenlet = self.serve(has_begun=True)
+        self.coordinator.acquire.assert_not_called()
+        gevent.sleep(0.2)
+        self.assertEqual([False], self.list_excluding('i-1'))
+        self.assertFalse(greenlet.ready())
+        self.closed_targets.record_pause(self.open_target, 2_100)
+        self.assertTrue(self.serve(has_begun=True).ready())
+
     # Guards against calls that each go through all targets at a pause.
     def test_waiting_call_with_an_open_target_costs_little(self) -> None:
         """The open targets are listed once, for all calls."""
