Keep the pause of an answer that can't be relayed

Cause: a 503 with Retry-After whose body broke, or that had a content encoding, ended in a report without the pause, so the slot was released as a fault of the target. Ruled out: such answers taken as rejections; the call may have run. Change: the attempt keeps that its answer asks for a pause, and error reports carry it. Measured: the new test failed before in both cases and passes now.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -102,6 +102,7 @@
         self._sent_ms = 0
         self._last_read_ms = 0
         self._first_byte_ms = 0
+        self._asks_for_pause = False
 
     def begin(self, wait_ms: int) -> AttemptReport | None:
         """Send the call, and wait for a rejection.
@@ -179,7 +180,10 @@
         self, outcome: AttemptOutcome, detail: str
     ) -> AttemptReport:
         return AttemptReport(
-            outcome, first_byte_ms=self._first_byte_ms, detail=detail
+            outcome,
+            first_byte_ms=self._first_byte_ms,
+            detail=detail,
+            asks_for_pause=self._asks_for_pause,
         )
 
     def _send(self) -> target_connection.TargetConnection:
@@ -207,6 +211,7 @@
     def _exchange(self) -> AttemptReport:
         connection = self._send()
         answer, answer_facts = self._read_matching_head(connection)
+        self._asks_for_pause = answer_facts.pause_ms > 0
         self._first_byte_ms = max(1, self._clock.now_ms() - self._sent_ms)
         if answer_facts.is_encoded:
             raise target_error.BadAnswerError(
@@ -221,7 +226,7 @@
         if self._is_stream(answer):
             return self._relay_stream(connection, answer)
         report = self._read_complete_answer(connection, answer)
-        return report._replace(asks_for_pause=answer_facts.pause_ms > 0)
+        return report._replace(asks_for_pause=self._asks_for_pause)
 
     def _encode_request(self) -> bytes:
         request = self._call.request
--- a/tests/unit/test_target_pauses.py
+++ b/tests/unit/test_target_pauses.py
@@ -20,9 +20,11 @@
 from lagoonbend_entry._internal.gateway import call_handler
 from lagoonbend_entry._internal.gateway import target_pauses
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
+from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt import Attempt
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
+from lagoonbend_entry._internal.gateway.target_error import ConnectionLostError
 from lagoonbend_entry._internal.platform import answer_headers
 from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry.testing import IncomingRequest
@@ -154,6 +156,50 @@
         self.assertGreaterEqual(2_500, max(times_ms))
 
 
+class FailedRejectionTest(unittest.TestCase):
+    """An answer that asks for a pause, and that can't be relayed."""
+
+    # Guards against a fault of the target that is only a pause.
+    def test_pause_counts_without_the_body(self) -> None:
+        """The body breaks, or it has a content encoding."""
+        for encoding in ('identity', 'gzip'):
+            with self.subTest(encoding=encoding):
+                answer = Answer()
+                answer.status = 503
+                answer.header_map = {
+                    'attempt-id': 'a',
+                    'retry-after': '1',
+                    'content-encoding': encoding,
+                }
+                pool = mock.Mock()
+                connection = pool.acquire.return_value
+                connection.received_bytes = 0
+                connection.read_head.return_value = answer
+                connection.read_body.side_effect = ConnectionLostError('x')
+                call = mock.MagicMock(expires_at_ms=1_001_000)
+                call.headers.attempt = 'a'
+                call.route = ROUTE
+                call.request.body = b''
+                clock = PausedClock(1_000_000)
+                tried = Attempt(
+                    call,
+                    build_target(),
+                    100,
+                    mock.Mock(),
+                    mock.Mock(),
+                    pool,
+                    ClosedTargets(
+                        target_pauses.TargetPauses(clock, random.Random(1))
+                    ),
+                    clock,
+                    mock.Mock(),
+                    mock.MagicMock(),
+                )
+                with mock.patch.object(tried, '_encode_request'):
+                    report = tried.run()
+                self.assertTrue(report.asks_for_pause, report)
+
+
 class CallsInAPauseTest(unittest.TestCase):
     """A call whose service has one open target and two that can't serve it."""
 
