Log which targets end under calls, and the prompts there

LB0205 has 'has_answered' and 'blocks', and LB0211 names a target whose address refuses a new connection right after a call lost its own, with the calls and their blocks; lagoonbend_ended_targets_total counts them. One connection is tried for each target at a time, and only after a call that had no answer from it. No decision depends on any of it.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -62,6 +62,9 @@
 class Attempt:
     """Sends a call to a target and relays the events of a stream.
 
+    ``has_answered`` is True once an event, or a whole answer, has arrived from
+    this target.
+
     :param call: admitted call.
     :param target: target to send it to.
     :param expected_ms: expected time to first byte.
@@ -88,6 +91,7 @@
         body_memory: BodyMemory,
     ) -> None:
         self.is_sent = False
+        self.has_answered = False
         self._call = call
         self._target = target
         self._expected_ms = expected_ms
@@ -383,6 +387,7 @@
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> AttemptReport:
         body = self._read_body(connection, answer)
+        self.has_answered = True
         outcome = AttemptOutcome.WHOLE_ANSWER
         if answer.status >= SERVER_ERROR_STATUS:
             outcome = AttemptOutcome.ERROR_ANSWER
@@ -475,6 +480,7 @@
             yield event
 
     def _forward_event(self, answer: Answer, event: bytes) -> None:
+        self.has_answered = True
         if self._position.last_id is None and not self._reply.has_begun:
             self._first_byte_ms = max(1, self._clock.now_ms() - self._sent_ms)
         if self._reply.has_begun:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
@@ -5,6 +5,12 @@
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend_entry._internal.gateway.answer import Answer
 
+BROKEN_EXCHANGES = (
+    AttemptOutcome.RESET,
+    AttemptOutcome.BAD_ANSWER,
+    AttemptOutcome.BROKEN_STREAM,
+)
+
 
 class AttemptReport(NamedTuple):
     """How an attempt ended, with the answer if there is one to relay.
@@ -21,6 +27,7 @@
     :param is_target_closed: True if the target got no request because it
         leaves or pauses.
     :param is_sent: True if the call has been sent to the target.
+    :param has_answered: True if an event, or a whole answer, has arrived.
     """
 
     outcome: AttemptOutcome
@@ -33,3 +40,13 @@
     asks_for_pause: bool = False
     is_target_closed: bool = False
     is_sent: bool = False
+    has_answered: bool = False
+
+    @property
+    def is_lost_unanswered(self) -> bool:
+        """True if the exchange broke before the target had answered."""
+        return (
+            self.is_sent
+            and not self.has_answered
+            and self.outcome in BROKEN_EXCHANGES
+        )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -32,10 +32,12 @@
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
+from lagoonbend_entry._internal.gateway.ended_targets import EndedTargets
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
+from lagoonbend_entry._internal.gateway.lost_call import LostCall
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
@@ -43,6 +45,9 @@
 from lagoonbend_entry._internal.gateway.slot_requests import CALLER_PATIENCE_MS
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
+from lagoonbend_entry._internal.gateway.target_connection import (
+    TargetConnection,
+)
 from lagoonbend_entry._internal.platform import refusal_headers
 from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 from lagoonbend_entry._internal.utils.interrupt import Interrupt
@@ -131,6 +136,9 @@
             rank_order,
         )
         self._call_log = CallLog(facts, clock, metrics)
+        self._ended_targets = EndedTargets(
+            TargetConnection.connect, metrics.count_ended_target
+        )
         self._retry_shares: dict[str, RetryShare] = {}
         self.latest_end_ms: int | None = None
         self._active_calls: dict[CallProgress, ReplyWriter] = {}
@@ -370,7 +378,9 @@
         report: AttemptReport | None = None
         try:
             report = opened.attempt.run()._replace(
-                target=progress.target, is_sent=opened.attempt.is_sent
+                target=progress.target,
+                is_sent=opened.attempt.is_sent,
+                has_answered=opened.attempt.has_answered,
             )
             return report
         finally:
@@ -399,6 +409,10 @@
             if report.is_target_absent:
                 slot_outcome = SlotOutcome.GONE
         target = opened.target
+        if report is not None and report.is_lost_unanswered:
+            self._ended_targets.check(
+                target, LostCall.from_call(progress.call)
+            )
         if opened.attempt.is_sent:
             progress.send_count += 1
             progress.versions.append(target.software_version or '')
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
@@ -64,6 +64,8 @@
             verdict=report.outcome.verdict.value,
             detail=report.detail,
             first_ms=report.first_byte_ms,
+            has_answered=report.has_answered,
+            blocks=[block.block_id for block in call.headers.shared_prompt],
             left_ms=call.expires_at_ms - self._clock.now_ms(),
             has_budget=has_budget,
             next=next_step,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
@@ -27,6 +27,11 @@
             'lagoonbend_unanswered_calls_total',
             'Calls that were read and got no complete answer, by cause.',
         )
+        self._ended_target_counter = self._add_counter(
+            'lagoonbend_ended_targets_total',
+            'Targets that ended while a call waited for its answer there, by'
+            ' service.',
+        )
         self._first_byte_histogram = self._add_histogram(
             'lagoonbend_first_bytes_seconds',
             'Time from the send to the first bytes of an answer, by route.',
@@ -65,6 +70,10 @@
         """Count a call that was read and got no complete answer."""
         self._unanswered_counter.inc({'cause': cause})
 
+    def count_ended_target(self, service: str) -> None:
+        """Count a target whose process has ended."""
+        self._ended_target_counter.inc({'service': service})
+
     def count_attempt(self, target: str, outcome: str) -> None:
         """Count an attempt by target and outcome."""
         self._attempt_counter.inc({'target': target, 'end': outcome})
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
@@ -57,6 +57,14 @@
     continued_attempt: str = ''
     last_event: str = ''
 
+    @property
+    def shared_prompt(self) -> tuple[PromptBlock, ...]:
+        """Blocks of the prompt that other calls may have too.
+
+        The last block is the call's own, or that of its session.
+        """
+        return self.prompt[:-1]
+
 
 def decode_call_headers(headers: Mapping[str, str]) -> CallHeaders:
     """Return the values in a caller's headers; invalid ones count as missing.
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -73,6 +73,11 @@
         'warning',
         "A target's Retry-After is ignored or capped.",
     )
+    TARGET_ENDED = (
+        'LB0211',
+        'warning',
+        'A target has ended while calls waited for their answers there.',
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
