Test that requests which crash engines stop

Stand-in engines end when they begin an answer to a prompt with a given block, and start again 2.5 s later as a new life. Sound requests with the same customer and other blocks are sent all the while, and must begin at least half as often as before.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import tempfile
+import time
 from types import TracebackType
 
 import gevent
@@ -24,6 +25,10 @@
 """Start of a target in Unix milliseconds, unless another one is given."""
 READY_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
+LAPSE_S = 1.5
+"""Time from the end of a target until its registration is removed."""
+RESTART_S = 2.5
+"""Time from the end of a target until it has started again."""
 DOMAINS = ('domain-a', 'domain-b')
 
 SETTINGS_TEMPLATE = """\
@@ -71,6 +76,9 @@
         self.store = standin_store.StandinStore()
         self.runs: list[standin_target.TargetRun] = []
         self.targets: dict[str, standin_target.StandinTarget] = {}
+        self.crashing_block = ''
+        self.crash_times_s: list[float] = []
+        self._restarts: list[gevent.Greenlet] = []
         self.target_proxies: dict[str, FaultProxy] = {}
         self._create_proxy = create_proxy
         self.store_proxy = (
@@ -103,6 +111,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
+        gevent.killall(self._restarts)
         for process in self.processes:
             process.kill()
         for proxy in self.target_proxies.values():
@@ -156,12 +165,42 @@
     ) -> standin_target.StandinTarget:
         """Start a target and register it in the store."""
         target = standin_target.StandinTarget(name, self.runs, version=version)
+        target.crashing_block = self.crashing_block
+        target.on_crash = lambda crashed: self._restart_later(crashed, service)
         self.targets[name] = target
         if self._create_proxy is not None:
             self.target_proxies[name] = self._create_proxy(target.endpoint)
         self.register_target(name, service, version=version)
         return target
 
+    def set_crashing_block(self, block: str) -> None:
+        """Let all targets end that begin an answer to a prompt with a block.
+
+        Each starts again under a new name, which ends in a tilde and the
+        number of its life, once its registration has lapsed.
+        """
+        self.crashing_block = block
+        for target in self.targets.values():
+            target.crashing_block = block
+
+    def _restart_later(
+        self, crashed: standin_target.StandinTarget, service: str
+    ) -> None:
+        self.crash_times_s.append(time.monotonic())
+        if crashed.name in self.target_proxies:
+            self.target_proxies[crashed.name].stop()
+        self._restarts.append(gevent.spawn(self._restart, crashed, service))
+
+    def _restart(
+        self, crashed: standin_target.StandinTarget, service: str
+    ) -> None:
+        gevent.sleep(LAPSE_S)
+        self.store.delete(f'servers/{crashed.name}')
+        gevent.sleep(RESTART_S - LAPSE_S)
+        name, _, life = crashed.name.partition('~')
+        new_name = f'{name}~{int(life or 1) + 1}'
+        self.add_target(new_name, service, crashed.version)
+
     def register_target(
         self,
         name: str,
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -21,6 +21,8 @@
 FAULT_HEADER = 'x-fault'
 EVENT_INTERVAL_S = 0.005
 SLOW_EVENT_INTERVAL_S = 0.3
+PREFILL_S = 0.1
+"""Time from a request to the begin of the answer that crashes a target."""
 PAUSE_S = 1.2
 """Silence of fault ``pause``: a sound target may be silent for a second or so
 in the users' rules."""
@@ -89,6 +91,10 @@
 
     Each event of a stream names the version of the target that wrote it.
 
+    While ``crashing_block`` names a block, the target ends when it begins an
+    answer to a prompt with that block, its last one excepted; ``on_crash`` is
+    called with the target.
+
     A function that handles a request returns False to close the connection.
 
     :param name: name under which the target is registered in the store.
@@ -111,6 +117,8 @@
         self.received_attempts: list[str] = []
         self.arrivals: list[TargetArrival] = []
         self.retry_after_values: list[str] = []
+        self.crashing_block = ''
+        self.on_crash: Callable[[StandinTarget], None] = _ignore_crash
         self._runs = runs
         self._event_count = event_count
         self._may_write = gevent.event.Event()
@@ -164,10 +172,27 @@
                 self.name, attempt, request, time.monotonic(), self.version
             )
         )
+        if self.crashing_block in list_shared_blocks(request):
+            return self._crash(request, sock)
         if fault in FAULT_HANDLERS:
             return FAULT_HANDLERS[fault](self, request, sock)
         return self._send_whole_answer(request, sock)
 
+    def _crash(
+        self, request: IncomingRequest, sock: gevent.socket.socket
+    ) -> bool:
+        """Write the head of a stream, then end with all connections."""
+        gevent.sleep(PREFILL_S)
+        if self.is_open:
+            head = self._build_head(request, 200, SERVER_STAMP)
+            self._write(
+                sock, head + b'Content-Type: text/event-stream\r\n\r\n'
+            )
+            self.is_open = False
+            self.stop()
+            self.on_crash(self)
+        return False
+
     def _reject(self, sock: gevent.socket.socket, headers: str) -> None:
         head = 'HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0'
         self._write(sock, f'{head}\r\n{headers}\r\n'.encode())
@@ -348,6 +373,16 @@
         return self._send_whole_answer(request, sock, PAUSE_EVENT_NUMBER)
 
 
+def _ignore_crash(target: StandinTarget) -> None:
+    """Let a target that has ended stay away."""
+
+
+def list_shared_blocks(request: IncomingRequest) -> list[str]:
+    """Return the blocks of a prompt, without the last, its own one."""
+    prompt = request.header_map.get('prefix-hash', '')
+    return [entry.partition(':')[0] for entry in prompt.split(',')[:-1]]
+
+
 def encode_event(number: int, version: str) -> bytes:
     """Return an event of a stream, as a target of a version writes it."""
     return f'id: {number}\ndata: piece {number} of {version}\n\n'.encode()
--- /dev/null
+++ b/tests/functional/test_crashing_prompts.py
@@ -0,0 +1,118 @@
+"""Prompts with a block that ends each engine which begins an answer to it.
+
+Guards against engines that end one after the other, because requests with
+the block go on to the next one, and against sound requests that are refused
+since they have the customer or other blocks in common with those.
+"""
+
+import random
+import time
+import unittest
+
+import gevent
+
+from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.gateway import standin_target
+from tests.functional.test_gateway_answers import call
+
+INSTANCE_COUNT = 3
+ENGINE_COUNT = 6
+BLOCK = 'bad0'
+STABLE_WINDOW_S = 3.0
+"""Bound ``stable-window-ms`` of the users."""
+CRASH_COUNT = 5
+MAX_LATE_REQUESTS = 3
+"""Requests that may arrive at engines later than the window after the fifth
+one has ended."""
+CRASHING_INTERVAL_S = 0.25
+SOUND_INTERVAL_S = 0.1
+CALM_S = 4.0
+TROUBLE_S = 14.0
+MIN_SOUND_SHARE = 0.5
+"""Sound requests begin at least half as often as before the trouble."""
+MIN_SOUND_REQUESTS = 20
+ROUTES = ('stream', 'once-stream')
+
+
+class CrashingPromptsTest(unittest.TestCase):
+    """Three instances and six engines, under sound and crashing requests."""
+
+    def setUp(self) -> None:
+        """Start a fleet."""
+        self.fleet = gateway_fleet.GatewayFleet(
+            INSTANCE_COUNT, engine_count=ENGINE_COUNT
+        )
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__, None, None, None)
+        self.rng = random.Random(22)
+        self.sound_answers: list[tuple[float, int]] = []
+        self.callers: list[gevent.Greenlet] = []
+        self.addCleanup(lambda: gevent.killall(self.callers))
+
+    def send(self, *blocks: str) -> None:
+        """Send one request whose prompt has these blocks and its own."""
+        sent_s = time.monotonic()
+        prompt = [*blocks, f'{self.rng.getrandbits(64):x}']
+        _, answer = call(
+            self.fleet,
+            self.rng.choice(ROUTES),
+            instance=self.rng.randrange(INSTANCE_COUNT),
+            Prefix_Hash=','.join(f'{block}:50' for block in prompt),
+        )
+        if BLOCK not in blocks:
+            self.sound_answers.append((sent_s, answer.status))
+
+    def send_regularly(
+        self, interval_s: float, end_s: float, *blocks: str
+    ) -> None:
+        """Send such requests until an end; none waits for an answer."""
+        while time.monotonic() < end_s:
+            self.callers.append(gevent.spawn(self.send, *blocks))
+            gevent.sleep(interval_s)
+
+    def measure_sound_share(self, start_s: float, end_s: float) -> float:
+        """Return the share of the sound requests of a period that began."""
+        statuses = [
+            status
+            for sent_s, status in self.sound_answers
+            if start_s <= sent_s < end_s
+        ]
+        self.assertGreaterEqual(len(statuses), MIN_SOUND_REQUESTS)
+        return statuses.count(200) / len(statuses)
+
+    def list_late_arrivals(self) -> list[float]:
+        """Return when requests with the block arrived after the window."""
+        self.assertGreaterEqual(len(self.fleet.crash_times_s), 1)
+        if len(self.fleet.crash_times_s) < CRASH_COUNT:
+            return []
+        end_s = self.fleet.crash_times_s[CRASH_COUNT - 1] + STABLE_WINDOW_S
+        return [
+            run.started_s
+            for run in self.fleet.runs
+            if run.started_s > end_s
+            and BLOCK in standin_target.list_shared_blocks(run.request)
+        ]
+
+    # Guards against the fault of incident inc1: engines that end one after
+    # the other, for as long as requests with the block come.
+    def test_requests_with_the_block_stop_and_sound_ones_go_on(self) -> None:
+        """They have the customer and all other blocks in common."""
+        start_s = time.monotonic()
+        end_s = start_s + CALM_S + TROUBLE_S
+        sound = gevent.spawn(
+            self.send_regularly, SOUND_INTERVAL_S, end_s, 'system', 'team'
+        )
+        gevent.sleep(CALM_S)
+        self.fleet.set_crashing_block(BLOCK)
+        self.send_regularly(
+            CRASHING_INTERVAL_S, end_s, 'system', 'team', BLOCK
+        )
+        sound.join()
+        gevent.joinall(self.callers)
+        late = self.list_late_arrivals()
+        self.assertLessEqual(len(late), MAX_LATE_REQUESTS)
+        crash_times_s = self.fleet.crash_times_s[:CRASH_COUNT]
+        settled_s = crash_times_s[-1] + 2 * STABLE_WINDOW_S
+        before = self.measure_sound_share(start_s, start_s + CALM_S)
+        after = self.measure_sound_share(settled_s, end_s)
+        self.assertGreaterEqual(after, MIN_SOUND_SHARE * before)
