Test answers that end with their connection

Fails on this code, and is listed: a stream with neither a length nor chunks whose target ends before the first event is relayed as whole, with status 200 and an empty body. Streams of this kind that are whole, end inside an event or are reset were right before.

The stand-in that crashes writes the head of a chunked stream from now on, so that the test of crashing prompts doesn't depend on this fault.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -28,6 +28,12 @@
 in the users' rules."""
 PAUSE_EVENT_NUMBER = 2
 """Event of a stream after which fault ``pause-stream`` is silent."""
+UNFRAMED_STREAM_EVENTS = {
+    'unframed-cut': 2,
+    'unframed-reset': 2,
+    'unframed-empty': 0,
+}
+"""Number of events before the end of streams that are broken off."""
 REJECTION_HEADERS = {
     'turned-away': '',
     'leaving-turned-away': 'Server-Leaving: 1\r\n',
@@ -87,7 +93,8 @@
     the target leaves, ``leaving-turned-away`` says it in a rejection and
     ``leaving-foreign`` in an answer to another attempt. Faults ``pause`` and
     ``pause-stream`` are silent for a while before the head or inside a stream,
-    and then complete the answer.
+    and then complete the answer. ``unframed`` and the faults whose names begin
+    so answer with neither a length nor chunks.
 
     Each event of a stream names the version of the target that wrote it.
 
@@ -185,9 +192,8 @@
         gevent.sleep(PREFILL_S)
         if self.is_open:
             head = self._build_head(request, 200, SERVER_STAMP)
-            self._write(
-                sock, head + b'Content-Type: text/event-stream\r\n\r\n'
-            )
+            head += b'Content-Type: text/event-stream\r\n'
+            self._write(sock, head + b'Transfer-Encoding: chunked\r\n\r\n')
             self.is_open = False
             self.stop()
             self.on_crash(self)
@@ -356,6 +362,24 @@
         self._write(sock, head + b'\r\nunframed')
         return False
 
+    def _send_unframed_stream(
+        self, request: IncomingRequest, sock: gevent.socket.socket
+    ) -> bool:
+        """Write a stream that ends with its connection, in several ways."""
+        fault = self._find_fault(request)
+        last_number = UNFRAMED_STREAM_EVENTS.get(fault, self._event_count)
+        first_number = int(request.header_map.get('last-event-id', '0')) + 1
+        head = self._build_head(request, 200, SERVER_STAMP)
+        self._write(sock, head + b'Content-Type: text/event-stream\r\n\r\n')
+        for number in range(first_number, last_number + 1):
+            self._write(sock, encode_event(number, self.version))
+            gevent.sleep(EVENT_INTERVAL_S)
+        if fault == 'unframed-cut':
+            self._write(sock, b'id: 99\nda')
+        if fault == 'unframed-reset':
+            return self._reset_connection(request, sock)
+        return False
+
     def _send_cut_stream(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
@@ -402,6 +426,10 @@
     'foreign': StandinTarget._send_other_answer_first,
     'leaving-foreign': StandinTarget._send_other_answer_first,
     'unframed': StandinTarget._send_unframed_answer,
+    'unframed-stream': StandinTarget._send_unframed_stream,
+    'unframed-cut': StandinTarget._send_unframed_stream,
+    'unframed-reset': StandinTarget._send_unframed_stream,
+    'unframed-empty': StandinTarget._send_unframed_stream,
     'cut-stream': StandinTarget._send_cut_stream,
     'pause': StandinTarget._pause_before_head,
     'pause-stream': StandinTarget._pause_inside_stream,
