Stop prompts under which engines end one after the other

Cause: nothing related the end of a target to the prompts that ran there.

Change: an instance that loses a call before its answer finds out whether the target has ended, records that against the blocks of the prompt, and shares it.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -17,6 +17,7 @@
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend.scheduling import SlotRequest
+from lagoonbend_entry._internal.coordination import crash_exchange
 from lagoonbend_entry._internal.coordination import facts_exchange
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import origin_exchange
@@ -134,6 +135,12 @@
             facts.find_only_version,
             lambda service: len(facts.list_versions(service)) > 1,
         )
+        self.crashes = crash_exchange.CrashExchange(
+            clock,
+            self._list_crash_receivers,
+            lambda: not fleet.is_full_mesh,
+            self._send_either_way,
+        )
         self._facts_exchange = facts_exchange.FactsExchange(facts, clock)
         self.peers = PeerService(
             fleet,
@@ -144,6 +151,7 @@
             incarnation,
             self.origins,
             self._facts_exchange,
+            self.crashes,
         )
         facts.on_change.append(self.origins.apply_facts)
         facts.on_change.append(self.pool_schedulers.apply_facts)
@@ -154,6 +162,7 @@
         gevent.spawn(run_guarded, 'heartbeats', self._send_pings)
         gevent.spawn(run_guarded, 'tick', self._run_cycle)
         self.origins.start()
+        self.crashes.start()
 
     def acquire(
         self, request: SlotRequest, rule: CustomerRule | None, wait_ms: int
@@ -300,6 +309,10 @@
         """Return the number of instances that share fleet-wide limits."""
         return self._fleet.count_known()
 
+    def grants_trials(self, block: str) -> bool:
+        """Return True if this instance grants the trials of a block."""
+        return self._fleet.grants_trials(block)
+
     def add_peers(self, addresses: list[str]) -> None:
         """Add addresses of peers."""
         self._fleet.add_peers(addresses)
@@ -533,6 +546,8 @@
                 self._handle_decision(link, message)
             case messages.OriginFound():
                 self.origins.handle_answer(link.address, message)
+            case messages.CrashReports():
+                self.crashes.handle_reports(message)
 
     def _handle_decision(
         self, link: PeerLink, message: messages.Decision
@@ -572,6 +587,8 @@
         if is_newly_reached:
             if pong.keeps_origins:
                 self.origins.send_all(pong.address)
+            if pong.shares_crashes:
+                self.crashes.request_all(pong.address)
             log_event(
                 Event.PEER_REACHED,
                 peer=pong.address,
@@ -593,6 +610,23 @@
             if pending.decider == address:
                 pending.request_again()
 
+    def _list_crash_receivers(self) -> set[str]:
+        """Return the peers that are linked in either direction.
+
+        Some instances of a large fleet are in no other instance's selection.
+        """
+        return {
+            *self._fleet.list_crash_receivers(),
+            *self.peers.list_crash_receivers(),
+        }
+
+    def _send_either_way(
+        self, address: str, message: messages.Message
+    ) -> bool:
+        return self._links.send(address, message) or self.peers.send(
+            address, message
+        )
+
     def _send_pings(self) -> None:
         self._update_links()
         self._links.send_due_pings(
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/crash_exchange.py
@@ -0,0 +1,196 @@
+"""Shares the evidence against prompts under which targets end.
+
+Each instance meets a prompt for itself, but the targets are those of all, so
+all have to stop within seconds. Evidence goes over all links at once and, in
+a fleet that is no full mesh, on from there. An instance that starts asks for
+what is known.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import gevent
+import gevent.event
+
+from lagoonbend.clock import Clock
+from lagoonbend.crashes import CrashEvidence
+from lagoonbend.crashes import PromptSuspects
+from lagoonbend.crashes import SoundBlock
+from lagoonbend_entry._internal.coordination import messages
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
+
+BATCH_INTERVAL_S = 0.05
+"""Minimum time between two batches; the first item after a pause is sent at
+once."""
+MAX_BATCH = 256
+"""Items of a kind in one batch. The rest of a larger number is dropped: when
+so many targets end at once, the prompts are not the cause."""
+
+Send = Callable[[str, messages.Message], bool]
+
+
+class CrashExchange:
+    """Keeps the evidence of this instance equal to that of its peers.
+
+    The callbacks in ``on_blocked`` are called with a service and a block that
+    has just been blocked.
+
+    :param clock: clock of the instance.
+    :param list_receivers: returns the peers to which evidence is sent.
+    :param forwards: returns True if what a peer has sent must be passed on.
+    :param send: sends a message to a peer; returns False if it can't.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        list_receivers: Callable[[], Iterable[str]],
+        forwards: Callable[[], bool],
+        send: Send,
+    ) -> None:
+        self.suspects = PromptSuspects(clock)
+        self.on_blocked: list[Callable[[str, str], None]] = []
+        self._clock = clock
+        self._list_receivers = list_receivers
+        self._forwards = forwards
+        self._send = send
+        self._crashes: dict[CrashEvidence, None] = {}
+        self._sound: dict[tuple[str, str], SoundBlock] = {}
+        self._has_outgoing = gevent.event.Event()
+
+    def start(self) -> None:
+        """Start to send evidence in batches."""
+        gevent.spawn(run_guarded, 'crash evidence', self._send_batch)
+
+    def record_crash(
+        self, service: str, life: str, blocks: Iterable[str]
+    ) -> None:
+        """Record that a target ended under the blocks of calls.
+
+        :param life: the target and its start.
+        """
+        now_ms = self._clock.now_ms()
+        evidence = [
+            CrashEvidence(service, block, life, now_ms) for block in blocks
+        ]
+        self._queue_crashes(self._add(evidence)[0])
+
+    def record_begun(self, service: str, blocks: Iterable[str]) -> None:
+        """Record that a target has begun an answer to a prompt."""
+        now_ms = self._clock.now_ms()
+        sound = [SoundBlock(service, block, now_ms) for block in blocks]
+        self._queue_sound(self._clear(sound))
+
+    def request_all(self, peer: str) -> None:
+        """Ask a peer that has been reached for all of its evidence."""
+        self._send(peer, messages.CrashReports([], [], wants_all=True))
+
+    def handle_reports(
+        self, message: messages.CrashReports
+    ) -> messages.Message | None:
+        """Use the evidence of a peer; return the answer that it wants."""
+        now_ms = self._clock.now_ms()
+        cleared = self._clear(
+            SoundBlock(item.service, item.block, now_ms - item.age_ms)
+            for item in message.sound
+        )
+        added, sound = self._add(
+            CrashEvidence(
+                item.service, item.block, item.life, now_ms - item.age_ms
+            )
+            for item in message.crashes
+        )
+        # The sender doesn't know that an answer to the block has begun.
+        self._queue_sound(sound)
+        if self._forwards():
+            self._queue_crashes(added)
+            self._queue_sound(cleared)
+        if not message.wants_all:
+            return None
+        return self._encode(self.suspects.list_evidence(), [])
+
+    def _add(
+        self, evidence: Iterable[CrashEvidence]
+    ) -> tuple[list[CrashEvidence], list[SoundBlock]]:
+        """Add evidence, and report what it blocks."""
+        items = list(evidence)
+        keys = {(item.service, item.block) for item in items}
+        were_blocked = {key for key in keys if self.suspects.is_blocked(*key)}
+        added, sound = self.suspects.record_crashes(items)
+        for service, block in sorted(keys - were_blocked):
+            if self.suspects.is_blocked(service, block):
+                log_event(
+                    Event.PROMPT_BLOCKED,
+                    service=service,
+                    block=block,
+                    ended=self.suspects.list_lives(service, block),
+                )
+                for notify in self.on_blocked:
+                    notify(service, block)
+        return added, sound
+
+    def _clear(self, sound: Iterable[SoundBlock]) -> list[SoundBlock]:
+        """Clear blocks, and report those that were blocked."""
+        items = list(sound)
+        blocked = {
+            item
+            for item in items
+            if self.suspects.is_blocked(item.service, item.block)
+        }
+        cleared = self.suspects.record_sound(items)
+        for item in blocked.intersection(cleared):
+            log_event(
+                Event.PROMPT_CLEARED,
+                service=item.service,
+                block=item.block,
+                age_ms=self._clock.now_ms() - item.begun_ms,
+            )
+        return cleared
+
+    def _queue_crashes(self, evidence: Iterable[CrashEvidence]) -> None:
+        self._crashes.update(dict.fromkeys(evidence))
+        if self._crashes:
+            self._has_outgoing.set()
+
+    def _queue_sound(self, sound: Iterable[SoundBlock]) -> None:
+        self._sound.update(
+            {(item.service, item.block): item for item in sound}
+        )
+        if self._sound:
+            self._has_outgoing.set()
+
+    def _send_batch(self) -> None:
+        self._has_outgoing.wait()
+        self._has_outgoing.clear()
+        crashes = list(self._crashes)[:MAX_BATCH]
+        sound = list(self._sound.values())[:MAX_BATCH]
+        self._crashes.clear()
+        self._sound.clear()
+        message = self._encode(crashes, sound)
+        for peer in self._list_receivers():
+            self._send(peer, message)
+        gevent.sleep(BATCH_INTERVAL_S)
+
+    def _encode(
+        self, crashes: Iterable[CrashEvidence], sound: Iterable[SoundBlock]
+    ) -> messages.CrashReports:
+        now_ms = self._clock.now_ms()
+        return messages.CrashReports(
+            [
+                messages.WireCrash(
+                    item.service,
+                    item.block,
+                    item.life,
+                    now_ms - item.ended_ms,
+                )
+                for item in crashes
+            ],
+            [
+                messages.WireSoundBlock(
+                    item.service, item.block, now_ms - item.begun_ms
+                )
+                for item in sound
+            ],
+        )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -8,6 +8,7 @@
 import random
 
 from lagoonbend.clock import Clock
+from lagoonbend.rendezvous import choose_by_rendezvous
 from lagoonbend.rendezvous import score_candidate
 from lagoonbend.scheduling import Pool
 from lagoonbend_entry._internal.coordination import messages
@@ -129,6 +130,7 @@
                 frozenset(pong.decides),
                 True,
                 pong.keeps_origins,
+                pong.shares_crashes,
             )
         )
         self._record_relayed(pong.rumours)
@@ -263,6 +265,21 @@
             and (keepers is None or heartbeat.address in keepers)
         ]
 
+    def list_crash_receivers(self) -> list[str]:
+        """Return the peers to which evidence against prompts is sent."""
+        return [
+            heartbeat.address
+            for heartbeat in self.list_alive()
+            if heartbeat.is_direct and heartbeat.shares_crashes
+        ]
+
+    def grants_trials(self, block: str) -> bool:
+        """Return True if this instance grants the trials of a block."""
+        alive = [heartbeat.address for heartbeat in self.list_alive()]
+        return (
+            choose_by_rendezvous([self.address, *alive], block) == self.address
+        )
+
     def _list_keeper_groups(self) -> Iterator[list[str]]:
         """Yield the keepers of each failure domain, by share of the keys."""
         members: dict[str, list[str]] = {self.failure_domain: [self.address]}
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
@@ -15,6 +15,7 @@
     :param is_direct: False if another instance relayed the heartbeat.
     :param keeps_origins: True if it understands messages on the origins of
         streams; False if relayed.
+    :param shares_crashes: the same for messages on targets that end.
     """
 
     address: str
@@ -25,3 +26,4 @@
     decides: frozenset[str]
     is_direct: bool
     keeps_origins: bool = False
+    shares_crashes: bool = False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -40,12 +40,13 @@
     """Asks for a heartbeat; ``sent_ms`` is by the sender's own clock.
 
     With ``wants_news``, the pong also carries gossip: other instances, and the
-    use of customers' limits.
+    use of customers' limits. ``shares_crashes`` is the same as in ``Pong``.
     """
 
     sent_ms: int
     uptime_ms: int
     wants_news: bool
+    shares_crashes: bool = False
 
 
 class Pong(Message):
@@ -55,8 +56,8 @@
     the contents from its own ping and by its own clock. ``keeps_origins`` is
     True if the instance understands messages on the origins of streams; the
     field is missing in pongs of earlier versions, which ignore it. So are the
-    era to which ``revision`` belongs and the version of the configuration in
-    force.
+    era to which ``revision`` belongs, the version of the configuration in
+    force, and ``shares_crashes``, which is the same for ``CrashReports``.
     """
 
     sent_ms: int
@@ -73,6 +74,7 @@
     keeps_origins: bool = False
     era: int = NO_ERA
     rules_version: int = 0
+    shares_crashes: bool = False
 
 
 class ItemsWanted(Message):
@@ -243,6 +245,37 @@
     only_version: str
 
 
+class WireCrash(msgspec.Struct, array_like=True):
+    """A target that ended under a block of a prompt, ``age_ms`` ago.
+
+    ``life`` names the target and its start.
+    """
+
+    service: str
+    block: str
+    life: str
+    age_ms: int
+
+
+class WireSoundBlock(msgspec.Struct, array_like=True):
+    """A block of a prompt to which an answer began, ``age_ms`` ago."""
+
+    service: str
+    block: str
+    age_ms: int
+
+
+class CrashReports(Message):
+    """Evidence for and against blocks of prompts that end targets.
+
+    With ``wants_all``, the receiver answers with all of its evidence.
+    """
+
+    crashes: list[WireCrash]
+    sound: list[WireSoundBlock]
+    wants_all: bool = False
+
+
 AnyMessage = (
     Greeting
     | Ping
@@ -259,4 +292,5 @@
     | Origins
     | OriginWanted
     | OriginFound
+    | CrashReports
 )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
@@ -144,5 +144,8 @@
 
     def _make_ping(self, wants_gossip: bool) -> messages.Ping:
         return messages.Ping(
-            self._clock.now_ms(), self._fleet.uptime_ms, wants_gossip
+            self._clock.now_ms(),
+            self._fleet.uptime_ms,
+            wants_gossip,
+            shares_crashes=True,
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -6,6 +6,7 @@
 from lagoonbend.exceptions import PeerError
 from lagoonbend.facts import CustomerRule
 from lagoonbend.scheduling import SlotOutcome
+from lagoonbend_entry._internal.coordination import crash_exchange
 from lagoonbend_entry._internal.coordination import facts_exchange
 from lagoonbend_entry._internal.coordination import message_channel
 from lagoonbend_entry._internal.coordination import messages
@@ -32,6 +33,7 @@
     :param incarnation: identity of this start of the process.
     :param origins: origins of streams.
     :param exchange: published items for peers.
+    :param crashes: evidence against prompts under which targets end.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         incarnation: str,
         origins: origin_exchange.OriginExchange,
         exchange: facts_exchange.FactsExchange,
+        crashes: crash_exchange.CrashExchange,
     ) -> None:
         self._fleet = fleet
         self._facts = facts
@@ -54,13 +57,21 @@
         self._incarnation = incarnation
         self._origins = origins
         self._facts_exchange = exchange
+        self._crashes = crashes
         self._channels: dict[str, message_channel.MessageChannel] = {}
+        self._crash_receivers: set[str] = set()
 
-    def send(self, address: str, message: messages.Message) -> None:
-        """Queue a message to a peer, if it is connected here."""
+    def send(self, address: str, message: messages.Message) -> bool:
+        """Queue a message to a peer; return False if it isn't connected."""
         channel = self._channels.get(address)
-        if channel is not None:
-            channel.send(message)
+        if channel is None:
+            return False
+        channel.send(message)
+        return True
+
+    def list_crash_receivers(self) -> set[str]:
+        """Return the peers connected here that get crash evidence."""
+        return self._crash_receivers & set(self._channels)
 
     def serve(
         self, sock: gevent.socket.socket, address: tuple[str, int]
@@ -85,6 +96,8 @@
                     self._fleet.add_peers([peer])
                 elif peer:
                     if isinstance(message, messages.Ping):
+                        if message.shares_crashes:
+                            self._crash_receivers.add(peer)
                         self._fleet.record_ping(
                             peer, failure_domain, message.uptime_ms
                         )
@@ -95,6 +108,7 @@
             channel.close()
             if peer and self._channels.get(peer) is channel:
                 del self._channels[peer]
+                self._crash_receivers.discard(peer)
                 for scheduler in list(self._pool_schedulers.schedulers):
                     self._pool_schedulers.deliver(
                         scheduler.drop_instance(peer)
@@ -135,6 +149,10 @@
                 self._origins.handle_origins(message)
             case messages.OriginWanted():
                 channel.send(self._origins.build_answer(message))
+            case messages.CrashReports():
+                answer = self._crashes.handle_reports(message)
+                if answer is not None:
+                    channel.send(answer)
 
     def _handle_ask(
         self,
@@ -191,6 +209,7 @@
             keeps_origins=True,
             era=self._facts.item_cache.era,
             rules_version=self._facts.version,
+            shares_crashes=True,
         )
 
     def _sum_used_units(self) -> dict[str, float]:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -75,6 +75,8 @@
     :param clock: clock of the instance.
     :param search: finds another target while this one is silent.
     :param body_memory: memory of the instance for buffered bodies.
+    :param on_answer: called when the first event, or a whole answer, has
+        arrived.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         clock: Clock,
         search: SuccessorSearch[Any],
         body_memory: BodyMemory,
+        on_answer: Callable[[], None] = lambda: None,
     ) -> None:
         self.is_sent = False
         self.has_answered = False
@@ -102,6 +105,7 @@
         self._clock = clock
         self._search = search
         self._body_memory = body_memory
+        self._on_answer = on_answer
         self._connection: target_connection.TargetConnection | None = None
         self._sent_ms = 0
         self._last_read_ms = 0
@@ -387,7 +391,7 @@
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> AttemptReport:
         body = self._read_body(connection, answer)
-        self.has_answered = True
+        self._record_answer()
         outcome = AttemptOutcome.WHOLE_ANSWER
         if answer.status >= SERVER_ERROR_STATUS:
             outcome = AttemptOutcome.ERROR_ANSWER
@@ -479,8 +483,13 @@
                 )
             yield event
 
+    def _record_answer(self) -> None:
+        if not self.has_answered:
+            self.has_answered = True
+            self._on_answer()
+
     def _forward_event(self, answer: Answer, event: bytes) -> None:
-        self.has_answered = True
+        self._record_answer()
         if self._position.last_id is None and not self._reply.has_begun:
             self._first_byte_ms = max(1, self._clock.now_ms() - self._sent_ms)
         if self._reply.has_begun:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -22,6 +22,8 @@
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.gateway import gateway_refusal
+from lagoonbend_entry._internal.gateway import prompt_guard
+from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.admission import Admission
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.attempt import Attempt
@@ -45,9 +47,6 @@
 from lagoonbend_entry._internal.gateway.slot_requests import CALLER_PATIENCE_MS
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
-from lagoonbend_entry._internal.gateway.target_connection import (
-    TargetConnection,
-)
 from lagoonbend_entry._internal.platform import refusal_headers
 from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 from lagoonbend_entry._internal.utils.interrupt import Interrupt
@@ -82,6 +81,10 @@
     """The instance exits before the call can be completed."""
 
 
+class PromptBlockedError(Exception):
+    """Targets keep ending under the prompt of a call."""
+
+
 class SlotRequestOutdatedError(Exception):
     """Other targets may run a waiting call than when it asked for a slot."""
 
@@ -137,8 +140,14 @@
         )
         self._call_log = CallLog(facts, clock, metrics)
         self._ended_targets = EndedTargets(
-            TargetConnection.connect, metrics.count_ended_target
+            target_connection.TargetConnection.connect,
+            metrics.count_ended_target,
         )
+        self._prompt_guard = prompt_guard.PromptGuard(
+            coordinator.crashes, coordinator.grants_trials
+        )
+        self._ended_targets.on_ended.append(self._prompt_guard.record_ended)
+        coordinator.crashes.on_blocked.append(self._end_blocked_calls)
         self._retry_shares: dict[str, RetryShare] = {}
         self.latest_end_ms: int | None = None
         self._active_calls: dict[CallProgress, ReplyWriter] = {}
@@ -214,11 +223,17 @@
         except InstanceStoppingError:
             progress.failure = 'instance stops'
             refusal = GatewayRefusal.from_stop(progress)
+        except PromptBlockedError:
+            progress.failure = 'prompt blocked'
+            refusal = GatewayRefusal.from_block(
+                progress, gateway_refusal.DEFAULT_RETRY_AFTER_MS
+            )
         except CallerGoneError:
             outcome = 'caller_left'
             return
         finally:
             timer.close()
+            self._prompt_guard.end_trials(admitted)
             if refusal is not None:
                 outcome = refusal.reason.label
             if refusal is not None and not reply.has_begun:
@@ -347,6 +362,16 @@
                 detail='target takes no requests',
                 is_target_closed=True,
             )
+        if self._prompt_guard.find_blocked(progress.call) is not None:
+            # It has been blocked since the slot was requested.
+            self._coordinator.release(
+                request, decision.target, SlotOutcome.UNSUITED, 0
+            )
+            return AttemptReport(
+                AttemptOutcome.WRONG_TARGET,
+                target=decision.target,
+                detail='prompt blocked',
+            )
         attempt = Attempt(
             progress.call,
             target,
@@ -358,6 +383,7 @@
             self._clock,
             search,
             self._body_memory,
+            lambda: self._prompt_guard.record_begun(progress.call),
         )
         return OpenAttempt(request, decision, target, attempt)
 
@@ -382,6 +408,8 @@
                 is_sent=opened.attempt.is_sent,
                 has_answered=opened.attempt.has_answered,
             )
+            if report.is_lost_unanswered:
+                self._check_target(progress, opened.target)
             return report
         finally:
             if not search.has_found:
@@ -389,6 +417,20 @@
             self._bind_stream(progress, reply)
             self._close_attempt(progress, opened, report)
 
+    def _check_target(
+        self, progress: CallProgress, target: ListedTarget
+    ) -> None:
+        """Check whether a target has ended under a call.
+
+        A call waits for the result if it could be why, so that it doesn't end
+        another one.
+        """
+        check = self._ended_targets.check(
+            target, LostCall.from_call(progress.call)
+        )
+        if self._prompt_guard.is_suspect(progress.call):
+            check.join()
+
     def _close_attempt(
         self,
         progress: CallProgress,
@@ -409,10 +451,6 @@
             if report.is_target_absent:
                 slot_outcome = SlotOutcome.GONE
         target = opened.target
-        if report is not None and report.is_lost_unanswered:
-            self._ended_targets.check(
-                target, LostCall.from_call(progress.call)
-            )
         if opened.attempt.is_sent:
             progress.send_count += 1
             progress.versions.append(target.software_version or '')
@@ -502,6 +540,13 @@
         )
         while True:
             request = self._slot_requests.build(progress, reply)
+            blocked = self._prompt_guard.find_blocked(call)
+            if blocked is not None:
+                return request, self._deny(
+                    request,
+                    Denial.PROMPT_BLOCKED,
+                    prompt_guard.find_retry_after_ms(blocked),
+                )
             pause_ms = self._slot_requests.find_pause_ms(progress)
             if pause_ms is not None:
                 pause_end_ms = self._clock.now_ms() + pause_ms
@@ -509,7 +554,11 @@
                     progress.waited_ms += pause_ms
                     gevent.sleep(pause_ms / MILLISECONDS_PER_SECOND)
                     continue
-                return request, self._deny_in_pause(request, pause_ms)
+                return request, self._deny(
+                    request,
+                    Denial.TARGETS_PAUSED,
+                    self._closed_targets.pauses.spread_return_ms(pause_ms),
+                )
             wait_ms = max(1, call.expires_at_ms - self._clock.now_ms())
             progress.slot_request = request
             progress.slot_wait = wait = Interrupt()
@@ -526,19 +575,33 @@
                 progress.is_charged = True
             return request, decision
 
-    def _deny_in_pause(
-        self, request: SlotRequest, pause_ms: int
+    @staticmethod
+    def _deny(
+        request: SlotRequest, denial: Denial, retry_after_ms: int
     ) -> SlotDecision:
+        """Return the denial of a slot that isn't requested at all."""
         return SlotDecision(
             request.call,
             request.instance,
-            denial=Denial.TARGETS_PAUSED,
-            retry_after_ms=self._closed_targets.pauses.spread_return_ms(
-                pause_ms
-            ),
+            denial=denial,
+            retry_after_ms=retry_after_ms,
             pool=request.pool,
         )
 
+    def _end_blocked_calls(self, service: str, block: str) -> None:
+        """End the calls with a block that has just been blocked.
+
+        One whose answer has begun is not the cause.
+        """
+        for progress, reply in self._active_calls.items():
+            call = progress.call
+            if (
+                call.service == service
+                and block in prompt_guard.list_blocks(call)
+                and not reply.has_begun
+            ):
+                progress.interrupt.throw(PromptBlockedError())
+
     def _end_slot_waits(self, closed: ListedTarget) -> None:
         """End the waits of calls that no target may run before a pause ends.
 
@@ -605,7 +668,11 @@
         )
         retry_context = RetryContext(
             report.outcome,
-            call.route.may_repeat,
+            call.route.may_repeat
+            and (
+                not report.is_lost_unanswered
+                or self._prompt_guard.may_repeat(call)
+            ),
             reply.has_begun,
             progress.may_have_run or is_sent_elsewhere,
             call.route.attempt_limit - progress.run_count - is_sent_elsewhere,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/ended_targets.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/ended_targets.py
@@ -5,10 +5,8 @@
 import gevent
 
 from lagoonbend.facts import ListedTarget
+from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.lost_call import LostCall
-from lagoonbend_entry._internal.gateway.target_connection import (
-    TargetConnection,
-)
 from lagoonbend_entry._internal.gateway.target_error import NotConnectedError
 from lagoonbend_entry._internal.gateway.target_error import TargetAbsentError
 from lagoonbend_entry._internal.utils.event import Event
@@ -20,7 +18,7 @@
 PROBE_TIMEOUT_MS = 400
 """Time for a connection, as for those to peers."""
 
-Connect = Callable[[tuple[str, int], int], TargetConnection]
+Connect = Callable[[tuple[str, int], int], target_connection.TargetConnection]
 
 
 class EndedTargets:
@@ -45,23 +43,27 @@
         self._connect = connect
         self._count_ended = count_ended
         self._lost_calls: dict[ListedTarget, list[LostCall]] = {}
+        self._checks: dict[ListedTarget, gevent.Greenlet] = {}
 
-    def check(self, target: ListedTarget, call: LostCall) -> None:
+    def check(self, target: ListedTarget, call: LostCall) -> gevent.Greenlet:
         """Check a target, unless a check of it is under way.
 
         :param target: target as listed when the request was sent.
         :param call: call whose connection broke.
+        :returns: the check, which a call may wait for.
         """
         calls = self._lost_calls.setdefault(target, [])
         calls.append(call)
         if len(calls) == 1:
-            gevent.spawn(self._check, target)
+            self._checks[target] = gevent.spawn(self._check, target)
+        return self._checks[target]
 
     def _check(self, target: ListedTarget) -> None:
         try:
             has_ended = self._has_ended(target)
         finally:
             calls = self._lost_calls.pop(target)
+            del self._checks[target]
         if not has_ended:
             return
         self._count_ended(target.service)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -78,6 +78,16 @@
         'warning',
         'A target has ended while calls waited for their answers there.',
     )
+    PROMPT_BLOCKED = (
+        'LB0212',
+        'warning',
+        'Targets keep ending under prompts with a block; it is not sent.',
+    )
+    PROMPT_CLEARED = (
+        'LB0213',
+        'info',
+        'A target has begun an answer to a prompt with a blocked block.',
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
--- /dev/null
+++ b/packages/lagoonbend/src/lagoonbend/_internal/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Prompts under which targets end."""
--- a/tests/functional/test_crashing_prompts.py
+++ b/tests/functional/test_crashing_prompts.py
@@ -32,6 +32,7 @@
 """Sound requests begin at least half as often as before the trouble."""
 MIN_SOUND_REQUESTS = 20
 ROUTES = ('stream', 'once-stream')
+PROMPT_BLOCKED = b'{"reason":"prompt_blocked"}'
 
 
 class CrashingPromptsTest(unittest.TestCase):
@@ -116,3 +117,36 @@
         before = self.measure_sound_share(start_s, start_s + CALM_S)
         after = self.measure_sound_share(settled_s, end_s)
         self.assertGreaterEqual(after, MIN_SOUND_SHARE * before)
+
+    def block_prompts(self) -> None:
+        """Let targets end until the block is known at each instance."""
+        self.fleet.set_crashing_block(BLOCK)
+        with gevent.Timeout(TROUBLE_S):
+            while any(
+                self.call_with_block(instance) != PROMPT_BLOCKED
+                for instance in range(INSTANCE_COUNT)
+            ):
+                gevent.sleep(CRASHING_INTERVAL_S)
+
+    def call_with_block(self, instance: int) -> bytes:
+        """Send a request with the block; return the body of the answer."""
+        _, answer = call(
+            self.fleet,
+            'once-stream',
+            instance=instance,
+            Prefix_Hash=f'system:50,{BLOCK}:50,own:50',
+        )
+        return answer.body
+
+    # Guards against an instance that has started since, and sends the
+    # requests on because it has seen no engine end.
+    def test_instance_that_starts_afresh_knows_the_block(self) -> None:
+        """It asks the others once it reaches them."""
+        self.block_prompts()
+        crash_count = len(self.fleet.crash_times_s)
+        self.fleet.processes[0].kill()
+        self.fleet.start_instance(0)
+        self.fleet.wait_ready(0)
+        gevent.sleep(STABLE_WINDOW_S)
+        self.assertEqual(PROMPT_BLOCKED, self.call_with_block(0))
+        self.assertEqual(crash_count, len(self.fleet.crash_times_s))
--- /dev/null
+++ b/tests/unit/test_spread_of_crash_evidence.py
@@ -0,0 +1,153 @@
+"""Evidence against prompts, in fleets of each size.
+
+Guards against instances that go on sending prompts under which targets end,
+since they have not heard of it.
+"""
+
+import random
+import unittest
+
+import gevent
+import msgspec
+
+from lagoonbend_entry._internal.coordination import crash_exchange
+from lagoonbend_entry._internal.coordination import messages
+from tests.unit.test_keepers_of_origins import FleetWorld
+
+SERVICE = 'chat'
+CRASH_COUNT = 5
+CRASH_INTERVAL_MS = 300
+MAX_SPREAD_S = 2.0
+"""Time until all instances have what one has recorded; ``stable-window-ms`` of
+the users is 3 s and more."""
+SEND_S = 0.5
+"""Time for a few batches."""
+FLEET_SIZES = ((6, 3), (84, 4), (420, 6))
+"""Numbers of instances and of failure domains."""
+
+
+class CrashWorld:
+    """The evidence of all instances of a fleet, without a network.
+
+    :param instance_count: number of instances.
+    :param domain_count: number of failure domains.
+    """
+
+    def __init__(self, instance_count: int, domain_count: int) -> None:
+        self.fleets = FleetWorld(instance_count, domain_count)
+        self.linked = self.find_links()
+        self.is_over = False
+        self.message_count = 0
+        self.byte_count = 0
+        self.exchanges = {
+            address: self.build_exchange(address)
+            for address in self.fleets.fleets
+        }
+        for exchange in self.exchanges.values():
+            exchange.start()
+
+    def build_exchange(self, address: str) -> crash_exchange.CrashExchange:
+        """Return the exchange of an instance."""
+        fleet = self.fleets.fleets[address]
+        return crash_exchange.CrashExchange(
+            self.fleets.clock,
+            lambda: self.linked[address],
+            lambda: not fleet.is_full_mesh,
+            self.deliver,
+        )
+
+    def find_links(self) -> dict[str, set[str]]:
+        """Return the peers of each instance, linked in either direction."""
+        linked: dict[str, set[str]] = {}
+        for fleet in self.fleets.fleets.values():
+            for peer in fleet.list_crash_receivers():
+                linked.setdefault(fleet.address, set()).add(peer)
+                linked.setdefault(peer, set()).add(fleet.address)
+        return linked
+
+    def deliver(self, address: str, message: messages.Message) -> bool:
+        """Deliver a message to an instance, unless it is dead."""
+        if self.is_over or address in self.fleets.dead:
+            return False
+        self.message_count += 1
+        self.byte_count += len(msgspec.msgpack.encode(message))
+        assert isinstance(message, messages.CrashReports)
+        self.exchanges[address].handle_reports(message)
+        return True
+
+    def end_target(self, address: str, life: str, *blocks: str) -> None:
+        """Let an instance record that a target has ended."""
+        self.exchanges[address].record_crash(SERVICE, life, blocks)
+        self.fleets.clock.advance(CRASH_INTERVAL_MS)
+
+    def list_unblocked(self, block: str) -> list[str]:
+        """Return the live instances at which a block isn't blocked."""
+        return [
+            address
+            for address in self.fleets.alive
+            if not self.exchanges[address].suspects.is_blocked(SERVICE, block)
+        ]
+
+    @staticmethod
+    def run_for(span_s: float) -> None:
+        """Let the exchanges run; timers count from the loop's last turn."""
+        gevent.get_hub().loop.update_now()
+        gevent.sleep(span_s)
+
+    def wait_until_blocked(self, block: str) -> None:
+        """Wait until all live instances have blocked a block."""
+        self.run_for(0)
+        with gevent.Timeout(MAX_SPREAD_S, False):
+            while self.list_unblocked(block):
+                gevent.sleep(0.01)
+
+
+class SpreadOfCrashEvidenceTest(unittest.TestCase):
+    """Targets end under calls of different instances, without a full mesh."""
+
+    # Guards against instances that learn too late, or not at all.
+    def test_evidence_reaches_all_instances(self) -> None:
+        """Each of five ends is seen by another instance."""
+        for instance_count, domain_count in FLEET_SIZES:
+            with self.subTest(instances=instance_count):
+                world = CrashWorld(instance_count, domain_count)
+                rng = random.Random(22)
+                for number in range(CRASH_COUNT):
+                    address = rng.choice(world.fleets.alive)
+                    world.end_target(address, f't{number}', 'system', 'bad')
+                world.wait_until_blocked('bad')
+                self.assertEqual([], world.list_unblocked('bad'))
+                # What is still under way would delay the next fleet.
+                world.is_over = True
+                print(
+                    f'{instance_count} instances, {CRASH_COUNT} ends:'
+                    f' {world.message_count / instance_count:.1f} messages,'
+                    f' {world.byte_count / instance_count:.0f} bytes each'
+                )
+
+    # Guards against evidence that is lost with the instances that had it.
+    def test_evidence_survives_the_kill_of_a_third(self) -> None:
+        """Those that have seen the targets end are among them."""
+        world = CrashWorld(84, 4)
+        rng = random.Random(22)
+        killed = rng.sample(world.fleets.alive, 28)
+        for number in range(CRASH_COUNT):
+            world.end_target(killed[number], f't{number}', 'bad')
+        world.run_for(SEND_S)
+        world.fleets.dead.update(killed)
+        self.assertEqual([], world.list_unblocked('bad'))
+
+    # Guards against sound calls that are refused at instances which have not
+    # seen any of them.
+    def test_instances_that_know_a_block_as_sound_clear_it(self) -> None:
+        """One instance in four has begun answers with the block."""
+        world = CrashWorld(84, 4)
+        for address in world.fleets.alive[::4]:
+            world.exchanges[address].record_begun(SERVICE, ['system'])
+        for number in range(CRASH_COUNT):
+            address = world.fleets.alive[4 * number + 1]
+            world.end_target(address, f't{number}', 'system', 'bad')
+            world.run_for(0.1)
+        world.wait_until_blocked('bad')
+        self.assertEqual([], world.list_unblocked('bad'))
+        self.assertEqual(84, len(world.list_unblocked('system')))
