Take no stream for whole that ended before its first event

What callers saw: a target that ended as it began an answer with neither a length nor chunks gave them 200 and an empty body, which looks complete.

Cause: such a stream ends with its connection, and an empty one was accepted like any other. Ruled out: streams that end inside an event or are reset, and whole ones, which were right.

Change: a stream without a length that ends before its first event counts as a connection that was lost. It is repeated where that is allowed, otherwise the caller gets 502. A stream that is continued after its last event, and is empty for that reason, can't be told from it and counts as broken too.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -470,7 +470,9 @@
                 patience_ms, EVENT_GAP_FACTOR * route.gap_objective_ms
             )
         chunks = self._read_chunks(connection, answer, patience_ms)
+        has_events = False
         for event in split_events(chunks):
+            has_events = True
             if not is_complete_event(event):
                 raise target_error.BadAnswerError(
                     'stream ended inside an event'
@@ -482,6 +484,11 @@
                     'event identity out of sequence'
                 )
             yield event
+        if answer.ends_at_close and not has_events:
+            # A target that ends here leaves the same bytes as an empty stream.
+            raise target_error.ConnectionLostError(
+                'connection closed before the first event'
+            )
 
     def _record_answer(self) -> None:
         if not self.has_answered:
