Play crashing prompts in the soak, and count its retry budget

The unit tests give each check a history that breaks it.

Streams that targets cut are repeated within a retry budget only.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -14,6 +14,7 @@
 from lagoonbend_devkit._internal.fleet.process import FleetProcess
 from lagoonbend_devkit._internal.gateway import standin_store
 from lagoonbend_devkit._internal.gateway import standin_target
+from lagoonbend_devkit._internal.gateway.target_crash import TargetCrash
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
 
@@ -25,6 +26,7 @@
 """Start of a target in Unix milliseconds, unless another one is given."""
 READY_TIMEOUT_S = 10.0
 POLL_INTERVAL_S = 0.05
+BLOCK_TOKENS = 20
 LAPSE_S = 1.5
 """Time from the end of a target until its registration is removed."""
 RESTART_S = 2.5
@@ -77,7 +79,9 @@
         self.runs: list[standin_target.TargetRun] = []
         self.targets: dict[str, standin_target.StandinTarget] = {}
         self.crashing_block = ''
-        self.crash_times_s: list[float] = []
+        self.crashes: list[TargetCrash] = []
+        self.on_crash: Callable[[str], None] = _ignore_names
+        self.on_restart: Callable[[str, str], None] = _ignore_names
         self._restarts: list[gevent.Greenlet] = []
         self.target_proxies: dict[str, FaultProxy] = {}
         self._create_proxy = create_proxy
@@ -186,7 +190,10 @@
     def _restart_later(
         self, crashed: standin_target.StandinTarget, service: str
     ) -> None:
-        self.crash_times_s.append(time.monotonic())
+        self.crashes.append(
+            TargetCrash(crashed.name, self.crashing_block, time.monotonic())
+        )
+        self.on_crash(crashed.name)
         if crashed.name in self.target_proxies:
             self.target_proxies[crashed.name].stop()
         self._restarts.append(gevent.spawn(self._restart, crashed, service))
@@ -200,6 +207,7 @@
         name, _, life = crashed.name.partition('~')
         new_name = f'{name}~{int(life or 1) + 1}'
         self.add_target(new_name, service, crashed.version)
+        self.on_restart(crashed.name, new_name)
 
     def register_target(
         self,
@@ -316,12 +324,17 @@
         )
 
 
+def _ignore_names(*names: str) -> None:
+    """Do nothing when a target ends or starts again."""
+
+
 def build_call_headers(
     attempt: str,
     fault: str = '',
     key: str = API_KEY,
     resumes: str = '',
     last_event: int = 0,
+    blocks: tuple[str, ...] = (),
 ) -> dict[str, str]:
     """Return the headers of a caller's request.
 
@@ -331,6 +344,7 @@
     :param resumes: attempt that began the stream that this one takes up;
         empty for a new request.
     :param last_event: number of the last event that was received of it.
+    :param blocks: blocks of the prompt before its own; none for no prompt.
     """
     headers = {
         'Host': HOST,
@@ -341,6 +355,10 @@
         headers['X-Fault'] = fault
     if resumes:
         headers |= {'Resumes': resumes, 'Last-Event-Id': str(last_event)}
+    if blocks:
+        headers['Prefix-Hash'] = ','.join(
+            f'{block}:{BLOCK_TOKENS}' for block in (*blocks, attempt)
+        )
     return headers
 
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/caller_request.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/caller_request.py
@@ -14,6 +14,7 @@
     :param resumes: attempt that began the stream that this one takes up;
         empty for a new request.
     :param last_event: number of the last event that was received of it.
+    :param blocks: blocks of its prompt before its own; none for no prompt.
     """
 
     route: str
@@ -22,3 +23,4 @@
     hangs_up: bool = False
     resumes: str = ''
     last_event: int = 0
+    blocks: tuple[str, ...] = ()
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
@@ -13,6 +13,7 @@
 from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
 from lagoonbend_devkit._internal.soak.call_failure import CallFailure
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
+from lagoonbend_devkit._internal.soak.retry_budget import is_budget_used
 from lagoonbend_devkit._internal.soak.soak_history import SoakHistory
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.stream_event import parse_events
@@ -119,7 +120,10 @@
 
 @register_excuse('target broke off')
 def has_broken_runs(call: SoakCall, history: SoakHistory) -> bool:
-    """Targets or links broke off each run, and no attempt is left."""
+    """Targets or links broke off each run, and no attempt is left.
+
+    None is left either if the retry budget is used up.
+    """
     runs = history.list_runs(call.attempt)
     are_runs_broken = bool(runs) and all(
         call.fault in BREAKING_FAULTS
@@ -130,6 +134,7 @@
         call.route in AT_MOST_ONCE_ROUTES
         or len(runs) >= MAX_ATTEMPTS
         or not _has_unused_target(call, history, runs)
+        or is_budget_used(call, history, runs[0].target.partition('-')[0])
     )
 
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -7,6 +7,8 @@
 import gevent
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.soak import crash_checks
+from lagoonbend_devkit._internal.soak import crash_faults
 from lagoonbend_devkit._internal.soak import instance_log
 from lagoonbend_devkit._internal.soak import stream_checks
 from lagoonbend_devkit._internal.soak.caller_habit import BRIEF
@@ -22,6 +24,7 @@
 from lagoonbend_devkit._internal.soak.soak_caller import SoakCaller
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
+from lagoonbend_devkit._internal.soak.soak_faults import CRASHING
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
 from lagoonbend_devkit._internal.soak.soak_faults import RELEASE
 from lagoonbend_devkit._internal.soak.soak_faults import RESTORE
@@ -37,6 +40,8 @@
 from lagoonbend_devkit._internal.soak.stream_shares import sum_shares
 from lagoonbend_devkit._internal.soak.supervisor import Supervisor
 
+REGISTERED = (crash_checks, crash_faults)
+"""Modules that register checks and faults."""
 CALLER_HABITS = (*[BRIEF] * 8, LOYAL, EAGER, PIPELINING, PIPELINING)
 MEAN_FAULT_INTERVALS_S = {
     SINGLE: 0.6,
@@ -46,7 +51,9 @@
     RESTORE: 6.0,
 }
 """Mean time between the starts of two faults of a group. A single fault lasts
-up to 2.5 s, so that several overlap."""
+up to 2.5 s, so that several overlap. A group without one plays one fault."""
+SKIPPED_SHARES = {CRASHING: 0.5}
+"""Shares of the seeds that play no fault of a group."""
 POLL_INTERVAL_S = 0.05
 MAX_RECOVERY_S = 12.0
 """Time after the last fault within which all instances must serve again; the
@@ -91,7 +98,7 @@
             gevent.joinall(caller_greenlets, raise_error=True)
             gevent.joinall(watch_greenlets, timeout=0, raise_error=True)
             gevent.killall(watch_greenlets)
-            history = self._build_history(context)
+            history = self._build_history(context, self._calls)
             calls = [
                 self._record_paused_time(call, history.paused_periods)
                 for call in self._calls
@@ -138,11 +145,17 @@
             'the soak needs a proxy in front of the store'
         )
         return FaultContext(
-            fleet, fleet.target_proxies, fleet.store_proxy, self._seed
+            fleet,
+            fleet.target_proxies,
+            fleet.store_proxy,
+            self._seed,
+            self._fault_period_s,
         )
 
     @staticmethod
-    def _build_history(context: FaultContext) -> SoakHistory:
+    def _build_history(
+        context: FaultContext, calls: Sequence[SoakCall]
+    ) -> SoakHistory:
         return SoakHistory(
             context.fleet.runs,
             context.paused_periods,
@@ -159,6 +172,9 @@
                 name: target.arrivals
                 for name, target in context.fleet.targets.items()
             },
+            context.fleet.crashes,
+            context.crashing_calls,
+            [*calls, *context.crashing_calls],
         )
 
     @staticmethod
@@ -195,7 +211,7 @@
                     gevent.spawn(
                         self._inject_group, context.with_group(group), group
                     )
-                    for group in (SERIES, RELEASE, SHEDDING, RESTORE)
+                    for group in (SERIES, RELEASE, SHEDDING, RESTORE, CRASHING)
                 ),
             ],
             raise_error=True,
@@ -206,11 +222,15 @@
         names = sorted(SOAK_FAULTS[group])
         fault_greenlets = []
         end_s = time.monotonic() + self._fault_period_s
+        if context.rng.random() < SKIPPED_SHARES.get(group, 0.0):
+            return
         while time.monotonic() < end_s:
             name = context.rng.choice(names)
             self._fault_counts[name] += 1
             fault = SOAK_FAULTS[group][name]
             fault_greenlets.append(gevent.spawn(fault, context))
+            if group not in MEAN_FAULT_INTERVALS_S:
+                break
             interval_s = MEAN_FAULT_INTERVALS_S[group]
             gevent.sleep(context.rng.expovariate(1 / interval_s))
         gevent.joinall(fault_greenlets, raise_error=True)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_caller.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_caller.py
@@ -35,6 +35,9 @@
 """Share of the resumable streams that their caller ends after an event, as
 when its network is lost."""
 RESUMABLE_ROUTE = 'stream'
+STREAM_ROUTES = ('stream', 'once-stream')
+SOUND_BLOCKS = ('system', 'team')
+"""Blocks of all prompts."""
 BREAKS = (CallFailure.CUT, CallFailure.HUNG_UP)
 """Failures after which a caller takes up a stream."""
 MAX_TRIES = 4
@@ -121,6 +124,7 @@
                 f'{first_call.attempt}.{number}',
                 resumes=first_call.attempt,
                 last_event=last_event,
+                blocks=SOUND_BLOCKS,
             )
             connection = connect(self._fleet, instance, left_s)
             (call,) = exchange_calls(connection, instance, [request])
@@ -148,7 +152,8 @@
             and self._habit.pipelined_count == 1
             and self._break_rng.random() < HANG_UP_SHARE
         )
-        return CallerRequest(route, attempt, fault, hangs_up)
+        blocks = SOUND_BLOCKS if route in STREAM_ROUTES else ()
+        return CallerRequest(route, attempt, fault, hangs_up, blocks=blocks)
 
 
 def connect(
@@ -179,6 +184,7 @@
             request.fault,
             resumes=request.resumes,
             last_event=request.last_event,
+            blocks=request.blocks,
         )
         sent_s = time.monotonic()
         connection.send(encode_request(f'/{request.route}/x', headers, body))
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -18,6 +18,7 @@
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.link_fault import LinkFault
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
+from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.target_period import TargetPeriod
 
 MAX_FAULT_DURATION_S = 2.5
@@ -62,6 +63,7 @@
     :param target_proxies: proxies in front of the targets, by target name.
     :param store_proxy: proxy in front of the store.
     :param seed: seed of all random choices.
+    :param fault_period_s: time during which faults are injected.
     """
 
     def __init__(
@@ -70,11 +72,13 @@
         target_proxies: dict[str, FaultProxy],
         store_proxy: FaultProxy,
         seed: int,
+        fault_period_s: float,
     ) -> None:
         self.fleet = fleet
         self.target_proxies = target_proxies
         self.store_proxy = store_proxy
         self.seed = seed
+        self.fault_period_s = fault_period_s
         self.rng = random.Random(seed)
         self.paused_periods: list[PausedPeriod] = []
         self.events: list[InstanceEvent] = []
@@ -91,6 +95,24 @@
         self.release_lock = gevent.lock.BoundedSemaphore()
         self.born_ms: dict[str, int] = {}
         self.restore_lock = gevent.lock.BoundedSemaphore()
+        self.crash_lock = gevent.lock.BoundedSemaphore()
+        self.crashing_calls: list[SoakCall] = []
+        fleet.on_crash = self._record_crash
+        fleet.on_restart = self._record_restart
+
+    def _record_crash(self, name: str) -> None:
+        period = self.target_periods[name]
+        self.target_periods[name] = period._replace(
+            end_s=min(period.end_s, time.monotonic())
+        )
+
+    def _record_restart(self, name: str, new_name: str) -> None:
+        self.target_periods[new_name] = self.target_periods[name]._replace(
+            start_s=time.monotonic(), end_s=math.inf
+        )
+        if name in self.serving_targets:
+            number = self.serving_targets.index(name)
+            self.serving_targets[number] = new_name
 
     def record_event(self, instance: int, kind: InstanceEventKind) -> None:
         """Record what is about to be done to an instance."""
@@ -123,12 +145,14 @@
 RELEASE = 'release'
 SHEDDING = 'shedding'
 RESTORE = 'restore'
+CRASHING = 'crashing'
 SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {
     SINGLE: {},
     SERIES: {},
     RELEASE: {},
     SHEDDING: {},
     RESTORE: {},
+    CRASHING: {},
 }
 
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
@@ -8,11 +8,13 @@
 
 from lagoonbend_devkit._internal.gateway.standin_target import TargetArrival
 from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
+from lagoonbend_devkit._internal.gateway.target_crash import TargetCrash
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.link_fault import LinkFault
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
+from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.target_period import TargetPeriod
 
 
@@ -31,6 +33,9 @@
     :param target_periods: period in which each target was registered as
         ready, by its name.
     :param arrivals: requests that reached each target, by its name.
+    :param crashes: engines that ended under prompts.
+    :param crashing_calls: requests with such prompts.
+    :param calls: requests of all callers.
     """
 
     runs: Sequence[TargetRun] = ()
@@ -42,6 +47,9 @@
     store_faults: Sequence[LinkFault] = ()
     target_periods: Mapping[str, TargetPeriod] = {}
     arrivals: Mapping[str, Sequence[TargetArrival]] = {}
+    crashes: Sequence[TargetCrash] = ()
+    crashing_calls: Sequence[SoakCall] = ()
+    calls: Sequence[SoakCall] = ()
 
     def list_runs(self, attempt: str) -> list[TargetRun]:
         """Return the runs of an attempt."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
@@ -2,6 +2,7 @@
 
 from lagoonbend_devkit._internal.gateway.standin_target import TargetArrival
 from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
+from lagoonbend_devkit._internal.gateway.target_crash import TargetCrash
 from lagoonbend_devkit._internal.soak.call_failure import CallFailure
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
@@ -33,6 +34,7 @@
     'SoakReport',
     'Supervisor',
     'TargetArrival',
+    'TargetCrash',
     'TargetRun',
     'StreamShares',
     'TargetPeriod',
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -4,6 +4,7 @@
 given a call that violates it.
 """
 
+from collections.abc import Sequence
 import unittest
 
 from lagoonbend_devkit.soak import CallFailure
@@ -18,6 +19,7 @@
 from lagoonbend_devkit.soak import StreamShares
 from lagoonbend_devkit.soak import sum_shares
 from lagoonbend_devkit.soak import TargetArrival
+from lagoonbend_devkit.soak import TargetCrash
 from lagoonbend_devkit.soak import TargetPeriod
 from lagoonbend_devkit.soak import TargetRun
 from lagoonbend_entry.testing import IncomingRequest
@@ -186,6 +188,110 @@
                 self.assertTrue(is_kept)
 
 
+class RetryBudgetTest(unittest.TestCase):
+    """A stream that its target cuts is not repeated."""
+
+    def is_excused(self, repeat_count: int, instance: int = 0) -> bool:
+        """Return whether earlier repeats of an instance excuse that.
+
+        They are those of 60 requests in the window: 0.8 x (0.2 x 61 + 50 / 4)
+        is 19.8.
+        """
+        cut = CUT_CALL._replace(route='stream', fault='cut-stream')
+        others = [
+            cut._replace(attempt=f'b{number}', sent_s=5.0, instance=instance)
+            for number in range(60)
+        ]
+        arrivals = [TargetArrival('a1', 10.1)]
+        for number, other in enumerate(others):
+            count = 2 if number < repeat_count else 1
+            arrivals += [TargetArrival(other.attempt, 5.1)] * count
+        history = SoakHistory(
+            calls=[cut, *others], arrivals={'desk-0': arrivals}
+        )
+        return is_excused(cut, history)
+
+    def test_used_budget_excuses_a_stream_that_is_not_repeated(self) -> None:
+        """Only that of its own instance does."""
+        self.assertFalse(self.is_excused(18))
+        self.assertTrue(self.is_excused(19))
+        self.assertFalse(self.is_excused(40, instance=1))
+
+
+class CrashingPromptsTest(unittest.TestCase):
+    """Five engines ended under a block, the last one at 14 s."""
+
+    def find_violations(
+        self,
+        late_times_s: Sequence[float],
+        events: Sequence[InstanceEvent] = (),
+    ) -> set[str]:
+        """Return the guarantees that late requests with the block break."""
+        request = REQUEST._replace(
+            header_map={'prefix-hash': 'system:9,bad:9,own:9'}
+        )
+        crashing_calls = []
+        runs = []
+        for number, at_s in enumerate([10, 11, 12, 13, 14, *late_times_s]):
+            attempt = f'bad-{number}'
+            crashing_calls.append(
+                VALID_CALL._replace(attempt=attempt, sent_s=at_s)
+            )
+            runs.append(TargetRun('chat-0', attempt, request, started_s=at_s))
+        history = SoakHistory(
+            runs=runs,
+            events=events,
+            crashes=[
+                TargetCrash(f'chat-{number}', 'bad', 10.0 + number)
+                for number in range(5)
+            ],
+            crashing_calls=crashing_calls,
+        )
+        return {item.guarantee for item in find_violations([], history)}
+
+    def test_fourth_late_request_is_seen(self) -> None:
+        """Those within 3 s of the fifth end may come."""
+        broken = {'crashing_prompts_stop'}
+        self.assertEqual(set(), self.find_violations([16.9] * 9))
+        self.assertEqual(set(), self.find_violations([17.1] * 3))
+        self.assertEqual(broken, self.find_violations([17.1] * 4))
+
+    def test_restart_excuses_late_requests(self) -> None:
+        """An instance that has just started may not know the block."""
+        kill = InstanceEvent(0, InstanceEventKind.KILLED, 15.0)
+        self.assertEqual(set(), self.find_violations([17.1] * 4, [kill]))
+
+    def test_refused_sound_prompts_are_seen(self) -> None:
+        """Half of the usual share must begin from 20 s on."""
+        for refused_count, is_kept in ((12, True), (18, False)):
+            usual = [
+                VALID_CALL._replace(
+                    attempt=f'u{number}', route='stream', sent_s=5.0
+                )
+                for number in range(30)
+            ]
+            beside = [
+                call._replace(
+                    attempt=f's{number}',
+                    sent_s=21.0,
+                    status=503 if number < refused_count else 200,
+                )
+                for number, call in enumerate(usual)
+            ]
+            history = SoakHistory(
+                crashes=[TargetCrash('chat-9', 'bad', 14.0)],
+                crashing_calls=[
+                    VALID_CALL._replace(attempt='bad-1', sent_s=25.0)
+                ],
+                target_periods=READY_PERIODS,
+            )
+            found = {
+                item.guarantee
+                for item in find_violations(usual + beside, history)
+            }
+            self.assertEqual(is_kept, 'sound_prompts_go_on' not in found)
+
+
 class SoakChecksTest(unittest.TestCase):
     """Each test lets calls fail one check."""
 
