--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -353,19 +353,21 @@
     Two versions serve meanwhile; the old ones are removed later.
     """
     with context.release_lock:
-        old_names = [
-            name
-            for name in context.serving_targets
+        # An engine may end, and have another name when its turn comes.
+        numbers = [
+            number
+            for number, name in enumerate(context.serving_targets)
             if context.target_periods[name].service == ENGINE_SERVICE
         ]
         versions = {item.version for item in context.target_periods.values()}
         version = f'v{len(versions) + 1}'
-        step_size = context.rng.randint(1, len(old_names))
+        step_size = context.rng.randint(1, len(numbers))
         remove_greenlets = []
-        for start in range(0, len(old_names), step_size):
-            step_names = old_names[start : start + step_size]
-            for name in step_names:
-                _start_replacement(context, name, version)
+        for start in range(0, len(numbers), step_size):
+            step_names = []
+            for number in numbers[start : start + step_size]:
+                step_names.append(context.serving_targets[number])
+                _start_replacement(context, number, version)
                 gevent.sleep(context.rng.uniform(*RELEASE_INTERVAL_S))
             for name in step_names:
                 remove_greenlets.append(
@@ -400,9 +402,10 @@
         )
 
 
-def _start_replacement(context: FaultContext, name: str, version: str) -> None:
+def _start_replacement(
+    context: FaultContext, number: int, version: str
+) -> None:
     """Start a target that takes the place of another one in later faults."""
-    number = context.serving_targets.index(name)
     new_name = f'{ENGINE_SERVICE}-{number}-{version}'
     context.fleet.add_target(new_name, ENGINE_SERVICE, version)
     context.target_periods[new_name] = TargetPeriod(
