--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -102,6 +102,9 @@
     answer to a prompt with that block, its last one excepted; ``on_crash`` is
     called with the target.
 
+    ``named_limit`` is the value of ``Server-Limit`` in its answers; empty for
+    none.
+
     A function that handles a request returns False to close the connection.
 
     :param name: name under which the target is registered in the store.
@@ -124,6 +127,7 @@
         self.received_attempts: list[str] = []
         self.arrivals: list[TargetArrival] = []
         self.retry_after_values: list[str] = []
+        self.named_limit = ''
         self.crashing_block = ''
         self.on_crash: Callable[[StandinTarget], None] = _ignore_crash
         self._runs = runs
@@ -295,6 +299,8 @@
             lines.append(f'Server-Stamp: {stamp}')
         if self._find_fault(request) == 'leaving':
             lines.append('Server-Leaving: 1')
+        if self.named_limit:
+            lines.append(f'Server-Limit: {self.named_limit}')
         return ('\r\n'.join(lines) + '\r\n').encode()
 
     def _reset_connection(
