Log the limits that targets name

Server-Limit is decoded, the newest statement of each target is kept for one life of it, and LB0214 tells of each change; LB0215 of a value that can't be read. No decision depends on it yet.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -8,6 +8,8 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend.facts import CustomerRule
+from lagoonbend.facts import NamedLimit
+from lagoonbend.facts import NamedLimits
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
@@ -97,6 +99,7 @@
         self._pending: dict[str, PendingCall] = {}
         self._held_slots: dict[str, tuple[SlotRequest, HeldSlot, str]] = {}
         self.pools = PoolChooser(fleet, facts, clock)
+        self.named_limits = NamedLimits(clock)
         self._unanswered_counts: dict[str, int] = {}
         self._waiting_signal = gevent.event.Event()
         self._links = PeerLinks(
@@ -309,6 +312,9 @@
         """Return the number of instances that share fleet-wide limits."""
         return self._fleet.count_known()
 
+    def report_limit(self, pool: str, limit: NamedLimit) -> None:
+        """Use what a target of a pool has said of its limit."""
+
     def grants_trials(self, block: str) -> bool:
         """Return True if this instance grants the trials of a block."""
         return self._fleet.grants_trials(block)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -28,6 +28,7 @@
 from lagoonbend_entry._internal.platform.answer_headers import AnswerHeaders
 from lagoonbend_entry._internal.platform.call_headers import CONNECTION_HEADERS
 
+HeadCallback = Callable[[ListedTarget, AnswerHeaders, int, bool], None]
 Report = TypeVar('Report', AttemptReport, AttemptReport | None)
 
 EVENT_STREAM = 'text/event-stream'
@@ -77,6 +78,8 @@
     :param body_memory: memory of the instance for buffered bodies.
     :param on_answer: called when the first event, or a whole answer, has
         arrived.
+    :param on_head: called with the target, the values of each head, the time
+        of the request, and True if the head is that of this call.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         search: SuccessorSearch[Any],
         body_memory: BodyMemory,
         on_answer: Callable[[], None] = lambda: None,
+        on_head: HeadCallback = lambda *unused: None,
     ) -> None:
         self.is_sent = False
         self.has_answered = False
@@ -106,6 +110,7 @@
         self._search = search
         self._body_memory = body_memory
         self._on_answer = on_answer
+        self._on_head = on_head
         self._connection: target_connection.TargetConnection | None = None
         self._sent_ms = 0
         self._last_read_ms = 0
@@ -290,6 +295,12 @@
         answer_facts = answer_headers.decode_answer_headers(
             answer.status, answer.header_map
         )
+        self._on_head(
+            self._target,
+            answer_facts,
+            self._sent_ms,
+            answer_facts.attempt == self._call.headers.attempt,
+        )
         if answer_facts.is_leaving and self._closed_targets.record_leaving(
             self._target
         ):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
+import functools
 
 import gevent
 import msgspec
@@ -39,6 +40,7 @@
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
+from lagoonbend_entry._internal.gateway.limit_recorder import LimitRecorder
 from lagoonbend_entry._internal.gateway.lost_call import LostCall
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
@@ -148,6 +150,9 @@
         )
         self._ended_targets.on_ended.append(self._prompt_guard.record_ended)
         coordinator.crashes.on_blocked.append(self._end_blocked_calls)
+        self._limit_recorder = LimitRecorder(
+            coordinator.named_limits, clock, coordinator.report_limit
+        )
         self._retry_shares: dict[str, RetryShare] = {}
         self.latest_end_ms: int | None = None
         self._active_calls: dict[CallProgress, ReplyWriter] = {}
@@ -384,6 +389,7 @@
             search,
             self._body_memory,
             lambda: self._prompt_guard.record_begun(progress.call),
+            functools.partial(self._limit_recorder.record, request.pool),
         )
         return OpenAttempt(request, decision, target, attempt)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
@@ -10,7 +10,7 @@
 STATUS_WRONG_TARGET = 421
 STATUS_UNAVAILABLE = 503
 LEAVING_VALUE = '1'
-SECONDS_PATTERN = re.compile(r'\d+\.?\d*|\.\d+', re.ASCII)
+DECIMAL_PATTERN = re.compile(r'\d+\.?\d*|\.\d+', re.ASCII)
 MAX_PAUSE_MS = 60_000
 """Longest pause that a target is granted, four times the longest time that
 callers wait. A value beyond that is rather an error, such as milliseconds, and
@@ -32,6 +32,10 @@
     :param is_leaving: True if the target says that it leaves.
     :param pause_ms: time for which the target wants no further requests from
         this instance; 0 if it doesn't ask for a pause.
+    :param request_limit_per_s: requests a second that the target takes from
+        all instances together; None if it names no limit.
+    :param unused_request_limit: start of a limit that can't be read; empty if
+        there is none.
     :param unused_retry_after: start of a value of ``Retry-After`` that is
         ignored or capped; empty if there is none.
     """
@@ -44,6 +48,8 @@
     is_leaving: bool
     pause_ms: int
     unused_retry_after: str
+    request_limit_per_s: float | None = None
+    unused_request_limit: str = ''
 
 
 def decode_answer_headers(
@@ -56,6 +62,8 @@
     encoding = headers.get('content-encoding', '').strip().lower()
     is_wrong_target = status == STATUS_WRONG_TARGET
     pause_ms, unused_retry_after = _decode_pause(status, headers)
+    limit = headers.get(names.HEADER_REQUEST_LIMIT, '').strip()
+    is_limit_valid = DECIMAL_PATTERN.fullmatch(limit) is not None
     return AnswerHeaders(
         attempt=headers.get(names.HEADER_ATTEMPT, ''),
         is_signed=names.HEADER_STAMP in headers,
@@ -66,6 +74,10 @@
         == LEAVING_VALUE,
         pause_ms=pause_ms,
         unused_retry_after=unused_retry_after,
+        request_limit_per_s=float(limit) if is_limit_valid else None,
+        unused_request_limit=''
+        if is_limit_valid or not limit
+        else repr(limit[:MAX_SHOWN_CHARS]),
     )
 
 
@@ -75,7 +87,7 @@
     if status != STATUS_UNAVAILABLE or value is None:
         return 0, ''
     shown = repr(value[:MAX_SHOWN_CHARS])
-    if not SECONDS_PATTERN.fullmatch(value.strip()):
+    if not DECIMAL_PATTERN.fullmatch(value.strip()):
         return 0, shown
     pause_ms = float(value) * MILLISECONDS_PER_SECOND
     if pause_ms > MAX_PAUSE_MS:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -23,6 +23,7 @@
 HEADER_STAMP = 'server-stamp'
 HEADER_LEAVING = 'server-leaving'
 HEADER_RETRY_AFTER = 'retry-after'
+HEADER_REQUEST_LIMIT = 'server-limit'
 HEADER_STORE_ERA = 'store-era'
 
 HEADERS_SET_BY_INSTANCES = frozenset(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -88,6 +88,16 @@
         'info',
         'A target has begun an answer to a prompt with a blocked block.',
     )
+    TARGET_LIMITED = (
+        'LB0214',
+        'info',
+        'A target names, changes or ends a limit on its requests.',
+    )
+    LIMIT_NOT_USED = (
+        'LB0215',
+        'warning',
+        "A target's Server-Limit can't be read and is ignored.",
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -4,6 +4,8 @@
 from lagoonbend._internal.facts.customer_rule import CustomerRule
 from lagoonbend._internal.facts.item_cache import ItemCache
 from lagoonbend._internal.facts.listed_target import ListedTarget
+from lagoonbend._internal.facts.named_limit import NamedLimit
+from lagoonbend._internal.facts.named_limits import NamedLimits
 from lagoonbend._internal.facts.published_item import NO_ERA
 from lagoonbend._internal.facts.published_item import PublishedItem
 from lagoonbend._internal.facts.route import Route
@@ -22,6 +24,8 @@
     'ItemCache',
     'ListedTarget',
     'NO_ERA',
+    'NamedLimit',
+    'NamedLimits',
     'PublishedItem',
     'Route',
     'RuleSet',
