Give the coordinators of unit tests real evidence

Eleven tests failed since: their mock of a coordinator answered each question for a blocked prompt with another mock, so that all calls counted as blocked. What they check is unchanged.

--- a/tests/unit/test_end_of_a_drain.py
+++ b/tests/unit/test_end_of_a_drain.py
@@ -27,6 +27,7 @@
 from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry.testing import IncomingRequest
+from tests.lib.mock_coordinator import build_mock_coordinator
 from tests.unit.test_errors_amid_a_call import ROUTE
 from tests.unit.test_errors_amid_a_call import TARGET
 
@@ -54,7 +55,7 @@
             0,
             self.clock.now_ms() + ROUTE.timeout_ms,
         )
-        coordinator = mock.Mock()
+        coordinator = build_mock_coordinator()
         coordinator.acquire.return_value = SlotDecision('c', 'i', 'target')
         coordinator.count_known.return_value = 1
         self.handler = call_handler.CallHandler(
--- a/tests/unit/test_errors_amid_a_call.py
+++ b/tests/unit/test_errors_amid_a_call.py
@@ -27,6 +27,7 @@
 from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.platform import call_headers
 from tests.lib.call_table.recording_caller import RecordingCaller
+from tests.lib.mock_coordinator import build_mock_coordinator
 
 BOUNDS = CallerBounds(8_192, 100_000, 1_000, 5_000)
 TIMEOUT_S = 5.0
@@ -62,7 +63,7 @@
         self.clock = RuntimeClock()
         self.admission = mock.Mock()
         self.admission.admit.side_effect = self.admit
-        self.coordinator = mock.Mock()
+        self.coordinator = build_mock_coordinator()
         self.coordinator.pools.choose.return_value = 'pool'
         self.coordinator.acquire.return_value = SlotDecision(
             'call', 'instance', 'target'
--- a/tests/unit/test_target_pauses.py
+++ b/tests/unit/test_target_pauses.py
@@ -28,6 +28,7 @@
 from lagoonbend_entry._internal.platform import answer_headers
 from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry.testing import IncomingRequest
+from tests.lib.mock_coordinator import build_mock_coordinator
 from tests.unit.test_closed_targets import BORN_MS
 from tests.unit.test_closed_targets import build_target
 from tests.unit.test_errors_amid_a_call import ROUTE
@@ -219,7 +220,7 @@
         facts = mock.Mock()
         facts.target_directory.find.return_value = self.open_target
         facts.target_directory.list_service.return_value = self.targets
-        self.coordinator = mock.Mock()
+        self.coordinator = build_mock_coordinator()
         self.coordinator.origins.find.return_value.version = 'v1'
         self.coordinator.acquire.side_effect = lambda *unused: (
             gevent.event.Event().wait(5.0)
