Keep to the limits that targets name for all instances

Cause: Server-Limit was not read (hypothesis 1). Had each instance kept to it by itself, they would have sent several times as much (hypothesis 2): only the decider of a pool sees the calls of all instances, and it is told by none of the target's answers to the others.

Change: instances report what targets say to the decider of the pool, which paces its grants with a token bucket per target. Fallback schedulers use half of what their own instance was told, by share. The newest statement holds, by the time of the answer or, without a limit, of the request. If all targets are limited, the wait for the next allowed call counts.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -21,6 +21,7 @@
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.coordination import crash_exchange
 from lagoonbend_entry._internal.coordination import facts_exchange
+from lagoonbend_entry._internal.coordination import limit_reports
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import origin_exchange
 from lagoonbend_entry._internal.coordination import wire_codec
@@ -62,6 +63,9 @@
 more messages just when all pools are overloaded."""
 POOL_SPECIFIC_DENIALS = (Denial.OVERLOADED, Denial.NO_TARGET)
 """Denials after which another pool of the service may still have room."""
+FALLBACK_RATE_SHARE = 0.5
+"""Part of the limits that targets name which all fallback schedulers together
+may use, since the deciders use all of them for the other calls."""
 MILLISECONDS_PER_SECOND = 1000
 FALLBACK = 'local'
 """Stands in place of a decider's address for a call that this instance
@@ -122,6 +126,7 @@
             invariants,
             self._deliver,
             self._waiting_signal.set,
+            self.named_limits,
         )
         self._fallback_schedulers = PoolSchedulers(
             facts,
@@ -130,6 +135,7 @@
             invariants,
             self._deliver,
             self._waiting_signal.set,
+            self.named_limits,
         )
         self.origins = origin_exchange.OriginExchange(
             clock,
@@ -144,6 +150,9 @@
             lambda: not fleet.is_full_mesh,
             self._send_either_way,
         )
+        self._limit_reports = limit_reports.LimitReports(
+            clock, fleet.reads_reports, self._links.send
+        )
         self._facts_exchange = facts_exchange.FactsExchange(facts, clock)
         self.peers = PeerService(
             fleet,
@@ -155,6 +164,7 @@
             self.origins,
             self._facts_exchange,
             self.crashes,
+            self.named_limits,
         )
         facts.on_change.append(self.origins.apply_facts)
         facts.on_change.append(self.pool_schedulers.apply_facts)
@@ -313,7 +323,10 @@
         return self._fleet.count_known()
 
     def report_limit(self, pool: str, limit: NamedLimit) -> None:
-        """Use what a target of a pool has said of its limit."""
+        """Tell the decider of a pool what a target has said of its limit."""
+        decider = self._deciders.get_last(pool)
+        if decider != self._fleet.address:
+            self._limit_reports.report(pool, decider, limit)
 
     def grants_trials(self, block: str) -> bool:
         """Return True if this instance grants the trials of a block."""
@@ -494,6 +507,7 @@
         elif self._links.find(decider) is None:
             self._update_links()
         self._register_slots(self._list_held_slots(pool), pool)
+        self._limit_reports.report_all(pool, decider)
 
     def _list_held_slots(self, pool: str) -> list[HeldSlot]:
         return [
@@ -593,7 +607,7 @@
         if is_newly_reached:
             if pong.keeps_origins:
                 self.origins.send_all(pong.address)
-            if pong.shares_crashes:
+            if pong.reads_reports:
                 self.crashes.request_all(pong.address)
             log_event(
                 Event.PEER_REACHED,
@@ -609,6 +623,7 @@
         """Report the slots in use to a decider whose link has opened."""
         for pool in self._deciders.list_pools(link.address):
             self._register_slots(self._list_held_slots(pool), pool)
+            self._limit_reports.report_all(pool, link.address)
 
     def _on_peer_lost(self, address: str) -> None:
         self._deciders.invalidate()
@@ -667,8 +682,10 @@
         for pool in self.pool_schedulers.pools:
             self._deciders.find(pool)
         unreachable_domains = self._fleet.list_unreachable_domains()
-        self.pool_schedulers.run_cycle(1.0, unreachable_domains)
-        self._fallback_schedulers.run_cycle(1 / known, unreachable_domains)
+        self.pool_schedulers.run_cycle(1.0, alive / known, unreachable_domains)
+        self._fallback_schedulers.run_cycle(
+            1 / known, FALLBACK_RATE_SHARE / known, unreachable_domains
+        )
         self._facts.expire()
         now_ms = self._clock.now_ms()
         if now_ms - self._load_logged_ms >= LOAD_LOG_INTERVAL_MS:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -130,7 +130,7 @@
                 frozenset(pong.decides),
                 True,
                 pong.keeps_origins,
-                pong.shares_crashes,
+                pong.reads_reports,
             )
         )
         self._record_relayed(pong.rumours)
@@ -270,9 +270,14 @@
         return [
             heartbeat.address
             for heartbeat in self.list_alive()
-            if heartbeat.is_direct and heartbeat.shares_crashes
+            if heartbeat.is_direct and heartbeat.reads_reports
         ]
 
+    def reads_reports(self, address: str) -> bool:
+        """Return True if a peer understands reports."""
+        heartbeat = self._heartbeats.get(address)
+        return heartbeat is not None and heartbeat.reads_reports
+
     def grants_trials(self, block: str) -> bool:
         """Return True if this instance grants the trials of a block."""
         alive = [heartbeat.address for heartbeat in self.list_alive()]
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
@@ -15,7 +15,8 @@
     :param is_direct: False if another instance relayed the heartbeat.
     :param keeps_origins: True if it understands messages on the origins of
         streams; False if relayed.
-    :param shares_crashes: the same for messages on targets that end.
+    :param reads_reports: the same for reports of targets that end or name a
+        limit.
     """
 
     address: str
@@ -26,4 +27,4 @@
     decides: frozenset[str]
     is_direct: bool
     keeps_origins: bool = False
-    shares_crashes: bool = False
+    reads_reports: bool = False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -40,13 +40,13 @@
     """Asks for a heartbeat; ``sent_ms`` is by the sender's own clock.
 
     With ``wants_news``, the pong also carries gossip: other instances, and the
-    use of customers' limits. ``shares_crashes`` is the same as in ``Pong``.
+    use of customers' limits. ``reads_reports`` is the same as in ``Pong``.
     """
 
     sent_ms: int
     uptime_ms: int
     wants_news: bool
-    shares_crashes: bool = False
+    reads_reports: bool = False
 
 
 class Pong(Message):
@@ -57,7 +57,8 @@
     True if the instance understands messages on the origins of streams; the
     field is missing in pongs of earlier versions, which ignore it. So are the
     era to which ``revision`` belongs, the version of the configuration in
-    force, and ``shares_crashes``, which is the same for ``CrashReports``.
+    force, and ``reads_reports``, which is the same for ``CrashReports`` and
+    ``LimitReport``.
     """
 
     sent_ms: int
@@ -74,7 +75,7 @@
     keeps_origins: bool = False
     era: int = NO_ERA
     rules_version: int = 0
-    shares_crashes: bool = False
+    reads_reports: bool = False
 
 
 class ItemsWanted(Message):
@@ -276,6 +277,23 @@
     wants_all: bool = False
 
 
+class WireLimit(msgspec.Struct, array_like=True):
+    """What a life of a target has said of its limit, ``age_ms`` ago."""
+
+    target: str
+    ip: str
+    port: int
+    born_ms: int | None
+    rate_per_s: float | None
+    age_ms: int
+
+
+class LimitReport(Message):
+    """Limits of targets, for the decider of their pool."""
+
+    limits: list[WireLimit]
+
+
 AnyMessage = (
     Greeting
     | Ping
@@ -293,4 +311,5 @@
     | OriginWanted
     | OriginFound
     | CrashReports
+    | LimitReport
 )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
@@ -147,5 +147,5 @@
             self._clock.now_ms(),
             self._fleet.uptime_ms,
             wants_gossip,
-            shares_crashes=True,
+            reads_reports=True,
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -5,9 +5,11 @@
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import PeerError
 from lagoonbend.facts import CustomerRule
+from lagoonbend.facts import NamedLimits
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend_entry._internal.coordination import crash_exchange
 from lagoonbend_entry._internal.coordination import facts_exchange
+from lagoonbend_entry._internal.coordination import limit_reports
 from lagoonbend_entry._internal.coordination import message_channel
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import origin_exchange
@@ -34,6 +36,7 @@
     :param origins: origins of streams.
     :param exchange: published items for peers.
     :param crashes: evidence against prompts under which targets end.
+    :param named_limits: limits that targets have named.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         origins: origin_exchange.OriginExchange,
         exchange: facts_exchange.FactsExchange,
         crashes: crash_exchange.CrashExchange,
+        named_limits: NamedLimits,
     ) -> None:
         self._fleet = fleet
         self._facts = facts
@@ -58,6 +62,7 @@
         self._origins = origins
         self._facts_exchange = exchange
         self._crashes = crashes
+        self._named_limits = named_limits
         self._channels: dict[str, message_channel.MessageChannel] = {}
         self._crash_receivers: set[str] = set()
 
@@ -96,7 +101,7 @@
                     self._fleet.add_peers([peer])
                 elif peer:
                     if isinstance(message, messages.Ping):
-                        if message.shares_crashes:
+                        if message.reads_reports:
                             self._crash_receivers.add(peer)
                         self._fleet.record_ping(
                             peer, failure_domain, message.uptime_ms
@@ -149,6 +154,10 @@
                 self._origins.handle_origins(message)
             case messages.OriginWanted():
                 channel.send(self._origins.build_answer(message))
+            case messages.LimitReport():
+                limit_reports.record_report(
+                    self._named_limits, message, self._clock.now_ms()
+                )
             case messages.CrashReports():
                 answer = self._crashes.handle_reports(message)
                 if answer is not None:
@@ -209,7 +218,7 @@
             keeps_origins=True,
             era=self._facts.item_cache.era,
             rules_version=self._facts.version,
-            shares_crashes=True,
+            reads_reports=True,
         )
 
     def _sum_used_units(self) -> dict[str, float]:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
@@ -7,6 +7,7 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend.facts import CustomerRule
+from lagoonbend.facts import NamedLimits
 from lagoonbend.facts import ServiceProfile
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import SharedLimits
@@ -26,6 +27,7 @@
     :param invariants: checks that must always hold.
     :param deliver: called with each decision.
     :param on_waiting: called when a call has to wait for its slot.
+    :param named_limits: limits that targets have named.
     """
 
     def __init__(
@@ -36,6 +38,7 @@
         invariants: Invariants,
         deliver: Callable[[SlotDecision], None],
         on_waiting: Callable[[], None],
+        named_limits: NamedLimits,
     ) -> None:
         self.limits = limits
         self._facts = facts
@@ -43,6 +46,8 @@
         self._invariants = invariants
         self._deliver = deliver
         self._on_waiting = on_waiting
+        self._named_limits = named_limits
+        self._rate_share = 1.0
         self._schedulers: dict[str, PoolScheduler] = {}
         self._share = 1.0
         self._unreachable_domains: frozenset[str] = frozenset()
@@ -86,6 +91,7 @@
                 self._clock,
                 self.limits,
                 self._invariants,
+                self._named_limits,
             )
             self._schedulers[pool] = scheduler
             self._apply_facts_to(pool, scheduler)
@@ -114,15 +120,20 @@
             self._apply_facts_to(pool, scheduler)
 
     def run_cycle(
-        self, share: float, unreachable_domains: frozenset[str]
+        self,
+        share: float,
+        rate_share: float,
+        unreachable_domains: frozenset[str],
     ) -> None:
         """Apply the state of the fleet, and decide what is due by now.
 
         :param share: fraction of the slots that may be used here.
+        :param rate_share: fraction of the limits that targets name.
         :param unreachable_domains: domains of which no instance is within
             reach.
         """
         self._share = share
+        self._rate_share = rate_share
         self._unreachable_domains = unreachable_domains
         for scheduler in list(self._schedulers.values()):
             self._apply_share_to(scheduler)
@@ -131,6 +142,7 @@
     def _apply_share_to(self, scheduler: PoolScheduler) -> None:
         targets = scheduler.targets
         targets.share = self._share
+        targets.rate_share = self._rate_share
         targets.unreachable_domains = self._unreachable_domains
         targets.slot_limit = None
         if self._share < 1.0:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -389,7 +389,9 @@
             search,
             self._body_memory,
             lambda: self._prompt_guard.record_begun(progress.call),
-            functools.partial(self._limit_recorder.record, request.pool),
+            functools.partial(
+                self._limit_recorder.record, decision.pool or request.pool
+            ),
         )
         return OpenAttempt(request, decision, target, attempt)
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -6,6 +6,7 @@
 
 from lagoonbend._internal.facts.customer_rule import CustomerRule
 from lagoonbend._internal.facts.listed_target import ListedTarget
+from lagoonbend._internal.facts.named_limits import NamedLimits
 from lagoonbend._internal.facts.service_profile import ServiceProfile
 from lagoonbend._internal.limits.shared_limits import SharedLimits
 from lagoonbend._internal.queueing.tier_queue import TierQueue
@@ -78,6 +79,7 @@
     :param clock: clock of the instance.
     :param limits: limits of the customers.
     :param invariants: checker of invariants.
+    :param named_limits: limits that targets have named; None for none.
     """
 
     def __init__(
@@ -86,9 +88,10 @@
         clock: Clock,
         limits: SharedLimits,
         invariants: Invariants,
+        named_limits: NamedLimits | None = None,
     ) -> None:
         self.service = service
-        self.targets = TargetSet(clock)
+        self.targets = TargetSet(clock, named_limits)
         self._clock = clock
         self._limits = limits
         self._queue: TierQueue[_WaitingCall] = TierQueue(
@@ -287,6 +290,7 @@
         self._remove_waiter(request.instance, request.call)
         expected_ms = int(load.estimate_first_byte_ms(request, now_ms))
         load.record_prefill(request, now_ms)
+        self.targets.count_sent(load, now_ms)
         load.add_held(
             HeldSlot(
                 request.call,
@@ -365,11 +369,14 @@
         for other_rank, count in self._late_counts.items():
             if other_rank < rank:
                 ahead_ms += count * self._demand.get_hold_ms(other_rank)
-        slots = self.targets.count_healthy_slots(request, now_ms)
+        slots = self.targets.count_healthy_slots(
+            request, now_ms, self._demand.get_hold_ms(rank)
+        )
         available_slots = self._demand.estimate_available_slots(
-            rank, max(1.0, slots), now_ms
+            rank, slots, now_ms
         )
-        return int(ahead_ms / available_slots)
+        rate_wait_ms = self.targets.find_rate_wait_ms(request, now_ms)
+        return int(ahead_ms / available_slots) + rate_wait_ms
 
     @staticmethod
     def _find_max_wait_ms(waiting: _WaitingCall, now_ms: int) -> float:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
@@ -4,6 +4,7 @@
 from lagoonbend._internal.scheduling.fault_record import FaultRecord
 from lagoonbend._internal.scheduling.held_slot import HeldSlot
 from lagoonbend._internal.scheduling.prompt_cache import PromptCache
+from lagoonbend._internal.scheduling.request_rate import RequestRate
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
 
 ENGINE_BASE_MS = 110.0
@@ -34,7 +35,8 @@
 
     ``slowness`` is the learned ratio of actual to assumed times, and
     ``full_until_ms`` the time until which no call is sent to a target that
-    rejected one as full.
+    rejected one as full. ``request_rate`` paces the calls while the target
+    names a limit.
 
     :param listed: the target's entry in the target list.
     :param is_engine: True for a model engine.
@@ -53,6 +55,7 @@
         self.faults = FaultRecord()
         self.cache = PromptCache(memory_tokens)
         self.full_until_ms = 0
+        self.request_rate: RequestRate | None = None
         self._prefill_until_ms = 0.0
 
     def has_room(self, request: SlotRequest, share: float) -> bool:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterator
 
 from lagoonbend._internal.facts.listed_target import ListedTarget
+from lagoonbend._internal.facts.named_limits import NamedLimits
 from lagoonbend._internal.facts.service_profile import ServiceProfile
+from lagoonbend._internal.scheduling.request_rate import RequestRate
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
 from lagoonbend._internal.scheduling.target_load import FULL_PAUSE_MS
@@ -17,6 +19,7 @@
 CROSS_DOMAIN_COST_MS_PER_KB = 2.0
 """Cost of each kilobyte of the body that is sent to another failure domain,
 because traffic between domains is charged for."""
+MILLISECONDS_PER_SECOND = 1000
 FULL_LOAD_COST_MS = 40.0
 """Cost of a fully used target compared with an idle one, because each
 running call slows down the others."""
@@ -27,14 +30,20 @@
 
     ``share`` is the share of each target's slots that may be granted here,
     ``slot_limit`` the maximum number of slots in use over all targets (None
-    for no limit), and ``unreachable_domains`` the failure domains without a
-    reachable instance.
+    for no limit), ``rate_share`` the share of the limits that targets name,
+    and ``unreachable_domains`` the failure domains without a reachable
+    instance.
 
     :param clock: clock of the instance.
+    :param named_limits: limits that targets have named; None for none.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, named_limits: NamedLimits | None = None
+    ) -> None:
         self.share = 1.0
+        self.rate_share = 1.0
+        self._named_limits = named_limits
         self.slot_limit: int | None = None
         self.unreachable_domains: frozenset[str] = frozenset()
         self._clock = clock
@@ -118,8 +127,10 @@
         limit = self.slot_limit
         if limit is not None and self.held_count >= limit:
             return False
+        now_ms = self._clock.now_ms()
         return any(
             len(load.held) < load.count_slots(self.share)
+            and not self._find_rate_wait_ms(load, now_ms)
             for load in self._list_present()
         )
 
@@ -132,13 +143,49 @@
             for load in self._list_healthy(request, now_ms)
         )
 
-    def count_healthy_slots(self, request: SlotRequest, now_ms: int) -> float:
-        """Return the number of slots of the targets that may serve a call."""
-        return sum(
-            load.listed.slots * self.share
-            for load in self._list_healthy(request, now_ms)
+    def count_healthy_slots(
+        self, request: SlotRequest, now_ms: int, hold_ms: float
+    ) -> float:
+        """Return the number of slots of the targets that may serve a call.
+
+        Of a target that names a limit, those that the calls use which it
+        allows; at least one in all if there is no such target.
+
+        :param hold_ms: time for which a call holds its slot.
+        """
+        slot_count = 0.0
+        is_limited = False
+        for load in self._list_healthy(request, now_ms, with_limited=True):
+            slots = load.listed.slots * self.share
+            rate_per_s = self._find_rate_per_s(load)
+            if rate_per_s is not None:
+                is_limited = True
+                used_slots = rate_per_s * hold_ms / MILLISECONDS_PER_SECOND
+                slots = min(slots, used_slots)
+            slot_count += slots
+        return slot_count if is_limited else max(1.0, slot_count)
+
+    def find_rate_wait_ms(self, request: SlotRequest, now_ms: int) -> int:
+        """Return the time until a target may be sent a call.
+
+        It is above 0 only if all targets that may serve it name a limit.
+        """
+        return min(
+            (
+                self._find_rate_wait_ms(load, now_ms)
+                for load in self._list_healthy(
+                    request, now_ms, with_limited=True
+                )
+            ),
+            default=0,
         )
 
+    def count_sent(self, load: TargetLoad, now_ms: int) -> None:
+        """Count a call that is sent to a target against its limit."""
+        rate_per_s = self._find_rate_per_s(load)
+        if rate_per_s is not None and load.request_rate is not None:
+            load.request_rate.take(now_ms, rate_per_s)
+
     def estimate_min_first_byte_ms(self, request: SlotRequest) -> float:
         """Return the expected time to the first byte at the best target."""
         return min(
@@ -155,8 +202,8 @@
 
         ``name held/slots slowness`` and marks: ``-`` no longer listed, ``g``
         absent (no longer at its address), ``e`` ejected because of faults,
-        ``f`` rejected a call as full, ``u`` unreachable from some failure
-        domain.
+        ``f`` rejected a call as full, ``l`` names a limit, ``u`` unreachable
+        from some failure domain.
         """
         now_ms = self._clock.now_ms()
         return [
@@ -196,19 +243,42 @@
             'g': load.faults.is_absent(now_ms),
             'e': load.faults.is_ejected(now_ms),
             'f': now_ms < load.full_until_ms,
+            'l': self._find_rate_per_s(load) is not None,
             'u': load.faults.is_unreachable_from_any(now_ms),
         }
         return ''.join(mark for mark, is_set in marks.items() if is_set)
 
+    def _find_rate_per_s(self, load: TargetLoad) -> float | None:
+        """Return the calls a second to a target; None for no limit."""
+        if not self._named_limits:
+            return None
+        rate_per_s = self._named_limits.find_rate_per_s(load.listed)
+        return None if rate_per_s is None else rate_per_s * self.rate_share
+
+    def _find_rate_wait_ms(self, load: TargetLoad, now_ms: int) -> int:
+        """Return the time for which the limit of a target allows no call."""
+        rate_per_s = self._find_rate_per_s(load)
+        if rate_per_s is None:
+            load.request_rate = None
+            return 0
+        if load.request_rate is None:
+            load.request_rate = RequestRate(now_ms)
+        return load.request_rate.find_wait_ms(now_ms, rate_per_s)
+
     def _list_healthy(
-        self, request: SlotRequest, now_ms: int
+        self,
+        request: SlotRequest,
+        now_ms: int,
+        *,
+        with_limited: bool = False,
     ) -> list[TargetLoad]:
         """Return the targets that may serve a call.
 
-        Targets that are absent, or at which the call has failed, are left out.
-        Of the others, these are the healthy ones. If they are fewer than half,
-        ejected and full ones are added. Unreachable ones are added only if all
-        are unreachable.
+        Targets that are absent, whose limit allows no call now (unless
+        ``with_limited``), or at which the call has failed, are left out. Of
+        the others, these are the healthy ones. If they are fewer than half,
+        ejected and full ones are added. Unreachable ones are added only if
+        all are unreachable.
         """
         listed = [
             load
@@ -216,6 +286,7 @@
             if name in self._listed
             and name not in request.excluded
             and not load.faults.is_absent(now_ms)
+            and (with_limited or not self._find_rate_wait_ms(load, now_ms))
         ]
         healthy = [
             load
