Play limits that targets name in the soak

Log lines are found for violations of crashing prompts too, which aren't among the callers' requests.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -10,6 +10,8 @@
 from lagoonbend_devkit._internal.soak import crash_checks
 from lagoonbend_devkit._internal.soak import crash_faults
 from lagoonbend_devkit._internal.soak import instance_log
+from lagoonbend_devkit._internal.soak import limit_checks
+from lagoonbend_devkit._internal.soak import limit_faults
 from lagoonbend_devkit._internal.soak import stream_checks
 from lagoonbend_devkit._internal.soak.caller_habit import BRIEF
 from lagoonbend_devkit._internal.soak.caller_habit import EAGER
@@ -26,6 +28,7 @@
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
 from lagoonbend_devkit._internal.soak.soak_faults import CRASHING
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
+from lagoonbend_devkit._internal.soak.soak_faults import LIMITS
 from lagoonbend_devkit._internal.soak.soak_faults import RELEASE
 from lagoonbend_devkit._internal.soak.soak_faults import RESTORE
 from lagoonbend_devkit._internal.soak.soak_faults import SERIES
@@ -40,7 +43,7 @@
 from lagoonbend_devkit._internal.soak.stream_shares import sum_shares
 from lagoonbend_devkit._internal.soak.supervisor import Supervisor
 
-REGISTERED = (crash_checks, crash_faults)
+REGISTERED = (crash_checks, crash_faults, limit_checks, limit_faults)
 """Modules that register checks and faults."""
 CALLER_HABITS = (*[BRIEF] * 8, LOYAL, EAGER, PIPELINING, PIPELINING)
 MEAN_FAULT_INTERVALS_S = {
@@ -52,7 +55,7 @@
 }
 """Mean time between the starts of two faults of a group. A single fault lasts
 up to 2.5 s, so that several overlap. A group without one plays one fault."""
-SKIPPED_SHARES = {CRASHING: 0.5}
+SKIPPED_SHARES = {CRASHING: 0.5, LIMITS: 0.5}
 """Shares of the seeds that play no fault of a group."""
 POLL_INTERVAL_S = 0.05
 MAX_RECOVERY_S = 12.0
@@ -104,7 +107,7 @@
                 for call in self._calls
             ]
             violations = self._add_log_lines(
-                find_violations(calls, history), calls, fleet
+                find_violations(calls, history), history.calls, fleet
             )
         if not is_recovered:
             detail = f'not all instances serve after {MAX_RECOVERY_S:.0f} s'
@@ -173,6 +176,7 @@
                 for name, target in context.fleet.targets.items()
             },
             context.fleet.crashes,
+            context.limited_periods,
             context.crashing_calls,
             [*calls, *context.crashing_calls],
         )
@@ -180,7 +184,7 @@
     @staticmethod
     def _add_log_lines(
         violations: list[GuaranteeViolation],
-        calls: list[SoakCall],
+        calls: Sequence[SoakCall],
         fleet: gateway_fleet.GatewayFleet,
     ) -> list[GuaranteeViolation]:
         """Return the violations with the log lines of their requests."""
@@ -211,7 +215,8 @@
                     gevent.spawn(
                         self._inject_group, context.with_group(group), group
                     )
-                    for group in (SERIES, RELEASE, SHEDDING, RESTORE, CRASHING)
+                    for group in SOAK_FAULTS
+                    if group != SINGLE
                 ),
             ],
             raise_error=True,
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -16,6 +16,7 @@
 from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
+from lagoonbend_devkit._internal.soak.limited_period import LimitedPeriod
 from lagoonbend_devkit._internal.soak.link_fault import LinkFault
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
@@ -97,6 +98,7 @@
         self.restore_lock = gevent.lock.BoundedSemaphore()
         self.crash_lock = gevent.lock.BoundedSemaphore()
         self.crashing_calls: list[SoakCall] = []
+        self.limited_periods: list[LimitedPeriod] = []
         fleet.on_crash = self._record_crash
         fleet.on_restart = self._record_restart
 
@@ -146,6 +148,7 @@
 SHEDDING = 'shedding'
 RESTORE = 'restore'
 CRASHING = 'crashing'
+LIMITS = 'limits'
 SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {
     SINGLE: {},
     SERIES: {},
@@ -153,6 +156,7 @@
     SHEDDING: {},
     RESTORE: {},
     CRASHING: {},
+    LIMITS: {},
 }
 
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
@@ -12,6 +12,7 @@
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
+from lagoonbend_devkit._internal.soak.limited_period import LimitedPeriod
 from lagoonbend_devkit._internal.soak.link_fault import LinkFault
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
@@ -33,6 +34,7 @@
     :param target_periods: period in which each target was registered as
         ready, by its name.
     :param arrivals: requests that reached each target, by its name.
+    :param limited_periods: limits that targets have named.
     :param crashes: engines that ended under prompts.
     :param crashing_calls: requests with such prompts.
     :param calls: requests of all callers.
@@ -48,6 +50,7 @@
     target_periods: Mapping[str, TargetPeriod] = {}
     arrivals: Mapping[str, Sequence[TargetArrival]] = {}
     crashes: Sequence[TargetCrash] = ()
+    limited_periods: Sequence[LimitedPeriod] = ()
     crashing_calls: Sequence[SoakCall] = ()
     calls: Sequence[SoakCall] = ()
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
@@ -7,6 +7,7 @@
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
+from lagoonbend_devkit._internal.soak.limited_period import LimitedPeriod
 from lagoonbend_devkit._internal.soak.link_fault import LinkFault
 from lagoonbend_devkit._internal.soak.soak import Soak
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
@@ -26,6 +27,7 @@
     'GuaranteeViolation',
     'InstanceEvent',
     'InstanceEventKind',
+    'LimitedPeriod',
     'LinkFault',
     'PausedPeriod',
     'Soak',
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -12,6 +12,7 @@
 from lagoonbend_devkit.soak import find_violations
 from lagoonbend_devkit.soak import InstanceEvent
 from lagoonbend_devkit.soak import InstanceEventKind
+from lagoonbend_devkit.soak import LimitedPeriod
 from lagoonbend_devkit.soak import LinkFault
 from lagoonbend_devkit.soak import PausedPeriod
 from lagoonbend_devkit.soak import SoakCall
@@ -218,6 +219,54 @@
         self.assertFalse(self.is_excused(40, instance=1))
 
 
+class LimitsTest(unittest.TestCase):
+    """A target takes 2 requests a second; instance 0 is told at 10.1 s."""
+
+    def is_kept(
+        self,
+        count: int,
+        at_s: float,
+        instance: int = 0,
+        history: SoakHistory = SOUND_HISTORY,
+    ) -> bool:
+        """Return whether so many requests at a time keep the limit."""
+        told = VALID_CALL._replace(attempt='told', sent_s=10.0)
+        calls = [told]
+        arrivals = []
+        for number in range(count):
+            attempt = f'b{number}'
+            calls.append(
+                VALID_CALL._replace(attempt=attempt, instance=instance)
+            )
+            arrivals.append(TargetArrival(attempt, at_s + number / 100))
+        found = find_violations(
+            [],
+            history._replace(
+                calls=calls,
+                runs=[RUN._replace(attempt='told', started_s=10.05)],
+                arrivals={'desk-0': arrivals},
+                limited_periods=[LimitedPeriod('desk-0', 2.0, 9.9, 30.0)],
+            ),
+        )
+        return 'limit_is_kept' not in {item.guarantee for item in found}
+
+    def test_requests_beyond_the_limit_are_seen(self) -> None:
+        """In 4 s, 1.5 x 2 x 4 + 5 are allowed, from 13.1 s on."""
+        self.assertTrue(self.is_kept(17, 14.0))
+        self.assertFalse(self.is_kept(18, 14.0))
+        self.assertTrue(self.is_kept(18, 12.0))
+
+    def test_instances_that_are_excused_do_not_count(self) -> None:
+        """Those not told, restarted, or behind a link that was cut."""
+        self.assertTrue(self.is_kept(40, 14.0, instance=1))
+        killed = InstanceEvent(0, InstanceEventKind.KILLED, 11.5)
+        for history in (
+            SoakHistory(events=[killed]),
+            SoakHistory(link_faults={'desk-0': (LinkFault(11.2, 11.3),)}),
+        ):
+            self.assertTrue(self.is_kept(40, 14.0, history=history))
+
+
 class CrashingPromptsTest(unittest.TestCase):
     """Five engines ended under a block, the last one at 14 s."""
 
