Count retries of the soak by what instances send

The check counted what had arrived at the targets, over the whole window. A retry that is lost on the way is spent too, and a process doesn't know what was sent before its start; the proxies now record what instances send. The bound, the users' ratio and slack, is the same.

The end of an engine that ended under a prompt is no longer overwritten by its release, which made the engine look usable; unused targets are named in the report.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
@@ -133,15 +133,17 @@
     return are_runs_broken and (
         call.route in AT_MOST_ONCE_ROUTES
         or len(runs) >= MAX_ATTEMPTS
-        or not _has_unused_target(call, history, runs)
+        or not list_unused_targets(call, history, runs)
         or is_budget_used(call, history, runs[0].target.partition('-')[0])
     )
 
 
-def _has_unused_target(
+def list_unused_targets(
     call: SoakCall, history: SoakHistory, runs: Sequence[TargetRun]
-) -> bool:
-    """Return whether another target of the service could have been used."""
+) -> list[str]:
+    """Return the other targets of the service that could have been used."""
+    if not runs:
+        return []
     service = runs[0].target.partition('-')[0]
     events = parse_events(call.answer)
     # A stream goes on only at the version that began it.
@@ -156,13 +158,14 @@
         and period.end_s + CONFIG_APPLY_S >= call.sent_s
     }
     pausing_targets = history.list_pausing_targets(call.sent_s, call.end_s)
-    return any(
-        target.partition('-')[0] == service
+    return [
+        target
+        for target in history.link_faults
+        if target.partition('-')[0] == service
         and _is_usable(call, history, target, version)
         and target not in used_targets | drained_targets | pausing_targets
         and not history.is_link_harmed(target, call.sent_s, call.end_s)
-        for target in history.link_faults
-    )
+    ]
 
 
 def _is_usable(
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/fault_proxy.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/fault_proxy.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+import re
 import struct
 import time
 
@@ -10,11 +11,13 @@
 import gevent.socket
 
 from lagoonbend_devkit._internal.soak.link_fault import LinkFault
+from lagoonbend_devkit._internal.soak.sent_request import SentRequest
 
 READ_SIZE_BYTES = 65_536
 DELAY_S = 0.15
 """Delay of each chunk of bytes in mode DELAY; below 200 ms, after which a lost
 packet would be retransmitted."""
+ATTEMPT_PATTERN = re.compile(rb'\r\nAttempt-Id: (\S+)\r\n')
 ZERO_LINGER = struct.pack('ii', 1, 0)
 """Option SO_LINGER with which ``close`` resets the connection."""
 
@@ -40,7 +43,7 @@
     Bytes that arrive while their direction is cut are discarded, and so are
     all later bytes of that connection in that direction, as in a network
     partition. ``link_faults`` records each connection that was reset, refused
-    or cut.
+    or cut, and ``requests`` what was sent to the server.
 
     :param upstream_endpoint: ``ip:port`` of the server.
     """
@@ -50,6 +53,7 @@
         self._upstream_address = (ip, int(port))
         self.mode = ProxyMode.PASS
         self.link_faults: list[LinkFault] = []
+        self.requests: list[SentRequest] = []
         self._sockets: set[gevent.socket.socket] = set()
         self._server = gevent.server.StreamServer(
             ('127.0.0.1', 0), self._serve_connection
@@ -103,6 +107,8 @@
         fault_number = 0
         try:
             while data := source.recv(READ_SIZE_BYTES):
+                if cut_mode is ProxyMode.CUT_TO_SERVER:
+                    self._record_requests(data)
                 if self.mode is ProxyMode.DELAY:
                     gevent.sleep(DELAY_S)
                 if not is_discarding and self.mode in (
@@ -127,6 +133,12 @@
                     end_s=time.monotonic()
                 )
 
+    def _record_requests(self, data: bytes) -> None:
+        self.requests.extend(
+            SentRequest(attempt.decode(), time.monotonic())
+            for attempt in ATTEMPT_PATTERN.findall(data)
+        )
+
     def _record_instant_fault(self) -> None:
         now_s = time.monotonic()
         self.link_faults.append(LinkFault(now_s, now_s))
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -179,6 +179,10 @@
             context.limited_periods,
             context.crashing_calls,
             [*calls, *context.crashing_calls],
+            {
+                target: proxy.requests
+                for target, proxy in context.target_proxies.items()
+            },
         )
 
     @staticmethod
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
@@ -214,7 +214,8 @@
 
 def describe_unanswered(call: SoakCall, history: SoakHistory) -> str:
     """Return what the record shows of a call without a whole answer."""
-    targets = [run.target for run in history.list_runs(call.attempt)]
+    runs = history.list_runs(call.attempt)
+    targets = [run.target for run in runs]
     times = {
         kind.value: history.list_times_s(call.instance, kind)
         for kind in InstanceEventKind
@@ -235,6 +236,7 @@
         f' age {call.connection_age_s:.2f} s, queued {call.queued_s:.2f} s,'
         f' instance {call.instance},'
         f' route {call.route}, fault {call.fault or None}, ran at {targets},'
+        f' unused {excuses.list_unused_targets(call, history, runs)},'
         f' links harmed {harmed_links}, seconds since: {since}'
     )
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -99,10 +99,11 @@
         self.crash_lock = gevent.lock.BoundedSemaphore()
         self.crashing_calls: list[SoakCall] = []
         self.limited_periods: list[LimitedPeriod] = []
-        fleet.on_crash = self._record_crash
+        fleet.on_crash = self.record_end
         fleet.on_restart = self._record_restart
 
-    def _record_crash(self, name: str) -> None:
+    def record_end(self, name: str) -> None:
+        """Record that a target is ready no more, unless it was recorded."""
         period = self.target_periods[name]
         self.target_periods[name] = period._replace(
             end_s=min(period.end_s, time.monotonic())
@@ -420,9 +421,7 @@
 
 def _drain_and_remove(context: FaultContext, name: str) -> None:
     service, version, *_ = context.target_periods[name]
-    context.target_periods[name] = context.target_periods[name]._replace(
-        end_s=time.monotonic()
-    )
+    context.record_end(name)
     born_ms = context.born_ms.get(name, gateway_fleet.FIRST_BORN_MS)
     context.fleet.register_target(name, service, 'draining', version, born_ms)
     gevent.sleep(TARGET_DRAIN_S)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
@@ -14,6 +14,7 @@
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.limited_period import LimitedPeriod
 from lagoonbend_devkit._internal.soak.link_fault import LinkFault
+from lagoonbend_devkit._internal.soak.sent_request import SentRequest
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.target_period import TargetPeriod
@@ -38,6 +39,8 @@
     :param crashes: engines that ended under prompts.
     :param crashing_calls: requests with such prompts.
     :param calls: requests of all callers.
+    :param sent: requests that instances sent to each target, by its name,
+        whether they arrived or not.
     """
 
     runs: Sequence[TargetRun] = ()
@@ -53,6 +56,7 @@
     limited_periods: Sequence[LimitedPeriod] = ()
     crashing_calls: Sequence[SoakCall] = ()
     calls: Sequence[SoakCall] = ()
+    sent: Mapping[str, Sequence[SentRequest]] = {}
 
     def list_runs(self, attempt: str) -> list[TargetRun]:
         """Return the runs of an attempt."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
@@ -9,6 +9,7 @@
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.limited_period import LimitedPeriod
 from lagoonbend_devkit._internal.soak.link_fault import LinkFault
+from lagoonbend_devkit._internal.soak.sent_request import SentRequest
 from lagoonbend_devkit._internal.soak.soak import Soak
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
@@ -30,6 +31,7 @@
     'LimitedPeriod',
     'LinkFault',
     'PausedPeriod',
+    'SentRequest',
     'Soak',
     'SoakCall',
     'SoakHistory',
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -15,6 +15,7 @@
 from lagoonbend_devkit.soak import LimitedPeriod
 from lagoonbend_devkit.soak import LinkFault
 from lagoonbend_devkit.soak import PausedPeriod
+from lagoonbend_devkit.soak import SentRequest
 from lagoonbend_devkit.soak import SoakCall
 from lagoonbend_devkit.soak import SoakHistory
 from lagoonbend_devkit.soak import StreamShares
@@ -203,13 +204,11 @@
             cut._replace(attempt=f'b{number}', sent_s=5.0, instance=instance)
             for number in range(60)
         ]
-        arrivals = [TargetArrival('a1', 10.1)]
+        sent = [SentRequest('a1', 10.1)]
         for number, other in enumerate(others):
             count = 2 if number < repeat_count else 1
-            arrivals += [TargetArrival(other.attempt, 5.1)] * count
-        history = SoakHistory(
-            calls=[cut, *others], arrivals={'desk-0': arrivals}
-        )
+            sent += [SentRequest(other.attempt, 5.1)] * count
+        history = SoakHistory(calls=[cut, *others], sent={'desk-0': sent})
         return is_excused(cut, history)
 
     def test_used_budget_excuses_a_stream_that_is_not_repeated(self) -> None:
