--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_checks.py
@@ -66,6 +66,7 @@
     first_crash_s = min(
         (crash.at_s for crash in history.crashes), default=float('inf')
     )
+    usual = [call for call in sound_calls if call.end_s < first_crash_s]
     for block, crashes in group_crashes(history).items():
         start_s = crashes[:CRASH_COUNT][-1].at_s + 2 * STABLE_WINDOW_S
         end_s = max(
@@ -73,11 +74,6 @@
             for call in history.crashing_calls
             if call.attempt.startswith(f'{block}-')
         )
-        usual = [
-            call
-            for call in sound_calls
-            if call.end_s < first_crash_s or call.sent_s > end_s
-        ]
         beside = [
             call for call in sound_calls if start_s <= call.sent_s <= end_s
         ]
@@ -87,7 +83,7 @@
             yield (
                 beside[-1],
                 f'beside {block}, {_find_share(beside):.2f} of the sound'
-                f' streams begin; {_find_share(usual):.2f} otherwise',
+                f' streams begin; {_find_share(usual):.2f} before',
             )
 
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_faults.py
@@ -15,8 +15,9 @@
 from lagoonbend_devkit._internal.soak.soak_faults import register_fault
 from lagoonbend_devkit._internal.soak.target_period import TargetPeriod
 
-CRASHING_SHARE = 0.75
-"""Share of the soak for which such prompts are sent."""
+CALM_SHARE = 0.15
+CRASHING_SHARE = 0.7
+"""Shares of the soak before such prompts are sent, and while they are."""
 REQUEST_INTERVAL_S = (0.1, 0.2)
 SPARE_ENGINE_COUNT = 4
 """Engines that are started for it, since five have to end before the users'
@@ -26,6 +27,7 @@
 @register_fault('send_crashing_prompts', CRASHING)
 def send_crashing_prompts(context: FaultContext) -> None:
     """Send requests with a new block that ends each engine that begins one."""
+    gevent.sleep(CALM_SHARE * context.fault_period_s)
     with context.crash_lock:
         if not context.crashing_calls:
             _start_spare_engines(context)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
+import math
 from typing import NamedTuple
 
 from lagoonbend_devkit._internal.gateway.standin_target import encode_event
@@ -192,7 +193,10 @@
             if item.attempt in calls_by_attempt
         ]
         for asked, asked_call in known:
-            start_s, end_s = asked.answered_s, asked.pause_end_s
+            start_s = asked.answered_s
+            end_s = min(
+                asked.pause_end_s, find_next_life_s(target, start_s, history)
+            )
             instance = asked_call.instance
             late_calls = [
                 call
@@ -212,6 +216,26 @@
                 )
 
 
+def find_next_life_s(
+    target: str, after_s: float, history: SoakHistory
+) -> float:
+    """Return when a target that had drained came back as another life.
+
+    What it asked for before holds no more then. It has also left until then,
+    which other checks are about.
+    """
+    return min(
+        (
+            period.end_s
+            for period in history.drained_periods
+            if period.begins_life
+            and period.target == target
+            and period.end_s > after_s
+        ),
+        default=math.inf,
+    )
+
+
 def describe_unanswered(call: SoakCall, history: SoakHistory) -> str:
     """Return what the record shows of a call without a whole answer."""
     runs = history.list_runs(call.attempt)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -296,14 +296,15 @@
     born_ms = context.born_ms.get(name, gateway_fleet.FIRST_BORN_MS)
     context.fleet.register_target(name, service, 'draining', version, born_ms)
     gevent.sleep(duration_s)
-    if context.target_periods[name].end_s == math.inf:
+    begins_life = context.target_periods[name].end_s == math.inf
+    if begins_life:
         # A target that leaves comes back as another life only.
         context.born_ms[name] = born_ms + 1
         context.fleet.register_target(
             name, service, version=version, born_ms=born_ms + 1
         )
     context.drained_periods.append(
-        DrainedPeriod(name, start_s, time.monotonic())
+        DrainedPeriod(name, start_s, time.monotonic(), begins_life)
     )
 
 
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -177,6 +177,19 @@
         self.assertTrue(self.is_kept(10.5, 11.4, 11.6, 12.9, 13.1))
         self.assertTrue(self.is_kept(11.6, 12.0, 12.9, instance=1))
 
+    def test_pause_holds_for_one_life(self) -> None:
+        """That of a target which drained until 12.5 s has ended then."""
+        drained = DrainedPeriod('desk-0', 11.1, 12.5, begins_life=True)
+        history = SoakHistory(drained_periods=[drained])
+        self.assertTrue(self.is_kept(12.6, 12.7, 12.8, history=history))
+        self.assertFalse(self.is_kept(11.6, 11.7, 11.8, history=history))
+        for period in (
+            drained._replace(target='desk-1'),
+            drained._replace(begins_life=False),
+        ):
+            other = SoakHistory(drained_periods=[period])
+            self.assertFalse(self.is_kept(12.6, 12.7, 12.8, history=other))
+
     def test_interruption_excuses_requests_in_a_pause(self) -> None:
         """A restart, a pause of the instance, or a cut of its link."""
         killed = InstanceEvent(0, InstanceEventKind.KILLED, 11.5)
