Show blocked prompts and limited targets in timelines

lagoonbend explain shows which blocks of prompts an instance had blocked for the service of a request, however long before, and targets that end or name a limit around it.

--- a/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/explain/timeline.py
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/explain/timeline.py
@@ -13,6 +13,8 @@
 STATE_CHANGE_EVENTS = (
     'LB0002',  # the instance drains
     'LB0009',  # its readiness changed
+    'LB0211',  # a target has ended
+    'LB0214',  # a target names, changes or ends a limit
     'LB0500',  # the platform does not answer
     'LB0501',  # the platform answers again
     'LB0507',  # published items changed
@@ -24,6 +26,11 @@
 )
 """Events that change an instance's readiness, or its view of the platform, the
 configuration, its peers and the deciders."""
+PROMPT_EVENTS = (
+    'LB0212',  # a block is blocked
+    'LB0213',  # it is cleared
+)
+"""Events that hold on: shown however long before the request they were."""
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -39,7 +46,7 @@
     """Return the lines of a request and its context, in order of time.
 
     The context is the state changes at the instances that handled the
-    request, and the load of its service as logged by the decider, the
+    request, the blocks of prompts that they had blocked for its service, and the load of its service as logged by the decider, the
     instance that grants slots at the service's targets.
     """
     all_lines = sorted(lines, key=_get_time_s)
@@ -67,6 +74,12 @@
         line
         for line in all_lines
         if line in request_lines
+        or (
+            line.time_s <= end_s
+            and line.number in PROMPT_EVENTS
+            and line.instance in handling_instances
+            and line.fields.get('service') in services
+        )
         or (
             start_s <= line.time_s <= end_s
             and _is_context(line, handling_instances, services)
--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -52,6 +52,21 @@
         )
         self.assertEqual('mine', timeline[-1].fields['request'])
 
+    def test_blocked_prompts_are_shown_however_old(self) -> None:
+        """Those of the service, at the instance that refused the request."""
+        texts = [
+            write_line(10.0, 'LB0212', service='chat', block='bad'),
+            write_line(11.0, 'LB0212', service='desk', block='bad'),
+            write_line(12.0, 'LB0212', service='chat', instance='two'),
+            write_line(100.0, 'LB0203', request='mine', service='chat'),
+            write_line(200.0, 'LB0213', service='chat', block='bad'),
+        ]
+        timeline = explain_request(parse_lines(texts), 'mine')
+        self.assertEqual(
+            [(10.0, 'LB0212'), (100.0, 'LB0203')],
+            [(line.time_s, line.number) for line in timeline],
+        )
+
     def test_unknown_request_has_no_timeline(self) -> None:
         """The context alone gives no timeline."""
         texts = [write_line(1.0, 'LB0603', service='chat')]
