--- a/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/explain/timeline.py
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/explain/timeline.py
@@ -46,8 +46,9 @@
     """Return the lines of a request and its context, in order of time.
 
     The context is the state changes at the instances that handled the
-    request, the blocks of prompts that they had blocked for its service, and the load of its service as logged by the decider, the
-    instance that grants slots at the service's targets.
+    request, the blocks of prompts that they had blocked for its service, and
+    the load of its service as logged by the decider, the instance that grants
+    slots at the service's targets.
     """
     all_lines = sorted(lines, key=_get_time_s)
     request_lines = [
