--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -367,7 +367,7 @@
                 detail='target takes no requests',
                 is_target_closed=True,
             )
-        if self._prompt_guard.find_blocked(progress.call) is not None:
+        if self._prompt_guard.check(progress.call) is not None:
             # It has been blocked since the slot was requested.
             self._coordinator.release(
                 request, decision.target, SlotOutcome.UNSUITED, 0
@@ -548,7 +548,7 @@
         )
         while True:
             request = self._slot_requests.build(progress, reply)
-            blocked = self._prompt_guard.find_blocked(call)
+            blocked = self._prompt_guard.check(call)
             if blocked is not None:
                 return request, self._deny(
                     request,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_guard.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_guard.py
@@ -30,13 +30,13 @@
         self._exchange = exchange
         self._grants_trials = grants_trials
 
-    def find_blocked(self, call: AdmittedCall) -> BlockedPrompt | None:
+    def check(self, call: AdmittedCall) -> BlockedPrompt | None:
         """Return why a call must not be sent to a target; None if it may."""
         suspects = self._exchange.suspects
         if not suspects:
             return None
         blocks = list_blocks(call)
-        return suspects.find_blocked(
+        return suspects.check_blocks(
             call.service,
             blocks,
             call.headers.attempt,
--- a/packages/lagoonbend/src/lagoonbend/_internal/crashes/prompt_suspects.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/crashes/prompt_suspects.py
@@ -75,7 +75,7 @@
             del self._begun_ms[next(iter(self._begun_ms))]
         return cleared
 
-    def find_blocked(
+    def check_blocks(
         self,
         service: str,
         blocks: Iterable[str],
--- a/tests/unit/test_prompt_suspects.py
+++ b/tests/unit/test_prompt_suspects.py
@@ -51,7 +51,7 @@
     ) -> bool:
         """Return whether a call with these blocks may be sent."""
         return (
-            self.suspects.find_blocked(
+            self.suspects.check_blocks(
                 SERVICE, blocks, attempt, may_try=may_try
             )
             is None
