Compare sound streams with all of those before the trouble

All of them count as the usual ones now; disturbed ones make that share smaller, so that nothing else is broken by it.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_checks.py
@@ -59,13 +59,12 @@
     sound_calls = [
         tries[0]
         for tries in stream_checks.group_tries(calls)
-        if not tries[0].resumes
-        and not tries[0].fault
-        and stream_checks.has_sound_version(tries[0], history)
+        if not tries[0].resumes and not tries[0].fault
     ]
     first_crash_s = min(
         (crash.at_s for crash in history.crashes), default=float('inf')
     )
+    # Disturbed calls too: they make the usual share smaller, if anything.
     usual = [call for call in sound_calls if call.end_s < first_crash_s]
     for block, crashes in group_crashes(history).items():
         start_s = crashes[:CRASH_COUNT][-1].at_s + 2 * STABLE_WINDOW_S
@@ -75,7 +74,10 @@
             if call.attempt.startswith(f'{block}-')
         )
         beside = [
-            call for call in sound_calls if start_s <= call.sent_s <= end_s
+            call
+            for call in sound_calls
+            if start_s <= call.sent_s <= end_s
+            and stream_checks.has_sound_version(call, history)
         ]
         if min(len(usual), len(beside)) < MIN_CALLS:
             continue
