--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -64,7 +64,7 @@
     """Sends a call to a target and relays the events of a stream.
 
     ``has_answered`` is True once an event, or a whole answer, has arrived from
-    this target.
+    this target. ``sent_ms`` is the time at which the call was sent; 0 before.
 
     :param call: admitted call.
     :param target: target to send it to.
@@ -112,7 +112,7 @@
         self._on_answer = on_answer
         self._on_head = on_head
         self._connection: target_connection.TargetConnection | None = None
-        self._sent_ms = 0
+        self.sent_ms = 0
         self._last_read_ms = 0
         self._first_byte_ms = 0
         self._asks_for_pause = False
@@ -204,7 +204,7 @@
         connection = self._connection
         assert connection is not None, 'the attempt has no connection'
         if not self.is_sent:
-            self._sent_ms = self._last_read_ms = self._clock.now_ms()
+            self.sent_ms = self._last_read_ms = self._clock.now_ms()
             self.is_sent = True
             connection.send(self._encode_request(), self._left_ms())
         return connection
@@ -225,7 +225,7 @@
         connection = self._send()
         answer, answer_facts = self._read_matching_head(connection)
         self._asks_for_pause = answer_facts.pause_ms > 0
-        self._first_byte_ms = max(1, self._clock.now_ms() - self._sent_ms)
+        self._first_byte_ms = max(1, self._clock.now_ms() - self.sent_ms)
         if answer_facts.is_encoded:
             raise target_error.BadAnswerError(
                 'answer body has a content encoding'
@@ -298,7 +298,7 @@
         self._on_head(
             self._target,
             answer_facts,
-            self._sent_ms,
+            self.sent_ms,
             answer_facts.attempt == self._call.headers.attempt,
         )
         if answer_facts.is_leaving and self._closed_targets.record_leaving(
@@ -509,7 +509,7 @@
     def _forward_event(self, answer: Answer, event: bytes) -> None:
         self._record_answer()
         if self._position.last_id is None and not self._reply.has_begun:
-            self._first_byte_ms = max(1, self._clock.now_ms() - self._sent_ms)
+            self._first_byte_ms = max(1, self._clock.now_ms() - self.sent_ms)
         if self._reply.has_begun:
             self._reply.send_event(event)
         else:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -417,7 +417,7 @@
                 has_answered=opened.attempt.has_answered,
             )
             if report.is_lost_unanswered:
-                self._check_target(progress, opened.target)
+                self._check_target(progress, opened)
             return report
         finally:
             if not search.has_found:
@@ -426,16 +426,17 @@
             self._close_attempt(progress, opened, report)
 
     def _check_target(
-        self, progress: CallProgress, target: ListedTarget
+        self, progress: CallProgress, opened: OpenAttempt
     ) -> None:
         """Check whether a target has ended under a call.
 
         A call waits for the result if it could be why, so that it doesn't end
         another one.
         """
-        check = self._ended_targets.check(
-            target, LostCall.from_call(progress.call)
+        lost_call = LostCall.from_call(
+            progress.call, opened.attempt.sent_ms, self._clock.now_ms()
         )
+        check = self._ended_targets.check(opened.target, lost_call)
         if self._prompt_guard.is_suspect(progress.call):
             check.join()
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
@@ -2,6 +2,7 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.call_identity import fingerprint_call
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
@@ -66,6 +67,7 @@
             first_ms=report.first_byte_ms,
             has_answered=report.has_answered,
             blocks=[block.block_id for block in call.headers.shared_prompt],
+            fingerprint=fingerprint_call(call),
             left_ms=call.expires_at_ms - self._clock.now_ms(),
             has_budget=has_budget,
             next=next_step,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/ended_targets.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/ended_targets.py
@@ -75,6 +75,8 @@
             born_ms=target.born_ms,
             requests=[call.attempt for call in calls],
             blocks=sorted({name for call in calls for name in call.blocks}),
+            fingerprints=sorted({call.fingerprint for call in calls}),
+            run_ms=[call.lost_ms - call.sent_ms for call in calls],
         )
         for notify in self.on_ended:
             notify(target, calls)
