--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -31,6 +31,7 @@
 """Time from the end of a target until its registration is removed."""
 RESTART_S = 2.5
 """Time from the end of a target until it has started again."""
+ENGINE_SERVICE = 'chat'
 DOMAINS = ('domain-a', 'domain-b')
 
 SETTINGS_TEMPLATE = """\
@@ -79,6 +80,7 @@
         self.runs: list[standin_target.TargetRun] = []
         self.targets: dict[str, standin_target.StandinTarget] = {}
         self.crashing_block = ''
+        self.crashing_path = ''
         self.crashes: list[TargetCrash] = []
         self.on_crash: Callable[[str], None] = _ignore_names
         self.on_restart: Callable[[str, str], None] = _ignore_names
@@ -91,7 +93,7 @@
         self.configuration_version = 1
         self.publish_configuration()
         for number in range(engine_count):
-            self.add_target(f'chat-{number}', 'chat')
+            self.add_target(f'chat-{number}', ENGINE_SERVICE)
         for number in range(service_count):
             self.add_target(f'desk-{number}', 'desk')
         ports = find_free_ports(4 * instance_count)
@@ -170,6 +172,7 @@
         """Start a target and register it in the store."""
         target = standin_target.StandinTarget(name, self.runs, version=version)
         target.crashing_block = self.crashing_block
+        target.crashing_path = self.crashing_path
         target.on_crash = lambda crashed: self._restart_later(crashed, service)
         self.targets[name] = target
         if self._create_proxy is not None:
@@ -187,12 +190,24 @@
         for target in self.targets.values():
             target.crashing_block = block
 
+    def set_crashing_path(self, path: str) -> None:
+        """Let all targets end that run a request with a path and query.
+
+        They start again as with ``set_crashing_block``.
+        """
+        self.crashing_path = path
+        for target in self.targets.values():
+            target.crashing_path = path
+
     def _restart_later(
         self, crashed: standin_target.StandinTarget, service: str
     ) -> None:
-        self.crashes.append(
-            TargetCrash(crashed.name, self.crashing_block, time.monotonic())
+        cause = (
+            self.crashing_block
+            if service == ENGINE_SERVICE
+            else self.crashing_path
         )
+        self.crashes.append(TargetCrash(crashed.name, cause, time.monotonic()))
         self.on_crash(crashed.name)
         if crashed.name in self.target_proxies:
             self.target_proxies[crashed.name].stop()
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -22,7 +22,7 @@
 EVENT_INTERVAL_S = 0.005
 SLOW_EVENT_INTERVAL_S = 0.3
 PREFILL_S = 0.1
-"""Time from a request to the begin of the answer that crashes a target."""
+"""Time from a request to the end of the target that it crashes."""
 PAUSE_S = 1.2
 """Silence of fault ``pause``: a sound target may be silent for a second or so
 in the users' rules."""
@@ -129,6 +129,7 @@
         self.retry_after_values: list[str] = []
         self.named_limit = ''
         self.crashing_block = ''
+        self.crashing_path = ''
         self.on_crash: Callable[[StandinTarget], None] = _ignore_crash
         self._runs = runs
         self._event_count = event_count
@@ -184,20 +185,31 @@
             )
         )
         if self.crashing_block in list_shared_blocks(request):
-            return self._crash(request, sock)
+            return self._crash(request, sock, with_head=True)
+        if request.path == self.crashing_path:
+            return self._crash(request, sock, with_head=False)
         if fault in FAULT_HANDLERS:
             return FAULT_HANDLERS[fault](self, request, sock)
         return self._send_whole_answer(request, sock)
 
     def _crash(
-        self, request: IncomingRequest, sock: gevent.socket.socket
+        self,
+        request: IncomingRequest,
+        sock: gevent.socket.socket,
+        *,
+        with_head: bool,
     ) -> bool:
-        """Write the head of a stream, then end with all connections."""
+        """End with all connections.
+
+        :param with_head: True to write the head of a stream before.
+        """
         gevent.sleep(PREFILL_S)
         if self.is_open:
-            head = self._build_head(request, 200, SERVER_STAMP)
-            head += b'Content-Type: text/event-stream\r\n'
-            self._write(sock, head + b'Transfer-Encoding: chunked\r\n\r\n')
+            if with_head:
+                head = self._build_head(request, 200, SERVER_STAMP)
+                head += b'Content-Type: text/event-stream\r\n'
+                head += b'Transfer-Encoding: chunked\r\n\r\n'
+                self._write(sock, head)
             self.is_open = False
             self.stop()
             self.on_crash(self)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/target_crash.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/target_crash.py
@@ -1,16 +1,16 @@
-"""A simulated target that ended under a prompt."""
+"""A simulated target that ended under a request."""
 
 from typing import NamedTuple
 
 
 class TargetCrash(NamedTuple):
-    """The end of a target that began an answer to a prompt.
+    """The end of a target that ran a request.
 
     :param target: name of the target.
-    :param block: block of the prompt that made it end.
+    :param cause: block of the prompt, or path, that made it end.
     :param at_s: time of the end, on the monotonic clock.
     """
 
     target: str
-    block: str
+    cause: str
     at_s: float
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_checks.py
@@ -93,7 +93,7 @@
     """Return the engines that ended under each block, in order."""
     by_block: dict[str, list[TargetCrash]] = {}
     for crash in sorted(history.crashes, key=lambda crash: crash.at_s):
-        by_block.setdefault(crash.block, []).append(crash)
+        by_block.setdefault(crash.cause, []).append(crash)
     return by_block
 
 
