--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -43,6 +43,7 @@
 from lagoonbend_entry._internal.gateway.limit_recorder import LimitRecorder
 from lagoonbend_entry._internal.gateway.lost_call import LostCall
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
+from lagoonbend_entry._internal.gateway.reachability import Reachability
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.resumed_streams import ResumedStreams
@@ -73,6 +74,8 @@
     AttemptOutcome.SILENT: SlotOutcome.SILENT,
     AttemptOutcome.BROKEN_STREAM: SlotOutcome.BAD_ANSWER,
 }
+REJECTED = (AttemptOutcome.TURNED_AWAY, AttemptOutcome.ERROR_ANSWER)
+"""Outcomes that a target has answered with, besides whole answers."""
 
 
 class DeadlineExceededError(Exception):
@@ -150,6 +153,10 @@
         )
         self._ended_targets.on_ended.append(self._crash_guard.record_ended)
         coordinator.crashes.on_blocked.append(self._end_blocked_calls)
+        self.reachability = Reachability(
+            clock,
+            lambda service: len(facts.target_directory.list_service(service)),
+        )
         self._limit_recorder = LimitRecorder(
             coordinator.named_limits, clock, coordinator.report_limit
         )
@@ -416,6 +423,7 @@
                 is_sent=opened.attempt.is_sent,
                 has_answered=opened.attempt.has_answered,
             )
+            self._record_reached(opened.target, report)
             if report.is_lost_unanswered:
                 self._check_target(progress, opened)
             return report
@@ -425,6 +433,14 @@
             self._bind_stream(progress, reply)
             self._close_attempt(progress, opened, report)
 
+    def _record_reached(
+        self, target: ListedTarget, report: AttemptReport
+    ) -> None:
+        if report.outcome is AttemptOutcome.NOT_CONNECTED:
+            self.reachability.record_failed(target)
+        elif report.first_byte_ms or report.outcome in REJECTED:
+            self.reachability.record_reached(target)
+
     def _check_target(
         self, progress: CallProgress, opened: OpenAttempt
     ) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -98,6 +98,16 @@
         'warning',
         "A target's Server-Limit can't be read and is ignored.",
     )
+    SERVICE_UNREACHED = (
+        'LB0216',
+        'warning',
+        'This instance reaches no target of a service.',
+    )
+    SERVICE_REACHED = (
+        'LB0217',
+        'info',
+        'This instance reaches a target of a service again.',
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
