Test that callers are served at instances that reach no target

Instances of the simulated fleet run as a program whose links to targets can be cut, at the point where it opens connections: refused, hanging, or new ones only. Two of four instances are cut.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -8,16 +8,21 @@
 from types import TracebackType
 
 import gevent
+import msgspec
 
 from lagoonbend_devkit._internal.fleet.http import exchange
 from lagoonbend_devkit._internal.fleet.ports import find_free_ports
 from lagoonbend_devkit._internal.fleet.process import FleetProcess
 from lagoonbend_devkit._internal.gateway import standin_store
 from lagoonbend_devkit._internal.gateway import standin_target
+from lagoonbend_devkit._internal.gateway.link_cut import CUT_FILE_VARIABLE
+from lagoonbend_devkit._internal.gateway.link_cut import CutKind
+from lagoonbend_devkit._internal.gateway.link_cut import LinkCut
 from lagoonbend_devkit._internal.gateway.target_crash import TargetCrash
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
 
+GATEWAY_MODULE = 'lagoonbend_devkit._internal.gateway.cut_gateway'
 HOST = 'calls.example'
 API_KEY = 'k-first'
 CUSTOMER = 'first-customer'
@@ -142,13 +147,39 @@
         path = self.root / f'instance-{number}.ini'
         path.write_text(self._build_settings(number), encoding='utf-8')
         os.environ['LAGOONBEND_SETTINGS'] = str(path)
+        cut_path = self._find_cut_path(number)
+        cut_path.touch()
+        os.environ[CUT_FILE_VARIABLE] = str(cut_path)
         process = FleetProcess(
-            f'instance-{number}', ['-m', 'lagoonbend_entry.gateway'], self.root
+            f'instance-{number}', ['-m', GATEWAY_MODULE], self.root
         )
         if number < len(getattr(self, 'processes', [])):
             self.processes[number] = process
         return process
 
+    def cut_links(self, number: int, kind: CutKind) -> None:
+        """Cut an instance off from all targets that are registered now."""
+        endpoints = [
+            self.target_proxies.get(name, target).endpoint
+            for name, target in self.targets.items()
+        ]
+        ports = tuple(int(text.rpartition(':')[2]) for text in endpoints)
+        self._write_cut(number, LinkCut(kind, ports))
+
+    def mend_links(self, number: int) -> None:
+        """End the cut of an instance."""
+        self._write_cut(number, LinkCut())
+
+    def _write_cut(self, number: int, cut: LinkCut) -> None:
+        path = self._find_cut_path(number)
+        # The instance must not read a part of it.
+        new_path = path.with_suffix('.new')
+        new_path.write_bytes(msgspec.json.encode(cut))
+        new_path.rename(path)
+
+    def _find_cut_path(self, number: int) -> pathlib.Path:
+        return self.root / f'instance-{number}.cut'
+
     def restart_instance(self, number: int) -> None:
         """Start an instance again unless it is running."""
         if not self.processes[number].is_running:
--- /dev/null
+++ b/tests/functional/test_unreachable_targets.py
@@ -0,0 +1,162 @@
+"""Instances that reach no target, though callers and peers reach them.
+
+Guards against callers that are refused since their instance is cut off from
+all targets, and against other callers that are refused since the targets are
+taken for gone.
+"""
+
+import random
+import time
+from typing import NamedTuple
+import unittest
+
+import gevent
+
+from lagoonbend_devkit._internal.fleet.http import exchange
+from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.gateway.link_cut import CutKind
+
+INSTANCE_COUNT = 4
+CUT_INSTANCES = (0, 2)
+"""All instances of one of two failure domains."""
+STABLE_WINDOW_S = 3.0
+"""Bound ``stable-window-ms`` of the users."""
+JUDGED_S = 5.0
+INTERVAL_S = 0.03
+MIN_SHARE = 2 / 3
+"""The users' rule RECOVER: share of the first tries that are served at cut
+instances, of the share at the others."""
+ROUTES = ('stream', 'once-stream', 'booking', 'look-up')
+DEADLINE_MS = 2_500
+MIN_OTHERS_SHARE = 0.95
+"""Targets are sound and have room, so that the instances which reach them serve
+all but calls that are under way when a cut begins."""
+
+
+class FirstTry(NamedTuple):
+    """A request and its result."""
+
+    attempt: str
+    instance: int
+    route: str
+    sent_s: float
+    status: int
+
+
+class UnreachableTargetsTest(unittest.TestCase):
+    """Four instances in two failure domains; both of one domain are cut."""
+
+    def setUp(self) -> None:
+        """Start a fleet."""
+        self.fleet = gateway_fleet.GatewayFleet(
+            INSTANCE_COUNT, engine_count=4, service_count=3
+        )
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__, None, None, None)
+        self.rng = random.Random(25)
+        self.tries: list[FirstTry] = []
+
+    def send(self) -> None:
+        """Send a request of any route to any instance."""
+        attempt = f'{self.rng.getrandbits(64):x}'
+        instance = self.rng.randrange(INSTANCE_COUNT)
+        route = self.rng.choice(ROUTES)
+        sent_s = time.monotonic()
+        answer = exchange(
+            self.fleet.callers_port(instance),
+            'POST',
+            f'/{route}/x',
+            body=b'body',
+            headers={
+                **gateway_fleet.build_call_headers(attempt),
+                'Deadline-Ms': str(DEADLINE_MS),
+            },
+            timeout_s=8.0,
+        )
+        self.tries.append(
+            FirstTry(attempt, instance, route, sent_s, answer.status)
+        )
+
+    def send_for(self, span_s: float) -> None:
+        """Send requests for a time; wait for all answers."""
+        end_s = time.monotonic() + span_s
+        greenlets = []
+        while time.monotonic() < end_s:
+            greenlets.append(gevent.spawn(self.send))
+            gevent.sleep(INTERVAL_S)
+        gevent.joinall(greenlets, raise_error=True)
+
+    def measure_share(
+        self, start_s: float, *, cut: bool, end_s: float = float('inf')
+    ) -> float:
+        """Return the share of the requests that were served."""
+        statuses = [
+            item.status
+            for item in self.tries
+            if start_s <= item.sent_s < end_s
+            and (item.instance in CUT_INSTANCES) is cut
+        ]
+        self.assertGreaterEqual(len(statuses), 20)
+        return statuses.count(200) / len(statuses)
+
+    def assert_served_everywhere(self, kind: CutKind) -> None:
+        """Cut two instances; check that callers of all are served."""
+        self.send_for(1.0)
+        cut_s = time.monotonic()
+        for instance in CUT_INSTANCES:
+            self.fleet.cut_links(instance, kind)
+        self.send_for(STABLE_WINDOW_S + JUDGED_S)
+        start_s = cut_s + STABLE_WINDOW_S
+        others = self.measure_share(start_s, cut=False)
+        self.assertGreaterEqual(others, MIN_OTHERS_SHARE)
+        self.assertGreaterEqual(
+            self.measure_share(start_s, cut=True), MIN_SHARE * others
+        )
+        self.assert_run_once()
+        mended_s = time.monotonic()
+        for instance in CUT_INSTANCES:
+            self.fleet.mend_links(instance)
+        self.send_for(STABLE_WINDOW_S + 2.0)
+        start_s = mended_s + STABLE_WINDOW_S
+        self.assertGreaterEqual(
+            self.measure_share(start_s, cut=True), MIN_OTHERS_SHARE
+        )
+
+    def assert_run_once(self) -> None:
+        """Check that no call which must not run twice has done so."""
+        runs = [run.attempt for run in self.fleet.runs]
+        for item in self.tries:
+            if item.route in ('booking', 'once-stream'):
+                self.assertLessEqual(runs.count(item.attempt), 1)
+                if item.status in (429, 503):
+                    self.assertEqual(0, runs.count(item.attempt))
+
+    # Guards against the fault of incident second1: callers of instances whose
+    # connections to targets are refused get no answers.
+    def test_callers_are_served_while_connections_are_refused(self) -> None:
+        """Open connections end, and new ones are refused."""
+        self.assert_served_everywhere(CutKind.REFUSE)
+
+    # Guards against the same fault where new connections time out.
+    def test_callers_are_served_while_connections_hang(self) -> None:
+        """Open connections end, and new ones are not established."""
+        self.assert_served_everywhere(CutKind.HANG)
+
+    # Guards against the same fault where streams that have begun go on.
+    def test_callers_are_served_while_only_open_connections_live(self) -> None:
+        """Open connections live, and new ones are refused."""
+        self.assert_served_everywhere(CutKind.NEW_ONLY)
+
+    # Guards against callers of sound instances that are refused, since targets
+    # are taken for gone which a cut instance doesn't reach.
+    def test_targets_that_one_instance_does_not_reach_stay_in_use(
+        self,
+    ) -> None:
+        """From the begin of the cut, for all that it isn't part of."""
+        self.send_for(1.0)
+        cut_s = time.monotonic()
+        for instance in CUT_INSTANCES:
+            self.fleet.cut_links(instance, CutKind.REFUSE)
+        self.send_for(STABLE_WINDOW_S)
+        others = self.measure_share(cut_s, cut=False)
+        self.assertGreaterEqual(others, MIN_OTHERS_SHARE)
