--- a/tests/functional/test_unreachable_targets.py
+++ b/tests/functional/test_unreachable_targets.py
@@ -29,7 +29,7 @@
 ROUTES = ('stream', 'once-stream', 'booking', 'look-up')
 DEADLINE_MS = 2_500
 MIN_OTHERS_SHARE = 0.95
-"""Targets are sound and have room, so that the instances which reach them serve
+"""Targets are sound and have room, so that instances which reach them serve
 all but calls that are under way when a cut begins."""
 
 
