Hand calls over to a peer while no target is reached

Cause (hypothesis 1): an instance had no other way to a target than its own links.

An instance that fails to connect to two targets of a service in a row, with no answer in between, hands its calls over to a peer, one hop and no further. The peer admits them as if the caller had sent them there, so that keys, routes, limits and retries are checked and counted there, and a forged mark gains nothing. Heartbeats say where a peer accepts calls, and which services it doesn't reach; the build before says neither, and is asked for nothing. A lost hop is a lost attempt. One connection a second tries whether targets are within reach again.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/cut_gateway.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/cut_gateway.py
@@ -8,6 +8,7 @@
 import os
 import pathlib
 import socket
+from unittest import mock
 import weakref
 
 import gevent
@@ -76,9 +77,11 @@
 def main() -> int:
     """Run the gateway with connections that can be cut."""
     cutter = LinkCutter(pathlib.Path(os.environ[CUT_FILE_VARIABLE]))
-    target_connection.open_tcp_socket = cutter.open_socket
     gevent.spawn(cutter.run)
-    return run_gateway()
+    with mock.patch.object(
+        target_connection, 'open_tcp_socket', cutter.open_socket
+    ):
+        return run_gateway()
 
 
 if __name__ == '__main__':
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -27,6 +27,7 @@
 from lagoonbend_entry._internal.coordination import wire_codec
 from lagoonbend_entry._internal.coordination.deciders import Deciders
 from lagoonbend_entry._internal.coordination.fleet import Fleet
+from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
 from lagoonbend_entry._internal.coordination.peer_link import PeerLink
 from lagoonbend_entry._internal.coordination.peer_links import PeerLinks
 from lagoonbend_entry._internal.coordination.peer_service import PeerService
@@ -328,9 +329,13 @@
         if decider != self._fleet.address:
             self._limit_reports.report(pool, decider, limit)
 
-    def grants_trials(self, block: str) -> bool:
-        """Return True if this instance grants the trials of a block."""
-        return self._fleet.grants_trials(block)
+    def grants_trials(self, carrier: str) -> bool:
+        """Return True if this instance grants the trials of a carrier."""
+        return self._fleet.grants_trials(carrier)
+
+    def list_handover_peers(self, service: str) -> list[Heartbeat]:
+        """Return the peers that may run calls of a service for this one."""
+        return self._fleet.list_handover_peers(service)
 
     def add_peers(self, addresses: list[str]) -> None:
         """Add addresses of peers."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -67,12 +67,15 @@
 
     An instance is alive, or within reach, while its last heartbeat is recent.
     A direct heartbeat is a pong to this instance; a relayed one is passed on
-    in the pong of another instance.
+    in the pong of another instance. ``list_unreached`` returns the services
+    of which this instance reaches no target.
 
     :param address: own address for peers.
     :param failure_domain: own domain.
     :param seeds: addresses from the settings.
     :param clock: clock of the instance.
+    :param callers_endpoint: where this instance serves callers, and calls
+        that peers hand over; empty if it accepts none.
     """
 
     def __init__(
@@ -81,8 +84,11 @@
         failure_domain: str,
         seeds: Iterable[str],
         clock: Clock,
+        callers_endpoint: str = '',
     ) -> None:
         self.address = address
+        self.callers_endpoint = callers_endpoint
+        self.list_unreached: Callable[[], list[str]] = list
         self.failure_domain = failure_domain
         self._clock = clock
         self._started_ms = clock.now_ms()
@@ -131,6 +137,8 @@
                 True,
                 pong.keeps_origins,
                 pong.reads_reports,
+                pong.callers_endpoint,
+                frozenset(pong.unreached),
             )
         )
         self._record_relayed(pong.rumours)
@@ -273,16 +281,27 @@
             if heartbeat.is_direct and heartbeat.reads_reports
         ]
 
+    def list_handover_peers(self, service: str) -> list[Heartbeat]:
+        """Return the peers that may run calls of a service for this one."""
+        return [
+            heartbeat
+            for heartbeat in self.list_alive()
+            if heartbeat.callers_endpoint
+            and not heartbeat.is_leaving
+            and service not in heartbeat.unreached
+        ]
+
     def reads_reports(self, address: str) -> bool:
         """Return True if a peer understands reports."""
         heartbeat = self._heartbeats.get(address)
         return heartbeat is not None and heartbeat.reads_reports
 
-    def grants_trials(self, block: str) -> bool:
-        """Return True if this instance grants the trials of a block."""
+    def grants_trials(self, carrier: str) -> bool:
+        """Return True if this instance grants the trials of a carrier."""
         alive = [heartbeat.address for heartbeat in self.list_alive()]
         return (
-            choose_by_rendezvous([self.address, *alive], block) == self.address
+            choose_by_rendezvous([self.address, *alive], carrier)
+            == self.address
         )
 
     def _list_keeper_groups(self) -> Iterator[list[str]]:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
@@ -17,6 +17,9 @@
         streams; False if relayed.
     :param reads_reports: the same for reports of targets that end or name a
         limit.
+    :param callers_endpoint: where it accepts calls that a peer hands over;
+        empty if it accepts none, or relayed.
+    :param unreached: services of which it reaches no target.
     """
 
     address: str
@@ -28,3 +31,5 @@
     is_direct: bool
     keeps_origins: bool = False
     reads_reports: bool = False
+    callers_endpoint: str = ''
+    unreached: frozenset[str] = frozenset()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -58,7 +58,9 @@
     field is missing in pongs of earlier versions, which ignore it. So are the
     era to which ``revision`` belongs, the version of the configuration in
     force, and ``reads_reports``, which is the same for ``CrashReports`` and
-    ``LimitReport``.
+    ``LimitReport``. ``callers_endpoint`` is where the instance accepts calls
+    that a peer hands over, empty in earlier versions, which accept none;
+    ``unreached`` lists the services of which it reaches no target itself.
     """
 
     sent_ms: int
@@ -76,6 +78,8 @@
     era: int = NO_ERA
     rules_version: int = 0
     reads_reports: bool = False
+    callers_endpoint: str = ''
+    unreached: list[str] = []
 
 
 class ItemsWanted(Message):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -219,6 +219,8 @@
             era=self._facts.item_cache.era,
             rules_version=self._facts.version,
             reads_reports=True,
+            callers_endpoint=self._fleet.callers_endpoint,
+            unreached=self._fleet.list_unreached(),
         )
 
     def _sum_used_units(self) -> dict[str, float]:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -14,6 +14,7 @@
 
     ``attempt_history`` has an entry ``target:outcome`` for each attempt that
     was sent, and ``versions`` the software version of that target.
+    ``attempt_count`` is the number of slots that were asked for.
     ``excluded`` lists the targets not to be tried again. ``target`` and
     ``version`` are those of the current attempt; ``binding`` is the version
     to which a stream that has begun is bound. ``successor`` is an attempt that
@@ -42,6 +43,7 @@
         self.binding: VersionBinding | None = None
         self.successor: OpenAttempt | None = None
         self.is_charged = False
+        self.attempt_count = 0
         self.send_count = 0
         self.run_count = 0
         self.may_have_run = False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -22,12 +22,14 @@
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.gateway import caller_connection
+from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.admission import Admission
 from lagoonbend_entry._internal.gateway.call_handler import CallHandler
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
+from lagoonbend_entry._internal.gateway.link_probe import LinkProbe
 from lagoonbend_entry._internal.gateway.store_watcher import StoreWatcher
 from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.gateway.tcp_socket import set_tcp_options
@@ -101,6 +103,7 @@
             settings.instance.failure_domain,
             settings.peers.seed_endpoints.split(),
             self._clock,
+            settings.listen.callers_endpoint,
         )
         self._coordinator = Coordinator(
             self._fleet,
@@ -144,6 +147,13 @@
             RANK_ORDERS[settings.scheduling.rank_order],
             self._metrics,
         )
+        reachability = self._call_handler.reachability
+        self._fleet.list_unreached = lambda: reachability.unreached_services
+        self._link_probe = LinkProbe(
+            reachability,
+            self._facts,
+            target_connection.TargetConnection.connect,
+        )
 
     @classmethod
     def from_config(
@@ -183,6 +193,7 @@
         self._coordinator.start()
         gevent.spawn(self._store_watcher.run)
         gevent.spawn(run_guarded, 'upkeep', self._run_maintenance)
+        gevent.spawn(run_guarded, 'link probe', self._link_probe.run)
         log_event(
             Event.STARTED,
             failure_domain=self._settings.instance.failure_domain,
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -0,0 +1,120 @@
+"""Lets peers run the calls whose targets this instance doesn't reach."""
+
+from collections.abc import Callable
+import random
+
+from lagoonbend.clock import Clock
+from lagoonbend.facts import ListedTarget
+from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
+from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
+from lagoonbend_entry._internal.gateway.call_progress import CallProgress
+from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
+from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
+from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
+from lagoonbend_entry._internal.gateway.peer_attempt import PeerAttempt
+from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
+from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+
+MAX_PEERS = 3
+"""Peers to which connections are tried for one call."""
+
+
+class Handover:
+    """Hands calls over to peers that reach the targets.
+
+    :param list_peers: returns the peers that may run calls of a service.
+    :param failure_domain: failure domain of this instance.
+    :param connection_pool: open connections, those to peers among them.
+    :param closed_targets: targets that get no requests.
+    :param clock: clock of the instance.
+    :param body_memory: memory of the instance for buffered bodies.
+    :param random_source: spreads the calls over the peers.
+    """
+
+    def __init__(
+        self,
+        list_peers: Callable[[str], list[Heartbeat]],
+        failure_domain: str,
+        connection_pool: ConnectionPool,
+        closed_targets: ClosedTargets,
+        clock: Clock,
+        body_memory: BodyMemory,
+        random_source: random.Random,
+    ) -> None:
+        self._list_peers = list_peers
+        self._failure_domain = failure_domain
+        self._connection_pool = connection_pool
+        self._closed_targets = closed_targets
+        self._clock = clock
+        self._body_memory = body_memory
+        self._random_source = random_source
+
+    def run(
+        self, progress: CallProgress, reply: ReplyWriter
+    ) -> AttemptReport | None:
+        """Let a peer run a call, and relay a stream that it answers with.
+
+        :returns: the result; None if no peer could be asked.
+        """
+        for peer in self._choose_peers(progress.call.service):
+            report = self._run_at(peer, progress, reply)
+            log_event(
+                Event.CALL_HANDED_OVER,
+                request=progress.call.headers.attempt,
+                service=progress.call.service,
+                peer=peer.address,
+                end=report.outcome.label,
+                detail=report.detail,
+                first_ms=report.first_byte_ms,
+                peer_age_ms=self._clock.now_ms() - peer.last_seen_ms,
+            )
+            if report.outcome is not AttemptOutcome.NOT_CONNECTED:
+                return report
+        return None
+
+    def _choose_peers(self, service: str) -> list[Heartbeat]:
+        """Return peers in random order, those of the own domain first."""
+        peers = self._list_peers(service)
+        self._random_source.shuffle(peers)
+        peers.sort(
+            key=lambda peer: peer.failure_domain != self._failure_domain
+        )
+        return peers[:MAX_PEERS]
+
+    def _run_at(
+        self, peer: Heartbeat, progress: CallProgress, reply: ReplyWriter
+    ) -> AttemptReport:
+        ip, _, port = peer.callers_endpoint.rpartition(':')
+        search: SuccessorSearch[OpenAttempt] = SuccessorSearch(
+            lambda: None, lambda unused: None
+        )
+        attempt = PeerAttempt(
+            progress.call,
+            ListedTarget(
+                peer.address,
+                progress.call.service,
+                ip,
+                int(port),
+                peer.failure_domain,
+                0,
+                False,
+            ),
+            0,
+            progress.position,
+            reply,
+            self._connection_pool,
+            self._closed_targets,
+            self._clock,
+            search,
+            self._body_memory,
+        )
+        try:
+            return attempt.run()
+        finally:
+            search.cancel()
+            if attempt.is_sent:
+                progress.send_count += 1
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
@@ -44,6 +44,7 @@
         which the caller continues; empty if not given.
     :param last_event: identity of the last event of that stream that the
         caller has received; empty if it has received none.
+    :param is_handed_over: True if another instance hands the call over.
     """
 
     attempt: str
@@ -56,6 +57,7 @@
     requires_model_version: bool = False
     continued_attempt: str = ''
     last_event: str = ''
+    is_handed_over: bool = False
 
     @property
     def shared_prompt(self) -> tuple[PromptBlock, ...]:
@@ -88,6 +90,7 @@
         requires_model_version=names.HEADER_MODEL_VERSION in headers,
         continued_attempt=headers.get(names.HEADER_RESUMES, ''),
         last_event=headers.get(names.HEADER_LAST_EVENT, ''),
+        is_handed_over=names.HEADER_HANDED_OVER in headers,
     )
 
 
@@ -127,6 +130,39 @@
         yield 'Last-Event-Id', last_event
 
 
+def encode_handover_headers(
+    headers: Iterable[tuple[str, str]],
+    dropped: Iterable[str],
+    *,
+    deadline_ms: int,
+    continued_attempt: str,
+    last_event: str | None,
+) -> Iterator[tuple[str, str]]:
+    """Yield the headers to send to an instance that a call is handed to.
+
+    It admits the call as if it came from the caller, whose key it gets.
+
+    :param headers: the caller's headers in order, with their original case.
+    :param dropped: lower-case names in the caller's Connection header.
+    :param deadline_ms: remaining time.
+    :param continued_attempt: identity of the attempt that began the stream, if
+        it is to be continued.
+    :param last_event: identity of the last event that the caller received;
+        None for a call whose answer has not begun.
+    """
+    dropped_names = CONNECTION_HEADERS | {names.HEADER_DEADLINE} | set(dropped)
+    if last_event is not None:
+        dropped_names |= {names.HEADER_LAST_EVENT, names.HEADER_RESUMES}
+    for name, value in headers:
+        if name.lower() not in dropped_names:
+            yield name, value
+    yield 'Deadline-Ms', str(max(1, deadline_ms))
+    yield 'Lagoonbend-Handed-Over', '1'
+    if last_event is not None:
+        yield 'Resumes', continued_attempt
+        yield 'Last-Event-Id', last_event
+
+
 def _read_key(value: str) -> str:
     if (
         value[: len(names.AUTHORIZATION_SCHEME)].lower()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -25,6 +25,9 @@
 HEADER_RETRY_AFTER = 'retry-after'
 HEADER_REQUEST_LIMIT = 'server-limit'
 HEADER_STORE_ERA = 'store-era'
+HEADER_HANDED_OVER = 'lagoonbend-handed-over'
+"""Not of the users' platform: marks a call that an instance hands over to
+another one, which must not hand it over again."""
 
 HEADERS_SET_BY_INSTANCES = frozenset(
     (
@@ -32,6 +35,7 @@
         HEADER_DEADLINE,
         HEADER_TARGET,
         HEADER_AUTHORIZATION,
+        HEADER_HANDED_OVER,
         'hold',
         'pin-ms',
         'kv-backup',
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -108,6 +108,11 @@
         'info',
         'This instance reaches a target of a service again.',
     )
+    CALL_HANDED_OVER = (
+        'LB0218',
+        'info',
+        'A peer has been asked to run a call.',
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
