Report no target as gone while none of its service is reached

Once two targets in a row have failed, with no answer in between, its failures to connect are reported as its own concern; the first one still counts for all, for a second or until another instance gets an answer.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -77,6 +77,8 @@
     AttemptOutcome.SILENT: SlotOutcome.SILENT,
     AttemptOutcome.BROKEN_STREAM: SlotOutcome.BAD_ANSWER,
 }
+NOT_REACHED = (SlotOutcome.NOT_REACHED, SlotOutcome.GONE)
+"""Outcomes of attempts without a connection."""
 ANSWERED = (AttemptOutcome.WHOLE_ANSWER, AttemptOutcome.ERROR_ANSWER)
 """Outcomes with an answer to relay, or one that has been relayed."""
 REJECTED = (AttemptOutcome.TURNED_AWAY, AttemptOutcome.ERROR_ANSWER)
@@ -569,7 +571,10 @@
                 progress.run_count += 1
                 progress.may_have_run = True
         progress.first_byte_ms = progress.first_byte_ms or first_byte_ms
-        if report is not None and report.asks_for_pause:
+        is_own_concern = slot_outcome in NOT_REACHED and (
+            self.reachability.is_unreached(target.service)
+        )
+        if is_own_concern or (report is not None and report.asks_for_pause):
             # The other instances go on using the target as before.
             slot_outcome = SlotOutcome.UNSUITED
         self._coordinator.release(
