Drop the end of a target that answers another instance

A target that answers a request which was sent after its alleged end, and within a second of it, has not ended: the instance that gets the answer tells all. Later it may be another life under the same name, which takes seconds to start.

tests.unit.test_crash_suspects_of_requests and test_spread_of_crash_evidence test it; record_answered didn't exist before.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/crash_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/crash_exchange.py
@@ -58,6 +58,7 @@
         self._send = send
         self._crashes: dict[CrashEvidence, None] = {}
         self._sound: dict[tuple[str, str], SoundCarrier] = {}
+        self._answered: dict[tuple[str, str], int] = {}
         self._has_outgoing = gevent.event.Event()
 
     def start(self) -> None:
@@ -76,6 +77,22 @@
         ]
         self._queue_sound(self._clear(sound))
 
+    def record_answered(self, service: str, life: str, sent_ms: int) -> None:
+        """Record that a target has answered a request.
+
+        :param life: the target and its start.
+        :param sent_ms: when the request was sent.
+        """
+        if self.suspects.record_answered(service, life, sent_ms):
+            log_event(
+                Event.TARGET_NOT_ENDED,
+                service=service,
+                life=life,
+                sent_ago_ms=self._clock.now_ms() - sent_ms,
+            )
+            self._answered[service, life] = sent_ms
+            self._has_outgoing.set()
+
     def request_all(self, peer: str) -> None:
         """Ask a peer that has been reached for all of its evidence."""
         self._send(peer, messages.CrashReports([], [], wants_all=True))
@@ -99,6 +116,14 @@
             )
             for item in message.crashes
         )
+        for item in message.answered:
+            sent_ms = now_ms - item.age_ms
+            if (
+                self.suspects.record_answered(item.service, item.life, sent_ms)
+                and self._forwards()
+            ):
+                self._answered[item.service, item.life] = sent_ms
+                self._has_outgoing.set()
         # The sender doesn't know that an answer has begun.
         self._queue_sound(sound)
         if self._forwards():
@@ -163,9 +188,16 @@
         self._has_outgoing.clear()
         crashes = list(self._crashes)[:MAX_BATCH]
         sound = list(self._sound.values())[:MAX_BATCH]
+        answered = list(self._answered.items())[:MAX_BATCH]
         self._crashes.clear()
         self._sound.clear()
+        self._answered.clear()
         message = self._encode(crashes, sound)
+        now_ms = self._clock.now_ms()
+        message.answered = [
+            messages.WireAnswered(service, life, now_ms - sent_ms)
+            for (service, life), sent_ms in answered
+        ]
         for peer in self._list_receivers():
             self._send(peer, message)
         gevent.sleep(BATCH_INTERVAL_S)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -272,15 +272,26 @@
     age_ms: int
 
 
+class WireAnswered(msgspec.Struct, array_like=True):
+    """A life of a target that has answered a request sent ``age_ms`` ago."""
+
+    service: str
+    life: str
+    age_ms: int
+
+
 class CrashReports(Message):
     """Evidence for and against calls that end targets.
 
     With ``wants_all``, the receiver answers with all of its evidence.
+    ``answered`` names targets that were taken for ended and haven't; earlier
+    versions ignore it.
     """
 
     crashes: list[WireCrash]
     sound: list[WireSound]
     wants_all: bool = False
+    answered: list[WireAnswered] = []
 
 
 class WireLimit(msgspec.Struct, array_like=True):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -480,7 +480,9 @@
             self._clock,
             search,
             self._body_memory,
-            lambda: self._crash_guard.record_begun(progress.call),
+            lambda: self._crash_guard.record_begun(
+                progress.call, target, attempt.sent_ms
+            ),
             functools.partial(
                 self._limit_recorder.record, decision.pool or request.pool
             ),
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/crash_guard.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/crash_guard.py
@@ -54,9 +54,18 @@
         """Note that a call has ended, which may have been a trial."""
         self._exchange.suspects.end_trials(call.headers.attempt)
 
-    def record_begun(self, call: AdmittedCall) -> None:
-        """Record that a target has begun an answer to a call."""
+    def record_begun(
+        self, call: AdmittedCall, target: ListedTarget, sent_ms: int
+    ) -> None:
+        """Record that a target has begun an answer to a call.
+
+        :param sent_ms: when the call was sent to it.
+        """
         self._exchange.record_begun(call.service, list_carriers(call))
+        if self._exchange.suspects:
+            self._exchange.record_answered(
+                target.service, name_life(target), sent_ms
+            )
 
     def record_ended(
         self, target: ListedTarget, calls: list[LostCall]
@@ -74,7 +83,7 @@
             CrashEvidence(
                 target.service,
                 carrier,
-                f'{target.target}@{target.born_ms}',
+                name_life(target),
                 ended_ms,
                 run_ms[carrier],
             )
@@ -94,6 +103,11 @@
         )
 
 
+def name_life(target: ListedTarget) -> str:
+    """Return the name of a target and its start."""
+    return f'{target.target}@{target.born_ms}'
+
+
 def list_carriers(call: AdmittedCall) -> tuple[str, ...]:
     """Return what other calls may have in common with a call.
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -113,6 +113,11 @@
         'info',
         'A peer has been asked to run a call.',
     )
+    TARGET_NOT_ENDED = (
+        'LB0219',
+        'info',
+        'A target that was taken for ended has answered a later request.',
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
--- a/packages/lagoonbend/src/lagoonbend/_internal/crashes/crash_suspect.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/crashes/crash_suspect.py
@@ -19,6 +19,9 @@
 BLOCK_MS = 2 * MAX_TRIAL_MS
 """Time for which a carrier stays blocked if no trial takes place, since no
 call with it reaches the instance that grants them."""
+MAX_REVIVAL_MS = 1_000
+"""Time after the end of a target in which an answer shows that it has not
+ended. Later, it may have started again, which takes some seconds."""
 MAX_LIVES = 32
 """Targets remembered per carrier; the interval of the trials is at its maximum
 long before."""
@@ -76,6 +79,18 @@
         self._ends[evidence.life] = evidence
         return True
 
+    def remove(self, life: str, sent_ms: int) -> bool:
+        """Remove the end of a target that has answered a later request.
+
+        :param sent_ms: when that request was sent.
+        :returns: False if there is no such end.
+        """
+        end = self._ends.get(life)
+        if end is None or not 0 < sent_ms - end.ended_ms <= MAX_REVIVAL_MS:
+            return False
+        del self._ends[life]
+        return True
+
     def list_ends(self) -> list[CrashEvidence]:
         """Return the evidence for each target that has ended."""
         return list(self._ends.values())
--- a/packages/lagoonbend/src/lagoonbend/_internal/crashes/crash_suspects.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/crashes/crash_suspects.py
@@ -82,6 +82,23 @@
             del self._begun_ms[next(iter(self._begun_ms))]
         return cleared
 
+    def record_answered(self, service: str, life: str, sent_ms: int) -> bool:
+        """Drop the end of a target that has answered a request since.
+
+        Links of the instance that took it for ended may have been cut.
+
+        :param life: the target and its start.
+        :param sent_ms: when the request was sent, on this instance's clock.
+        :returns: False if there is no evidence that the target has ended.
+        """
+        has_changed = False
+        for key, suspect in list(self._suspects.items()):
+            if key[0] == service and suspect.remove(life, sent_ms):
+                has_changed = True
+                if not suspect.crash_count:
+                    del self._suspects[key]
+        return has_changed
+
     def check_carriers(
         self,
         service: str,
--- a/tests/functional/test_handed_over_calls.py
+++ b/tests/functional/test_handed_over_calls.py
@@ -150,9 +150,11 @@
             headers={**mark, 'Authorization': 'Bearer unknown'},
         )
         self.assertEqual(401, answer.status)
-        self.assertEqual(503, self.send('look-up', 'marked', headers=mark).status)
+        answer = self.send('look-up', 'marked', headers=mark)
+        self.assertEqual(503, answer.status)
         self.fleet.mend_links(CUT)
         gevent.sleep(SETTLE_S)
-        self.assertEqual(200, self.send('look-up', 'direct', headers=mark).status)
+        answer = self.send('look-up', 'direct', headers=mark)
+        self.assertEqual(200, answer.status)
         (run,) = (r for r in self.fleet.runs if r.attempt == 'direct')
         self.assertNotIn('lagoonbend-handed-over', run.request.header_map)
--- a/tests/unit/test_crash_suspects_of_requests.py
+++ b/tests/unit/test_crash_suspects_of_requests.py
@@ -173,3 +173,35 @@
         for number in range(2_000):
             self.end_target(name_request(f'{number}'))
         self.assertFalse(self.is_sent(BAD))
+
+    # Guards against requests that are blocked since an instance lost its links
+    # to targets which other instances use.
+    def test_targets_that_answer_have_not_ended(self) -> None:
+        """Each of four cuts looks like the end of all targets there."""
+        common = name_request('common')
+        for _ in range(4):
+            self.end_target(common)
+            life = f't{self.life_count}'
+            self.clock.advance(200)
+            sent_ms = self.clock.now_ms()
+            self.assertTrue(
+                self.suspects.record_answered(SERVICE, life, sent_ms)
+            )
+            self.clock.advance(2_000)
+        self.assertTrue(self.is_sent(common))
+        self.assertEqual(0, len(self.suspects))
+
+    # Guards against evidence that is dropped since the target has started
+    # again, and the list of targets still has its life before.
+    def test_later_answer_may_be_of_another_life(self) -> None:
+        """A target that has ended is back after some seconds."""
+        for _ in range(CRASH_COUNT):
+            self.end_target(BAD)
+            ended_ms = self.clock.now_ms()
+            life = f't{self.life_count}'
+            for sent_ms in (ended_ms, ended_ms + 1_500):
+                self.assertFalse(
+                    self.suspects.record_answered(SERVICE, life, sent_ms)
+                )
+            self.clock.advance(2_000)
+        self.assertFalse(self.is_sent(BAD))
--- a/tests/unit/test_spread_of_crash_evidence.py
+++ b/tests/unit/test_spread_of_crash_evidence.py
@@ -155,3 +155,20 @@
         world.wait_until_blocked('bad')
         self.assertEqual([], world.list_unblocked('bad'))
         self.assertEqual(84, len(world.list_unblocked('system')))
+
+    # Guards against calls that are blocked in the whole fleet, since one
+    # instance lost its links to targets that others use.
+    def test_answers_elsewhere_end_the_evidence_everywhere(self) -> None:
+        """One instance takes targets for ended that answer another one."""
+        world = CrashWorld(84, 4)
+        cut, other = world.fleets.alive[0], world.fleets.alive[7]
+        for number in range(CRASH_COUNT):
+            world.end_target(cut, f't{number}', 'common')
+            world.run_for(0.1)
+            world.exchanges[other].record_answered(
+                SERVICE, f't{number}', world.fleets.clock.now_ms()
+            )
+            world.run_for(SEND_S)
+        self.assertEqual(84, len(world.list_unblocked('common')))
+        for exchange in world.exchanges.values():
+            self.assertEqual(0, len(exchange.suspects))
