--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -204,7 +204,9 @@
         target = standin_target.StandinTarget(name, self.runs, version=version)
         target.crashing_block = self.crashing_block
         target.crashing_path = self.crashing_path
-        target.on_crash = lambda crashed: self._restart_later(crashed, service)
+        target.on_crash = lambda crashed, cause: self._restart_later(
+            crashed, service, cause
+        )
         self.targets[name] = target
         if self._create_proxy is not None:
             self.target_proxies[name] = self._create_proxy(target.endpoint)
@@ -231,13 +233,8 @@
             target.crashing_path = path
 
     def _restart_later(
-        self, crashed: standin_target.StandinTarget, service: str
+        self, crashed: standin_target.StandinTarget, service: str, cause: str
     ) -> None:
-        cause = (
-            self.crashing_block
-            if service == ENGINE_SERVICE
-            else self.crashing_path
-        )
         self.crashes.append(TargetCrash(crashed.name, cause, time.monotonic()))
         self.on_crash(crashed.name)
         if crashed.name in self.target_proxies:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -100,7 +100,7 @@
 
     While ``crashing_block`` names a block, the target ends when it begins an
     answer to a prompt with that block, its last one excepted; ``on_crash`` is
-    called with the target.
+    called with the target and the cause.
 
     ``named_limit`` is the value of ``Server-Limit`` in its answers; empty for
     none.
@@ -130,7 +130,7 @@
         self.named_limit = ''
         self.crashing_block = ''
         self.crashing_path = ''
-        self.on_crash: Callable[[StandinTarget], None] = _ignore_crash
+        self.on_crash: Callable[[StandinTarget, str], None] = _ignore_crash
         self._runs = runs
         self._event_count = event_count
         self._may_write = gevent.event.Event()
@@ -212,7 +212,9 @@
                 self._write(sock, head)
             self.is_open = False
             self.stop()
-            self.on_crash(self)
+            self.on_crash(
+                self, self.crashing_block if with_head else request.path
+            )
         return False
 
     def _reject(self, sock: gevent.socket.socket, headers: str) -> None:
@@ -415,7 +417,7 @@
         return self._send_whole_answer(request, sock, PAUSE_EVENT_NUMBER)
 
 
-def _ignore_crash(target: StandinTarget) -> None:
+def _ignore_crash(target: StandinTarget, cause: str) -> None:
     """Let a target that has ended stay away."""
 
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/caller_request.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/caller_request.py
@@ -15,6 +15,8 @@
         empty for a new request.
     :param last_event: number of the last event that was received of it.
     :param blocks: blocks of its prompt before its own; none for no prompt.
+    :param item: end of its path, after the route.
+    :param body: its body; empty for one that names the attempt.
     """
 
     route: str
@@ -24,3 +26,5 @@
     resumes: str = ''
     last_event: int = 0
     blocks: tuple[str, ...] = ()
+    item: str = 'x'
+    body: bytes = b''
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_checks.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/crash_checks.py
@@ -1,9 +1,12 @@
-"""Checks of prompts that end the engines which answer them."""
+"""Checks of calls that end the targets which run them."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 from collections.abc import Sequence
+import functools
 
 from lagoonbend_devkit._internal.gateway import standin_target
+from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
 from lagoonbend_devkit._internal.gateway.target_crash import TargetCrash
 from lagoonbend_devkit._internal.soak import stream_checks
 from lagoonbend_devkit._internal.soak.soak_checks import register_check
@@ -11,10 +14,11 @@
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 
 CRASH_COUNT = 5
+REQUEST_CRASH_COUNT = 3
 STABLE_WINDOW_S = 3.0
 MAX_LATE_REQUESTS = 3
-"""The users' rule BUDGET: engines that have ended, time from the last of them,
-and requests that may arrive later."""
+"""The users' rules BUDGET: targets that have ended, time from the last of
+them, and requests that may arrive later."""
 MIN_CALLS = 20
 MIN_SHARE = 0.5
 """The users' rule LOST: calls from which on it counts, and the share of the
@@ -26,31 +30,76 @@
     calls: list[SoakCall], history: SoakHistory
 ) -> Iterator[tuple[SoakCall, str]]:
     """Prompts under which five engines have ended are sent to no more."""
-    crashing_calls = {call.attempt: call for call in history.crashing_calls}
     for block, crashes in group_crashes(history).items():
-        if len(crashes) < CRASH_COUNT:
-            continue
-        start_s = crashes[CRASH_COUNT - 1].at_s + STABLE_WINDOW_S
-        late_calls = [
-            crashing_calls[run.attempt]
-            for run in history.runs
-            if run.started_s > start_s
-            and block in standin_target.list_shared_blocks(run.request)
-            and run.attempt in crashing_calls
-            and not history.is_disturbed(
-                crashing_calls[run.attempt].instance,
-                run.started_s - STABLE_WINDOW_S,
-                run.started_s,
+        if not is_request(block) and len(crashes) >= CRASH_COUNT:
+            yield from _check_late_runs(
+                block,
+                crashes[CRASH_COUNT - 1].at_s + STABLE_WINDOW_S,
+                functools.partial(_has_block, block),
+                history,
+                history.is_disturbed,
             )
-        ]
-        if len(late_calls) > MAX_LATE_REQUESTS:
-            yield (
-                late_calls[-1],
-                f'{len(late_calls)} requests with {block} reached engines'
-                f' after five had ended; {len(crashes)} ended in all',
+
+
+@register_check('crashing_requests_stop')
+def check_crashing_requests(
+    calls: list[SoakCall], history: SoakHistory
+) -> Iterator[tuple[SoakCall, str]]:
+    """A request under which three servers have ended is sent to no more."""
+    for path, crashes in group_crashes(history).items():
+        if is_request(path) and len(crashes) >= REQUEST_CRASH_COUNT:
+            yield from _check_late_runs(
+                path,
+                crashes[REQUEST_CRASH_COUNT - 1].at_s + STABLE_WINDOW_S,
+                functools.partial(_has_path, path),
+                history,
+                # Instances need no store to learn of it.
+                history.is_interrupted,
             )
 
 
+def _has_block(block: str, run: TargetRun) -> bool:
+    return block in standin_target.list_shared_blocks(run.request)
+
+
+def _has_path(path: str, run: TargetRun) -> bool:
+    return run.request.path == path
+
+
+def _check_late_runs(
+    cause: str,
+    start_s: float,
+    has_cause: Callable[[TargetRun], bool],
+    history: SoakHistory,
+    is_excused: Callable[[int, float, float], bool],
+) -> Iterator[tuple[SoakCall, str]]:
+    """Yield the last request if too many have reached targets.
+
+    :param start_s: time from which they count.
+    :param has_cause: returns True for a run that ends its target.
+    :param is_excused: returns True if an instance was disturbed in a period.
+    """
+    crashing_calls = {call.attempt: call for call in history.crashing_calls}
+    late_calls = [
+        crashing_calls[run.attempt]
+        for run in history.runs
+        if run.started_s > start_s
+        and has_cause(run)
+        and run.attempt in crashing_calls
+        and not is_excused(
+            crashing_calls[run.attempt].instance,
+            run.started_s - STABLE_WINDOW_S,
+            run.started_s,
+        )
+    ]
+    if len(late_calls) > MAX_LATE_REQUESTS:
+        yield (
+            late_calls[-1],
+            f'{len(late_calls)} requests with {cause} reached targets later'
+            f' than {STABLE_WINDOW_S} s after the end that counts',
+        )
+
+
 @register_check('sound_prompts_go_on')
 def check_sound_prompts(
     calls: list[SoakCall], history: SoakHistory
@@ -67,6 +116,8 @@
     # Disturbed calls too: they make the usual share smaller, if anything.
     usual = [call for call in sound_calls if call.end_s < first_crash_s]
     for block, crashes in group_crashes(history).items():
+        if is_request(block):
+            continue
         start_s = crashes[:CRASH_COUNT][-1].at_s + 2 * STABLE_WINDOW_S
         end_s = max(
             call.sent_s
@@ -90,11 +141,16 @@
 
 
 def group_crashes(history: SoakHistory) -> dict[str, list[TargetCrash]]:
-    """Return the engines that ended under each block, in order."""
-    by_block: dict[str, list[TargetCrash]] = {}
+    """Return the targets that ended under each block or path, in order."""
+    by_cause: dict[str, list[TargetCrash]] = {}
     for crash in sorted(history.crashes, key=lambda crash: crash.at_s):
-        by_block.setdefault(crash.cause, []).append(crash)
-    return by_block
+        by_cause.setdefault(crash.cause, []).append(crash)
+    return by_cause
+
+
+def is_request(cause: str) -> bool:
+    """Return True for the path of a request, False for a block."""
+    return cause.startswith('/')
 
 
 def _find_share(calls: Sequence[SoakCall]) -> float:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -28,6 +28,7 @@
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
 from lagoonbend_devkit._internal.soak.soak_faults import CRASHING
+from lagoonbend_devkit._internal.soak.soak_faults import CRASHING_REQUESTS
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
 from lagoonbend_devkit._internal.soak.soak_faults import LIMITS
 from lagoonbend_devkit._internal.soak.soak_faults import RELEASE
@@ -56,7 +57,7 @@
 }
 """Mean time between the starts of two faults of a group. A single fault lasts
 up to 2.5 s, so that several overlap. A group without one plays one fault."""
-SKIPPED_SHARES = {CRASHING: 0.5, LIMITS: 0.5}
+SKIPPED_SHARES = {CRASHING: 0.5, CRASHING_REQUESTS: 0.5, LIMITS: 0.5}
 """Shares of the seeds that play no fault of a group."""
 POLL_INTERVAL_S = 0.05
 MAX_RECOVERY_S = 12.0
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_caller.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_caller.py
@@ -178,7 +178,10 @@
     calls = []
     for request in requests:
         is_reused = connection.request_count > 0
-        body = f'body of {request.resumes or request.attempt}'.encode()
+        body = (
+            request.body
+            or f'body of {request.resumes or request.attempt}'.encode()
+        )
         headers = gateway_fleet.build_call_headers(
             request.attempt,
             request.fault,
@@ -187,7 +190,8 @@
             blocks=request.blocks,
         )
         sent_s = time.monotonic()
-        connection.send(encode_request(f'/{request.route}/x', headers, body))
+        path = f'/{request.route}/{request.item}'
+        connection.send(encode_request(path, headers, body))
         calls.append(
             SoakCall(
                 request.attempt,
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -37,6 +37,7 @@
 SHEDDING_S = (0.05, 0.3)
 """Range of the time for which such a target turns all requests away."""
 ENGINE_SERVICE = 'chat'
+PLAIN_SERVICE = 'desk'
 RELEASE_INTERVAL_S = (0.5, 1.5)
 """Range of the time between two steps of a release."""
 TARGET_DRAIN_S = 4.0
@@ -98,6 +99,7 @@
         self.restore_lock = gevent.lock.BoundedSemaphore()
         self.crash_lock = gevent.lock.BoundedSemaphore()
         self.crashing_calls: list[SoakCall] = []
+        self.request_crash_lock = gevent.lock.BoundedSemaphore()
         self.limited_periods: list[LimitedPeriod] = []
         fleet.on_crash = self.record_end
         fleet.on_restart = self._record_restart
@@ -109,6 +111,17 @@
             end_s=min(period.end_s, time.monotonic())
         )
 
+    def start_spares(self, service: str, count: int) -> None:
+        """Start further targets of a service, unless they were started."""
+        for number in range(count):
+            name = f'{service}-spare{number}'
+            if name in self.target_periods:
+                return
+            target = self.fleet.add_target(name, service)
+            self.target_periods[name] = TargetPeriod(
+                service, target.version, time.monotonic()
+            )
+
     def _record_restart(self, name: str, new_name: str) -> None:
         self.target_periods[new_name] = self.target_periods[name]._replace(
             start_s=time.monotonic(), end_s=math.inf
@@ -149,6 +162,7 @@
 SHEDDING = 'shedding'
 RESTORE = 'restore'
 CRASHING = 'crashing'
+CRASHING_REQUESTS = 'crashing_requests'
 LIMITS = 'limits'
 SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {
     SINGLE: {},
@@ -157,6 +171,7 @@
     SHEDDING: {},
     RESTORE: {},
     CRASHING: {},
+    CRASHING_REQUESTS: {},
     LIMITS: {},
 }
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
@@ -36,8 +36,8 @@
         ready, by its name.
     :param arrivals: requests that reached each target, by its name.
     :param limited_periods: limits that targets have named.
-    :param crashes: engines that ended under prompts.
-    :param crashing_calls: requests with such prompts.
+    :param crashes: targets that ended under calls.
+    :param crashing_calls: requests that ended them.
     :param calls: requests of all callers.
     :param sent: requests that instances sent to each target, by its name,
         whether they arrived or not.
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -11,6 +11,7 @@
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from lagoonbend_devkit.soak import CRASHING
+from lagoonbend_devkit.soak import CRASHING_REQUESTS
 from lagoonbend_devkit.soak import Soak
 from lagoonbend_devkit.soak import Supervisor
 
@@ -25,6 +26,8 @@
 
 CRASHING_SEED = 801
 """Seed with prompts that end engines."""
+CRASHING_REQUEST_SEED = 1002
+"""Seed with a request that ends servers."""
 
 
 class SoakTest(unittest.TestCase):
@@ -36,21 +39,30 @@
     def test_guarantees_hold_for_each_kept_seed(self) -> None:
         """No check of what callers and targets recorded finds a violation.
 
-        They are kept for faults from before prompts ended engines.
+        They are kept for faults from before calls ended targets.
         """
         for seed, cause in SEEDS.items():
             with self.subTest(seed=seed, cause=cause):
-                report = Soak(seed, DURATION_S, {CRASHING}).run()
+                report = Soak(
+                    seed, DURATION_S, {CRASHING, CRASHING_REQUESTS}
+                ).run()
                 self.assertEqual([], report.violations)
                 self.assertGreater(report.statuses.get(200, 0), 50)
 
     def test_guarantees_hold_while_prompts_end_engines(self) -> None:
         """Beside the faults of the kept seeds."""
-        report = Soak(CRASHING_SEED, DURATION_S).run()
+        report = Soak(CRASHING_SEED, DURATION_S, {CRASHING_REQUESTS}).run()
         self.assertEqual([], report.violations)
         self.assertGreater(report.statuses.get(200, 0), 50)
         self.assertIn('send_crashing_prompts', report.faults)
 
+    def test_guarantees_hold_while_a_request_ends_servers(self) -> None:
+        """Beside the faults of the kept seeds."""
+        report = Soak(CRASHING_REQUEST_SEED, DURATION_S, {CRASHING}).run()
+        self.assertEqual([], report.violations)
+        self.assertGreater(report.statuses.get(200, 0), 50)
+        self.assertIn('send_crashing_request', report.faults)
+
     def test_process_that_ends_at_its_start_is_started_again(self) -> None:
         """One that ends after its first log line is not.
 
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -317,6 +317,34 @@
         self.assertEqual(set(), self.find_violations([17.1] * 3))
         self.assertEqual(broken, self.find_violations([17.1] * 4))
 
+    def test_fourth_late_retry_of_a_request_is_seen(self) -> None:
+        """Those within 3 s of the third end may come."""
+        path = '/look-up/crash0'
+        request = REQUEST._replace(path=path)
+        for late_s, late_count, is_kept in (
+            (14.9, 9, True),
+            (15.1, 3, True),
+            (15.1, 4, False),
+        ):
+            times_s = [10.0, 11.0, 12.0, *[late_s] * late_count]
+            attempts = [f'crash0-{number}' for number in range(len(times_s))]
+            history = SoakHistory(
+                runs=[
+                    TargetRun('desk-0', attempt, request, started_s=at_s)
+                    for attempt, at_s in zip(attempts, times_s, strict=True)
+                ],
+                crashes=[
+                    TargetCrash(f'desk-{number}', path, 10.0 + number)
+                    for number in range(3)
+                ],
+                crashing_calls=[
+                    VALID_CALL._replace(attempt=attempt, sent_s=at_s)
+                    for attempt, at_s in zip(attempts, times_s, strict=True)
+                ],
+            )
+            found = {item.guarantee for item in find_violations([], history)}
+            self.assertEqual(is_kept, 'crashing_requests_stop' not in found)
+
     def test_restart_excuses_late_requests(self) -> None:
         """An instance that has just started may not know the block."""
         kill = InstanceEvent(0, InstanceEventKind.KILLED, 15.0)
