Send brittle targets no more than they have room for

A target that says Server-Brittle falls over when it must reject more than so many calls a second, and nothing read the header: it was sent calls as any other, and when all targets were full, those that had just rejected one were used again at once (70 rejections in a second where 3 are survived).

What a target says of itself is one account, shared like the limits: told to one instance, it goes to the decider, which grants the slots of all. There, the room of a brittle target is what it still runs when it rejects a call.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/limit_reports.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/limit_reports.py
@@ -48,6 +48,7 @@
         if (
             sent is None
             or sent.rate_per_s != limit.rate_per_s
+            or sent.rejection_limit_per_s != limit.rejection_limit_per_s
             or limit.stated_ms - sent.stated_ms >= REPEAT_MS
         ):
             self._report([(key, limit)], decider)
@@ -88,6 +89,7 @@
         target.born_ms,
         limit.rate_per_s,
         now_ms - limit.stated_ms,
+        limit.rejection_limit_per_s,
     )
 
 
@@ -108,5 +110,10 @@
             born_ms=item.born_ms,
         )
         limits.record(
-            NamedLimit(target, item.rate_per_s, now_ms - item.age_ms)
+            NamedLimit(
+                target,
+                item.rate_per_s,
+                now_ms - item.age_ms,
+                item.rejection_limit_per_s,
+            )
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -295,7 +295,10 @@
 
 
 class WireLimit(msgspec.Struct, array_like=True):
-    """What a life of a target has said of its limit, ``age_ms`` ago."""
+    """What a life of a target has said of its limits, ``age_ms`` ago.
+
+    Earlier versions don't read ``rejection_limit_per_s``.
+    """
 
     target: str
     ip: str
@@ -303,6 +306,7 @@
     born_ms: int | None
     rate_per_s: float | None
     age_ms: int
+    rejection_limit_per_s: float | None = None
 
 
 class LimitReport(Message):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/limit_recorder.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/limit_recorder.py
@@ -55,15 +55,19 @@
         if headers.unused_request_limit:
             self._log_unused(target, headers.unused_request_limit)
             return
-        if rate_per_s is None and (not is_own or not self._limits):
+        rejections_per_s = headers.rejection_limit_per_s
+        is_sound = rate_per_s is None and rejections_per_s is None
+        if is_sound and (not is_own or not self._limits):
             return
-        stated_ms = sent_ms if rate_per_s is None else self._clock.now_ms()
+        stated_ms = sent_ms if is_sound else self._clock.now_ms()
         before_per_s = self._limits.find_rate_per_s(target)
-        limit = NamedLimit(target, rate_per_s, stated_ms)
+        was_brittle = self._limits.is_brittle(target)
+        limit = NamedLimit(target, rate_per_s, stated_ms, rejections_per_s)
         if not self._limits.record(limit):
             return
         after_per_s = self._limits.find_rate_per_s(target)
-        if after_per_s != before_per_s:
+        is_brittle = self._limits.is_brittle(target)
+        if after_per_s != before_per_s or is_brittle != was_brittle:
             log_event(
                 Event.TARGET_LIMITED,
                 target=target.target,
@@ -71,6 +75,7 @@
                 address=f'{target.ip}:{target.port}',
                 rate_per_s=rate_per_s,
                 before_per_s=before_per_s,
+                rejections_per_s=rejections_per_s,
             )
         self._report(pool, limit)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
@@ -34,6 +34,8 @@
         this instance; 0 if it doesn't ask for a pause.
     :param request_limit_per_s: requests a second that the target takes from
         all instances together; None if it names no limit.
+    :param rejection_limit_per_s: rejections a second beyond which the target
+        falls over; None if it isn't brittle, or the value can't be read.
     :param unused_request_limit: start of a limit that can't be read; empty if
         there is none.
     :param unused_retry_after: start of a value of ``Retry-After`` that is
@@ -50,6 +52,7 @@
     unused_retry_after: str
     request_limit_per_s: float | None = None
     unused_request_limit: str = ''
+    rejection_limit_per_s: float | None = None
 
 
 def decode_answer_headers(
@@ -64,6 +67,8 @@
     pause_ms, unused_retry_after = _decode_pause(status, headers)
     limit = headers.get(names.HEADER_REQUEST_LIMIT, '').strip()
     is_limit_valid = DECIMAL_PATTERN.fullmatch(limit) is not None
+    rejections = headers.get(names.HEADER_REJECTION_LIMIT, '').strip()
+    is_brittle = DECIMAL_PATTERN.fullmatch(rejections) is not None
     return AnswerHeaders(
         attempt=headers.get(names.HEADER_ATTEMPT, ''),
         is_signed=names.HEADER_STAMP in headers,
@@ -78,6 +83,7 @@
         unused_request_limit=''
         if is_limit_valid or not limit
         else repr(limit[:MAX_SHOWN_CHARS]),
+        rejection_limit_per_s=float(rejections) if is_brittle else None,
     )
 
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -24,6 +24,9 @@
 HEADER_LEAVING = 'server-leaving'
 HEADER_RETRY_AFTER = 'retry-after'
 HEADER_REQUEST_LIMIT = 'server-limit'
+HEADER_REJECTION_LIMIT = 'server-brittle'
+"""The value is the number of rejections a second beyond which a target falls
+over."""
 HEADER_STORE_ERA = 'store-era'
 HEADER_HANDED_OVER = 'lagoonbend-handed-over'
 """Not of the users' platform: marks a call that an instance hands over to
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/named_limits.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/named_limits.py
@@ -45,7 +45,7 @@
         known = self._limits.get(name)
         if known is not None and not limit.target.is_same_life(known.target):
             known = None
-        if known is None and limit.rate_per_s is None:
+        if known is None and limit.says_nothing:
             return False
         if known is not None and limit.stated_ms <= known.stated_ms:
             return False
@@ -75,6 +75,19 @@
             return None
         return rate_per_s
 
+    def is_brittle(self, listed: ListedTarget) -> bool:
+        """Return True if a target falls over under too many rejections.
+
+        :param listed: target as listed now.
+        """
+        known = self._limits.get(listed.target)
+        return (
+            known is not None
+            and known.rejection_limit_per_s is not None
+            and listed.is_same_life(known.target)
+            and self._clock.now_ms() - known.stated_ms < MIN_LIFETIME_MS
+        )
+
     def find(self, name: str) -> NamedLimit | None:
         """Return the newest statement of a target, also of an ended limit."""
         return self._limits.get(name)
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
@@ -25,6 +25,12 @@
 FULL_PAUSE_MS = 150
 """Time without new calls after a target rejected one as full; the load that
 targets report lags by some hundred milliseconds."""
+BRITTLE_PAUSE_MS = 1_000
+"""The same for a target that falls over when it rejects too many calls in a
+second, and has no room for a single one."""
+ROOM_GROWTH_MS = 1_000
+"""Time after which one more call is sent to such a target than it had when it
+rejected the last one."""
 MAX_MEMORY_SHARE = 0.9
 """Share of an engine's memory that all running calls together may need;
 beyond it, an engine preempts the newest call."""
@@ -36,7 +42,8 @@
     ``slowness`` is the learned ratio of actual to assumed times, and
     ``full_until_ms`` the time until which no call is sent to a target that
     rejected one as full. ``request_rate`` paces the calls while the target
-    names a limit.
+    names a limit. ``is_brittle`` is True while it falls over under too many
+    rejections.
 
     :param listed: the target's entry in the target list.
     :param is_engine: True for a model engine.
@@ -56,6 +63,9 @@
         self.cache = PromptCache(memory_tokens)
         self.full_until_ms = 0
         self.request_rate: RequestRate | None = None
+        self.is_brittle = False
+        self._room = 0
+        self._rejected_ms = 0
         self._prefill_until_ms = 0.0
 
     def has_room(self, request: SlotRequest, share: float) -> bool:
@@ -78,7 +88,30 @@
         """
         if self.faults.is_on_probation:
             return 1
-        return max(1, int(self.listed.slots * share))
+        slots = max(1, int(self.listed.slots * share))
+        return min(slots, self._room) if self._room else slots
+
+    def record_rejection(self, now_ms: int) -> None:
+        """Record that the target rejected a call as full.
+
+        The room of a brittle one is taken for what it has left in use.
+        """
+        self.full_until_ms = now_ms + FULL_PAUSE_MS
+        if not self.is_brittle:
+            return
+        if not self.held:
+            self.full_until_ms = now_ms + BRITTLE_PAUSE_MS
+        self._room = max(1, len(self.held))
+        self._rejected_ms = now_ms
+
+    def update_room(self, now_ms: int, *, is_brittle: bool) -> None:
+        """Let the room of a brittle target grow; forget that of others."""
+        self.is_brittle = is_brittle
+        if not is_brittle:
+            self._room = 0
+        elif self._room and now_ms - self._rejected_ms >= ROOM_GROWTH_MS:
+            self._room += 1
+            self._rejected_ms = now_ms
 
     def estimate_first_byte_ms(
         self, request: SlotRequest, now_ms: int
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -9,7 +9,6 @@
 from lagoonbend._internal.scheduling.request_rate import RequestRate
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
-from lagoonbend._internal.scheduling.target_load import FULL_PAUSE_MS
 from lagoonbend._internal.scheduling.target_load import TargetLoad
 from lagoonbend._internal.utils.clock import Clock
 
@@ -230,7 +229,8 @@
             case SlotOutcome.GONE:
                 load.faults.record_absent(now_ms)
             case SlotOutcome.TURNED_AWAY:
-                load.full_until_ms = now_ms + FULL_PAUSE_MS
+                self._update_room(load, now_ms)
+                load.record_rejection(now_ms)
             case SlotOutcome.CALLER_LEFT | SlotOutcome.UNSUITED:
                 pass
             case _:
@@ -265,6 +265,11 @@
             load.request_rate = RequestRate(now_ms)
         return load.request_rate.find_wait_ms(now_ms, rate_per_s)
 
+    def _update_room(self, load: TargetLoad, now_ms: int) -> None:
+        limits = self._named_limits
+        is_brittle = limits is not None and limits.is_brittle(load.listed)
+        load.update_room(now_ms, is_brittle=is_brittle)
+
     def _list_healthy(
         self,
         request: SlotRequest,
@@ -275,17 +280,21 @@
         """Return the targets that may serve a call.
 
         Targets that are absent, whose limit allows no call now (unless
-        ``with_limited``), or at which the call has failed, are left out. Of
+        ``with_limited``), that are brittle and have rejected a call lately, or
+        at which the call has failed, are left out. Of
         the others, these are the healthy ones. If they are fewer than half,
         ejected and full ones are added. Unreachable ones are added only if
         all are unreachable.
         """
+        for load in self._loads.values():
+            self._update_room(load, now_ms)
         listed = [
             load
             for name, load in self._loads.items()
             if name in self._listed
             and name not in request.excluded
             and not load.faults.is_absent(now_ms)
+            and not (load.is_brittle and now_ms < load.full_until_ms)
             and (with_limited or not self._find_rate_wait_ms(load, now_ms))
         ]
         healthy = [
