--- a/tests/unit/test_unsent_attempts.py
+++ b/tests/unit/test_unsent_attempts.py
@@ -8,6 +8,8 @@
 
 from lagoonbend.facts import CustomerRule
 from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend.outcomes import RetryShare
+from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt import Attempt
@@ -63,6 +65,42 @@
         self.assertEqual(2, share.spend.call_count)
         self.assertEqual(0, self.play(False, True).spend.call_count)
 
+    # Guards against streams of other callers that are not retried, since the
+    # budget was used up by retries that found no target.
+    def test_retry_that_finds_no_target_is_paid_back(self) -> None:
+        """The target turns the call away, and no other one is left."""
+        self.facts.target_directory.find.return_value = TARGET
+        denied = SlotDecision('c', 'i', denial=Denial.NO_TARGET)
+        for found in (0, 1):
+            share = RetryShare(self.clock, 0.0, 10.0, 10.0)
+            self.coordinator.acquire.side_effect = [
+                *[SlotDecision('c', 'i', TARGET.target)] * (1 + found),
+                denied,
+            ]
+            self.serve_rejected(share)
+            # Eight tenths of the slack are used.
+            paid_count = 8 - sum(share.spend() for _ in range(8))
+            self.assertEqual(found, paid_count)
+
+    def serve_rejected(self, share: RetryShare) -> None:
+        """Serve a call that each target turns away."""
+
+        def run(tried: Attempt) -> AttemptReport:
+            tried.is_sent = True
+            return AttemptReport(AttemptOutcome.TURNED_AWAY)
+
+        request = IncomingRequest(
+            'POST', '/x', [], {}, b'', True, True, self.clock.now_ms()
+        )
+        self.handler._retry_shares.clear()
+        with (
+            mock.patch.object(
+                self.handler, '_make_retry_share', lambda: share
+            ),
+            mock.patch.object(Attempt, 'run', run),
+        ):
+            self.handler.serve(request, mock.Mock(has_begun=False))
+
     # Guards against a customer that is refused before its limit is reached.
     def test_call_is_charged_once(self) -> None:
         """The units are taken with the first grant."""
