Pay back retries that reach no target

A retry was taken from the budget when it was decided; when no target was found for it, or no connection, it stayed taken for the whole window. It is given back now, unless the call is sent or handed over to a peer.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -300,6 +300,9 @@
             )
         finally:
             search.cancel()
+            if progress.has_paid_retry:
+                progress.has_paid_retry = False
+                retry_share.pay_back()
 
     def _run_attempts_with(
         self,
@@ -376,6 +379,7 @@
             report = self._handover.run(progress, reply)
             if report is None:
                 return HandoverResult(is_final=False)
+            progress.has_paid_retry = False
             progress.failure = f'{report.outcome.label}: {report.detail}'
             if report.outcome in ANSWERED:
                 return self._relay_handed_over(progress, reply, report)
@@ -564,6 +568,7 @@
                 slot_outcome = SlotOutcome.GONE
         target = opened.target
         if opened.attempt.is_sent:
+            progress.has_paid_retry = False
             progress.send_count += 1
             progress.versions.append(target.software_version or '')
             progress.attempt_history.append(
@@ -616,11 +621,14 @@
         progress.successor = opened
         report: AttemptReport | None = None
         is_accepted = False
+        has_paid = retry_share.spend()
         try:
-            if retry_share.spend():
+            if has_paid:
                 report = opened.attempt.begin(HANDOVER_MS)
                 is_accepted = report is None
         finally:
+            if has_paid and not opened.attempt.is_sent:
+                retry_share.pay_back()
             if not is_accepted:
                 self._close_attempt(progress, opened, report)
         if report is not None:
@@ -795,12 +803,12 @@
             True,
         )
         step = decide_next_step(retry_context)
-        if (
-            step is NextStep.RETRY
-            and report.is_sent
-            and not search.has_found
-            and not retry_share.spend()
-        ):
+        must_pay = (
+            step is NextStep.RETRY and report.is_sent and not search.has_found
+        )
+        if must_pay and retry_share.spend():
+            progress.has_paid_retry = True
+        elif must_pay:
             retry_context = retry_context._replace(has_budget=False)
             step = decide_next_step(retry_context)
         self._call_log.record_attempt(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -20,6 +20,8 @@
     to which a stream that has begun is bound. ``successor`` is an attempt that
     was opened while the target was silent. ``is_charged`` is set once a slot
     has been granted, which takes the call's units from its customer's limit.
+    ``has_paid_retry`` is True while a retry has been taken from the budget and
+    not been sent.
     ``failure`` says why the call has no answer yet. ``interrupt`` raises an
     error in the greenlet that serves the call, ``slot_wait`` only while it
     waits for a slot, with ``slot_request``.
@@ -43,6 +45,7 @@
         self.binding: VersionBinding | None = None
         self.successor: OpenAttempt | None = None
         self.is_charged = False
+        self.has_paid_retry = False
         self.attempt_count = 0
         self.send_count = 0
         self.run_count = 0
--- a/packages/lagoonbend/src/lagoonbend/_internal/retries/retry_share.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/retries/retry_share.py
@@ -55,6 +55,11 @@
         self._retries.append(self._clock.now_ms())
         return True
 
+    def pay_back(self) -> None:
+        """Give back the newest retry, which reached no target."""
+        if self._retries:
+            self._retries.pop()
+
     def _expire(self) -> int:
         now_ms = self._clock.now_ms()
         for times in (self._requests, self._retries):
