--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/process.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/fleet/process.py
@@ -12,6 +12,8 @@
 class FleetProcess:
     """A child process that writes its output to a log file.
 
+    ``was_stopped`` is True once it has been sent SIGTERM or SIGKILL.
+
     :param name: name of the process in the fleet.
     :param arguments: arguments of the Python interpreter.
     :param directory: directory of the log file.
@@ -21,6 +23,7 @@
         self, name: str, arguments: list[str], directory: pathlib.Path
     ) -> None:
         self.name = name
+        self.was_stopped = False
         self.log_path = directory / f'{name}.log'
         with self.log_path.open('ab') as log:
             self._log_start_bytes = log.tell()
@@ -48,6 +51,8 @@
 
     def send(self, signal_number: signal.Signals) -> None:
         """Send a signal to this process only, if it is still running."""
+        if signal_number in (signal.SIGTERM, signal.SIGKILL):
+            self.was_stopped = True
         if self.is_running:
             self._process.send_signal(signal_number)
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/instance_watch.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/instance_watch.py
@@ -35,6 +35,7 @@
                     process.pid != self._listening_pids[number]
                     and process.is_running
                     and self._is_listening(number)
+                    and not process.was_stopped
                 ):
                     self._listening_pids[number] = process.pid
                     self._events.append(
