Cut instances off from all targets in the soak

One or two of four instances lose their links to all targets for most of the soak: refused, hanging, or new ones only. cut_instances_serve counts calls as the users' rule RECOVER does. The kept seeds leave the fault out; seed 1100 plays it in a test of its own.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/excuses.py
@@ -57,6 +57,17 @@
     return ''
 
 
+@register_excuse('no links to targets')
+def is_instance_cut(call: SoakCall, history: SoakHistory) -> bool:
+    """The instance reached no target; another check counts such calls."""
+    return any(
+        period.instance == call.instance
+        and period.start_s <= call.end_s
+        and period.end_s + DISRUPTION_MARGIN_S >= call.sent_s
+        for period in history.cut_periods
+    )
+
+
 @register_excuse('instance killed')
 def is_instance_killed(call: SoakCall, history: SoakHistory) -> bool:
     """The instance was killed during the call or shortly before it."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -10,6 +10,8 @@
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from lagoonbend_devkit._internal.soak import crash_checks
 from lagoonbend_devkit._internal.soak import crash_faults
+from lagoonbend_devkit._internal.soak import cut_checks
+from lagoonbend_devkit._internal.soak import cut_faults
 from lagoonbend_devkit._internal.soak import instance_log
 from lagoonbend_devkit._internal.soak import limit_checks
 from lagoonbend_devkit._internal.soak import limit_faults
@@ -31,6 +33,7 @@
 from lagoonbend_devkit._internal.soak.soak_faults import CRASHING_REQUESTS
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
 from lagoonbend_devkit._internal.soak.soak_faults import LIMITS
+from lagoonbend_devkit._internal.soak.soak_faults import LINKS
 from lagoonbend_devkit._internal.soak.soak_faults import RELEASE
 from lagoonbend_devkit._internal.soak.soak_faults import RESTORE
 from lagoonbend_devkit._internal.soak.soak_faults import SERIES
@@ -45,7 +48,14 @@
 from lagoonbend_devkit._internal.soak.stream_shares import sum_shares
 from lagoonbend_devkit._internal.soak.supervisor import Supervisor
 
-REGISTERED = (crash_checks, crash_faults, limit_checks, limit_faults)
+REGISTERED = (
+    crash_checks,
+    crash_faults,
+    cut_checks,
+    cut_faults,
+    limit_checks,
+    limit_faults,
+)
 """Modules that register checks and faults."""
 CALLER_HABITS = (*[BRIEF] * 8, LOYAL, EAGER, PIPELINING, PIPELINING)
 MEAN_FAULT_INTERVALS_S = {
@@ -57,7 +67,12 @@
 }
 """Mean time between the starts of two faults of a group. A single fault lasts
 up to 2.5 s, so that several overlap. A group without one plays one fault."""
-SKIPPED_SHARES = {CRASHING: 0.5, CRASHING_REQUESTS: 0.5, LIMITS: 0.5}
+SKIPPED_SHARES = {
+    CRASHING: 0.5,
+    CRASHING_REQUESTS: 0.5,
+    LIMITS: 0.5,
+    LINKS: 0.5,
+}
 """Shares of the seeds that play no fault of a group."""
 POLL_INTERVAL_S = 0.05
 MAX_RECOVERY_S = 12.0
@@ -192,6 +207,7 @@
                 target: proxy.requests
                 for target, proxy in context.target_proxies.items()
             },
+            context.cut_periods,
         )
 
     @staticmethod
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -11,6 +11,7 @@
 import gevent.lock
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.soak.cut_period import CutPeriod
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
@@ -101,6 +102,7 @@
         self.crashing_calls: list[SoakCall] = []
         self.request_crash_lock = gevent.lock.BoundedSemaphore()
         self.limited_periods: list[LimitedPeriod] = []
+        self.cut_periods: list[CutPeriod] = []
         fleet.on_crash = self.record_end
         fleet.on_restart = self._record_restart
 
@@ -163,6 +165,7 @@
 RESTORE = 'restore'
 CRASHING = 'crashing'
 CRASHING_REQUESTS = 'crashing_requests'
+LINKS = 'links'
 LIMITS = 'limits'
 SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {
     SINGLE: {},
@@ -172,6 +175,7 @@
     RESTORE: {},
     CRASHING: {},
     CRASHING_REQUESTS: {},
+    LINKS: {},
     LIMITS: {},
 }
 
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
@@ -9,6 +9,7 @@
 from lagoonbend_devkit._internal.gateway.standin_target import TargetArrival
 from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
 from lagoonbend_devkit._internal.gateway.target_crash import TargetCrash
+from lagoonbend_devkit._internal.soak.cut_period import CutPeriod
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
@@ -41,6 +42,7 @@
     :param calls: requests of all callers.
     :param sent: requests that instances sent to each target, by its name,
         whether they arrived or not.
+    :param cut_periods: periods in which instances reached no target.
     """
 
     runs: Sequence[TargetRun] = ()
@@ -57,6 +59,7 @@
     crashing_calls: Sequence[SoakCall] = ()
     calls: Sequence[SoakCall] = ()
     sent: Mapping[str, Sequence[SentRequest]] = {}
+    cut_periods: Sequence[CutPeriod] = ()
 
     def list_runs(self, attempt: str) -> list[TargetRun]:
         """Return the runs of an attempt."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/soak.py
@@ -15,6 +15,7 @@
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
 from lagoonbend_devkit._internal.soak.soak_faults import CRASHING
 from lagoonbend_devkit._internal.soak.soak_faults import CRASHING_REQUESTS
+from lagoonbend_devkit._internal.soak.soak_faults import LINKS
 from lagoonbend_devkit._internal.soak.soak_history import SoakHistory
 from lagoonbend_devkit._internal.soak.soak_record import PausedPeriod
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
@@ -27,6 +28,7 @@
 __all__ = [
     'CRASHING',
     'CRASHING_REQUESTS',
+    'LINKS',
     'CallFailure',
     'DrainedPeriod',
     'GuaranteeViolation',
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -12,6 +12,7 @@
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from lagoonbend_devkit.soak import CRASHING
 from lagoonbend_devkit.soak import CRASHING_REQUESTS
+from lagoonbend_devkit.soak import LINKS
 from lagoonbend_devkit.soak import Soak
 from lagoonbend_devkit.soak import Supervisor
 
@@ -26,6 +27,8 @@
 
 CRASHING_SEED = 801
 """Seed with prompts that end engines."""
+CUT_SEED = 1100
+"""Seed with instances that reach no target."""
 CRASHING_REQUEST_SEED = 1002
 """Seed with a request that ends servers."""
 
@@ -44,25 +47,36 @@
         for seed, cause in SEEDS.items():
             with self.subTest(seed=seed, cause=cause):
                 report = Soak(
-                    seed, DURATION_S, {CRASHING, CRASHING_REQUESTS}
+                    seed, DURATION_S, {CRASHING, CRASHING_REQUESTS, LINKS}
                 ).run()
                 self.assertEqual([], report.violations)
                 self.assertGreater(report.statuses.get(200, 0), 50)
 
     def test_guarantees_hold_while_prompts_end_engines(self) -> None:
         """Beside the faults of the kept seeds."""
-        report = Soak(CRASHING_SEED, DURATION_S, {CRASHING_REQUESTS}).run()
+        left_out = {CRASHING_REQUESTS, LINKS}
+        report = Soak(CRASHING_SEED, DURATION_S, left_out).run()
         self.assertEqual([], report.violations)
         self.assertGreater(report.statuses.get(200, 0), 50)
         self.assertIn('send_crashing_prompts', report.faults)
 
     def test_guarantees_hold_while_a_request_ends_servers(self) -> None:
         """Beside the faults of the kept seeds."""
-        report = Soak(CRASHING_REQUEST_SEED, DURATION_S, {CRASHING}).run()
+        left_out = {CRASHING, LINKS}
+        report = Soak(CRASHING_REQUEST_SEED, DURATION_S, left_out).run()
         self.assertEqual([], report.violations)
         self.assertGreater(report.statuses.get(200, 0), 50)
         self.assertIn('send_crashing_request', report.faults)
 
+    def test_guarantees_hold_while_instances_reach_no_target(self) -> None:
+        """Beside the faults of the kept seeds."""
+        report = Soak(
+            CUT_SEED, DURATION_S, {CRASHING, CRASHING_REQUESTS}
+        ).run()
+        self.assertEqual([], report.violations)
+        self.assertGreater(report.statuses.get(200, 0), 50)
+        self.assertIn('cut_links', report.faults)
+
     def test_process_that_ends_at_its_start_is_started_again(self) -> None:
         """One that ends after its first log line is not.
 
