Run instances of the simulated fleet as the real program again

Only fleets whose instances can be cut off run the program with the seam for it; the soak does while it plays that fault.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -22,7 +22,8 @@
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
 
-GATEWAY_MODULE = 'lagoonbend_devkit._internal.gateway.cut_gateway'
+GATEWAY_MODULE = 'lagoonbend_entry.gateway'
+CUT_GATEWAY_MODULE = 'lagoonbend_devkit._internal.gateway.cut_gateway'
 HOST = 'calls.example'
 API_KEY = 'k-first'
 CUSTOMER = 'first-customer'
@@ -70,6 +71,8 @@
     :param create_proxy: creates the proxy through which instances connect to
         a target or to the store, from the endpoint of that server; None if
         they connect directly.
+    :param can_cut: True if the links of an instance to targets can be cut, for
+        which instances run as another program.
     """
 
     def __init__(
@@ -78,7 +81,10 @@
         engine_count: int = 2,
         service_count: int = 2,
         create_proxy: Callable[[str], FaultProxy] | None = None,
+        *,
+        can_cut: bool = False,
     ) -> None:
+        self._module = CUT_GATEWAY_MODULE if can_cut else GATEWAY_MODULE
         self._temporary_directory = tempfile.TemporaryDirectory()
         self.root = pathlib.Path(self._temporary_directory.name)
         self.store = standin_store.StandinStore()
@@ -151,7 +157,7 @@
         cut_path.touch()
         os.environ[CUT_FILE_VARIABLE] = str(cut_path)
         process = FleetProcess(
-            f'instance-{number}', ['-m', GATEWAY_MODULE], self.root
+            f'instance-{number}', ['-m', self._module], self.root
         )
         if number < len(getattr(self, 'processes', [])):
             self.processes[number] = process
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -103,7 +103,9 @@
 
     def run(self) -> SoakReport:
         """Run the soak; return its result."""
-        with gateway_fleet.GatewayFleet(4, create_proxy=FaultProxy) as fleet:
+        with gateway_fleet.GatewayFleet(
+            4, create_proxy=FaultProxy, can_cut=LINKS not in self._left_out
+        ) as fleet:
             caller_greenlets = [
                 gevent.spawn(
                     SoakCaller(
--- a/tests/functional/test_handed_over_calls.py
+++ b/tests/functional/test_handed_over_calls.py
@@ -30,7 +30,7 @@
 
     def setUp(self) -> None:
         """Start a fleet, and let the first instance notice the cut."""
-        self.fleet = gateway_fleet.GatewayFleet()
+        self.fleet = gateway_fleet.GatewayFleet(can_cut=True)
         self.fleet.__enter__()
         self.addCleanup(self.fleet.__exit__, None, None, None)
         self.fleet.cut_links(CUT, CutKind.REFUSE)
--- a/tests/functional/test_unreachable_targets.py
+++ b/tests/functional/test_unreachable_targets.py
@@ -49,7 +49,7 @@
     def setUp(self) -> None:
         """Start a fleet."""
         self.fleet = gateway_fleet.GatewayFleet(
-            INSTANCE_COUNT, engine_count=4, service_count=3
+            INSTANCE_COUNT, engine_count=4, service_count=3, can_cut=True
         )
         self.fleet.__enter__()
         self.addCleanup(self.fleet.__exit__, None, None, None)
