--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/crash_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/crash_exchange.py
@@ -15,6 +15,7 @@
 from lagoonbend.clock import Clock
 from lagoonbend.crashes import CrashEvidence
 from lagoonbend.crashes import CrashSuspects
+from lagoonbend.crashes import describe_carrier
 from lagoonbend.crashes import SoundCarrier
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.utils.event import Event
@@ -146,7 +147,7 @@
                 log_event(
                     Event.CALL_BLOCKED,
                     service=service,
-                    carrier=carrier,
+                    **describe_carrier(carrier),
                     ended=self.suspects.list_lives(service, carrier),
                 )
                 for notify in self.on_blocked:
@@ -166,7 +167,7 @@
             log_event(
                 Event.CALL_CLEARED,
                 service=item.service,
-                carrier=item.carrier,
+                **describe_carrier(item.carrier),
                 age_ms=self._clock.now_ms() - item.begun_ms,
             )
         return cleared
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from lagoonbend.clock import Clock
+from lagoonbend.crashes import is_request
 from lagoonbend.exceptions import CallerGoneError
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import VersionBinding
@@ -94,7 +95,14 @@
 
 
 class CallBlockedError(Exception):
-    """Targets keep ending under a call."""
+    """Targets keep ending under a call.
+
+    :param carrier: block or request that the call has.
+    """
+
+    def __init__(self, carrier: str) -> None:
+        super().__init__(carrier)
+        self.carrier = carrier
 
 
 class SlotRequestOutdatedError(Exception):
@@ -251,11 +259,9 @@
         except InstanceStoppingError:
             progress.failure = 'instance stops'
             refusal = GatewayRefusal.from_stop(progress)
-        except CallBlockedError:
+        except CallBlockedError as error:
             progress.failure = 'call blocked'
-            refusal = GatewayRefusal.from_block(
-                progress, gateway_refusal.DEFAULT_RETRY_AFTER_MS
-            )
+            refusal = GatewayRefusal.from_block(progress, error.carrier)
         except CallerGoneError:
             outcome = 'caller_left'
             return
@@ -667,7 +673,9 @@
             if blocked is not None:
                 return request, self._deny(
                     request,
-                    Denial.CALL_BLOCKED,
+                    Denial.REQUEST_BLOCKED
+                    if is_request(blocked.carrier)
+                    else Denial.PROMPT_BLOCKED,
                     crash_guard.find_retry_after_ms(blocked),
                 )
             pause_ms = self._slot_requests.find_pause_ms(progress)
@@ -723,7 +731,7 @@
                 and not reply.has_begun
                 and carrier in crash_guard.list_carriers(call)
             ):
-                progress.interrupt.throw(CallBlockedError())
+                progress.interrupt.throw(CallBlockedError(carrier))
 
     def _end_slot_waits(self, closed: ListedTarget) -> None:
         """End the waits of calls that no target may run before a pause ends.
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_refusal.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_refusal.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from lagoonbend.crashes import is_request
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
@@ -18,7 +19,8 @@
     Denial.NO_TIME_LEFT: RefusalReason.NO_TIME_LEFT,
     Denial.NO_TARGET: RefusalReason.NO_TARGET,
     Denial.TARGETS_PAUSED: RefusalReason.TARGETS_PAUSED,
-    Denial.CALL_BLOCKED: RefusalReason.CALL_BLOCKED,
+    Denial.PROMPT_BLOCKED: RefusalReason.PROMPT_BLOCKED,
+    Denial.REQUEST_BLOCKED: RefusalReason.REQUEST_BLOCKED,
 }
 
 
@@ -45,12 +47,18 @@
 
     @classmethod
     def from_block(
-        cls, progress: CallProgress, retry_after_ms: int
+        cls, progress: CallProgress, carrier: str
     ) -> 'GatewayRefusal':
-        """Return the refusal of a call that is blocked."""
+        """Return the refusal of a call that has just been blocked.
+
+        :param carrier: block or request under which targets end.
+        """
+        reason = RefusalReason.PROMPT_BLOCKED
         if progress.may_have_run:
-            return cls(RefusalReason.MAY_HAVE_RUN, retry_after_ms)
-        return cls(RefusalReason.CALL_BLOCKED, retry_after_ms)
+            reason = RefusalReason.MAY_HAVE_RUN
+        elif is_request(carrier):
+            reason = RefusalReason.REQUEST_BLOCKED
+        return cls(reason, DEFAULT_RETRY_AFTER_MS)
 
     @classmethod
     def from_deadline(cls, progress: CallProgress) -> 'GatewayRefusal':
--- a/packages/lagoonbend/src/lagoonbend/_internal/crashes/carrier_kind.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/crashes/carrier_kind.py
@@ -41,6 +41,21 @@
     return f'{REQUEST_PREFIX}{fingerprint}'
 
 
+def is_request(carrier: str) -> bool:
+    """Return True for a whole request, False for a block."""
+    return carrier.startswith(REQUEST_PREFIX)
+
+
+def describe_carrier(carrier: str) -> dict[str, str]:
+    """Return a carrier as fields of a log line; one of them is empty."""
+    if is_request(carrier):
+        return {
+            'block': '',
+            'fingerprint': carrier.removeprefix(REQUEST_PREFIX),
+        }
+    return {'block': carrier, 'fingerprint': ''}
+
+
 def find_kind(carrier: str) -> CarrierKind:
     """Return the kind of a carrier."""
-    return REQUEST if carrier.startswith(REQUEST_PREFIX) else BLOCK
+    return REQUEST if is_request(carrier) else BLOCK
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/denial.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/denial.py
@@ -6,7 +6,7 @@
 class Denial(enum.Enum):
     """Why a call is denied a slot; the values are sent between instances.
 
-    ``TARGETS_PAUSED`` and ``CALL_BLOCKED`` are never sent: an instance
+    ``TARGETS_PAUSED`` and the blocked ones are never sent: an instance
     denies the call itself.
     """
 
@@ -15,4 +15,5 @@
     NO_TIME_LEFT = 'no_time_left'
     NO_TARGET = 'no_target'
     TARGETS_PAUSED = 'targets_paused'
-    CALL_BLOCKED = 'call_blocked'
+    PROMPT_BLOCKED = 'prompt_blocked'
+    REQUEST_BLOCKED = 'request_blocked'
