Relay no answer of a peer into a stream, nor a refusal that isn't true

Found when the diff was read: a complete answer of a peer to the rest of a stream, such as 429, would have been written after the events that the caller had, and a 429 to a call that may have run before promised that it hadn't. Both end with may_have_run now; what a target has signed is relayed. The steps of a call that is handed over stand in the module of the hand-over, which the handler of calls no longer holds.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -42,7 +42,6 @@
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
 from lagoonbend_entry._internal.gateway.handover import Handover
-from lagoonbend_entry._internal.gateway.handover_result import HandoverResult
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.limit_recorder import LimitRecorder
 from lagoonbend_entry._internal.gateway.lost_call import LostCall
@@ -80,8 +79,6 @@
 }
 NOT_REACHED = (SlotOutcome.NOT_REACHED, SlotOutcome.GONE)
 """Outcomes of attempts without a connection."""
-ANSWERED = (AttemptOutcome.WHOLE_ANSWER, AttemptOutcome.ERROR_ANSWER)
-"""Outcomes with an answer to relay, or one that has been relayed."""
 REJECTED = (AttemptOutcome.TURNED_AWAY, AttemptOutcome.ERROR_ANSWER)
 """Outcomes that a target has answered with, besides whole answers."""
 
@@ -284,7 +281,7 @@
         call = progress.call
         retry_share = self._get_retry_share(call.service)
         if self._must_hand_over(call):
-            result = self._hand_over(progress, reply, retry_share)
+            result = self._handover.serve(progress, reply, retry_share)
             if result.is_final:
                 return result.refusal
         retry_share.record_request()
@@ -325,7 +322,7 @@
             opened: OpenAttempt | AttemptReport | None = search.take()
             if opened is None:
                 if progress.attempt_count and self._must_hand_over(call):
-                    result = self._hand_over(progress, reply, retry_share)
+                    result = self._handover.serve(progress, reply, retry_share)
                     if result.is_final:
                         return result.refusal
                 request, decision = self._acquire(progress, reply)
@@ -373,57 +370,6 @@
             and not call.headers.is_handed_over
         )
 
-    def _hand_over(
-        self,
-        progress: CallProgress,
-        reply: ReplyWriter,
-        retry_share: RetryShare,
-    ) -> HandoverResult:
-        """Let a peer run a call; it may be lost on the way there."""
-        call = progress.call
-        while True:
-            report = self._handover.run(progress, reply)
-            if report is None:
-                return HandoverResult(is_final=False)
-            progress.has_paid_retry = False
-            progress.failure = f'{report.outcome.label}: {report.detail}'
-            if report.outcome in ANSWERED:
-                return self._relay_handed_over(progress, reply, report)
-            progress.may_have_run = True
-            progress.run_count += 1
-            if (
-                not call.route.may_repeat
-                or progress.run_count >= call.route.attempt_limit
-                or not retry_share.spend()
-            ):
-                refusal = GatewayRefusal(
-                    RefusalReason.MAY_HAVE_RUN,
-                    gateway_refusal.DEFAULT_RETRY_AFTER_MS,
-                )
-                return HandoverResult(is_final=True, refusal=refusal)
-
-    def _relay_handed_over(
-        self,
-        progress: CallProgress,
-        reply: ReplyWriter,
-        report: AttemptReport,
-    ) -> HandoverResult:
-        """Relay the answer of a peer.
-
-        Its refusal says that the call hasn't run there, which isn't true of
-        one that may have run before.
-        """
-        progress.first_byte_ms = report.first_byte_ms
-        is_error = report.outcome is AttemptOutcome.ERROR_ANSWER
-        if is_error and (reply.has_begun or progress.may_have_run):
-            refusal = GatewayRefusal(
-                RefusalReason.MAY_HAVE_RUN,
-                gateway_refusal.DEFAULT_RETRY_AFTER_MS,
-            )
-            return HandoverResult(is_final=True, refusal=refusal)
-        self._relay(reply, report)
-        return HandoverResult(is_final=True)
-
     def _open_attempt(
         self,
         progress: CallProgress,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -6,21 +6,36 @@
 from lagoonbend.clock import Clock
 from lagoonbend.facts import ListedTarget
 from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend.outcomes import RetryShare
 from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
+from lagoonbend_entry._internal.gateway import gateway_refusal
+from lagoonbend_entry._internal.gateway.attempt import list_relayed_headers
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
+from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
+from lagoonbend_entry._internal.gateway.handover_result import HandoverResult
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
 from lagoonbend_entry._internal.gateway.peer_attempt import PeerAttempt
+from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
+from lagoonbend_entry._internal.platform import answer_headers
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 
 MAX_PEERS = 3
 """Peers to which connections are tried for one call."""
+ANSWERED = (AttemptOutcome.WHOLE_ANSWER, AttemptOutcome.ERROR_ANSWER)
+"""Outcomes with an answer to relay, or one that has been relayed."""
+MAY_HAVE_RUN = HandoverResult(
+    is_final=True,
+    refusal=GatewayRefusal(
+        RefusalReason.MAY_HAVE_RUN, gateway_refusal.DEFAULT_RETRY_AFTER_MS
+    ),
+)
 
 
 class Handover:
@@ -53,7 +68,63 @@
         self._body_memory = body_memory
         self._random_source = random_source
 
-    def run(
+    def serve(
+        self,
+        progress: CallProgress,
+        reply: ReplyWriter,
+        retry_share: RetryShare,
+    ) -> HandoverResult:
+        """Let a peer run a call and relay its answer.
+
+        A call that is lost on the way may have run. It is handed over again
+        only if it may be repeated, within the retry budget.
+        """
+        route = progress.call.route
+        while True:
+            report = self._run(progress, reply)
+            if report is None:
+                return HandoverResult(is_final=False)
+            progress.has_paid_retry = False
+            progress.failure = f'{report.outcome.label}: {report.detail}'
+            if report.outcome in ANSWERED:
+                return self._relay(progress, reply, report)
+            progress.may_have_run = True
+            progress.run_count += 1
+            if (
+                not route.may_repeat
+                or progress.run_count >= route.attempt_limit
+                or not retry_share.spend()
+            ):
+                return MAY_HAVE_RUN
+
+    @staticmethod
+    def _relay(
+        progress: CallProgress, reply: ReplyWriter, report: AttemptReport
+    ) -> HandoverResult:
+        """Relay an answer, unless it is a stream that has been relayed.
+
+        A refusal of the peer says that the call hasn't run there, which is no
+        answer to one that may have run before. Nor is any complete answer to
+        a caller who has a part of a stream.
+        """
+        progress.first_byte_ms = report.first_byte_ms
+        answer = report.answer
+        if answer is None:
+            return HandoverResult(is_final=True)
+        is_refusal = not answer_headers.decode_answer_headers(
+            answer.status, answer.header_map
+        ).is_signed
+        if reply.has_begun or (is_refusal and progress.may_have_run):
+            return MAY_HAVE_RUN
+        reply.send_answer(
+            answer.status,
+            answer.reason,
+            list_relayed_headers(answer),
+            report.body,
+        )
+        return HandoverResult(is_final=True)
+
+    def _run(
         self, progress: CallProgress, reply: ReplyWriter
     ) -> AttemptReport | None:
         """Let a peer run a call, and relay a stream that it answers with.
--- /dev/null
+++ b/tests/unit/test_handover_answers.py
@@ -0,0 +1,85 @@
+"""Answers of peers to calls that are handed over.
+
+Guards against a refusal that isn't true of a call which may have run, and
+against an answer that is written into the middle of a stream.
+"""
+
+import random
+import unittest
+from unittest import mock
+
+from lagoonbend.clock import PausedClock
+from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend_entry._internal.gateway.answer import Answer
+from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.handover import Handover
+from lagoonbend_entry._internal.gateway.handover_result import HandoverResult
+from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
+
+
+class HandoverAnswersTest(unittest.TestCase):
+    """A peer answers with a status, signed by a target or not."""
+
+    def serve(
+        self,
+        status: int,
+        *,
+        is_signed: bool = False,
+        may_have_run: bool = False,
+        has_begun: bool = False,
+    ) -> tuple[HandoverResult, mock.Mock]:
+        """Return the result, and the writer of the caller's answer."""
+        handover = Handover(
+            mock.Mock(),
+            'domain',
+            mock.Mock(),
+            mock.Mock(),
+            PausedClock(1_000),
+            mock.Mock(),
+            random.Random(25),
+        )
+        answer = Answer()
+        answer.status = status
+        if is_signed:
+            answer.header_map['server-stamp'] = 'stamp'
+        outcome = AttemptOutcome.WHOLE_ANSWER
+        if status >= 500:
+            outcome = AttemptOutcome.ERROR_ANSWER
+        report = AttemptReport(outcome, answer=answer)
+        reply = mock.Mock(has_begun=has_begun)
+        progress = mock.Mock(may_have_run=may_have_run, run_count=0)
+        with mock.patch.object(handover, '_run', return_value=report):
+            result = handover.serve(progress, reply, mock.Mock())
+        return result, reply
+
+    def assert_relayed(self, status: int, **state: bool) -> None:
+        """Check that an answer reaches the caller."""
+        result, reply = self.serve(status, **state)
+        self.assertIsNone(result.refusal)
+        self.assertEqual(status, reply.send_answer.call_args.args[0])
+
+    def assert_replaced(self, status: int, **state: bool) -> None:
+        """Check that the caller is told that the call may have run."""
+        result, reply = self.serve(status, **state)
+        assert result.refusal is not None
+        self.assertIs(RefusalReason.MAY_HAVE_RUN, result.refusal.reason)
+        reply.send_answer.assert_not_called()
+
+    def test_refusal_of_a_call_that_has_not_run_is_relayed(self) -> None:
+        """It says so, and when to come back."""
+        for status in (429, 503, 401):
+            self.assert_relayed(status)
+
+    # Guards against a promise that a call which may have run hasn't.
+    def test_refusal_of_a_call_that_may_have_run_is_replaced(self) -> None:
+        """An answer of a target says nothing of that, and is relayed."""
+        for status in (429, 503):
+            self.assert_replaced(status, may_have_run=True)
+        for status in (200, 404, 500):
+            self.assert_relayed(status, may_have_run=True, is_signed=True)
+
+    # Guards against bytes of another answer inside a stream.
+    def test_answer_to_the_rest_of_a_stream_breaks_it(self) -> None:
+        """Only events may follow those that the caller has."""
+        for status in (200, 429, 503):
+            self.assert_replaced(status, has_begun=True, is_signed=True)
