--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/crash_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/crash_exchange.py
@@ -62,9 +62,9 @@
         self._answered: dict[tuple[str, str], int] = {}
         self._has_outgoing = gevent.event.Event()
 
-    def start(self) -> None:
-        """Start to send evidence in batches."""
-        gevent.spawn(run_guarded, 'crash evidence', self._send_batch)
+    def start(self) -> gevent.Greenlet:
+        """Start to send evidence in batches; return the greenlet of that."""
+        return gevent.spawn(run_guarded, 'crash evidence', self._send_batch)
 
     def record_crashes(self, evidence: Iterable[CrashEvidence]) -> None:
         """Record that a target ended under calls."""
--- a/tests/unit/test_spread_of_crash_evidence.py
+++ b/tests/unit/test_spread_of_crash_evidence.py
@@ -4,6 +4,7 @@
 since they have not heard of it.
 """
 
+import gc
 import random
 import unittest
 
@@ -44,8 +45,16 @@
             address: self.build_exchange(address)
             for address in self.fleets.fleets
         }
-        for exchange in self.exchanges.values():
-            exchange.start()
+        self.greenlets = [
+            exchange.start() for exchange in self.exchanges.values()
+        ]
+
+    def stop(self) -> None:
+        """End all exchanges, and free them before another test is timed."""
+        self.is_over = True
+        gevent.killall(self.greenlets)
+        self.exchanges.clear()
+        gc.collect()
 
     def build_exchange(self, address: str) -> crash_exchange.CrashExchange:
         """Return the exchange of an instance."""
@@ -122,7 +131,7 @@
                 world.wait_until_blocked('bad')
                 self.assertEqual([], world.list_unblocked('bad'))
                 # What is still under way would delay the next fleet.
-                world.is_over = True
+                world.stop()
                 print(
                     f'{instance_count} instances, {CRASH_COUNT} ends:'
                     f' {world.message_count / instance_count:.1f} messages,'
@@ -133,6 +142,7 @@
     def test_evidence_survives_the_kill_of_a_third(self) -> None:
         """Those that have seen the targets end are among them."""
         world = CrashWorld(84, 4)
+        self.addCleanup(world.stop)
         rng = random.Random(22)
         killed = rng.sample(world.fleets.alive, 28)
         for number in range(CRASH_COUNT):
@@ -146,6 +156,7 @@
     def test_instances_that_know_a_block_as_sound_clear_it(self) -> None:
         """One instance in four has begun answers with the block."""
         world = CrashWorld(84, 4)
+        self.addCleanup(world.stop)
         for address in world.fleets.alive[::4]:
             world.exchanges[address].record_begun(SERVICE, ['system'])
         for number in range(CRASH_COUNT):
@@ -161,6 +172,7 @@
     def test_answers_elsewhere_end_the_evidence_everywhere(self) -> None:
         """One instance takes targets for ended that answer another one."""
         world = CrashWorld(84, 4)
+        self.addCleanup(world.stop)
         cut, other = world.fleets.alive[0], world.fleets.alive[7]
         for number in range(CRASH_COUNT):
             world.end_target(cut, f't{number}', 'common')
