Test that streams go on after a restart of all while two versions serve

Nothing that outlives the instances was asked. Three further tests name what must still be refused; they pass, since all is refused now. Stand-in engines list the blocks of prompts that they keep. The first test fails on this code: 503 in place of 200.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -1,6 +1,7 @@
 """Simulated engine or plain service."""
 
 from collections.abc import Callable
+import json
 import struct
 import time
 from typing import NamedTuple
@@ -18,6 +19,9 @@
 MODEL_VERSION = '1'
 FIRST_VERSION = 'v1'
 """Version of the software of a target, unless another one is given."""
+KEPT_BLOCKS_PATH = '/lagoonbend/kv-list'
+TOKENS_PER_BLOCK = 16
+"""Blocks of prompts are kept in whole multiples of this length."""
 FAULT_HEADER = 'x-fault'
 EVENT_INTERVAL_S = 0.005
 SLOW_EVENT_INTERVAL_S = 0.3
@@ -102,6 +106,10 @@
     answer to a prompt with that block, its last one excepted; ``on_crash`` is
     called with the target and the cause.
 
+    ``kept_blocks`` holds the blocks of the prompts that it has read, with the
+    tokens that it keeps of each. It lists them on request, unless
+    ``lists_blocks`` is False; such a request is then not answered.
+
     ``named_limit`` is the value of ``Server-Limit`` in its answers; empty for
     none.
 
@@ -128,6 +136,8 @@
         self.arrivals: list[TargetArrival] = []
         self.retry_after_values: list[str] = []
         self.named_limit = ''
+        self.kept_blocks: dict[str, int] = {}
+        self.lists_blocks = True
         self.crashing_block = ''
         self.crashing_path = ''
         self.on_crash: Callable[[StandinTarget, str], None] = _ignore_crash
@@ -164,6 +174,8 @@
     def _handle_request(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
+        if request.path == KEPT_BLOCKS_PATH:
+            return self._list_kept_blocks(request, sock)
         attempt = request.header_map.get('attempt-id', '')
         self.received_attempts.append(attempt)
         expected = request.header_map.get('expect-instance', self.name)
@@ -186,12 +198,27 @@
         )
         if self.crashing_block in list_shared_blocks(request):
             return self._crash(request, sock, with_head=True)
+        self._keep_blocks(request)
         if request.path == self.crashing_path:
             return self._crash(request, sock, with_head=False)
         if fault in FAULT_HANDLERS:
             return FAULT_HANDLERS[fault](self, request, sock)
         return self._send_whole_answer(request, sock)
 
+    def _keep_blocks(self, request: IncomingRequest) -> None:
+        for block, tokens in list_blocks(request):
+            self.kept_blocks[block] = tokens - tokens % TOKENS_PER_BLOCK
+
+    def _list_kept_blocks(
+        self, request: IncomingRequest, sock: gevent.socket.socket
+    ) -> bool:
+        if not self.lists_blocks:
+            return self._never_answer(request, sock)
+        held = [['', *block, 'm'] for block in self.kept_blocks.items()]
+        body = json.dumps({'epoch': 1, 'next': 1, 'held': held})
+        self._send_answer(request, sock, 200, body.encode())
+        return True
+
     def _crash(
         self,
         request: IncomingRequest,
@@ -330,7 +357,9 @@
     ) -> bool:
         # An empty read means that the instance closed the connection.
         if not sock.recv(1):
-            self.abandoned_attempts.append(request.header_map['attempt-id'])
+            self.abandoned_attempts.append(
+                request.header_map.get('attempt-id', '')
+            )
         return False
 
     def _send_error(
@@ -421,10 +450,16 @@
     """Let a target that has ended stay away."""
 
 
+def list_blocks(request: IncomingRequest) -> list[tuple[str, int]]:
+    """Return the blocks of a prompt with their lengths in tokens."""
+    prompt = request.header_map.get('prefix-hash', '')
+    entries = [entry.partition(':') for entry in prompt.split(',') if entry]
+    return [(block, int(tokens or 0)) for block, _, tokens in entries]
+
+
 def list_shared_blocks(request: IncomingRequest) -> list[str]:
     """Return the blocks of a prompt, without the last, its own one."""
-    prompt = request.header_map.get('prefix-hash', '')
-    return [entry.partition(':')[0] for entry in prompt.split(',')[:-1]]
+    return [block for block, _ in list_blocks(request)[:-1]]
 
 
 def encode_event(number: int, version: str) -> bytes:
--- a/tests/functional/test_gateway_lifecycle.py
+++ b/tests/functional/test_gateway_lifecycle.py
@@ -52,14 +52,18 @@
 
 
 def open_stream(
-    fleet: gateway_fleet.GatewayFleet, instance: int = 0
+    fleet: gateway_fleet.GatewayFleet, instance: int = 0, headers: bytes = b''
 ) -> gevent.socket.socket:
-    """Connect to an instance and request a stream that takes 1.5 s."""
+    """Connect to an instance and request a stream that takes 1.5 s.
+
+    :param headers: further lines of the head.
+    """
     sock = gevent.socket.create_connection(
         ('127.0.0.1', fleet.callers_port(instance))
     )
     sock.settimeout(4.0)
-    sock.sendall(REQUEST_HEAD % (b'stream', b'first', b'X-Fault: slow\r\n'))
+    fault = b'X-Fault: slow\r\n'
+    sock.sendall(REQUEST_HEAD % (b'stream', b'first', fault + headers))
     return sock
 
 
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -24,6 +24,8 @@
 }
 """Engines and their versions, where there are two of each."""
 REFUSED_AT_ONCE_S = 0.5
+PROMPT = 'aa01:60,bb02:1030'
+"""Blocks of the prompt of a stream; the last one is its own."""
 
 
 class VersionsOfStreamsTest(unittest.TestCase):
@@ -43,7 +45,8 @@
 
     def begin_stream(self, instance: int = 0) -> str:
         """Let a caller receive the first event; return the target's name."""
-        sock = open_stream(self.fleet, instance)
+        prompt = f'Prefix-Hash: {PROMPT}\r\n'.encode()
+        sock = open_stream(self.fleet, instance, prompt)
         self.addCleanup(sock.close)
         received = b''
         while b'piece 1' not in received:
@@ -68,6 +71,7 @@
             instance=instance,
             Last_Event_Id='1',
             Resumes=resumes,
+            Prefix_Hash=PROMPT,
         )
         runs = [r.target for r in self.fleet.runs if r.attempt == attempt]
         return answer.status, runs
@@ -219,6 +223,63 @@
         self.fleet.wait_ready(1)
         self.assertEqual((503, []), self.take_up(1))
 
+    def restart_all(self) -> None:
+        """Kill all instances, and start them again without their memory."""
+        for process in self.fleet.processes:
+            process.kill()
+        for instance in range(3):
+            self.fleet.start_instance(instance)
+        for instance in range(3):
+            self.fleet.wait_ready(instance)
+
+    # Guards against streams that are refused after a restart of all although
+    # engines of their version serve, whose memory shows what they have read.
+    def test_restarted_fleet_takes_up_streams_of_two_versions(self) -> None:
+        """Each instance finds the version whose engine read the prompt."""
+        self.add_engines(*ENGINES.values())
+        name = self.begin_stream()
+        self.restart_all()
+        for instance in (0, 1, 2, 0):
+            status, runs = self.take_up(instance)
+            self.assertEqual(200, status)
+            self.assertEqual([ENGINES[name]], [ENGINES[run] for run in runs])
+
+    # Guards against a stream that is taken up at the wrong version since an
+    # attempt before its first event ran at another one.
+    def test_prompt_that_two_versions_have_read_tells_nothing(self) -> None:
+        """The call is refused, as if no engine kept the prompt."""
+        self.add_engines(*ENGINES.values())
+        began = ENGINES[self.begin_stream()]
+        other = next(n for n, version in ENGINES.items() if version != began)
+        self.fleet.targets[other].kept_blocks['bb02'] = 1024
+        self.restart_all()
+        self.assertEqual((503, []), self.take_up(1))
+
+    # Guards against the same where the engine that began it can't be asked.
+    def test_silent_engine_may_have_begun_the_stream(self) -> None:
+        """The call is refused at once while the engine might have."""
+        self.add_engines(*ENGINES.values())
+        name = self.begin_stream()
+        other = next(
+            n for n, version in ENGINES.items() if version != ENGINES[name]
+        )
+        self.fleet.targets[other].kept_blocks['bb02'] = 1024
+        self.fleet.targets[name].lists_blocks = False
+        self.restart_all()
+        start_s = time.monotonic()
+        self.assertEqual((503, []), self.take_up(1))
+        self.assertLess(time.monotonic() - start_s, REFUSED_AT_ONCE_S)
+
+    # Guards against a shorter prompt of the same session that is taken for
+    # the one of the stream.
+    def test_shorter_prompt_of_the_session_tells_nothing(self) -> None:
+        """The block is the session's, and the engine has read less of it."""
+        self.add_engines(*ENGINES.values())
+        name = self.begin_stream()
+        self.restart_all()
+        self.fleet.targets[name].kept_blocks['bb02'] = 512
+        self.assertEqual((503, []), self.take_up(1))
+
     # Guards against streams that are refused after a restart of all although
     # their service has had one version only.
     def test_restarted_fleet_takes_up_streams_of_one_version(self) -> None:
