Find the version of a stream from the prompts that targets have read

What callers saw: after a restart of all instances while two versions serve, each stream that was taken up got 503 (unknown_origin).

Cause: only instances remembered which version began a stream.

Change: an instance that knows no origin, and whose peers don't either, asks the targets which prompt blocks they keep. The last block belongs to one request or session; if targets of one version alone have read it to its end, that version began the stream. A silent target of another version, or a second version that has read the block, leaves it unknown. In a large fleet one instance of each domain asks; answers are used for a second.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -140,7 +140,7 @@
         )
         self.origins = origin_exchange.OriginExchange(
             clock,
-            fleet.list_origin_keepers,
+            (fleet.list_origin_keepers, fleet.find_searcher),
             self._links.send,
             facts.find_only_version,
             lambda service: len(facts.list_versions(service)) > 1,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -273,6 +273,22 @@
             and (keepers is None or heartbeat.address in keepers)
         ]
 
+    def find_searcher(self, service: str) -> str:
+        """Return the peer that asks targets who has read a prompt.
+
+        In a large fleet, one instance of each failure domain asks the targets
+        of a service, so that they get few questions.
+
+        :returns: '' if this instance is to ask them itself.
+        """
+        if self.is_full_mesh:
+            return ''
+        own_domain = next(iter(self._list_keeper_groups()))
+        searcher = choose_by_rendezvous(own_domain, service) or ''
+        if searcher == self.address or not self.is_alive(searcher):
+            return ''
+        return searcher
+
     def list_crash_receivers(self) -> list[str]:
         """Return the peers to which evidence against prompts is sent."""
         return [
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -231,10 +231,17 @@
 
 
 class OriginWanted(Message):
-    """Asks for the origin of a stream of a service."""
+    """Asks for the origin of a stream of a service.
+
+    With ``block_id``, the last block of the stream's prompt, the receiver asks
+    the targets who has read it if it doesn't know the origin. Instances of
+    earlier versions ignore that field and ``tokens``, the block's length.
+    """
 
     key: int
     service: str
+    block_id: str = ''
+    tokens: int = 0
 
 
 class OriginFound(Message):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
@@ -2,7 +2,8 @@
 
 A caller takes a stream up at any instance, also after the one at which the
 stream began was killed. While a service has one software version, any of its
-targets can continue a stream, and nothing is sent.
+targets can continue a stream, and nothing is sent. If all instances were
+killed, what the targets have read shows the origin.
 """
 
 from collections.abc import Callable
@@ -15,8 +16,10 @@
 from lagoonbend.clock import Clock
 from lagoonbend.facts import StreamOrigin
 from lagoonbend.facts import StreamOrigins
+from lagoonbend.scheduling import PromptBlock
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import wire_codec
+from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
 
 BATCH_INTERVAL_S = 0.02
@@ -26,6 +29,11 @@
 ANSWER_TIMEOUT_MS = 150
 """Time for peers to answer a question; a round trip between failure domains
 takes about 3 ms."""
+SEARCH_TIMEOUT_MS = 300
+"""Time for a peer to ask the targets who has read a prompt, and to answer."""
+SEARCHED_ORIGIN_MS = 15_000
+"""Time for which an origin that targets have shown is kept; callers wait for
+15 s at most in the users' deployments."""
 MAX_BATCH = 500
 """Origins in one message."""
 MILLISECONDS_PER_SECOND = 1000
@@ -61,29 +69,36 @@
     """Keeps the origins of streams and shares them.
 
     :param clock: clock of the instance.
-    :param list_keepers: returns the peers to which the origin with a key is
-        sent, and that are asked for it.
+    :param find_peers: returns the peers to which the origin with a key is
+        sent, and that are asked for it; and the peer that asks the targets of
+        a service who has read a prompt, empty if this instance does.
     :param send: sends a message to a peer; returns False if it can't.
     :param find_only_version: returns the only version that targets of a
         service have had for as long as a stream may last; empty if there
         were several or it isn't known.
     :param is_mixed: returns True if targets of a service have, or had lately,
         several software versions.
+
+    ``search_prompt`` asks the targets of a service which software version has
+    read the last block of a prompt.
     """
 
     def __init__(
         self,
         clock: Clock,
-        list_keepers: Callable[[int], list[str]],
+        find_peers: tuple[Callable[[int], list[str]], Callable[[str], str]],
         send: Send,
         find_only_version: Callable[[str], str],
         is_mixed: Callable[[str], bool],
     ) -> None:
         self._clock = clock
-        self._list_keepers = list_keepers
+        self._list_keepers, self._find_searcher = find_peers
         self._send = send
         self._find_only_version = find_only_version
         self._is_mixed = is_mixed
+        self.search_prompt: Callable[[str, PromptBlock], str | None] = (
+            lambda service, block: None
+        )
         self._origins = StreamOrigins(clock)
         self._own_origins: dict[str, StreamOrigins] = {}
         self._mixed_services: set[str] = set()
@@ -113,22 +128,61 @@
 
     def ask(self, key: int, service: str) -> OriginAnswer:
         """Ask the peers for the origin of a stream, and wait for an answer."""
+        wanted = messages.OriginWanted(key, service)
+        question = self._ask(
+            wanted, self._list_keepers(key), ANSWER_TIMEOUT_MS
+        )
+        return OriginAnswer(self.find(key), frozenset(question.only_versions))
+
+    def search(
+        self, key: int, service: str, block: PromptBlock
+    ) -> StreamOrigin | None:
+        """Return the origin of a stream by the targets that read its prompt.
+
+        :param block: last block of the prompt.
+        :returns: None if it isn't certain.
+        """
+        wanted = messages.OriginWanted(
+            key, service, block.block_id, block.tokens
+        )
+        searcher = self._find_searcher(service)
+        if searcher:
+            question = self._ask(wanted, [searcher], SEARCH_TIMEOUT_MS)
+            if question.result.ready():
+                return self.find(key)
+        self._search_targets(wanted)
+        return self.find(key)
+
+    def _search_targets(self, wanted: messages.OriginWanted) -> None:
+        """Add the origin of a stream if targets show it."""
+        block = PromptBlock(wanted.block_id, wanted.tokens)
+        version = self.search_prompt(wanted.service, block)
+        if version:
+            expires_ms = self._clock.now_ms() + SEARCHED_ORIGIN_MS
+            self._origins.add([StreamOrigin(wanted.key, version, expires_ms)])
+
+    def _ask(
+        self,
+        wanted: messages.OriginWanted,
+        peers: Iterable[str],
+        timeout_ms: int,
+    ) -> _Question:
+        """Ask peers, and wait until one knows the origin or all answered."""
+        key = wanted.key
         question = self._questions.get(key)
         if question is None:
-            question = _Question(set(self._list_keepers(key)))
+            question = _Question(set(peers))
             self._questions[key] = question
             for peer in list(question.peers):
-                if not self._send(peer, messages.OriginWanted(key, service)):
+                if not self._send(peer, wanted):
                     question.peers.discard(peer)
         try:
             if question.peers:
-                question.result.wait(
-                    ANSWER_TIMEOUT_MS / MILLISECONDS_PER_SECOND
-                )
+                question.result.wait(timeout_ms / MILLISECONDS_PER_SECOND)
         finally:
             if self._questions.get(key) is question:
                 del self._questions[key]
-        return OriginAnswer(self.find(key), frozenset(question.only_versions))
+        return question
 
     def apply_facts(self) -> None:
         """Share the streams of services that have become mixed."""
@@ -153,8 +207,32 @@
         now_ms = self._clock.now_ms()
         self._origins.add(wire_codec.decode_origins(message, now_ms))
 
-    def build_answer(self, wanted: messages.OriginWanted) -> messages.Message:
-        """Return the answer to the question of a peer."""
+    def answer(
+        self,
+        wanted: messages.OriginWanted,
+        send: Callable[[messages.OriginFound], None],
+    ) -> None:
+        """Answer the question of a peer, in the background if need be."""
+        if wanted.block_id and self.find(wanted.key) is None:
+            gevent.spawn(self._search_and_answer, wanted, send)
+        else:
+            send(self.build_answer(wanted))
+
+    def _search_and_answer(
+        self,
+        wanted: messages.OriginWanted,
+        send: Callable[[messages.OriginFound], None],
+    ) -> None:
+        try:
+            self._search_targets(wanted)
+        except Exception as error:
+            log_failure('search for a prompt', error)
+        send(self.build_answer(wanted))
+
+    def build_answer(
+        self, wanted: messages.OriginWanted
+    ) -> messages.OriginFound:
+        """Return the answer to the question of a peer, as known here."""
         origin = self.find(wanted.key)
         return wire_codec.encode_origin_answer(
             wanted.key,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -153,7 +153,7 @@
             case messages.Origins():
                 self._origins.handle_origins(message)
             case messages.OriginWanted():
-                channel.send(self._origins.build_answer(message))
+                self._origins.answer(message, channel.send)
             case messages.LimitReport():
                 limit_reports.record_report(
                     self._named_limits, message, self._clock.now_ms()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -46,10 +46,14 @@
 from lagoonbend_entry._internal.gateway.limit_recorder import LimitRecorder
 from lagoonbend_entry._internal.gateway.lost_call import LostCall
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
+from lagoonbend_entry._internal.gateway.prompt_survey import PromptSurvey
 from lagoonbend_entry._internal.gateway.reachability import Reachability
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.resumed_streams import ResumedStreams
+from lagoonbend_entry._internal.gateway.slot_outcomes import NOT_REACHED
+from lagoonbend_entry._internal.gateway.slot_outcomes import REJECTED
+from lagoonbend_entry._internal.gateway.slot_outcomes import SLOT_OUTCOMES
 from lagoonbend_entry._internal.gateway.slot_requests import CALLER_PATIENCE_MS
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
@@ -66,22 +70,6 @@
 not arrive in time."""
 MILLISECONDS_PER_SECOND = 1000
 
-SLOT_OUTCOMES = {
-    AttemptOutcome.WHOLE_ANSWER: SlotOutcome.ANSWERED,
-    AttemptOutcome.ERROR_ANSWER: SlotOutcome.TARGET_ERROR,
-    AttemptOutcome.TURNED_AWAY: SlotOutcome.TURNED_AWAY,
-    AttemptOutcome.WRONG_TARGET: SlotOutcome.UNSUITED,
-    AttemptOutcome.NOT_CONNECTED: SlotOutcome.NOT_REACHED,
-    AttemptOutcome.RESET: SlotOutcome.BAD_ANSWER,
-    AttemptOutcome.BAD_ANSWER: SlotOutcome.BAD_ANSWER,
-    AttemptOutcome.SILENT: SlotOutcome.SILENT,
-    AttemptOutcome.BROKEN_STREAM: SlotOutcome.BAD_ANSWER,
-}
-NOT_REACHED = (SlotOutcome.NOT_REACHED, SlotOutcome.GONE)
-"""Outcomes of attempts without a connection."""
-REJECTED = (AttemptOutcome.TURNED_AWAY, AttemptOutcome.ERROR_ANSWER)
-"""Outcomes that a target has answered with, besides whole answers."""
-
 
 class DeadlineExceededError(Exception):
     """The route's timeout or the caller's deadline has passed."""
@@ -146,6 +134,9 @@
         self._closed_targets = closed_targets
         self._clock = clock
         self._make_retry_share = make_retry_share
+        coordinator.origins.search_prompt = PromptSurvey(
+            facts, clock
+        ).find_version
         self._resumed_streams = ResumedStreams(facts, coordinator.origins)
         self._slot_requests = SlotRequests(
             facts,
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
@@ -0,0 +1,147 @@
+"""Asks targets which prompts they have read."""
+
+from typing import NamedTuple
+
+import gevent
+
+from lagoonbend.clock import Clock
+from lagoonbend.exceptions import NetworkError
+from lagoonbend.facts import find_reading_version
+from lagoonbend.facts import KeptPrompts
+from lagoonbend.facts import ListedTarget
+from lagoonbend.scheduling import PromptBlock
+from lagoonbend_entry._internal.gateway import target_connection
+from lagoonbend_entry._internal.gateway import target_error
+from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+from lagoonbend_entry._internal.platform import names
+from lagoonbend_entry._internal.platform.prompt_codec import decode_kept_blocks
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+
+ANSWER_TIMEOUT_MS = 200
+"""Time for targets to answer; a round trip between failure domains takes about
+3 ms, and callers wait for a refusal meanwhile."""
+REUSE_MS = 1_000
+"""Time for which the answers count for further calls. Callers take streams up
+within seconds of a failure, and each list costs a target some work."""
+MAX_LIST_BYTES = 4 * 1024 * 1024
+"""Limit on one answer; 550,000 tokens in blocks of 16 make about 1 MB."""
+HTTP_OK = 200
+MILLISECONDS_PER_SECOND = 1000
+
+
+class _Survey(NamedTuple):
+    """A question to all targets of a service.
+
+    :param started_ms: when they were asked.
+    :param greenlet: returns the list of ``KeptPrompts``.
+    """
+
+    started_ms: int
+    greenlet: gevent.Greenlet
+
+
+class PromptSurvey:
+    """Finds the software version at which a request ran, from its prompt.
+
+    Targets remember what all instances may have forgotten: they keep the
+    prompts of the requests that they run, and for a while those that ended.
+
+    :param facts: target list as last read.
+    :param clock: clock of the instance.
+    """
+
+    def __init__(self, facts: FactsCache, clock: Clock) -> None:
+        self._facts = facts
+        self._clock = clock
+        self._surveys: dict[str, _Survey] = {}
+
+    def find_version(self, service: str, block: PromptBlock) -> str | None:
+        """Return the version whose targets have read the prompt of a request.
+
+        :param block: last block of the prompt.
+        :returns: None if it isn't certain.
+        """
+        all_kept = self._ask_targets(service)
+        version = find_reading_version(all_kept, block.block_id, block.tokens)
+        readers = [
+            kept.target
+            for kept in all_kept
+            if kept.has_read(block.block_id, block.tokens)
+        ]
+        silent = [
+            kept.target for kept in all_kept if kept.tokens_by_block is None
+        ]
+        log_event(
+            Event.PROMPT_SEARCHED,
+            service=service,
+            block=block.block_id,
+            tokens=block.tokens,
+            software=version,
+            asked=len(all_kept),
+            readers=[f'{t.target} {t.software_version}' for t in readers],
+            silent=[f'{t.target} {t.software_version}' for t in silent],
+        )
+        return version
+
+    def _ask_targets(self, service: str) -> list[KeptPrompts]:
+        """Return what all targets keep; ask them unless they were just now."""
+        now_ms = self._clock.now_ms()
+        survey = self._surveys.get(service)
+        if survey is None or now_ms - survey.started_ms >= REUSE_MS:
+            # Goes on if the caller that needs it first leaves.
+            survey = _Survey(now_ms, gevent.spawn(self._ask_all, service))
+            self._surveys[service] = survey
+        all_kept: list[KeptPrompts] = survey.greenlet.get()
+        return all_kept
+
+    def _ask_all(self, service: str) -> list[KeptPrompts]:
+        targets = self._facts.target_directory.list_registered(service)
+        greenlets = [gevent.spawn(_ask, target) for target in targets]
+        gevent.joinall(greenlets, ANSWER_TIMEOUT_MS / MILLISECONDS_PER_SECOND)
+        all_kept = [
+            KeptPrompts(
+                target, greenlet.value if greenlet.successful() else None
+            )
+            for target, greenlet in zip(targets, greenlets, strict=True)
+        ]
+        gevent.killall(greenlets, block=False)
+        return all_kept
+
+
+def _ask(target: ListedTarget) -> dict[str, int] | None:
+    """Return the tokens that a target keeps of each block.
+
+    A leaving target that doesn't listen any more has left, with its memory.
+
+    :returns: None if the target doesn't tell.
+    """
+    address = (target.ip, target.port)
+    host = '{}:{}'.format(*address)
+    request = target_connection.encode_request(
+        'GET', names.KEPT_BLOCKS_PATH, [('Host', host)], b''
+    )
+    body = bytearray()
+    try:
+        # A kept connection may still bring answers to earlier calls.
+        connection = target_connection.TargetConnection.connect(
+            address, ANSWER_TIMEOUT_MS
+        )
+        try:
+            connection.send(request, ANSWER_TIMEOUT_MS)
+            answer = connection.read_head(ANSWER_TIMEOUT_MS)
+            for chunk in connection.read_body(answer, ANSWER_TIMEOUT_MS):
+                body += chunk
+                if len(body) > MAX_LIST_BYTES:
+                    raise target_error.BadAnswerError(
+                        'list of blocks too large'
+                    )
+        finally:
+            connection.close()
+    except target_error.TargetAbsentError:
+        return {} if target.is_leaving else None
+    except NetworkError:
+        return None
+    return (
+        decode_kept_blocks(bytes(body)) if answer.status == HTTP_OK else None
+    )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
@@ -32,7 +32,8 @@
         """Return the version of the stream that a caller takes up.
 
         While a service has one version, that one began the stream. Otherwise
-        the version must be known, here or at a peer.
+        the version must be known, here or at a peer, or targets of one version
+        alone must have read the prompt.
 
         :returns: None if it isn't known.
         """
@@ -51,7 +52,11 @@
         is_agreed = self._facts.list_versions(service) == answer.only_versions
         if len(answer.only_versions) == 1 and is_agreed:
             return VersionBinding(next(iter(answer.only_versions)))
-        return None
+        if not call.headers.prompt:
+            return None
+        block = call.headers.prompt[-1]
+        origin = self._origins.search(key, service, block)
+        return VersionBinding(origin.version) if origin else None
 
     def record(self, call: AdmittedCall, version: str | None) -> None:
         """Record the version of a stream that its caller may take up."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -54,6 +54,9 @@
 READINESS_PATH = b'/lagoonbend/readyz'
 RANGE_PATH = '/lagoonbend/kv-range'
 WATCH_PATH = '/lagoonbend/kv-watch'
+KEPT_BLOCKS_PATH = '/lagoonbend/kv-list'
+"""Unlike the two paths before, one of targets: lists the blocks of prompts
+that an engine keeps in its memory."""
 
 TARGET_STATES = ('ready', 'draining')
 ROUTE_KINDS = ('safe', 'unsafe', 'streaming')
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
@@ -0,0 +1,37 @@
+"""Decodes what an engine says of the prompts that it keeps."""
+
+from typing import NamedTuple
+
+import msgspec
+
+
+class _WireBlock(NamedTuple):
+    """An entry of the list; the first field has no meaning here."""
+
+    reserved: str
+    block_id: str
+    tokens: int
+    model: str
+
+
+class _WireKeptBlocks(msgspec.Struct):
+    """The field of the answer that is used; others are ignored."""
+
+    held: list[_WireBlock]
+
+
+def decode_kept_blocks(body: bytes) -> dict[str, int] | None:
+    """Return the tokens that an engine keeps of each block.
+
+    Of a block that it keeps for several models, the larger number counts.
+
+    :returns: None if the answer can't be read.
+    """
+    try:
+        answer = msgspec.json.decode(body, type=_WireKeptBlocks)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    kept: dict[str, int] = {}
+    for block in answer.held:
+        kept[block.block_id] = max(block.tokens, kept.get(block.block_id, 0))
+    return kept
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -118,6 +118,12 @@
         'info',
         'A target that was taken for ended has answered a later request.',
     )
+    PROMPT_SEARCHED = (
+        'LB0220',
+        'info',
+        'Targets were asked who has read a prompt, for the version of a '
+        'stream.',
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -109,6 +109,14 @@
         """Return the targets of a service that may receive calls."""
         return self._by_service.get(service, ())
 
+    def list_registered(self, service: str) -> list[ListedTarget]:
+        """Return the listed targets of a service, leaving ones included."""
+        return [
+            target
+            for target in self._targets.values()
+            if target.service == service
+        ]
+
     def list_versions(
         self, service: str, now_ms: int, window_ms: int
     ) -> set[str | None]:
@@ -139,9 +147,7 @@
         :returns: None if it isn't known of all listed targets.
         """
         starts_ms = [
-            target.born_ms
-            for target in self._targets.values()
-            if target.service == service
+            target.born_ms for target in self.list_registered(service)
         ]
         known_ms = [start_ms for start_ms in starts_ms if start_ms is not None]
         if not known_ms or len(known_ms) < len(starts_ms):
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -3,6 +3,8 @@
 from lagoonbend._internal.facts.caller_bounds import CallerBounds
 from lagoonbend._internal.facts.customer_rule import CustomerRule
 from lagoonbend._internal.facts.item_cache import ItemCache
+from lagoonbend._internal.facts.kept_prompts import find_reading_version
+from lagoonbend._internal.facts.kept_prompts import KeptPrompts
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.named_limit import NamedLimit
 from lagoonbend._internal.facts.named_limits import NamedLimits
@@ -22,6 +24,7 @@
     'CallerBounds',
     'CustomerRule',
     'ItemCache',
+    'KeptPrompts',
     'ListedTarget',
     'NO_ERA',
     'NamedLimit',
@@ -36,4 +39,5 @@
     'VersionBinding',
     'WeightedService',
     'compute_origin_key',
+    'find_reading_version',
 ]
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -59,11 +59,13 @@
         gevent.sleep(CHANGE_SPREAD_S)
 
     def take_up(
-        self, instance: int, resumes: str = 'first'
+        self, instance: int, resumes: str = 'first', prompt: str = PROMPT
     ) -> tuple[int, list[str]]:
         """Take the stream up after its first event.
 
         Returns the status of the answer and the targets that ran the call.
+
+        :param prompt: blocks of the call's prompt.
         """
         attempt, answer = call(
             self.fleet,
@@ -71,7 +73,7 @@
             instance=instance,
             Last_Event_Id='1',
             Resumes=resumes,
-            Prefix_Hash=PROMPT,
+            Prefix_Hash=prompt,
         )
         runs = [r.target for r in self.fleet.runs if r.attempt == attempt]
         return answer.status, runs
@@ -166,7 +168,8 @@
         gevent.sleep(CHANGE_SPREAD_S)
         for resumes in ('nobody-else', ''):
             start_s = time.monotonic()
-            self.assertEqual((503, []), self.take_up(0, resumes))
+            answer = self.take_up(0, resumes, 'aa01:60,cc03:1030')
+            self.assertEqual((503, []), answer)
             self.assertLess(time.monotonic() - start_s, REFUSED_AT_ONCE_S)
 
     # Guards against a wait for targets of a version that is gone.
--- a/tests/unit/test_stream_origins.py
+++ b/tests/unit/test_stream_origins.py
@@ -8,16 +8,19 @@
 import unittest
 
 import gevent
+import msgspec
 
 from lagoonbend.clock import PausedClock
 from lagoonbend.facts import compute_origin_key
 from lagoonbend.facts import StreamOrigin
 from lagoonbend.facts import StreamOrigins
+from lagoonbend.scheduling import PromptBlock
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import origin_exchange
 
 KEY = compute_origin_key('first', 'chat', 'a1')
 PEERS = ('peer-1', 'peer-2')
+BLOCK = PromptBlock('bb02', 1_030)
 
 
 class StreamOriginsTest(unittest.TestCase):
@@ -67,13 +70,16 @@
         self.sent: list[tuple[str, messages.Message]] = []
         self.is_mixed = False
         self.unreachable: set[str] = set()
+        self.searcher = ''
+        self.searches: list[tuple[str, PromptBlock]] = []
         self.exchange = origin_exchange.OriginExchange(
             self.clock,
-            lambda key: list(PEERS),
+            (lambda key: list(PEERS), lambda service: self.searcher),
             self.send,
             lambda service: 'v1',
             lambda service: self.is_mixed,
         )
+        self.exchange.search_prompt = self.search_prompt
         self.exchange.start()
         self.origin = StreamOrigin(KEY, 'v1', self.clock.now_ms() + 9_000)
 
@@ -82,6 +88,16 @@
         self.sent.append((peer, message))
         return peer not in self.unreachable
 
+    def search_prompt(self, service: str, block: PromptBlock) -> str:
+        """Record a question to the targets; v2 has read all prompts."""
+        self.searches.append((service, block))
+        return 'v2'
+
+    def search(self) -> str:
+        """Return the version that a search for the prompt finds."""
+        origin = self.exchange.search(KEY, 'chat', BLOCK)
+        return origin.version if origin else ''
+
     def test_nothing_is_sent_while_a_service_has_one_version(self) -> None:
         """Any target can continue its streams."""
         self.exchange.record('chat', self.origin)
@@ -132,6 +148,68 @@
         answer = self.exchange.ask(KEY, 'chat')
         self.assertEqual((None, frozenset()), answer)
 
+    def test_one_peer_of_a_large_fleet_asks_the_targets(self) -> None:
+        """The others wait for its answer and ask no target."""
+        self.searcher = PEERS[0]
+        searching = gevent.spawn(self.search)
+        gevent.sleep(0)
+        wanted = messages.OriginWanted(KEY, 'chat', *BLOCK)
+        self.assertEqual([(PEERS[0], wanted)], self.sent)
+        found = messages.OriginFound(
+            KEY, [messages.WireOrigin(KEY, 'v1', 9_000)], ''
+        )
+        self.exchange.handle_answer(PEERS[0], found)
+        self.assertEqual('v1', searching.get(timeout=0.1))
+        self.assertEqual([], self.searches)
+
+    # Guards against streams that are refused since the peer that asks the
+    # targets has just ended.
+    def test_instance_asks_the_targets_if_the_peer_is_out_of_reach(
+        self,
+    ) -> None:
+        """It does so at once."""
+        self.searcher = PEERS[0]
+        self.unreachable = {PEERS[0]}
+        self.assertEqual('v2', self.search())
+        self.assertEqual([('chat', BLOCK)], self.searches)
+
+    def test_peer_answers_with_what_the_targets_have_read(self) -> None:
+        """The next question is answered from memory."""
+        answers: list[messages.OriginFound] = []
+        for _ in range(2):
+            self.exchange.answer(
+                messages.OriginWanted(KEY, 'chat', *BLOCK), answers.append
+            )
+            gevent.sleep(0)
+        self.assertEqual(
+            ['v2', 'v2'], [answer.origins[0].version for answer in answers]
+        )
+        self.assertEqual(1, len(self.searches))
+
+    # Guards against instances of two builds that misread each other.
+    def test_question_of_an_earlier_build_starts_no_search(self) -> None:
+        """It has two fields, and an earlier build reads the first two."""
+        earlier = msgspec.msgpack.encode(['OriginWanted', KEY, 'chat'])
+        wanted = msgspec.msgpack.decode(earlier, type=messages.OriginWanted)
+        answers: list[messages.OriginFound] = []
+        self.exchange.answer(wanted, answers.append)
+        self.assertEqual([], answers[0].origins)
+        self.assertEqual([], self.searches)
+        encoded = msgspec.msgpack.encode(
+            messages.OriginWanted(KEY, 'chat', *BLOCK)
+        )
+        read = msgspec.msgpack.decode(encoded, type=_EarlierOriginWanted)
+        self.assertEqual((KEY, 'chat'), (read.key, read.service))
+
+
+class _EarlierOriginWanted(
+    msgspec.Struct, array_like=True, tag='OriginWanted'
+):
+    """The question as 56b574e knows it."""
+
+    key: int
+    service: str
+
 
 if __name__ == '__main__':
     unittest.main()
