Let a stream outlast the test that takes it up after a release

Cause: the routes of the stand-in fleet time out after 3 s, and with two restarts on a busy machine the test took longer than that between the release and the call. Then no stream from before the release can go on, and the version that is left counts for the only one, as it should. The test's routes now time out after 30 s; what it checks is unchanged.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -26,6 +26,7 @@
 CUT_GATEWAY_MODULE = 'lagoonbend_devkit._internal.gateway.cut_gateway'
 HOST = 'calls.example'
 API_KEY = 'k-first'
+ROUTE_TIMEOUT_MS = 3_000
 CUSTOMER = 'first-customer'
 FIRST_VERSION = standin_target.FIRST_VERSION
 FIRST_BORN_MS = 1_700_000_000_000
@@ -312,9 +313,11 @@
         rate_per_s: int = 0,
         attempt_limit: int = 2,
         is_varied: bool = False,
+        timeout_ms: int = ROUTE_TIMEOUT_MS,
     ) -> None:
         """Write the next version of the configuration to the store.
 
+        :param timeout_ms: timeout of all routes.
         :param is_varied: True to move the routes of the service ``desk`` to
             the engines, add a route and a key, and shorten the limit on idle
             connections.
@@ -335,7 +338,11 @@
             {
                 'version': self.configuration_version,
                 'routes': [
-                    {**route, 'max-attempts': attempt_limit}
+                    {
+                        **route,
+                        'max-attempts': attempt_limit,
+                        'timeout-ms': timeout_ms,
+                    }
                     for route in routes
                 ],
                 'services': [
@@ -419,7 +426,6 @@
         'hostname': HOST,
         'prefix': f'/{name}/',
         'route-kind': kind,
-        'timeout-ms': 3_000,
         'target-latency-ms': 300,
         'priority': 0,
         'service': service,
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -24,6 +24,7 @@
 }
 """Engines and their versions, where there are two of each."""
 REFUSED_AT_ONCE_S = 0.5
+LONG_TIMEOUT_MS = 30_000
 PROMPT = 'aa01:60,bb02:1030'
 """Blocks of the prompt of a stream; the last one is its own."""
 
@@ -183,7 +184,12 @@
         self.assertLess(time.monotonic() - start_s, REFUSED_AT_ONCE_S)
 
     def replace_engine(self) -> None:
-        """Let a stream begin at v1, whose only engine v2 then replaces."""
+        """Let a stream begin at v1, whose only engine v2 then replaces.
+
+        It may last for longer than the test, also on a busy machine: later on,
+        the version that is left would be the only one of its time.
+        """
+        self.fleet.publish_configuration(timeout_ms=LONG_TIMEOUT_MS)
         self.add_engines('v1')
         self.begin_stream()
         target = self.fleet.add_target('chat-1', 'chat', 'v2')
