Let streams that are taken up come before most new calls

The denials in the log are of the last rank, at pools that served only the first one after the restart.

Cause: a stream that its caller takes up was queued like a new call of its rank; the rest of a stream that broke at its target, too.

Change: the rest of a stream ranks after new calls of the most urgent rank and before all others, and may wait as long as its caller waits for the next event.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
@@ -4,6 +4,7 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend.facts import ListedTarget
+from lagoonbend.scheduling import rank_continued_stream
 from lagoonbend.scheduling import RankOrder
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.coordination.pool_chooser import PoolChooser
@@ -54,9 +55,11 @@
     ) -> SlotRequest:
         """Return a slot request for the next attempt.
 
-        The rest of a stream that has begun counts as a call that arrives now
-        and has to go on before its caller gives up. A call that has been
-        granted a slot costs no units of its customer's limit again.
+        The rest of a stream has to go on before its caller gives up, and comes
+        before most new calls, whether this instance continues it or the
+        caller takes it up. One whose answer has begun here counts as a call
+        that arrives now. A call that has been granted a slot costs no units
+        of its customer's limit again.
 
         :param excluded: further targets that are not to be tried.
         """
@@ -66,6 +69,13 @@
         now_ms = self._clock.now_ms()
         arrived_ms = now_ms if reply.has_begun else call.request.received_ms
         customer = call.customer
+        rank = self._rank_order(
+            customer.rank if customer else None, call.route.rank
+        )
+        objective_ms = call.route.objective_ms
+        if reply.has_begun or call.headers.last_event:
+            rank = rank_continued_stream(rank)
+            objective_ms = max(objective_ms, CALLER_PATIENCE_MS)
         output_tokens = call.headers.output_tokens
         if call.headers.estimated_output_tokens:
             output_tokens = min(
@@ -78,9 +88,7 @@
             pool=self._pools.choose(
                 call.service, call.headers.prompt, all_excluded
             ),
-            rank=self._rank_order(
-                customer.rank if customer else None, call.route.rank
-            ),
+            rank=rank,
             route_rank=call.route.rank,
             customer=customer.name if customer else '',
             cost_units=(
@@ -89,11 +97,7 @@
                 else count_cost_units(customer, call.headers)
             ),
             waited_ms=now_ms - arrived_ms,
-            objective_ms=(
-                max(call.route.objective_ms, CALLER_PATIENCE_MS)
-                if reply.has_begun
-                else call.route.objective_ms
-            ),
+            objective_ms=objective_ms,
             deadline_ms=call.expires_at_ms - arrived_ms,
             prompt=call.headers.prompt,
             output_tokens=output_tokens,
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/ranks.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/ranks.py
@@ -44,6 +44,18 @@
     return _combine_ranks(primary, route_rank)
 
 
+def rank_continued_stream(rank: int) -> int:
+    """Return the rank of the rest of a stream whose beginning is delivered.
+
+    It comes after new calls of the most urgent rank and before all others:
+    the target may still keep its prompt, and what the caller has is of no use
+    without the rest.
+
+    :param rank: rank of the stream when it was a new call.
+    """
+    return min(rank, MAX_RANK)
+
+
 def _combine_ranks(primary: int, secondary: int | None) -> int:
     secondary_rank = (
         UNRANKED if secondary is None else min(secondary, MAX_RANK)
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -12,6 +12,7 @@
 from lagoonbend._internal.scheduling.pools import Pool
 from lagoonbend._internal.scheduling.pools import PoolWaitTimes
 from lagoonbend._internal.scheduling.prompt_block import PromptBlock
+from lagoonbend._internal.scheduling.ranks import rank_continued_stream
 from lagoonbend._internal.scheduling.ranks import RANK_ORDERS
 from lagoonbend._internal.scheduling.ranks import RankOrder
 from lagoonbend._internal.scheduling.slot_decision import SlotDecision
@@ -34,4 +35,5 @@
     'RankOrder',
     'PoolScheduler',
     'TargetSet',
+    'rank_continued_stream',
 ]
