Let the decider grant the first calls of instances without a link to it

An instance opens the link to a decider when it first uses the pool, and until the link is open schedules calls itself. 195 instances used up to six pools each for the first time within seconds, as an overload sends calls to other domains; each has a share of one slot, and of equal targets all choose the first. LB0604 doesn't name these calls, no line did. Ruled out: silent deciders (no LB0604 in these seconds).

Change: a call waits for a link that is being opened, at most as long as for a decider's answer; schedulers that an instance uses on its own prefer targets by rendezvous with its address; LB0607 names the calls that are scheduled so.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -137,6 +137,7 @@
             self._deliver,
             self._waiting_signal.set,
             self.named_limits,
+            spread_key=fleet.address,
         )
         self.origins = origin_exchange.OriginExchange(
             clock,
@@ -366,9 +367,12 @@
                 self._fallback_schedulers.submit(request, rule)
             elif decider == self._fleet.address:
                 self.pool_schedulers.submit(request, rule)
-            elif not self._links.send(
-                decider, wire_codec.encode_request(request)
+            elif not self._links.send_when_open(
+                decider,
+                wire_codec.encode_request(request),
+                min(ACK_TIMEOUT_MS, remaining_ms),
             ):
+                self._log_scheduled_here(Event.DECIDER_NOT_LINKED, pending)
                 return self._request_slot(
                     request, rule, FALLBACK, remaining_ms
                 )
@@ -393,12 +397,7 @@
             decision = pending.wait(min(ACK_TIMEOUT_MS, remaining_ms))
         except TimeoutError:
             if not pending.is_queued:
-                log_event(
-                    Event.DECIDER_SILENT,
-                    request=request.call,
-                    decider=pending.decider,
-                    service=request.pool,
-                )
+                self._log_scheduled_here(Event.DECIDER_SILENT, pending)
                 self._record_unanswered(pending.decider)
                 return self._request_slot(
                     request, pending.rule, FALLBACK, remaining_ms
@@ -406,6 +405,16 @@
             decision = pending.wait(max(1, remaining_ms - ACK_TIMEOUT_MS))
         return self._record_decision(decision, request, pending.decider)
 
+    @staticmethod
+    def _log_scheduled_here(event: Event, pending: PendingCall) -> None:
+        """Log why this instance schedules a call itself."""
+        log_event(
+            event,
+            request=pending.request.call,
+            decider=pending.decider,
+            service=pending.request.pool,
+        )
+
     def _record_unanswered(self, decider: str) -> None:
         """Count an unanswered request; close the link after too many."""
         link = self._links.find(decider)
@@ -695,19 +704,4 @@
         now_ms = self._clock.now_ms()
         if now_ms - self._load_logged_ms >= LOAD_LOG_INTERVAL_MS:
             self._load_logged_ms = now_ms
-            self._log_loads()
-
-    def _log_loads(self) -> None:
-        for pool, scheduler in self.pool_schedulers.list_pools():
-            if not scheduler.targets.held_count and not len(scheduler):
-                continue
-            log_event(
-                Event.SERVICE_LOAD,
-                service=scheduler.service.name,
-                pool=pool,
-                waiting=len(scheduler),
-                held=scheduler.targets.held_count,
-                targets=scheduler.targets.describe(),
-                reached=self._fleet.count_alive(),
-                known=self._fleet.count_known(),
-            )
+            self.pool_schedulers.log_loads(alive, known)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_link.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_link.py
@@ -4,6 +4,7 @@
 import errno
 
 import gevent
+import gevent.event
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import PeerError
@@ -59,6 +60,7 @@
         self._on_stopped = on_stopped
         self._on_unreachable = on_unreachable
         self._channel: message_channel.MessageChannel | None = None
+        self._has_tried_once = gevent.event.Event()
 
     @property
     def is_open(self) -> bool:
@@ -72,6 +74,10 @@
         self._channel.send(message)
         return True
 
+    def wait_for_first_attempt(self, timeout_ms: int) -> None:
+        """Wait until the first attempt to connect has succeeded or failed."""
+        self._has_tried_once.wait(timeout_ms / MILLISECONDS_PER_SECOND)
+
     def close_if_silent(self, interval_ms: int) -> None:
         """Close the link if the peer has sent nothing for several pings.
 
@@ -90,6 +96,7 @@
         """Keep the link up while it is wanted."""
         while self.is_wanted:
             self._connect_and_read()
+            self._has_tried_once.set()
             gevent.sleep(RECONNECT_DELAY_MS / MILLISECONDS_PER_SECOND)
 
     def _connect_and_read(self) -> None:
@@ -107,6 +114,7 @@
         self.last_received_ms = self._clock.now_ms()
         self._channel.send(self._greeting)
         self._on_open(self)
+        self._has_tried_once.set()
         try:
             for message in self._channel.receive():
                 self.last_received_ms = self._clock.now_ms()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
@@ -58,6 +58,21 @@
         link = self._links.get(address)
         return link is not None and link.send(message)
 
+    def send_when_open(
+        self, address: str, message: messages.Message, timeout_ms: int
+    ) -> bool:
+        """Queue a message; wait for a link that is being opened first.
+
+        :param timeout_ms: longest time to wait.
+        :returns: False if the link is down.
+        """
+        link = self._links.get(address)
+        if link is None:
+            return False
+        if not link.is_open:
+            link.wait_for_first_attempt(timeout_ms)
+        return link.send(message)
+
     def update_links(
         self,
         deciders: Iterable[str],
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
@@ -11,11 +11,14 @@
 from lagoonbend.facts import ServiceProfile
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import SharedLimits
+from lagoonbend.rendezvous import score_candidate
 from lagoonbend.scheduling import Pool
 from lagoonbend.scheduling import PoolScheduler
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
 
 
 class PoolSchedulers:
@@ -28,6 +31,8 @@
     :param deliver: called with each decision.
     :param on_waiting: called when a call has to wait for its slot.
     :param named_limits: limits that targets have named.
+    :param spread_key: identity of the instance if others schedule the same
+        targets without knowing of its calls: each prefers other ones.
     """
 
     def __init__(
@@ -39,6 +44,7 @@
         deliver: Callable[[SlotDecision], None],
         on_waiting: Callable[[], None],
         named_limits: NamedLimits,
+        spread_key: str = '',
     ) -> None:
         self.limits = limits
         self._facts = facts
@@ -47,6 +53,7 @@
         self._deliver = deliver
         self._on_waiting = on_waiting
         self._named_limits = named_limits
+        self._spread_key = spread_key
         self._rate_share = 1.0
         self._schedulers: dict[str, PoolScheduler] = {}
         self._share = 1.0
@@ -139,6 +146,26 @@
             self._apply_share_to(scheduler)
             self.deliver(scheduler.expire())
 
+    def log_loads(self, reached: int, known: int) -> None:
+        """Log the load of each pool that has any.
+
+        :param reached: instances within reach.
+        :param known: instances that may use a share of limits.
+        """
+        for pool, scheduler in self._schedulers.items():
+            if not scheduler.targets.held_count and not len(scheduler):
+                continue
+            log_event(
+                Event.SERVICE_LOAD,
+                service=scheduler.service.name,
+                pool=pool,
+                waiting=len(scheduler),
+                held=scheduler.targets.held_count,
+                targets=scheduler.targets.describe(),
+                reached=reached,
+                known=known,
+            )
+
     def _apply_share_to(self, scheduler: PoolScheduler) -> None:
         targets = scheduler.targets
         targets.share = self._share
@@ -154,6 +181,16 @@
         targets = parsed_pool.select(
             self._facts.target_directory.list_service(parsed_pool.service)
         )
+        if self._spread_key:
+            # Of equal targets, a scheduler chooses the first.
+            targets = tuple(
+                sorted(
+                    targets,
+                    key=lambda target: score_candidate(
+                        target.target, self._spread_key
+                    ),
+                )
+            )
         profile = self._find_profile(pool)
         self.deliver(scheduler.set_targets(profile, targets))
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -198,6 +198,12 @@
         'The instance that grants slots has no target for a call; one is '
         'known here.',
     )
+    DECIDER_NOT_LINKED = (
+        'LB0607',
+        'info',
+        'The instance that grants slots is out of reach; a call is scheduled '
+        'here.',
+    )
     PART_APPLIED = ('LB0503', 'info', 'A new configuration is in force.')
     PART_REJECTED = ('LB0504', 'error', 'A document failed validation.')
     PART_CONFLICT = (
--- a/tests/unit/test_decider_with_an_older_list.py
+++ b/tests/unit/test_decider_with_an_older_list.py
@@ -75,7 +75,7 @@
         coordinator._deciders = mock.Mock()
         coordinator._deciders.find.return_value = '10.0.0.2:1'
         coordinator._links = mock.Mock()
-        coordinator._links.send.side_effect = answer
+        coordinator._links.send_when_open.side_effect = answer
         return coordinator.acquire(request, None, WAIT_MS)
 
     def test_known_target_is_used(self) -> None:
