Count the first use of a customer's limit at every decider

Cause: a decider charges its peers' use by what they have used since their previous report. Reports without any use were taken for heartbeats without a report, and a customer that the previous report didn't name wasn't charged. So of a customer's first second each of seven deciders counted its own part only.

Change: each heartbeat that carries gossip is a report; a customer that it doesn't name has used nothing until then. A decider that is new still isn't charged for what was used before (test_use_of_long_ago_is_no_debt).

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -378,7 +378,7 @@
                 wire_codec.encode_request(request),
                 min(ACK_TIMEOUT_MS, remaining_ms),
             ):
-                self._log_scheduled_here(Event.DECIDER_NOT_LINKED, pending)
+                pending.log_scheduled_here(Event.DECIDER_NOT_LINKED)
                 return self._request_slot(
                     request, rule, FALLBACK, remaining_ms
                 )
@@ -403,7 +403,7 @@
             decision = pending.wait(min(ACK_TIMEOUT_MS, remaining_ms))
         except TimeoutError:
             if not pending.is_queued:
-                self._log_scheduled_here(Event.DECIDER_SILENT, pending)
+                pending.log_scheduled_here(Event.DECIDER_SILENT)
                 self._record_unanswered(pending.decider)
                 return self._request_slot(
                     request, pending.rule, FALLBACK, remaining_ms
@@ -411,16 +411,6 @@
             decision = pending.wait(max(1, remaining_ms - ACK_TIMEOUT_MS))
         return self._record_decision(decision, request, pending.decider)
 
-    @staticmethod
-    def _log_scheduled_here(event: Event, pending: PendingCall) -> None:
-        """Log why this instance schedules a call itself."""
-        log_event(
-            event,
-            request=pending.request.call,
-            decider=pending.decider,
-            service=pending.request.pool,
-        )
-
     def _record_unanswered(self, decider: str) -> None:
         """Count an unanswered request; close the link after too many."""
         link = self._links.find(decider)
@@ -622,10 +612,15 @@
     def _handle_pong(self, link: PeerLink, pong: messages.Pong) -> None:
         is_newly_reached = not self._fleet.is_alive(pong.address)
         self._fleet.record_pong(pong)
-        for schedulers in (self.pool_schedulers, self._fallback_schedulers):
-            schedulers.limits.record_peer_usage(
-                pong.incarnation, pong.used, self._clock.now_ms()
-            )
+        if pong.rumours:
+            # Only a pong that carries gossip tells the use of limits.
+            for limits in (
+                self.pool_schedulers.limits,
+                self._fallback_schedulers.limits,
+            ):
+                limits.record_peer_usage(
+                    pong.incarnation, pong.used, self._clock.now_ms()
+                )
         if is_newly_reached:
             if pong.keeps_origins:
                 self.origins.send_all(pong.address)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/pending_call.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/pending_call.py
@@ -5,6 +5,8 @@
 from lagoonbend.facts import CustomerRule
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotRequest
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
 
 
 class PendingCall:
@@ -44,3 +46,12 @@
         except gevent.Timeout as error:
             raise TimeoutError('no decision in time') from error
         return result
+
+    def log_scheduled_here(self, event: Event) -> None:
+        """Log why this instance schedules the call itself."""
+        log_event(
+            event,
+            request=self.request.call,
+            decider=self.decider,
+            service=self.request.pool,
+        )
--- a/packages/lagoonbend/src/lagoonbend/_internal/limits/shared_limits.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/limits/shared_limits.py
@@ -115,14 +115,12 @@
 
         Only those of the last ``USAGE_SPAN_MS`` count, estimated as a share of
         the units since its previous report: the bucket has refilled since the
-        earlier ones.
+        earlier ones. A customer that the previous report doesn't name had used
+        none.
 
         :param incarnation: identity of one process start of that instance.
-        :param used: units since its start, by customer; empty if the message
-            carries none.
+        :param used: units since its start, by customer.
         """
-        if not used:
-            return
         previous = self._peer_usage.get(incarnation)
         self._peer_usage[incarnation] = (now_ms, used)
         if previous is None:
@@ -131,8 +129,9 @@
         recent_share = min(1.0, USAGE_SPAN_MS / max(1, now_ms - received_ms))
         for customer, total in used.items():
             bucket = self._buckets.get(customer)
-            if bucket is not None and customer in previous_units:
-                used_since = max(0.0, total - previous_units[customer])
+            if bucket is not None:
+                used_before = previous_units.get(customer, 0.0)
+                used_since = max(0.0, total - used_before)
                 bucket.spend(recent_share * used_since)
 
     def find_share(self, rule: CustomerRule) -> float:
--- a/tests/unit/test_hot_customer.py
+++ b/tests/unit/test_hot_customer.py
@@ -6,6 +6,7 @@
 and a network partition can separate them.
 """
 
+import random
 import unittest
 
 from lagoonbend.facts import CustomerRule
@@ -34,6 +35,14 @@
     return admitted
 
 
+DECIDERS = 7
+REPORT_INTERVAL_MS = 750
+"""Pings to deciders are due every 500 ms, as a check each 250 ms finds."""
+CALLS_PER_STEP = 6
+"""Every 10 ms; with ``CALL_UNITS`` each, ten times the limit."""
+CALL_UNITS = 6_600.0
+
+
 class HotCustomerTest(unittest.TestCase):
     """Isolation of customers, and accuracy of their limits."""
 
@@ -103,6 +112,36 @@
         limits.record_peer_usage('peer', {'hot': 500_000.0}, 500)
         self.assertGreater(limits.take(HOT, 1.0, 0, 600), 0)
 
+    # Guards against a customer whose load rises tenfold within a second just
+    # after all instances have started: each decider has counted the first
+    # second of its own part only.
+    def test_first_second_at_all_deciders_stays_within_the_limit(self) -> None:
+        """Seven deciders tell each other their use."""
+        rule = CustomerRule('hot', rate_per_s=385_000.0, burst=385_000.0)
+        tolerance = LimitTolerance(0.25, 140_000.0, 8.0)
+        deciders = [SharedLimits(tolerance) for _ in range(DECIDERS)]
+        source = random.Random(3)
+        admitted = 0.0
+        for now_ms in range(-2_000, 8_000, 10):
+            for number, limits in enumerate(deciders):
+                if (now_ms + 100 * number) % REPORT_INTERVAL_MS == 0:
+                    used = dict(limits.get_used_units())
+                    for other in deciders:
+                        if other is not limits:
+                            other.record_peer_usage(
+                                f'peer {number}', used, now_ms
+                            )
+            if now_ms < 0:
+                continue
+            for _ in range(CALLS_PER_STEP):
+                limits = source.choice(deciders)
+                if not limits.take(rule, CALL_UNITS, 0, now_ms):
+                    admitted += CALL_UNITS
+        allowed = (rule.rate_per_s * 8 + rule.burst) * 1.25 + 140_000
+        print(f'{admitted:.0f} of {allowed:.0f}')
+        self.assertLessEqual(admitted, allowed)
+        self.assertGreaterEqual(admitted, rule.rate_per_s * 8)
+
     def test_call_without_a_slot_is_not_charged(self) -> None:
         """Denied calls are not charged, but those that still wait are."""
         world = PoolWorld(targets=1, slots=1)
