Test that a target which drips bytes into a stream is replaced

One of the operators' reports: stalled streams that sent a byte now and then never ended. Here they end at the route's timeout, but no other target is looked for meanwhile, since each chunk counts as progress.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -30,6 +30,9 @@
 PAUSE_S = 1.2
 """Silence of fault ``pause``: a sound target may be silent for a second or so
 in the users' rules."""
+DRIP_INTERVAL_S = 0.2
+"""Time between two bytes of fault ``drip-stream``."""
+MAX_DRIPS = 100
 PAUSE_EVENT_NUMBER = 2
 """Event of a stream after which fault ``pause-stream`` is silent."""
 UNFRAMED_STREAM_EVENTS = {
@@ -97,7 +100,8 @@
     the target leaves, ``leaving-turned-away`` says it in a rejection and
     ``leaving-foreign`` in an answer to another attempt. Faults ``pause`` and
     ``pause-stream`` are silent for a while before the head or inside a stream,
-    and then complete the answer. ``unframed`` and the faults whose names begin
+    and then complete the answer. ``drip-stream`` writes two events and then
+    single bytes of a comment that doesn't end. ``unframed`` and the faults whose names begin
     so answer with neither a length nor chunks.
 
     Each event of a stream names the version of the target that wrote it.
@@ -434,6 +438,23 @@
     ) -> bool:
         return self._send_stream(request, sock, 2, is_cut=True)
 
+    def _drip_inside_stream(
+        self, request: IncomingRequest, sock: gevent.socket.socket
+    ) -> bool:
+        head = self._build_head(request, 200, SERVER_STAMP)
+        self._write(sock, head + b'Content-Type: text/event-stream\r\n\r\n')
+        for number in (1, 2):
+            self._write(sock, encode_event(number, self.version))
+        try:
+            for _ in range(MAX_DRIPS):
+                self._write(sock, b':')
+                gevent.sleep(DRIP_INTERVAL_S)
+        except OSError:
+            self.abandoned_attempts.append(
+                request.header_map.get('attempt-id', '')
+            )
+        return False
+
     def _pause_before_head(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
@@ -486,6 +507,7 @@
     'unframed-reset': StandinTarget._send_unframed_stream,
     'unframed-empty': StandinTarget._send_unframed_stream,
     'cut-stream': StandinTarget._send_cut_stream,
+    'drip-stream': StandinTarget._drip_inside_stream,
     'pause': StandinTarget._pause_before_head,
     'pause-stream': StandinTarget._pause_inside_stream,
 }
--- a/tests/functional/test_silent_targets.py
+++ b/tests/functional/test_silent_targets.py
@@ -16,7 +16,10 @@
 from tests.lib.pausing_target import PausingTarget
 
 CHANGE_SPREAD_S = 1.0
+DRIP_TIMEOUT_MS = 6_000
+"""Several times the gap after which another target is looked for."""
 HANG_S = 60.0
+MAX_TRIES = 20
 PAUSE_S = 2.3
 """Longer than each time-out for a silent target, shorter than the deadline of
 the calls by the time that they need besides."""
@@ -170,6 +173,30 @@
                 self.assertEqual(200, answer.status)
                 self.assertEqual(build_whole_body(), answer.body)
 
+    # Guards against a stalled stream that doesn't end since its target sends a
+    # byte now and then.
+    def test_dripping_target_is_replaced(self) -> None:
+        """Bytes that complete no event don't count; another target goes on."""
+        with gateway_fleet.GatewayFleet(1, engine_count=2) as fleet:
+            fleet.publish_configuration(timeout_ms=DRIP_TIMEOUT_MS)
+            gevent.sleep(CHANGE_SPREAD_S)
+            for _ in range(MAX_TRIES):
+                attempt, answer = call(
+                    fleet,
+                    'stream',
+                    X_Fault='drip-stream@chat-0',
+                    Deadline_Ms=str(DRIP_TIMEOUT_MS),
+                )
+                runs = [r.target for r in fleet.runs if r.attempt == attempt]
+                self.assertEqual(200, answer.status)
+                self.assertEqual(5, answer.body.count(b'piece'))
+                if runs[0] == 'chat-0':
+                    break
+            self.assertEqual(['chat-0', 'chat-1'], runs)
+            self.assertEqual(
+                [attempt], fleet.targets['chat-0'].abandoned_attempts
+            )
+
 
 if __name__ == '__main__':
     unittest.main()
