Look for another target while a stream gets bytes but no events

Cause: each chunk counted as progress, and ended the search for another target.

Change: in a stream, complete events count alone. A slow but sound target still keeps its stream, since the silence alone ends nothing: an event that arrives before another target has accepted the call ends the search.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -101,8 +101,8 @@
     ``leaving-foreign`` in an answer to another attempt. Faults ``pause`` and
     ``pause-stream`` are silent for a while before the head or inside a stream,
     and then complete the answer. ``drip-stream`` writes two events and then
-    single bytes of a comment that doesn't end. ``unframed`` and the faults whose names begin
-    so answer with neither a length nor chunks.
+    single bytes of a comment that doesn't end. ``unframed`` and the faults
+    whose names begin so answer with neither a length nor chunks.
 
     Each event of a stream names the version of the target that wrote it.
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -337,16 +337,26 @@
         connection: target_connection.TargetConnection,
         answer: Answer,
         patience_ms: int,
+        *,
+        counts_events: bool = False,
     ) -> Iterator[bytes]:
-        """Yield the chunks of a body; a pause ends it only if given up."""
+        """Yield the chunks of a body; a pause ends it only if given up.
+
+        :param counts_events: True if the reader calls ``_record_progress`` for
+            each event: chunks that complete none are a pause, too.
+        """
         self._last_read_ms = self._clock.now_ms()
         wait_ms = patience_ms
         while True:
             try:
                 for chunk in connection.read_body(answer, wait_ms):
-                    self._search.cancel()
-                    self._last_read_ms = self._clock.now_ms()
+                    if not counts_events:
+                        self._record_progress()
                     yield chunk
+                    if counts_events and self._is_stalled(patience_ms):
+                        raise target_error.TargetTimeoutError(
+                            'target completes no event'
+                        )
                     if wait_ms != patience_ms:
                         wait_ms = patience_ms
                         break
@@ -357,6 +367,16 @@
                     raise
                 wait_ms = SEARCH_POLL_MS
 
+    def _record_progress(self) -> None:
+        """Go on with this target; it has sent what was waited for."""
+        self._search.cancel()
+        self._last_read_ms = self._clock.now_ms()
+
+    def _is_stalled(self, patience_ms: int) -> bool:
+        """Return True if a target that still sends bytes is to be given up."""
+        silent_ms = self._clock.now_ms() - self._last_read_ms
+        return silent_ms >= patience_ms and self._is_given_up(patience_ms)
+
     def _is_given_up(self, patience_ms: int) -> bool:
         """Return True if the silent target is to be given up.
 
@@ -480,10 +500,13 @@
             patience_ms = min(
                 patience_ms, EVENT_GAP_FACTOR * route.gap_objective_ms
             )
-        chunks = self._read_chunks(connection, answer, patience_ms)
+        chunks = self._read_chunks(
+            connection, answer, patience_ms, counts_events=True
+        )
         has_events = False
         for event in split_events(chunks):
             has_events = True
+            self._record_progress()
             if not is_complete_event(event):
                 raise target_error.BadAnswerError(
                     'stream ended inside an event'
--- a/tests/functional/test_silent_targets.py
+++ b/tests/functional/test_silent_targets.py
@@ -193,6 +193,8 @@
                 if runs[0] == 'chat-0':
                     break
             self.assertEqual(['chat-0', 'chat-1'], runs)
+            # It notices at its next byte.
+            gevent.sleep(CHANGE_SPREAD_S)
             self.assertEqual(
                 [attempt], fleet.targets['chat-0'].abandoned_attempts
             )
