Let deciders hear from all other deciders what customers have used

Reports of use come with the heartbeats that an instance asks for, and an instance of a large fleet pings the deciders of pools it uses itself. Calls stay in the domain's pools until these are overloaded; so for seconds a decider heard from those of its own domain alone.

Change: an instance that decides for a pool pings the deciders of all pools.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -668,14 +668,14 @@
     def _send_pings(self) -> None:
         self._update_links()
         self._links.send_due_pings(
-            self._deciders.list_last(),
+            self._deciders.list_pinged(self.pools.list_all()),
             wants_gossip=bool(self.pool_schedulers.pools),
         )
         gevent.sleep(HEARTBEAT_CHECK_MS / MILLISECONDS_PER_SECOND)
 
     def _update_links(self) -> None:
         self._links.update_links(
-            self._deciders.list_last(),
+            self._deciders.list_pinged(self.pools.list_all()),
             self.pool_schedulers.pools,
             shares_origins=self.origins.has_mixed_services,
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/deciders.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/deciders.py
@@ -1,6 +1,7 @@
 """Finds the decider of each pool, which is the instance that schedules it."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from lagoonbend.clock import Clock
 from lagoonbend_entry._internal.coordination.fleet import Fleet
@@ -60,6 +61,28 @@
         """Return all deciders found at the last lookups."""
         return set(self._last_deciders.values())
 
+    def list_pinged(self, pools: Iterable[str]) -> set[str]:
+        """Return the instances that are pinged as deciders.
+
+        A decider needs the heartbeats of all others, also those of pools that
+        it doesn't use itself: they carry what customers have used of their
+        limits.
+
+        :param pools: all pools.
+        """
+        pinged = self.list_last()
+        all_pools = list(pools)
+        if any(self._decides(pool) for pool in all_pools):
+            pinged.update(
+                self._fleet.find_decider(
+                    pool,
+                    decides=self._decides(pool),
+                    is_leaving=self.is_leaving,
+                )
+                for pool in all_pools
+            )
+        return pinged
+
     def list_pools(self, decider: str) -> list[str]:
         """Return the pools that an instance decides for."""
         return [
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/pool_chooser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/pool_chooser.py
@@ -1,5 +1,7 @@
 """Chooses the target pool for a call of this instance."""
 
+from collections.abc import Iterator
+
 from lagoonbend.clock import Clock
 from lagoonbend.scheduling import CallOrigin
 from lagoonbend.scheduling import Pool
@@ -61,6 +63,13 @@
         wait_ms = self._wait_times.estimate_wait_ms(pool, now_ms)
         return pool if wait_ms < decision.retry_after_ms else None
 
+    def list_all(self) -> Iterator[str]:
+        """Yield the names of the pools of all services."""
+        services = self._facts.rules.services if self._facts.rules else ()
+        for service in services:
+            for pool in self._get_plan(service).pools:
+                yield pool.name
+
     def record_wait(self, pool: str, wait_ms: int) -> None:
         """Record the expected wait that a decision has reported."""
         self._wait_times.record_wait(pool, wait_ms, self._clock.now_ms())
