--- a/tests/unit/test_decider_with_an_older_list.py
+++ b/tests/unit/test_decider_with_an_older_list.py
@@ -1,7 +1,5 @@
 """A decider that hasn't yet read the list that this instance has."""
 
-import types
-from typing import Any
 import unittest
 from unittest import mock
 
@@ -16,6 +14,7 @@
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
+from tests.lib.coordinator_facts import build_facts
 
 OWN_ADDRESS = '10.0.0.1:1'
 TARGET = ListedTarget('t', 's', '10.0.1.1', 80, 'd0', 1, False)
@@ -32,14 +31,7 @@
         targets: tuple[ListedTarget, ...] = (TARGET,),
     ) -> SlotDecision:
         """Return the decision on a call that another instance denies."""
-        facts: Any = types.SimpleNamespace(
-            rules=None,
-            target_directory=mock.Mock(),
-            find_only_version=mock.Mock(),
-            list_versions=lambda service: set(),
-            on_change=[],
-        )
-        facts.target_directory.list_service.return_value = targets
+        facts = build_facts(lambda service: targets)
         fleet = mock.Mock(address=OWN_ADDRESS, failure_domain='d0')
         fleet.list_unreachable_domains.return_value = frozenset()
         coordinator = Coordinator(
--- a/tests/unit/test_first_calls_without_a_link.py
+++ b/tests/unit/test_first_calls_without_a_link.py
@@ -7,8 +7,6 @@
 """
 
 import collections
-import types
-from typing import Any
 import unittest
 from unittest import mock
 
@@ -30,6 +28,7 @@
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.coordination.schedulers import PoolSchedulers
+from tests.lib.coordinator_facts import build_facts
 
 INSTANCES = 195
 TARGETS = tuple(
@@ -43,19 +42,6 @@
 GRANTED = 'engine-5'
 
 
-def build_facts() -> Any:
-    """Return facts that list the targets of one pool."""
-    facts: Any = types.SimpleNamespace(
-        rules=None,
-        target_directory=mock.Mock(),
-        find_only_version=mock.Mock(),
-        list_versions=lambda service: set(),
-        on_change=[],
-    )
-    facts.target_directory.list_service.return_value = TARGETS
-    return facts
-
-
 def build_request(instance: str) -> SlotRequest:
     """Return the request of a call at an instance."""
     return SlotRequest(
@@ -86,7 +72,7 @@
         for number in range(INSTANCES):
             address = f'10.0.0.{number}:80'
             schedulers = PoolSchedulers(
-                build_facts(),
+                build_facts(lambda service: TARGETS),
                 PausedClock(1_000_000),
                 SharedLimits(LimitTolerance()),
                 Invariants(strict=True),
@@ -142,7 +128,7 @@
         fleet = Fleet(OWN_ADDRESS, 'd0', [DECIDER, *peers], clock)
         self.coordinator = Coordinator(
             fleet,
-            build_facts(),
+            build_facts(lambda service: TARGETS),
             clock,
             Invariants(strict=True),
             'start',
--- a/tests/unit/test_reports_between_deciders.py
+++ b/tests/unit/test_reports_between_deciders.py
@@ -6,16 +6,14 @@
 overflow to the pools of other domains.
 """
 
-import types
-from typing import Any
 import unittest
 from unittest import mock
 
 from lagoonbend.facts import ListedTarget
-from lagoonbend.facts import ServiceProfile
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
+from tests.lib.coordinator_facts import build_facts
 from tests.unit.test_keepers_of_origins import FleetWorld
 
 SERVICES = ('chat', 'desk')
@@ -47,17 +45,8 @@
         self, world: FleetWorld, address: str, domain_count: int
     ) -> Coordinator:
         """Return the coordinator of an instance, without its loops."""
-        facts: Any = types.SimpleNamespace(
-            rules=types.SimpleNamespace(
-                services={name: ServiceProfile(name) for name in SERVICES}
-            ),
-            target_directory=mock.Mock(),
-            find_only_version=mock.Mock(),
-            list_versions=lambda service: set(),
-            on_change=[],
-        )
-        facts.target_directory.list_service.side_effect = lambda service: (
-            list_targets(service, domain_count)
+        facts = build_facts(
+            lambda service: list_targets(service, domain_count), SERVICES
         )
         return Coordinator(
             world.fleets[address],
