Take back that evidence of ended targets isn't passed on to all

Cause: an instance dropped a report that three peers had sent while it was held, and all peers of those two had heard of it from three others, on a machine so slow that most reports came within that time. Before that change each instance passed all on.

The evidence is as on again.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -577,9 +577,7 @@
             case messages.OriginFound():
                 self.origins.handle_answer(link.address, message)
             case messages.CrashReports():
-                answer = self.crashes.handle_reports(message, link.address)
-                if answer is not None:
-                    link.send(answer)
+                self.crashes.handle_reports(message)
 
     def _handle_decision(
         self, link: PeerLink, message: messages.Decision
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/crash_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/crash_exchange.py
@@ -2,9 +2,8 @@
 
 Each instance meets a call for itself, but the targets are those of all, so
 all have to stop within seconds. Evidence goes over all links at once and, in
-a fleet that is no full mesh, on from there to those who have not sent it
-meanwhile. A peer that knows better answers the sender alone. An instance that
-starts asks for what is known.
+a fleet that is no full mesh, on from there. An instance that starts asks for
+what is known.
 """
 
 from collections.abc import Callable
@@ -19,7 +18,6 @@
 from lagoonbend.crashes import describe_carrier
 from lagoonbend.crashes import SoundCarrier
 from lagoonbend_entry._internal.coordination import messages
-from lagoonbend_entry._internal.coordination.held_reports import HeldReports
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
@@ -27,10 +25,6 @@
 BATCH_INTERVAL_S = 0.05
 """Minimum time between two batches; the first item after a pause is sent at
 once."""
-FORWARD_DELAY_S = 0.03
-"""Time before evidence of a peer is passed on. A decider of a large fleet has
-links to all instances, which get the evidence from it before they would pass
-it on; what a peer has sent by then isn't sent back to it."""
 MAX_BATCH = 256
 """Items of a kind in one batch. The rest of a larger number is dropped: when
 so many targets end at once, the calls are not the cause."""
@@ -67,7 +61,6 @@
         self._sound: dict[tuple[str, str], SoundCarrier] = {}
         self._answered: dict[tuple[str, str], int] = {}
         self._has_outgoing = gevent.event.Event()
-        self._held = HeldReports()
 
     def start(self) -> gevent.Greenlet:
         """Start to send evidence in batches; return the greenlet of that."""
@@ -106,18 +99,15 @@
         self._send(peer, messages.CrashReports([], [], wants_all=True))
 
     def handle_reports(
-        self, message: messages.CrashReports, peer: str = ''
+        self, message: messages.CrashReports
     ) -> messages.Message | None:
-        """Use the evidence of a peer; return the answer to it, if any.
-
-        :param peer: the sender.
-        """
+        """Use the evidence of a peer; return the answer that it wants."""
         now_ms = self._clock.now_ms()
-        reported_sound = [
+        cleared = self._clear(
             SoundCarrier(item.service, item.carrier, now_ms - item.age_ms)
             for item in message.sound
-        ]
-        reported_crashes = [
+        )
+        added, sound = self._add(
             CrashEvidence(
                 item.service,
                 item.carrier,
@@ -126,36 +116,23 @@
                 item.run_ms,
             )
             for item in message.crashes
-        ]
-        cleared = self._clear(reported_sound)
-        added, sound = self._add(reported_crashes)
-        answered = {
-            (item.service, item.life): now_ms - item.age_ms
-            for item in message.answered
-        }
-        not_ended = {
-            life: sent_ms
-            for life, sent_ms in answered.items()
-            if self.suspects.record_answered(*life, sent_ms)
-        }
-        self._held.record_sender(
-            peer, reported_crashes, reported_sound, answered
         )
-        if self._forwards() and self._held.add(
-            peer, added, cleared, not_ended
-        ):
-            gevent.spawn_later(FORWARD_DELAY_S, self._send_held)
-        # The sender doesn't know that answers have begun to calls with these
-        # carriers, or that these targets have not ended.
-        refuted = {
-            (item.service, item.life): sent_ms
-            for item in reported_crashes
-            if (sent_ms := self.suspects.find_answer_ms(item)) is not None
-        }
-        evidence = self.suspects.list_evidence() if message.wants_all else ()
-        if not (message.wants_all or sound or refuted):
+        for item in message.answered:
+            sent_ms = now_ms - item.age_ms
+            if (
+                self.suspects.record_answered(item.service, item.life, sent_ms)
+                and self._forwards()
+            ):
+                self._answered[item.service, item.life] = sent_ms
+                self._has_outgoing.set()
+        # The sender doesn't know that an answer has begun.
+        self._queue_sound(sound)
+        if self._forwards():
+            self._queue_crashes(added)
+            self._queue_sound(cleared)
+        if not message.wants_all:
             return None
-        return self._encode(evidence, sound, refuted.items())
+        return self._encode(self.suspects.list_evidence(), [])
 
     def _add(
         self, evidence: Iterable[CrashEvidence]
@@ -216,37 +193,18 @@
         self._crashes.clear()
         self._sound.clear()
         self._answered.clear()
-        message = self._encode(crashes, sound, answered)
+        message = self._encode(crashes, sound)
+        now_ms = self._clock.now_ms()
+        message.answered = [
+            messages.WireAnswered(service, life, now_ms - sent_ms)
+            for (service, life), sent_ms in answered
+        ]
         for peer in self._list_receivers():
             self._send(peer, message)
         gevent.sleep(BATCH_INTERVAL_S)
 
-    def _send_held(self) -> None:
-        """Pass on what peers have sent, to those who don't have all of it."""
-        held = self._held
-        self._held = HeldReports()
-        held.drop_spread()
-        # Targets may have answered meanwhile.
-        crashes = [
-            item
-            for item in held.crashes.values()
-            if item.life
-            in self.suspects.list_lives(item.service, item.carrier)
-        ]
-        message = self._encode(
-            crashes[:MAX_BATCH],
-            list(held.sound.values())[:MAX_BATCH],
-            list(held.answered.items())[:MAX_BATCH],
-        )
-        for peer in self._list_receivers():
-            if not held.was_all_sent_by(peer):
-                self._send(peer, message)
-
     def _encode(
-        self,
-        crashes: Iterable[CrashEvidence],
-        sound: Iterable[SoundCarrier],
-        answered: Iterable[tuple[tuple[str, str], int]] = (),
+        self, crashes: Iterable[CrashEvidence], sound: Iterable[SoundCarrier]
     ) -> messages.CrashReports:
         now_ms = self._clock.now_ms()
         return messages.CrashReports(
@@ -266,8 +224,4 @@
                 )
                 for item in sound
             ],
-            answered=[
-                messages.WireAnswered(service, life, now_ms - sent_ms)
-                for (service, life), sent_ms in answered
-            ],
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -159,7 +159,7 @@
                     self._named_limits, message, self._clock.now_ms()
                 )
             case messages.CrashReports():
-                answer = self._crashes.handle_reports(message, peer)
+                answer = self._crashes.handle_reports(message)
                 if answer is not None:
                     channel.send(answer)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/crash_guard.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/crash_guard.py
@@ -62,9 +62,10 @@
         :param sent_ms: when the call was sent to it.
         """
         self._exchange.record_begun(call.service, list_carriers(call))
-        self._exchange.record_answered(
-            target.service, name_life(target), sent_ms
-        )
+        if self._exchange.suspects:
+            self._exchange.record_answered(
+                target.service, name_life(target), sent_ms
+            )
 
     def record_ended(
         self, target: ListedTarget, calls: list[LostCall]
--- a/packages/lagoonbend/src/lagoonbend/_internal/crashes/crash_suspect.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/crashes/crash_suspect.py
@@ -86,7 +86,7 @@
         :returns: False if there is no such end.
         """
         end = self._ends.get(life)
-        if end is None or not is_refuted(end, sent_ms):
+        if end is None or not 0 < sent_ms - end.ended_ms <= MAX_REVIVAL_MS:
             return False
         del self._ends[life]
         return True
@@ -125,11 +125,3 @@
             and end.run_ms is not None
             and end.ended_ms - end.run_ms >= before_ms
         )
-
-
-def is_refuted(end: CrashEvidence, sent_ms: int) -> bool:
-    """Return True if a target can't have ended since it has answered.
-
-    :param sent_ms: when the request was sent that it has answered.
-    """
-    return 0 < sent_ms - end.ended_ms <= MAX_REVIVAL_MS
--- a/packages/lagoonbend/src/lagoonbend/_internal/crashes/crash_suspects.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/crashes/crash_suspects.py
@@ -7,22 +7,17 @@
 from lagoonbend._internal.crashes.carrier_kind import find_kind
 from lagoonbend._internal.crashes.crash_evidence import CrashEvidence
 from lagoonbend._internal.crashes.crash_suspect import CrashSuspect
-from lagoonbend._internal.crashes.crash_suspect import is_refuted
 from lagoonbend._internal.crashes.sound_carrier import SoundCarrier
 from lagoonbend._internal.utils.clock import Clock
 
 REPEAT_LIMIT = 2
 """Ends of targets from which on a call that was there isn't repeated."""
 MAX_SUSPECTS = 1_024
-MAX_LIVES = 2_048
-"""Several times the 600 targets of the largest fleet."""
 MAX_SOUND_CARRIERS = 8_192
 """Bounds on the memory, about 2 MB. The users' calls have up to six carriers;
 an instance of the target size begins 3.3 answers a second."""
 
 CarrierKey = tuple[str, str]
-LifeKey = tuple[str, str]
-"""Service, and name of a target with its start."""
 
 
 class CrashSuspects:
@@ -43,7 +38,6 @@
         self._clock = clock
         self._suspects: dict[CarrierKey, CrashSuspect] = {}
         self._begun_ms: dict[CarrierKey, int] = {}
-        self._answered_ms: dict[LifeKey, int] = {}
 
     def __len__(self) -> int:
         return len(self._suspects)
@@ -51,15 +45,10 @@
     def record_crashes(
         self, evidence: Iterable[CrashEvidence]
     ) -> tuple[list[CrashEvidence], list[SoundCarrier]]:
-        """Add evidence; return what was new, and what is known to be sound.
-
-        Ends of targets that have answered a later request don't count.
-        """
+        """Add evidence; return what was new, and what is known to be sound."""
         added: list[CrashEvidence] = []
         sound: list[SoundCarrier] = []
         for item in evidence:
-            if self.find_answer_ms(item) is not None:
-                continue
             key = (item.service, item.carrier)
             kind = find_kind(item.carrier)
             begun_ms = self._begun_ms.get(key)
@@ -102,11 +91,6 @@
         :param sent_ms: when the request was sent, on this instance's clock.
         :returns: False if there is no evidence that the target has ended.
         """
-        life_key = (service, life)
-        known_ms = self._answered_ms.pop(life_key, sent_ms)
-        self._answered_ms[life_key] = max(known_ms, sent_ms)
-        if len(self._answered_ms) > MAX_LIVES:
-            del self._answered_ms[next(iter(self._answered_ms))]
         has_changed = False
         for key, suspect in list(self._suspects.items()):
             if key[0] == service and suspect.remove(life, sent_ms):
@@ -115,16 +99,6 @@
                     del self._suspects[key]
         return has_changed
 
-    def find_answer_ms(self, item: CrashEvidence) -> int | None:
-        """Return when a request was sent that the target has answered since.
-
-        :returns: None if it has answered none that was sent after its end.
-        """
-        sent_ms = self._answered_ms.get((item.service, item.life))
-        if sent_ms is None or not is_refuted(item, sent_ms):
-            return None
-        return sent_ms
-
     def check_carriers(
         self,
         service: str,
--- a/tests/unit/test_spread_of_crash_evidence.py
+++ b/tests/unit/test_spread_of_crash_evidence.py
@@ -109,7 +109,7 @@
         self.byte_count += len(msgspec.msgpack.encode(message))
         assert isinstance(message, messages.CrashReports)
         self.report_count += len(message.crashes) + len(message.sound)
-        answer = self.exchanges[address].handle_reports(message, sender)
+        answer = self.exchanges[address].handle_reports(message)
         if answer is not None:
             gevent.spawn(self.deliver, address, sender, answer)
         return True
