Ask another peer when one hands a call back

Callers of instances that reach no target got the refusal of a peer that reached none either: nearly all of its failure domain was cut, it was asked first, and its refusal was final although it says that the call hasn't run. At 78 instances with 38 of 39 of a domain cut, 44 of 178 calls that were handed over ended with a 503 of such a peer.

A refusal now says whether it concerns the refusing instance alone (no target reached, facts too old, no configuration, about to stop). The sender then asks another peer, of another domain first, and doesn't ask that one again for two seconds. A peer that knows that it reaches no target says so at once, without connections of 0.4 s each. Peers of the own domain get no more calls of cut instances than they have themselves. The mark of a call says whether its sender understands this, so builds before get what they know.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -22,13 +22,13 @@
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.coordination import crash_exchange
 from lagoonbend_entry._internal.coordination import facts_exchange
+from lagoonbend_entry._internal.coordination import handover_candidates
 from lagoonbend_entry._internal.coordination import limit_reports
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import origin_exchange
 from lagoonbend_entry._internal.coordination import wire_codec
 from lagoonbend_entry._internal.coordination.deciders import Deciders
 from lagoonbend_entry._internal.coordination.fleet import Fleet
-from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
 from lagoonbend_entry._internal.coordination.peer_link import PeerLink
 from lagoonbend_entry._internal.coordination.peer_links import PeerLinks
 from lagoonbend_entry._internal.coordination.peer_service import PeerService
@@ -340,9 +340,11 @@
         """Return True if this instance grants the trials of a carrier."""
         return self._fleet.grants_trials(carrier)
 
-    def list_handover_peers(self, service: str) -> list[Heartbeat]:
+    def find_handover_candidates(
+        self, service: str
+    ) -> handover_candidates.HandoverCandidates:
         """Return the peers that may run calls of a service for this one."""
-        return self._fleet.list_handover_peers(service)
+        return self._fleet.find_handover_candidates(service)
 
     def add_peers(self, addresses: list[str]) -> None:
         """Add addresses of peers."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -11,6 +11,7 @@
 from lagoonbend.rendezvous import choose_by_rendezvous
 from lagoonbend.rendezvous import score_candidate
 from lagoonbend.scheduling import Pool
+from lagoonbend_entry._internal.coordination import handover_candidates
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
 from lagoonbend_entry._internal.coordination.membership import MembershipView
@@ -297,15 +298,23 @@
             if heartbeat.is_direct and heartbeat.reads_reports
         ]
 
-    def list_handover_peers(self, service: str) -> list[Heartbeat]:
+    def find_handover_candidates(
+        self, service: str
+    ) -> handover_candidates.HandoverCandidates:
         """Return the peers that may run calls of a service for this one."""
-        return [
+        accepting = [
             heartbeat
             for heartbeat in self.list_alive()
-            if heartbeat.callers_endpoint
-            and not heartbeat.is_leaving
-            and service not in heartbeat.unreached
+            if heartbeat.callers_endpoint and not heartbeat.is_leaving
         ]
+        return handover_candidates.HandoverCandidates(
+            [peer for peer in accepting if service not in peer.unreached],
+            sum(
+                service in peer.unreached
+                and peer.failure_domain == self.failure_domain
+                for peer in accepting
+            ),
+        )
 
     def reads_reports(self, address: str) -> bool:
         """Return True if a peer understands reports."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -42,6 +42,7 @@
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
 from lagoonbend_entry._internal.gateway.handover import Handover
+from lagoonbend_entry._internal.gateway.handover_peers import HandoverPeers
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.limit_recorder import LimitRecorder
 from lagoonbend_entry._internal.gateway.lost_call import LostCall
@@ -161,13 +162,16 @@
             lambda service: len(facts.target_directory.list_service(service)),
         )
         self._handover = Handover(
-            coordinator.list_handover_peers,
-            instance[1],
+            HandoverPeers(
+                coordinator.find_handover_candidates,
+                instance[1],
+                clock,
+                random.Random(),
+            ),
             connection_pool,
             closed_targets,
             clock,
             self._body_memory,
-            random.Random(),
         )
         self._limit_recorder = LimitRecorder(
             coordinator.named_limits, clock, coordinator.report_limit
@@ -275,6 +279,9 @@
             result = self._handover.serve(progress, reply, retry_share)
             if result.is_final:
                 return result.refusal
+        if self._must_hand_back(call):
+            progress.failure = 'no target of the service is reached'
+            return self._build_not_sent_refusal(progress)
         retry_share.record_request()
         if call.route.is_streaming and call.headers.last_event:
             progress.binding = self._resumed_streams.find(call)
@@ -348,7 +355,12 @@
                     RefusalReason.MAY_HAVE_RUN,
                     gateway_refusal.DEFAULT_RETRY_AFTER_MS,
                 )
-            if step is NextStep.REFUSE_NOT_RUN:
+            is_handed_back = (
+                call.headers.may_hand_back
+                and report.outcome is AttemptOutcome.NOT_CONNECTED
+                and not progress.may_have_run
+            )
+            if step is NextStep.REFUSE_NOT_RUN or is_handed_back:
                 return self._build_not_sent_refusal(progress)
 
     def _must_hand_over(self, call: AdmittedCall) -> bool:
@@ -361,6 +373,12 @@
             and not call.headers.is_handed_over
         )
 
+    def _must_hand_back(self, call: AdmittedCall) -> bool:
+        """Return True if another instance should run a call of a peer."""
+        return call.headers.may_hand_back and self.reachability.is_unreached(
+            call.service
+        )
+
     def _open_attempt(
         self,
         progress: CallProgress,
@@ -831,7 +849,9 @@
     ) -> None:
         reason = refusal.reason
         headers = refusal_headers.encode_refusal_headers(
-            request.header_map, refusal.retry_after_ms
+            request.header_map,
+            refusal.retry_after_ms,
+            concerns_instance=reason.concerns_instance,
         )
         body = msgspec.json.encode({'reason': reason.label})
         reply.send_answer(reason.status, b'', headers, body)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -1,8 +1,5 @@
 """Lets peers run the calls whose targets this instance doesn't reach."""
 
-from collections.abc import Callable
-import random
-
 from lagoonbend.clock import Clock
 from lagoonbend.facts import ListedTarget
 from lagoonbend.outcomes import AttemptOutcome
@@ -16,6 +13,7 @@
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
+from lagoonbend_entry._internal.gateway.handover_peers import HandoverPeers
 from lagoonbend_entry._internal.gateway.handover_result import HandoverResult
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
 from lagoonbend_entry._internal.gateway.peer_attempt import PeerAttempt
@@ -26,8 +24,6 @@
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 
-MAX_PEERS = 3
-"""Peers to which connections are tried for one call."""
 ANSWERED = (AttemptOutcome.WHOLE_ANSWER, AttemptOutcome.ERROR_ANSWER)
 """Outcomes with an answer to relay, or one that has been relayed."""
 MAY_HAVE_RUN = HandoverResult(
@@ -41,32 +37,26 @@
 class Handover:
     """Hands calls over to peers that reach the targets.
 
-    :param list_peers: returns the peers that may run calls of a service.
-    :param failure_domain: failure domain of this instance.
+    :param peers: chooses the peers to ask.
     :param connection_pool: open connections, those to peers among them.
     :param closed_targets: targets that get no requests.
     :param clock: clock of the instance.
     :param body_memory: memory of the instance for buffered bodies.
-    :param random_source: spreads the calls over the peers.
     """
 
     def __init__(
         self,
-        list_peers: Callable[[str], list[Heartbeat]],
-        failure_domain: str,
+        peers: HandoverPeers,
         connection_pool: ConnectionPool,
         closed_targets: ClosedTargets,
         clock: Clock,
         body_memory: BodyMemory,
-        random_source: random.Random,
     ) -> None:
-        self._list_peers = list_peers
-        self._failure_domain = failure_domain
+        self._peers = peers
         self._connection_pool = connection_pool
         self._closed_targets = closed_targets
         self._clock = clock
         self._body_memory = body_memory
-        self._random_source = random_source
 
     def serve(
         self,
@@ -129,34 +119,29 @@
     ) -> AttemptReport | None:
         """Let a peer run a call, and relay a stream that it answers with.
 
-        :returns: the result; None if no peer could be asked.
+        :returns: the result; None if no peer accepts the call.
         """
-        for peer in self._choose_peers(progress.call.service):
+        service = progress.call.service
+        for peer in self._peers.choose(service):
             report = self._run_at(peer, progress, reply)
+            is_handed_back = _is_handed_back(report)
             log_event(
                 Event.CALL_HANDED_OVER,
                 request=progress.call.headers.attempt,
-                service=progress.call.service,
+                service=service,
                 peer=peer.address,
                 failure_domain=peer.failure_domain,
-                end=report.outcome.label,
+                end='handed_back' if is_handed_back else report.outcome.label,
                 detail=report.detail,
                 first_ms=report.first_byte_ms,
                 peer_age_ms=self._clock.now_ms() - peer.last_seen_ms,
             )
-            if report.outcome is not AttemptOutcome.NOT_CONNECTED:
+            if is_handed_back:
+                self._peers.record_handed_back(peer.address, service)
+            elif report.outcome is not AttemptOutcome.NOT_CONNECTED:
                 return report
         return None
 
-    def _choose_peers(self, service: str) -> list[Heartbeat]:
-        """Return peers in random order, those of the own domain first."""
-        peers = self._list_peers(service)
-        self._random_source.shuffle(peers)
-        peers.sort(
-            key=lambda peer: peer.failure_domain != self._failure_domain
-        )
-        return peers[:MAX_PEERS]
-
     def _run_at(
         self, peer: Heartbeat, progress: CallProgress, reply: ReplyWriter
     ) -> AttemptReport:
@@ -190,3 +175,14 @@
             search.cancel()
             if attempt.is_sent:
                 progress.send_count += 1
+
+
+def _is_handed_back(report: AttemptReport) -> bool:
+    """Return True if a peer has not run a call, but another one may."""
+    answer = report.answer
+    return (
+        answer is not None
+        and answer_headers.decode_answer_headers(
+            answer.status, answer.header_map
+        ).is_handed_back
+    )
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover_peers.py
@@ -0,0 +1,76 @@
+"""Chooses the peers that are asked to run calls for this instance."""
+
+from collections.abc import Callable
+import random
+
+from lagoonbend.clock import Clock
+from lagoonbend_entry._internal.coordination import handover_candidates
+from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
+
+MAX_PEERS = 4
+"""Peers that are asked for one call."""
+HANDED_BACK_MS = 2_000
+"""Time for which a peer that has handed back a call of a service gets no other
+one. Its pongs, at most a second apart, tell of its state later on."""
+
+
+class HandoverPeers:
+    """Chooses peers, and remembers those that have handed a call back.
+
+    Peers of the own failure domain come first, as bytes between domains are
+    dear, but only as far as each of them gets no more calls of cut instances
+    than it has itself.
+
+    :param find_candidates: returns the peers that may run calls of a service.
+    :param failure_domain: failure domain of this instance.
+    :param clock: clock of the instance.
+    :param random_source: spreads the calls over the peers.
+    """
+
+    def __init__(
+        self,
+        find_candidates: Callable[
+            [str], handover_candidates.HandoverCandidates
+        ],
+        failure_domain: str,
+        clock: Clock,
+        random_source: random.Random,
+    ) -> None:
+        self._find_candidates = find_candidates
+        self._failure_domain = failure_domain
+        self._clock = clock
+        self._random_source = random_source
+        self._avoided_until_ms: dict[tuple[str, str], int] = {}
+
+    def record_handed_back(self, address: str, service: str) -> None:
+        """Record that a peer can't run a call of a service."""
+        now_ms = self._clock.now_ms()
+        self._avoided_until_ms = {
+            key: until_ms
+            for key, until_ms in self._avoided_until_ms.items()
+            if until_ms > now_ms
+        }
+        self._avoided_until_ms[address, service] = now_ms + HANDED_BACK_MS
+
+    def choose(self, service: str) -> list[Heartbeat]:
+        """Return the peers to ask for a call, in order."""
+        now_ms = self._clock.now_ms()
+        candidates = self._find_candidates(service)
+        own: list[Heartbeat] = []
+        others: list[Heartbeat] = []
+        unreached_count = 1 + candidates.unreached_count
+        for peer in candidates.reaching:
+            is_own = peer.failure_domain == self._failure_domain
+            key = peer.address, service
+            if self._avoided_until_ms.get(key, 0) > now_ms:
+                unreached_count += is_own
+            else:
+                (own if is_own else others).append(peer)
+        self._random_source.shuffle(own)
+        self._random_source.shuffle(others)
+        if self._random_source.random() * unreached_count < len(own):
+            # One that hands the call back leaves doubts about its domain.
+            peers = [*own[:1], *others, *own[1:]]
+        else:
+            peers = [*others, *own]
+        return peers[:MAX_PEERS]
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_reason.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_reason.py
@@ -31,3 +31,13 @@
     def __init__(self, label: str, status: int) -> None:
         self.label = label
         self.status = status
+
+    @property
+    def concerns_instance(self) -> bool:
+        """True if another instance may serve the call, which has not run."""
+        return self in (
+            RefusalReason.NOT_CONFIGURED,
+            RefusalReason.FACTS_TOO_OLD,
+            RefusalReason.STOPPING,
+            RefusalReason.NOT_SENT,
+        )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
@@ -45,6 +45,8 @@
     :param last_event: identity of the last event of that stream that the
         caller has received; empty if it has received none.
     :param is_handed_over: True if another instance hands the call over.
+    :param may_hand_back: True if that instance asks another one when the call
+        is handed back.
     """
 
     attempt: str
@@ -58,6 +60,7 @@
     continued_attempt: str = ''
     last_event: str = ''
     is_handed_over: bool = False
+    may_hand_back: bool = False
 
     @property
     def shared_prompt(self) -> tuple[PromptBlock, ...]:
@@ -91,6 +94,8 @@
         continued_attempt=headers.get(names.HEADER_RESUMES, ''),
         last_event=headers.get(names.HEADER_LAST_EVENT, ''),
         is_handed_over=names.HEADER_HANDED_OVER in headers,
+        may_hand_back=headers.get(names.HEADER_HANDED_OVER)
+        == names.HANDED_OVER_VALUE,
     )
 
 
@@ -157,7 +162,7 @@
         if name.lower() not in dropped_names:
             yield name, value
     yield 'Deadline-Ms', str(max(1, deadline_ms))
-    yield 'Lagoonbend-Handed-Over', '1'
+    yield 'Lagoonbend-Handed-Over', names.HANDED_OVER_VALUE
     if last_event is not None:
         yield 'Resumes', continued_attempt
         yield 'Last-Event-Id', last_event
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -30,7 +30,12 @@
 HEADER_STORE_ERA = 'store-era'
 HEADER_HANDED_OVER = 'lagoonbend-handed-over'
 """Not of the users' platform: marks a call that an instance hands over to
-another one, which must not hand it over again."""
+another one, which must not hand it over again. The value is 2 if the sender
+understands a call that is handed back; earlier versions send 1."""
+HANDED_OVER_VALUE = '2'
+HEADER_HANDED_BACK = 'lagoonbend-handed-back'
+"""Not of the users' platform: marks a refusal of a call that was handed over,
+for a reason that concerns the refusing instance alone."""
 
 HEADERS_SET_BY_INSTANCES = frozenset(
     (
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/refusal_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/refusal_headers.py
@@ -8,7 +8,10 @@
 
 
 def encode_refusal_headers(
-    header_map: Mapping[str, str], retry_after_ms: int | None
+    header_map: Mapping[str, str],
+    retry_after_ms: int | None,
+    *,
+    concerns_instance: bool = False,
 ) -> list[tuple[str, str]]:
     """Return the headers of an error answer that doesn't come from a target.
 
@@ -17,6 +20,8 @@
     :param retry_after_ms: time after which the caller may retry; None if a
         retry is of no use. Sent with milliseconds, as the platform's callers
         accept fractions of a second.
+    :param concerns_instance: True if another instance may serve the call; a
+        call that was handed over is handed back then.
     """
     headers = [('Content-Type', 'application/json')]
     attempt = header_map.get(names.HEADER_ATTEMPT)
@@ -25,4 +30,7 @@
     if retry_after_ms is not None:
         seconds = retry_after_ms / MILLISECONDS_PER_SECOND
         headers.append(('Retry-After', f'{seconds:.3f}'))
+    mark = header_map.get(names.HEADER_HANDED_OVER)
+    if concerns_instance and mark == names.HANDED_OVER_VALUE:
+        headers.append(('Lagoonbend-Handed-Back', '1'))
     return headers
--- a/tests/unit/test_handover_answers.py
+++ b/tests/unit/test_handover_answers.py
@@ -4,7 +4,6 @@
 against an answer that is written into the middle of a stream.
 """
 
-import random
 import unittest
 from unittest import mock
 
@@ -31,12 +30,10 @@
         """Return the result, and the writer of the caller's answer."""
         handover = Handover(
             mock.Mock(),
-            'domain',
             mock.Mock(),
             mock.Mock(),
             PausedClock(1_000),
             mock.Mock(),
-            random.Random(25),
         )
         answer = Answer()
         answer.status = status
--- /dev/null
+++ b/tests/unit/test_handover_peers.py
@@ -0,0 +1,167 @@
+"""Which peers run the calls of an instance that reaches no target.
+
+Pattern of load: nearly all instances of a failure domain are cut off from all
+targets, and most of them don't know it yet.
+"""
+
+import random
+import unittest
+
+from lagoonbend.clock import PausedClock
+from lagoonbend_entry._internal.coordination.fleet import Fleet
+from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
+from lagoonbend_entry._internal.coordination.messages import Pong
+from lagoonbend_entry._internal.gateway import handover_peers
+from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
+from lagoonbend_entry._internal.platform import answer_headers
+from lagoonbend_entry._internal.platform import call_headers
+from lagoonbend_entry._internal.platform import refusal_headers
+
+SERVICE = 'desk'
+OWN_DOMAIN = 'd0'
+OTHER_DOMAIN = 'd1'
+CALL_COUNT = 400
+
+
+class HandoverPeersTest(unittest.TestCase):
+    """An instance of one of two failure domains, with its peers' pongs."""
+
+    def setUp(self) -> None:
+        """Create an instance without peers."""
+        self.clock = PausedClock(1_000)
+        self.fleet = Fleet('own:1', OWN_DOMAIN, [], self.clock)
+        self.peers = handover_peers.HandoverPeers(
+            self.fleet.find_handover_candidates,
+            OWN_DOMAIN,
+            self.clock,
+            random.Random(34),
+        )
+
+    def add_peers(
+        self, domain: str, count: int, *, unreached: bool = False
+    ) -> None:
+        """Add instances of a failure domain that have answered a ping."""
+        for number in range(count):
+            address = f'{domain}-{unreached}-{number}:1'
+            self.fleet.record_pong(
+                Pong(
+                    self.clock.now_ms(),
+                    address,
+                    domain,
+                    'x',
+                    9_000,
+                    False,
+                    [],
+                    [],
+                    0,
+                    None,
+                    {},
+                    callers_endpoint=address,
+                    unreached=[SERVICE] if unreached else [],
+                )
+            )
+
+    def choose(self) -> list[Heartbeat]:
+        """Return the peers that would be asked for a call."""
+        return self.peers.choose(SERVICE)
+
+    def measure_own_share(self) -> float:
+        """Return the share of calls that a peer of the own domain gets."""
+        chosen = [self.choose()[0] for _ in range(CALL_COUNT)]
+        own = [p for p in chosen if p.failure_domain == OWN_DOMAIN]
+        return len(own) / len(chosen)
+
+    def test_own_domain_comes_first_while_it_is_sound(self) -> None:
+        """Two of its instances are cut, this one among them."""
+        self.add_peers(OWN_DOMAIN, 3)
+        self.add_peers(OWN_DOMAIN, 1, unreached=True)
+        self.add_peers(OTHER_DOMAIN, 5)
+        self.assertEqual(1.0, self.measure_own_share())
+
+    # Guards against the last sound instances of a failure domain, which get
+    # the calls of all others of it.
+    def test_few_sound_instances_of_a_domain_get_a_share(self) -> None:
+        """One of five, with the instance itself, reaches the service."""
+        self.add_peers(OWN_DOMAIN, 1)
+        self.add_peers(OWN_DOMAIN, 3, unreached=True)
+        self.add_peers(OTHER_DOMAIN, 5)
+        self.assertAlmostEqual(0.25, self.measure_own_share(), delta=0.08)
+
+    # Guards against calls that are lost at peers which are cut as well and
+    # don't report it yet: one after another of the own domain is asked.
+    def test_other_domain_follows_a_call_that_is_handed_back(self) -> None:
+        """Within one call, and for the calls of the next two seconds."""
+        self.add_peers(OWN_DOMAIN, 6)
+        self.add_peers(OTHER_DOMAIN, 2)
+        first, second = self.choose()[:2]
+        self.assertEqual(
+            (OWN_DOMAIN, OTHER_DOMAIN),
+            (first.failure_domain, second.failure_domain),
+        )
+        self.peers.record_handed_back(first.address, SERVICE)
+        asked = {peer.address for _ in range(50) for peer in self.choose()}
+        self.assertNotIn(first.address, asked)
+        self.assertIn(first, self.peers.choose('chat'))
+        self.clock.advance(handover_peers.HANDED_BACK_MS)
+        self.add_peers(OWN_DOMAIN, 6)
+        asked = {peer.address for _ in range(50) for peer in self.choose()}
+        self.assertIn(first.address, asked)
+
+    def is_handed_back(
+        self, reason: RefusalReason, mark: dict[str, str]
+    ) -> bool:
+        """Return True if the sender of a call asks another peer."""
+        headers = refusal_headers.encode_refusal_headers(
+            mark, 100, concerns_instance=reason.concerns_instance
+        )
+        header_map = {name.lower(): value for name, value in headers}
+        return answer_headers.decode_answer_headers(
+            reason.status, header_map
+        ).is_handed_back
+
+    def test_only_refusals_that_concern_the_peer_are_handed_back(self) -> None:
+        """A limit or the load of the targets concerns all instances."""
+        mark = {
+            name.lower(): value
+            for name, value in call_headers.encode_handover_headers(
+                [],
+                [],
+                deadline_ms=500,
+                continued_attempt='',
+                last_event=None,
+            )
+        }
+        self.assertTrue(call_headers.decode_call_headers(mark).may_hand_back)
+        handed_back = {
+            reason
+            for reason in RefusalReason
+            if self.is_handed_back(reason, mark)
+        }
+        self.assertEqual(
+            {
+                RefusalReason.NOT_CONFIGURED,
+                RefusalReason.FACTS_TOO_OLD,
+                RefusalReason.STOPPING,
+                RefusalReason.NOT_SENT,
+            },
+            handed_back,
+        )
+        self.assertEqual({503}, {reason.status for reason in handed_back})
+
+    # Guards against an instance of the version before, which relays a call
+    # that is handed back as a refusal.
+    def test_sender_of_the_version_before_gets_no_call_back(self) -> None:
+        """Nor does a caller."""
+        for mark in ({'lagoonbend-handed-over': '1'}, {}):
+            self.assertFalse(self.is_handed_back(RefusalReason.NOT_SENT, mark))
+            decoded = call_headers.decode_call_headers(mark)
+            self.assertFalse(decoded.may_hand_back)
+
+    # Guards against an answer of a target that is taken for a refusal.
+    def test_signed_answer_is_not_handed_back(self) -> None:
+        """A target may send any header."""
+        self.assertFalse(
+            answer_headers.decode_answer_headers(
+                503, {'lagoonbend-handed-back': '1', 'server-stamp': 's'}
+            ).is_handed_back
+        )
