Check links as soon as there is a sign that they are cut

Callers of an instance that reaches no target paid for what it learned: it needed two failed connections of each service, 0.4 s each, so at 0.6 requests a second and service some instances learned of a cut after nine seconds or never, and a caller with 663 ms got nothing at all. An answer on a connection from before the cut took the mark away again.

Now one sign leads to a check at once: two connections to targets of the service. Signs are a failed connection, a call on an open connection without a byte for a second, the first report of a peer, and a call that a peer hands over. A service that turns out to be unreached leads to a check of all others. Only connections that are opened after a failure take it back. A call whose target could not be connected to waits 50 ms for the check and goes to a peer if it hasn't ended; its target is not reported while the check runs, since that would take it from all instances. Right after a cut peers of other domains come first, and an instance without targets pings four of them.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -49,6 +49,9 @@
 that keeps failing does not collect calls."""
 GOSSIP_PEERS = 6
 """Instances that each instance of a larger fleet pings for gossip."""
+HANDOVER_LINKS = 4
+"""Instances of other failure domains that an instance of a larger fleet pings
+while it reaches no target of a service."""
 STORE_READERS_PER_DOMAIN = 2
 """Instances of a failure domain that read the platform's store all the time;
 the others learn of changes from them."""
@@ -69,7 +72,8 @@
     An instance is alive, or within reach, while its last heartbeat is recent.
     A direct heartbeat is a pong to this instance; a relayed one is passed on
     in the pong of another instance. ``list_unreached`` returns the services
-    of which this instance reaches no target.
+    of which this instance reaches no target; ``on_unreached`` is called with a
+    service of which another one has just reported that.
 
     :param address: own address for peers.
     :param failure_domain: own domain.
@@ -90,6 +94,7 @@
         self.address = address
         self.callers_endpoint = callers_endpoint
         self.list_unreached: Callable[[], list[str]] = list
+        self.on_unreached: Callable[[str], None] = _ignore_service
         self.failure_domain = failure_domain
         self._clock = clock
         self._started_ms = clock.now_ms()
@@ -127,6 +132,8 @@
         self._last_known_ms[pong.address] = self._clock.now_ms()
         self._unreachable_until_ms.pop(pong.address, None)
         self._domains[pong.address] = pong.failure_domain
+        previous = self._heartbeats.get(pong.address)
+        known_unreached = previous.unreached if previous else frozenset()
         self._record_heartbeat(
             Heartbeat(
                 pong.address,
@@ -143,6 +150,8 @@
             )
         )
         self._record_relayed(pong.rumours)
+        for service in set(pong.unreached) - known_unreached:
+            self.on_unreached(service)
 
     def record_ping(
         self, address: str, failure_domain: str, uptime_ms: int
@@ -198,9 +207,24 @@
         if shares_origins:
             for group in self._list_keeper_groups():
                 selected.update(group)
+        if self.list_unreached():
+            selected.update(self._list_handover_links())
         selected.discard(self.address)
         return selected
 
+    def _list_handover_links(self) -> list[str]:
+        """Return peers of other domains that may run calls for this one.
+
+        All peers of the own domain may be cut off from the targets as well.
+        """
+        others = [
+            address
+            for address in self._sort_by_score(self.address)
+            if self._domains.get(address, self.failure_domain)
+            != self.failure_domain
+        ]
+        return others[:HANDOVER_LINKS]
+
     def list_alive(self) -> tuple[Heartbeat, ...]:
         """Return the last heartbeats of all peers within reach."""
         return self._get_view().alive
@@ -545,3 +569,7 @@
             if now_ms - last_known_ms < MEMBER_EXPIRY_MS
             and self._unreachable_until_ms.get(address, 0) <= now_ms
         ]
+
+
+def _ignore_service(service: str) -> None:
+    """Do nothing while nobody checks links."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -65,6 +65,8 @@
 
     ``has_answered`` is True once an event, or a whole answer, has arrived from
     this target. ``sent_ms`` is the time at which the call was sent; 0 before.
+    ``connected_ms`` is the time at which its connection was opened for it; 0
+    if it uses one that was open before.
 
     :param call: admitted call.
     :param target: target to send it to.
@@ -113,10 +115,22 @@
         self._on_head = on_head
         self._connection: target_connection.TargetConnection | None = None
         self.sent_ms = 0
+        self.connected_ms = 0
         self._last_read_ms = 0
         self._first_byte_ms = 0
         self._asks_for_pause = False
 
+    @property
+    def silent_since_ms(self) -> int | None:
+        """When the call was sent, if nothing has arrived in return.
+
+        None if a new connection was opened for it, which proves the link.
+        """
+        is_silent = (
+            self.is_sent and not self._first_byte_ms and not self.connected_ms
+        )
+        return self.sent_ms if is_silent else None
+
     def begin(self, wait_ms: int) -> AttemptReport | None:
         """Send the call, and wait for a rejection.
 
@@ -153,6 +167,8 @@
                     error, target_error.TargetAbsentError
                 ),
             )
+        if not self._connection.request_count:
+            self.connected_ms = self._clock.now_ms()
         # The request is sent at once if this returns None.
         if self._closed_targets.is_closed(self._target):
             self.close()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -1,6 +1,7 @@
 """Handles a caller's request from receipt to the final answer."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import functools
 import random
@@ -53,7 +54,6 @@
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.resumed_streams import ResumedStreams
 from lagoonbend_entry._internal.gateway.slot_outcomes import NOT_REACHED
-from lagoonbend_entry._internal.gateway.slot_outcomes import REJECTED
 from lagoonbend_entry._internal.gateway.slot_outcomes import SLOT_OUTCOMES
 from lagoonbend_entry._internal.gateway.slot_requests import CALLER_PATIENCE_MS
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
@@ -62,6 +62,15 @@
 from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 from lagoonbend_entry._internal.utils.interrupt import Interrupt
 
+LINK_CHECK_MS = 50
+"""Time for which a call whose target could not be connected to waits for the
+check of the links. Sound ones answer within a few milliseconds."""
+HANDED_OVER_DOUBT_MS = 1_000
+"""Age from which a new connection to a target of a service no longer proves
+the links, while peers hand over calls of it."""
+SILENCE_MS = 1_000
+"""Time without any byte on a connection that was open before, after which the
+links are checked; a sound target may pause for as long."""
 HANDOVER_MS = 200
 """Time for which a silent target keeps a call after it has been sent to
 another one. A target that is full rejects a call at once; the platform allows
@@ -164,6 +173,7 @@
         self._handover = Handover(
             HandoverPeers(
                 coordinator.find_handover_candidates,
+                self.reachability.find_unreached_since_ms,
                 instance[1],
                 clock,
                 random.Random(),
@@ -279,6 +289,11 @@
             result = self._handover.serve(progress, reply, retry_share)
             if result.is_final:
                 return result.refusal
+        if call.headers.is_handed_over:
+            # What a peer doesn't reach may be cut off from here, too.
+            self.reachability.doubt(
+                call.service, self._clock.now_ms() - HANDED_OVER_DOUBT_MS
+            )
         if self._must_hand_back(call):
             progress.failure = 'no target of the service is reached'
             return self._build_not_sent_refusal(progress)
@@ -316,10 +331,11 @@
         if self._clock.now_ms() + MIN_ATTEMPT_MS >= call.expires_at_ms:
             progress.failure = 'no time left'
             return GatewayRefusal.from_deadline(progress)
+        report: AttemptReport | None = None
         while True:
             opened: OpenAttempt | AttemptReport | None = search.take()
             if opened is None:
-                if progress.attempt_count and self._must_hand_over(call):
+                if report is not None and self._must_hand_over(call, report):
                     result = self._handover.serve(progress, reply, retry_share)
                     if result.is_final:
                         return result.refusal
@@ -363,15 +379,22 @@
             if step is NextStep.REFUSE_NOT_RUN or is_handed_back:
                 return self._build_not_sent_refusal(progress)
 
-    def _must_hand_over(self, call: AdmittedCall) -> bool:
+    def _must_hand_over(
+        self, call: AdmittedCall, report: AttemptReport | None = None
+    ) -> bool:
         """Return True if a peer should run a call.
 
         One that a peer has handed over is handed over no further.
+
+        :param report: the last attempt; None before the first one.
         """
-        return (
-            self.reachability.is_unreached(call.service)
-            and not call.headers.is_handed_over
+        service = call.service
+        is_concerned = self.reachability.is_unreached(service) or (
+            report is not None
+            and report.outcome is AttemptOutcome.NOT_CONNECTED
+            and self.reachability.is_doubtful(service)
         )
+        return is_concerned and not call.headers.is_handed_over
 
     def _must_hand_back(self, call: AdmittedCall) -> bool:
         """Return True if another instance should run a call of a peer."""
@@ -469,29 +492,43 @@
         if not reply.has_begun:
             self._resumed_streams.record(progress.call, progress.version)
         report: AttemptReport | None = None
+        progress.attempt = opened.attempt
         try:
             report = opened.attempt.run()._replace(
                 target=progress.target,
                 is_sent=opened.attempt.is_sent,
                 has_answered=opened.attempt.has_answered,
             )
-            self._record_reached(opened.target, report)
+            self._record_link(opened, report)
             if report.is_lost_unanswered:
                 self._check_target(progress, opened)
             return report
         finally:
+            progress.attempt = None
             if not search.has_found:
                 search.cancel()
             self._bind_stream(progress, reply)
             self._close_attempt(progress, opened, report)
 
-    def _record_reached(
-        self, target: ListedTarget, report: AttemptReport
-    ) -> None:
+    def _record_link(self, opened: OpenAttempt, report: AttemptReport) -> None:
+        """Record whether a new connection to a target could be opened."""
+        target = opened.target
         if report.outcome is AttemptOutcome.NOT_CONNECTED:
             self.reachability.record_failed(target)
-        elif report.first_byte_ms or report.outcome in REJECTED:
-            self.reachability.record_reached(target)
+            self.reachability.wait_for_check(target.service, LINK_CHECK_MS)
+        elif opened.attempt.connected_ms:
+            self.reachability.record_reached(
+                target, opened.attempt.connected_ms
+            )
+
+    def find_silent(self) -> Iterator[tuple[str, int]]:
+        """Yield the services of calls at silent targets, and since when."""
+        now_ms = self._clock.now_ms()
+        for progress in self._active_calls:
+            attempt = progress.attempt
+            since_ms = attempt.silent_since_ms if attempt else None
+            if since_ms is not None and now_ms - since_ms >= SILENCE_MS:
+                yield progress.call.service, since_ms
 
     def _check_target(
         self, progress: CallProgress, opened: OpenAttempt
@@ -540,7 +577,7 @@
                 progress.may_have_run = True
         progress.first_byte_ms = progress.first_byte_ms or first_byte_ms
         is_own_concern = slot_outcome in NOT_REACHED and (
-            self.reachability.is_unreached(target.service)
+            self.reachability.is_doubtful(target.service)
         )
         if is_own_concern or (report is not None and report.asks_for_pause):
             # The other instances go on using the target as before.
@@ -587,6 +624,8 @@
             if has_paid:
                 report = opened.attempt.begin(HANDOVER_MS)
                 is_accepted = report is None
+                if report is not None:
+                    self._record_link(opened, report)
         finally:
             if has_paid and not opened.attempt.is_sent:
                 retry_share.pay_back()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -3,6 +3,7 @@
 from lagoonbend.facts import VersionBinding
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
+from lagoonbend_entry._internal.gateway.attempt import Attempt
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
 from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
@@ -18,7 +19,8 @@
     ``excluded`` lists the targets not to be tried again. ``target`` and
     ``version`` are those of the current attempt; ``binding`` is the version
     to which a stream that has begun is bound. ``successor`` is an attempt that
-    was opened while the target was silent. ``is_charged`` is set once a slot
+    was opened while the target was silent, ``attempt`` the one that runs.
+    ``is_charged`` is set once a slot
     has been granted, which takes the call's units from its customer's limit.
     ``has_paid_retry`` is True while a retry has been taken from the budget and
     not been sent.
@@ -44,6 +46,7 @@
         self.version: str | None = None
         self.binding: VersionBinding | None = None
         self.successor: OpenAttempt | None = None
+        self.attempt: Attempt | None = None
         self.is_charged = False
         self.has_paid_retry = False
         self.attempt_count = 0
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -149,10 +149,15 @@
         )
         reachability = self._call_handler.reachability
         self._fleet.list_unreached = lambda: reachability.unreached_services
+        self._fleet.on_unreached = lambda service: reachability.doubt(
+            service, self._clock.now_ms()
+        )
         self._link_probe = LinkProbe(
             reachability,
             self._facts,
+            self._clock,
             target_connection.TargetConnection.connect,
+            self._call_handler.find_silent,
         )
 
     @classmethod
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover_peers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover_peers.py
@@ -12,6 +12,9 @@
 HANDED_BACK_MS = 2_000
 """Time for which a peer that has handed back a call of a service gets no other
 one. Its pongs, at most a second apart, tell of its state later on."""
+SETTLE_MS = 1_500
+"""Time after which a peer whose links are cut has learned of it, by the pong of
+another instance and a check of its own."""
 
 
 class HandoverPeers:
@@ -19,9 +22,12 @@
 
     Peers of the own failure domain come first, as bytes between domains are
     dear, but only as far as each of them gets no more calls of cut instances
-    than it has itself.
+    than it has itself. Right after a cut they come last, since a cut often
+    concerns a domain.
 
     :param find_candidates: returns the peers that may run calls of a service.
+    :param find_unreached_since_ms: returns since when no target of a service
+        is reached; None if that isn't known yet.
     :param failure_domain: failure domain of this instance.
     :param clock: clock of the instance.
     :param random_source: spreads the calls over the peers.
@@ -32,11 +38,13 @@
         find_candidates: Callable[
             [str], handover_candidates.HandoverCandidates
         ],
+        find_unreached_since_ms: Callable[[str], int | None],
         failure_domain: str,
         clock: Clock,
         random_source: random.Random,
     ) -> None:
         self._find_candidates = find_candidates
+        self._find_unreached_since_ms = find_unreached_since_ms
         self._failure_domain = failure_domain
         self._clock = clock
         self._random_source = random_source
@@ -68,7 +76,10 @@
                 (own if is_own else others).append(peer)
         self._random_source.shuffle(own)
         self._random_source.shuffle(others)
-        if self._random_source.random() * unreached_count < len(own):
+        since_ms = self._find_unreached_since_ms(service)
+        is_settled = since_ms is not None and now_ms - since_ms >= SETTLE_MS
+        own_share = len(own) / unreached_count if is_settled else 0.0
+        if self._random_source.random() < own_share:
             # One that hands the call back leaves doubts about its domain.
             peers = [*own[:1], *others, *own[1:]]
         else:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/link_probe.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/link_probe.py
@@ -1,54 +1,130 @@
-"""Finds out when targets can be reached again."""
+"""Finds out whether targets can be reached."""
 
 from collections.abc import Callable
-import itertools
+from collections.abc import Iterable
+import random
 
 import gevent
+import gevent.event
 
+from lagoonbend.clock import Clock
+from lagoonbend.facts import ListedTarget
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.reachability import Reachability
 from lagoonbend_entry._internal.gateway.target_error import NotConnectedError
+from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 
-INTERVAL_S = 1.0
+INTERVAL_MS = 1_000
 """Time between two probes of a service, whose calls peers run meanwhile."""
+POLL_S = 0.25
+"""Interval at which calls are looked for that wait for an answer."""
 TIMEOUT_MS = 400
 """Time for a connection, as for those of calls."""
+CHECKED_TARGETS = 2
+"""Targets to which connections are opened to check the links of a service."""
 
 Connect = Callable[[tuple[str, int], int], target_connection.TargetConnection]
 
 
 class LinkProbe:
-    """Tries a connection to a target of each service that isn't reached.
+    """Tries connections to targets of services that may not be reached.
+
+    A service in doubt is checked at once, and one that isn't reached once a
+    second. If one service isn't reached, all others are in doubt.
 
     :param reachability: which services are not reached.
     :param facts: target list as last read.
+    :param clock: clock of the instance.
     :param connect: opens a connection to an address within a time in
         milliseconds.
+    :param find_silent: returns the services whose targets are silent, and
+        since when.
     """
 
     def __init__(
-        self, reachability: Reachability, facts: FactsCache, connect: Connect
+        self,
+        reachability: Reachability,
+        facts: FactsCache,
+        clock: Clock,
+        connect: Connect,
+        find_silent: Callable[[], Iterable[tuple[str, int]]],
     ) -> None:
         self._reachability = reachability
         self._facts = facts
+        self._clock = clock
         self._connect = connect
-        self._numbers = itertools.count()
+        self._find_silent = find_silent
+        self._random_source = random.Random()
+        self._unreached: set[str] = set()
+        self._probed_ms = 0
+        self._is_due = gevent.event.Event()
+        reachability.on_doubt = self._is_due.set
 
     def run(self) -> None:
-        """Wait, then try one target of each such service."""
-        gevent.sleep(INTERVAL_S)
-        for service in self._reachability.unreached_services:
-            self._probe(service)
+        """Wait, then begin the checks and probes that are due."""
+        self._is_due.wait(POLL_S)
+        self._is_due.clear()
+        self.begin_due()
+
+    def begin_due(self) -> list[gevent.Greenlet]:
+        """Begin the checks and probes that are due, and return them."""
+        for service, since_ms in self._find_silent():
+            self._reachability.doubt(service, since_ms)
+        self._doubt_others()
+        greenlets = [
+            gevent.spawn(self._check, service)
+            for service in self._reachability.take_due_checks()
+        ]
+        now_ms = self._clock.now_ms()
+        if now_ms - self._probed_ms >= INTERVAL_MS:
+            self._probed_ms = now_ms
+            greenlets.extend(
+                gevent.spawn(self._try_targets, service, 1)
+                for service in self._reachability.unreached_services
+            )
+        return greenlets
 
-    def _probe(self, service: str) -> None:
+    def _doubt_others(self) -> None:
+        """Doubt all services once one of them isn't reached any more."""
+        unreached = set(self._reachability.unreached_services)
+        has_new = bool(unreached - self._unreached)
+        self._unreached = unreached
+        if has_new and self._facts.rules is not None:
+            for service in self._facts.rules.services:
+                self._reachability.doubt(service, self._clock.now_ms())
+
+    def _check(self, service: str) -> None:
+        try:
+            self._try_targets(service, CHECKED_TARGETS)
+        except Exception as error:
+            log_failure('link check', error)
+        finally:
+            self._reachability.end_check(service)
+
+    def _try_targets(self, service: str, count: int) -> None:
+        """Connect to some targets at once, and record the result.
+
+        Targets to which a connection has just failed come last.
+        """
         targets = self._facts.target_directory.list_service(service)
-        if not targets:
-            return
-        target = targets[next(self._numbers) % len(targets)]
+        failed = self._reachability.list_failed(service)
+        chosen = sorted(
+            self._random_source.sample(targets, len(targets)),
+            key=lambda target: target.target in failed,
+        )[:count]
+        greenlets = [gevent.spawn(self._try_target, t) for t in chosen]
+        gevent.joinall(greenlets)
+        if not any(greenlet.value for greenlet in greenlets):
+            for target in chosen:
+                self._reachability.record_failed(target)
+
+    def _try_target(self, target: ListedTarget) -> bool:
+        """Return True if a target accepts a connection."""
         try:
             connection = self._connect((target.ip, target.port), TIMEOUT_MS)
         except NotConnectedError:
-            return
+            return False
         connection.close()
-        self._reachability.record_reached(target)
+        self._reachability.record_reached(target, self._clock.now_ms())
+        return True
--- a/tests/functional/test_unreachable_targets.py
+++ b/tests/functional/test_unreachable_targets.py
@@ -8,6 +8,9 @@
 import time
 import unittest
 
+import gevent
+
+from lagoonbend_devkit._internal.fleet.http import exchange
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from lagoonbend_devkit._internal.gateway.link_cut import CutKind
 from tests.lib.first_tries import FirstTries
@@ -19,6 +22,9 @@
 """Bound ``stable-window-ms`` of the users."""
 JUDGED_S = 5.0
 INTERVAL_S = 0.03
+CUT_S = 0.1
+"""Time for a cut to begin at the processes."""
+SHORT_DEADLINE_MS = 663
 MIN_SHARE = 2 / 3
 """The users' rule RECOVER: share of the first tries that are served at cut
 instances, of the share at the others."""
@@ -87,6 +93,27 @@
         """Open connections carry nothing, and new ones time out."""
         self.assert_served_everywhere(CutKind.SILENT)
 
+    # Guards against callers with little time, who are refused until several
+    # of them have waited for connections.
+    def test_first_call_after_a_cut_is_served(self) -> None:
+        """Half of its time is gone with the first connection."""
+        for instance in CUT_INSTANCES:
+            self.fleet.cut_links(instance, CutKind.HANG)
+        gevent.sleep(CUT_S)
+        for route in ('look-up', 'booking', 'stream', 'once-stream'):
+            answer = exchange(
+                self.fleet.callers_port(CUT_INSTANCES[0]),
+                'POST',
+                f'/{route}/x',
+                body=b'body',
+                headers={
+                    **gateway_fleet.build_call_headers(f'first-{route}'),
+                    'Deadline-Ms': str(SHORT_DEADLINE_MS),
+                },
+                timeout_s=8.0,
+            )
+            self.assertEqual((200, route), (answer.status, route))
+
     # Guards against callers of sound instances that are refused, since targets
     # are taken for gone which a cut instance doesn't reach.
     def test_targets_that_one_instance_does_not_reach_stay_in_use(
--- a/tests/unit/test_handover_peers.py
+++ b/tests/unit/test_handover_peers.py
@@ -28,10 +28,12 @@
 
     def setUp(self) -> None:
         """Create an instance without peers."""
-        self.clock = PausedClock(1_000)
+        self.clock = PausedClock(1_000 + handover_peers.SETTLE_MS)
+        self.unreached_since_ms: int | None = 1_000
         self.fleet = Fleet('own:1', OWN_DOMAIN, [], self.clock)
         self.peers = handover_peers.HandoverPeers(
             self.fleet.find_handover_candidates,
+            lambda service: self.unreached_since_ms,
             OWN_DOMAIN,
             self.clock,
             random.Random(34),
@@ -78,6 +80,21 @@
         self.add_peers(OTHER_DOMAIN, 5)
         self.assertEqual(1.0, self.measure_own_share())
 
+    # Guards against calls that wait at peers of the own domain which have been
+    # cut at the same moment and don't know it yet.
+    def test_other_domain_comes_first_right_after_a_cut(self) -> None:
+        """The own one follows, if there is no other."""
+        self.add_peers(OWN_DOMAIN, 5)
+        for since_ms in (None, 1_001):
+            self.unreached_since_ms = since_ms
+            self.assertEqual(OWN_DOMAIN, self.choose()[0].failure_domain)
+        self.add_peers(OTHER_DOMAIN, 1)
+        for since_ms in (None, 1_001):
+            self.unreached_since_ms = since_ms
+            self.assertEqual(0.0, self.measure_own_share())
+        self.unreached_since_ms = 1_000
+        self.assertEqual(1.0, self.measure_own_share())
+
     # Guards against the last sound instances of a failure domain, which get
     # the calls of all others of it.
     def test_few_sound_instances_of_a_domain_get_a_share(self) -> None:
--- a/tests/unit/test_reachability.py
+++ b/tests/unit/test_reachability.py
@@ -32,8 +32,9 @@
     def setUp(self) -> None:
         """Create notes without a failure."""
         self.target_count = 3
+        self.clock = PausedClock(1_000)
         self.reachability = Reachability(
-            PausedClock(1_000), lambda service: self.target_count
+            self.clock, lambda service: self.target_count
         )
 
     def fail_connections(self, *numbers: int) -> None:
@@ -53,10 +54,26 @@
     def test_answer_in_between_is_a_link(self) -> None:
         """Two targets have failed, with an answer of another between."""
         self.fail_connections(1)
-        self.reachability.record_reached(build_target(3))
+        self.reachability.record_reached(build_target(3), self.clock.now_ms())
         self.fail_connections(2)
         self.assertFalse(self.reachability.is_unreached(SERVICE))
 
+    # Guards against a cut that is forgotten again and again, as answers still
+    # arrive on connections which were opened before it.
+    def test_connection_from_before_the_cut_is_no_link(self) -> None:
+        """One that was opened after it is."""
+        before_ms = self.clock.now_ms()
+        self.clock.advance(10)
+        self.fail_connections(1)
+        self.reachability.record_reached(build_target(3), before_ms)
+        self.fail_connections(2)
+        self.assertTrue(self.reachability.is_unreached(SERVICE))
+        self.reachability.record_reached(build_target(3), before_ms)
+        self.assertTrue(self.reachability.is_unreached(SERVICE))
+        self.clock.advance(10)
+        self.reachability.record_reached(build_target(3), self.clock.now_ms())
+        self.assertFalse(self.reachability.is_unreached(SERVICE))
+
     # Guards against a service with one target, whose cut is never noticed.
     def test_only_target_suffices(self) -> None:
         """There is no second one that could fail."""
@@ -69,7 +86,9 @@
         """Its targets have not failed."""
         self.fail_connections(1, 2)
         self.assertFalse(self.reachability.is_unreached('other'))
-        self.reachability.record_reached(build_target(1, 'other'))
+        self.reachability.record_reached(
+            build_target(1, 'other'), self.clock.now_ms()
+        )
         self.assertTrue(self.reachability.is_unreached(SERVICE))
 
     def release(self, outcome: AttemptOutcome, *, absent: bool) -> SlotOutcome:
