--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -2,12 +2,10 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-import contextlib
 import functools
 import random
 
 import gevent
-import msgspec
 
 from lagoonbend.clock import Clock
 from lagoonbend.crashes import is_request
@@ -42,6 +40,8 @@
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
+from lagoonbend_entry._internal.gateway.grant_check import GrantCheck
+from lagoonbend_entry._internal.gateway.grant_check import UnusableGrant
 from lagoonbend_entry._internal.gateway.handover import Handover
 from lagoonbend_entry._internal.gateway.handover_peers import HandoverPeers
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
@@ -51,6 +51,8 @@
 from lagoonbend_entry._internal.gateway.prompt_survey import PromptSurvey
 from lagoonbend_entry._internal.gateway.reachability import Reachability
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
+from lagoonbend_entry._internal.gateway.refusal_sender import send_refusal
+from lagoonbend_entry._internal.gateway.refusal_sender import try_to_refuse
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.resumed_streams import ResumedStreams
 from lagoonbend_entry._internal.gateway.slot_outcomes import NOT_REACHED
@@ -58,7 +60,6 @@
 from lagoonbend_entry._internal.gateway.slot_requests import CALLER_PATIENCE_MS
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
-from lagoonbend_entry._internal.platform import refusal_headers
 from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 from lagoonbend_entry._internal.utils.interrupt import Interrupt
 
@@ -164,6 +165,9 @@
         self._crash_guard = crash_guard.CrashGuard(
             coordinator.crashes, coordinator.grants_trials
         )
+        self._grant_check = GrantCheck(
+            facts, closed_targets, self._crash_guard
+        )
         self._ended_targets.on_ended.append(self._crash_guard.record_ended)
         coordinator.crashes.on_blocked.append(self._end_blocked_calls)
         self.reachability = Reachability(
@@ -219,7 +223,7 @@
             log_failure('call', error)
             if not reply.has_begun:
                 refusal = GatewayRefusal(RefusalReason.INTERNAL)
-                self._send_refusal(request, reply, refusal)
+                send_refusal(request, reply, refusal)
 
     def _serve(self, request: IncomingRequest, reply: ReplyWriter) -> None:
         admitted = self._admission.admit(request)
@@ -273,7 +277,7 @@
             if refusal is not None:
                 outcome = refusal.reason.label
             if refusal is not None and not reply.has_begun:
-                self._refuse(progress, reply, refusal)
+                try_to_refuse(admitted.request, reply, refusal)
             elif refusal is not None:
                 outcome = 'stream_broken'
                 self._call_log.record_unanswered(progress, progress.failure)
@@ -411,52 +415,12 @@
         search: SuccessorSearch[OpenAttempt],
     ) -> OpenAttempt | AttemptReport:
         """Return the attempt for a granted slot, or why there is none."""
-        target = self._facts.target_directory.find(decision.target)
-        if target is None or target.service != progress.call.service:
-            # Of two instances, either can have the newer list.
-            is_gone = self._facts.target_directory.has_listed(decision.target)
-            self._coordinator.release(
-                request,
-                decision.target,
-                SlotOutcome.GONE if is_gone else SlotOutcome.UNSUITED,
-                0,
-            )
-            return AttemptReport(
-                AttemptOutcome.NOT_CONNECTED,
-                target=decision.target,
-                detail='target not listed for the service',
-                is_target_absent=True,
-            )
-        if progress.binding and not progress.binding.allows(target):
+        target = self._grant_check.check(progress, decision.target)
+        if isinstance(target, UnusableGrant):
             self._coordinator.release(
-                request, decision.target, SlotOutcome.UNSUITED, 0
-            )
-            return AttemptReport(
-                AttemptOutcome.WRONG_TARGET,
-                target=decision.target,
-                detail='target has another software version',
-            )
-        if self._closed_targets.is_closed(target):
-            # The slot was granted before the target said so.
-            self._coordinator.release(
-                request, decision.target, SlotOutcome.UNSUITED, 0
-            )
-            return AttemptReport(
-                AttemptOutcome.WRONG_TARGET,
-                target=decision.target,
-                detail='target takes no requests',
-                is_target_closed=True,
-            )
-        if self._crash_guard.check(progress.call) is not None:
-            # It has been blocked since the slot was requested.
-            self._coordinator.release(
-                request, decision.target, SlotOutcome.UNSUITED, 0
-            )
-            return AttemptReport(
-                AttemptOutcome.WRONG_TARGET,
-                target=decision.target,
-                detail='call blocked',
+                request, decision.target, target.slot_outcome, 0
             )
+            return target.report
         attempt = Attempt(
             progress.call,
             target,
@@ -869,28 +833,4 @@
         if reason is RefusalReason.STOPPING:
             retry_after_ms = gateway_refusal.STOPPING_RETRY_AFTER_MS
         self._call_log.record_not_admitted(request, reason)
-        self._send_refusal(
-            request, reply, GatewayRefusal(reason, retry_after_ms)
-        )
-
-    def _refuse(
-        self,
-        progress: CallProgress,
-        reply: ReplyWriter,
-        refusal: GatewayRefusal,
-    ) -> None:
-        with contextlib.suppress(CallerGoneError):
-            self._send_refusal(progress.call.request, reply, refusal)
-
-    @staticmethod
-    def _send_refusal(
-        request: IncomingRequest, reply: ReplyWriter, refusal: GatewayRefusal
-    ) -> None:
-        reason = refusal.reason
-        headers = refusal_headers.encode_refusal_headers(
-            request.header_map,
-            refusal.retry_after_ms,
-            concerns_instance=reason.concerns_instance,
-        )
-        body = msgspec.json.encode({'reason': reason.label})
-        reply.send_answer(reason.status, b'', headers, body)
+        send_refusal(request, reply, GatewayRefusal(reason, retry_after_ms))
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover_peers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover_peers.py
@@ -13,7 +13,7 @@
 """Time for which a peer that has handed back a call of a service gets no other
 one. Its pongs, at most a second apart, tell of its state later on."""
 SETTLE_MS = 1_500
-"""Time after which a peer whose links are cut has learned of it, by the pong of
+"""Time after which a peer whose links are cut has learned of it, by a pong of
 another instance and a check of its own."""
 
 
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_sender.py
@@ -0,0 +1,36 @@
+"""Answers requests that an instance refuses."""
+
+import contextlib
+
+import msgspec
+
+from lagoonbend.exceptions import CallerGoneError
+from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
+from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
+from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
+from lagoonbend_entry._internal.platform import refusal_headers
+
+
+def send_refusal(
+    request: IncomingRequest, reply: ReplyWriter, refusal: GatewayRefusal
+) -> None:
+    """Answer a request with a refusal.
+
+    :raises CallerGoneError: if the caller has closed the connection.
+    """
+    reason = refusal.reason
+    headers = refusal_headers.encode_refusal_headers(
+        request.header_map,
+        refusal.retry_after_ms,
+        concerns_instance=reason.concerns_instance,
+    )
+    body = msgspec.json.encode({'reason': reason.label})
+    reply.send_answer(reason.status, b'', headers, body)
+
+
+def try_to_refuse(
+    request: IncomingRequest, reply: ReplyWriter, refusal: GatewayRefusal
+) -> None:
+    """Answer a request with a refusal, unless its caller has gone."""
+    with contextlib.suppress(CallerGoneError):
+        send_refusal(request, reply, refusal)
