Leave out entries of targets that can't be read

An entry that another writer leaves among those of the targets stopped all instances from following the list: a deeply nested one raised RecursionError, which is no DecodeError, in each read of it. A fresh instance never became ready, and calls got 503. An entry with a thousand million slots, a start beyond 64 bits or an identity that fits no header was used as it was: it would divide the service into millions of pools, break the messages to peers, or write lines into the head of a request.

Now a decoder has one error, and the directory reports it (LB0511) and uses all other entries. Slots, start, port and identity have ranges. tests.functional.test_odd_entries failed before (503 for a stream at an instance that read the entries) and passes.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -28,6 +28,8 @@
 MAX_CLOCK_ERROR_MS = 5_000
 """Difference between two clocks' times of day that is allowed for; the users'
 machines may jump by some seconds."""
+MAX_REASON_CHARACTERS = 400
+"""Length of an error about an entry that is logged."""
 REWRITE_MS = 2_000
 """Time after the return of a store from an older copy within which what its
 writers wrote is written again. Reads in this time don't prove that the facts
@@ -66,6 +68,7 @@
     ) -> None:
         self.item_cache = ItemCache()
         self.target_directory = TargetDirectory(decode_target)
+        self.target_directory.on_unreadable = _log_unreadable
         self.rules: RuleSet | None = None
         self.on_change: list[Callable[[], None]] = []
         self._clock = clock
@@ -369,3 +372,7 @@
     def _notify(self) -> None:
         for notify in self.on_change:
             notify()
+
+
+def _log_unreadable(error: DocumentError) -> None:
+    log_event(Event.ENTRY_REJECTED, reason=str(error)[:MAX_REASON_CHARACTERS])
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
@@ -1,14 +1,25 @@
 """Decodes the registration of a target."""
 
 import ipaddress
+import re
 
 import msgspec
 
+from lagoonbend.exceptions import DocumentError
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import PublishedItem
 from lagoonbend_entry._internal.platform import names
+from lagoonbend_entry._internal.utils.bounded_json import check_integer
+from lagoonbend_entry._internal.utils.bounded_json import decode_json
+from lagoonbend_entry._internal.utils.bounded_json import MAX_INTEGER
 
 MAX_PORT = 65_535
+MAX_SLOTS = 4_096
+"""Hundreds of times the slots of the users' servers. The slots of a service
+decide into how many pools it is divided."""
+NAME_PATTERN = re.compile(r'[!-~]{1,256}', re.ASCII)
+"""A target's identity is sent to it in a header."""
+PORT_PATTERN = re.compile(r'\d{1,5}', re.ASCII)
 
 
 class _Registration(msgspec.Struct):
@@ -24,25 +35,38 @@
 
 
 def decode_target(item: PublishedItem) -> ListedTarget | None:
-    """Return the target that an item registers; None if it isn't valid."""
+    """Return the target that an item registers.
+
+    :returns: None if the item was removed or is no registration.
+    :raises DocumentError: if the registration can't be used.
+    """
     if item.value is None or not item.key.startswith(names.TARGETS_PREFIX):
         return None
+    context = ascii(item.key)
+    entry = decode_json(item.value, _Registration, context=context)
     try:
-        entry = msgspec.json.decode(item.value, type=_Registration)
-        ip, _, port = entry.address.rpartition(':')
-        ipaddress.IPv4Address(ip)
-        is_valid = 0 < int(port) <= MAX_PORT and entry.slots > 0
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError):
-        return None
-    if not is_valid or entry.state not in names.TARGET_STATES:
-        return None
+        return _read_target(item.key, entry)
+    except ValueError as error:
+        raise DocumentError(str(error), context=context) from error
+
+
+def _read_target(key: str, entry: _Registration) -> ListedTarget:
+    name = key.removeprefix(names.TARGETS_PREFIX)
+    if not NAME_PATTERN.fullmatch(name):
+        raise ValueError('the identity is no printable ASCII text')
+    ip, _, port = entry.address.rpartition(':')
+    ipaddress.IPv4Address(ip)
+    if not PORT_PATTERN.fullmatch(port):
+        raise ValueError('the port is no number')
+    if entry.state not in names.TARGET_STATES:
+        raise ValueError(f'state {ascii(entry.state[:40])} is unknown')
     return ListedTarget(
-        target=item.key.removeprefix(names.TARGETS_PREFIX),
+        target=name,
         service=entry.service,
         ip=ip,
-        port=int(port),
+        port=check_integer(int(port), 1, MAX_PORT, 'the port'),
         failure_domain=entry.zone,
-        slots=entry.slots,
+        slots=check_integer(entry.slots, 1, MAX_SLOTS, 'the slots'),
         is_leaving=entry.state != 'ready',
         software_version=_read_version(entry.version),
         born_ms=_read_born(entry.born),
@@ -55,5 +79,5 @@
 
 def _read_born(value: object) -> int | None:
     if isinstance(value, int) and not isinstance(value, bool):
-        return value
+        return check_integer(value, 0, MAX_INTEGER, 'the start')
     return None
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/bounded_json.py
@@ -0,0 +1,40 @@
+"""Decodes JSON that any writer may have written."""
+
+from typing import TypeVar
+
+import msgspec
+
+from lagoonbend.exceptions import DocumentError
+
+MAX_INTEGER = 2**53 - 1
+"""Largest integer that all writers of JSON can express. Larger ones can't be
+passed on to peers, or be computed with as fractions."""
+
+Decoded = TypeVar('Decoded')
+
+
+def decode_json(
+    content: bytes, cls: type[Decoded], *, context: str
+) -> Decoded:
+    """Return what a JSON text says.
+
+    :param cls: type to decode to.
+    :param context: name of the text, for the error.
+    :raises DocumentError: if it isn't of the type, or is nested too deeply.
+    """
+    try:
+        return msgspec.json.decode(content, type=cls)
+    except (msgspec.DecodeError, ValueError, RecursionError) as error:
+        raise DocumentError(
+            f'cannot be decoded: {error}', context=context
+        ) from error
+
+
+def check_integer(value: int, minimum: int, maximum: int, name: str) -> int:
+    """Return an integer that is within its range.
+
+    :raises ValueError: if it isn't.
+    """
+    if not minimum <= value <= maximum:
+        raise ValueError(f'{name} is not from {minimum} to {maximum}')
+    return value
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -170,6 +170,11 @@
         'warning',
         'The store has come back from an older copy.',
     )
+    ENTRY_REJECTED = (
+        'LB0511',
+        'error',
+        "A published entry can't be read and is left out.",
+    )
     PEER_REACHED = ('LB0600', 'info', 'A peer answers.')
     PEER_LOST = ('LB0601', 'warning', 'The link to a peer is lost.')
     PEER_REJECTED = (
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from lagoonbend._internal.exceptions import DocumentError
 from lagoonbend._internal.facts.departures import Departures
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.published_item import NO_ERA
@@ -26,14 +27,17 @@
     An entry that is removed while the platform is available is dropped at
     once. One that is missing just after an outage may belong to a live target
     whose registration lapsed, and stays usable for ``LAPSE_GRACE_MS``. A later
-    era of the store doesn't undo that a target leaves or is gone.
+    era of the store doesn't undo that a target leaves or is gone. An
+    unreadable entry is no target; ``on_unreadable`` is called with the error.
 
-    :param decode: decodes an item; returns None if it describes no target.
+    :param decode: decodes an item; returns None if it describes no target, and
+        raises DocumentError if it can't be read.
     """
 
     def __init__(
         self, decode: Callable[[PublishedItem], ListedTarget | None]
     ) -> None:
+        self.on_unreadable: Callable[[DocumentError], None] = _ignore
         self._decode = decode
         self._targets: dict[str, ListedTarget] = {}
         self._by_service: dict[str, tuple[ListedTarget, ...]] = {}
@@ -177,7 +181,7 @@
     def _apply_item(self, item: PublishedItem, now_ms: int) -> None:
         name = item.key
         if item.value is not None:
-            target = self._decode(item)
+            target = self._read(item)
             self._end_lapse(name)
             if target is None:
                 self._returned_until_ms.pop(name, None)
@@ -205,6 +209,13 @@
             self._departures.record(name, known, item.era)
         del self._targets[name]
 
+    def _read(self, item: PublishedItem) -> ListedTarget | None:
+        try:
+            return self._decode(item)
+        except DocumentError as error:
+            self.on_unreadable(error)
+            return None
+
     def _end_lapse(self, name: str) -> None:
         self._lapsed_until_ms.pop(name, None)
         self._lapsed_eras.pop(name, None)
@@ -258,6 +269,10 @@
         }
 
 
+def _ignore(error: DocumentError) -> None:
+    """Do nothing with an unreadable entry."""
+
+
 def _pop_expired(until_ms: dict[str, int], now_ms: int) -> list[str]:
     expired = [name for name, end_ms in until_ms.items() if now_ms >= end_ms]
     for name in expired:
