Bound what decoders of documents return and raise

A nested or over-long value in an answer of the store, a configuration or a list of kept prompts raised RecursionError, which nothing handles but the guard of a loop that tries again for ever; one odd entry in an answer of the store made the whole answer unreadable, so that instances stopped following it; a version or a revision beyond 64 bits was used and couldn't be sent to peers; rates could be infinite, prefixes and hosts no text.

All documents are read by one function with one error. An entry that can't be read is left out and logged (LB0511), numbers have a range.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_sender.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_sender.py
@@ -8,6 +8,7 @@
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
+from lagoonbend_entry._internal.models import handover_mark
 from lagoonbend_entry._internal.platform import refusal_headers
 
 
@@ -20,10 +21,10 @@
     """
     reason = refusal.reason
     headers = refusal_headers.encode_refusal_headers(
-        request.header_map,
-        refusal.retry_after_ms,
-        concerns_instance=reason.concerns_instance,
+        request.header_map, refusal.retry_after_ms
     )
+    if reason.concerns_instance:
+        headers.extend(handover_mark.list_refusal_marks(request.header_map))
     body = msgspec.json.encode({'reason': reason.label})
     reply.send_answer(reason.status, b'', headers, body)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
@@ -6,10 +6,11 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import PlatformError
+from lagoonbend_entry._internal.gateway import facts_cache
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
-from lagoonbend_entry._internal.platform.store_client import HistoryLostError
+from lagoonbend_entry._internal.models.items_page import ItemsPage
+from lagoonbend_entry._internal.models.store_error import HistoryLostError
 from lagoonbend_entry._internal.platform.store_client import StoreClient
-from lagoonbend_entry._internal.platform.store_codec import ItemsPage
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
@@ -32,6 +33,8 @@
 reads the store itself."""
 READER_CHECK_INTERVAL_MS = 250
 """Interval at which an instance that isn't reading checks whether it must."""
+MAX_LOGGED_REJECTIONS = 5
+"""Entries of one answer that can't be read and are logged."""
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -92,6 +95,7 @@
         wait_ms = self._watch_wait_ms
         page = self._client.watch('', revision, wait_ms)
         _check_era(page, era)
+        _log_rejected(page)
         self._record_success()
         if page.era > era:
             # The revision has another meaning there; all is listed next.
@@ -115,6 +119,7 @@
 
     def _list_all(self, sent_ms: int, known_era: int) -> None:
         page = self._client.list_items('', '')
+        _log_rejected(page)
         era, revision = page.era, page.revision
         items = list(page.items)
         while page.has_more and page.items:
@@ -124,6 +129,7 @@
                     f'era {page.era} within a listing of era {era}',
                     context='platform service',
                 )
+            _log_rejected(page)
             items.extend(page.items)
         _check_era(page, max(known_era, self._client.newest_era))
         self._record_success()
@@ -170,5 +176,14 @@
         )
 
 
+def _log_rejected(page: ItemsPage) -> None:
+    for reason in page.rejected[:MAX_LOGGED_REJECTIONS]:
+        log_event(
+            Event.ENTRY_REJECTED,
+            reason=reason[: facts_cache.MAX_REASON_CHARACTERS],
+            rejected=len(page.rejected),
+        )
+
+
 def _sleep(span_ms: int) -> None:
     gevent.sleep(span_ms / MILLISECONDS_PER_SECOND)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
@@ -27,6 +27,14 @@
     return header_map.get(HEADER_HANDED_OVER) == HANDED_OVER_VALUE
 
 
+def list_refusal_marks(header_map: Mapping[str, str]) -> list[tuple[str, str]]:
+    """Return the headers of a refusal that hand a call back.
+
+    :param header_map: the call's headers.
+    """
+    return [(HEADER_HANDED_BACK, '1')] if may_hand_back(header_map) else []
+
+
 def is_handed_back(header_map: Mapping[str, str]) -> bool:
     """Return True if an answer that no target has signed hands a call back."""
     return HEADER_HANDED_BACK in header_map
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+from lagoonbend.exceptions import DocumentError
+from lagoonbend_entry._internal.utils import bounded
+
 
 class _WireBlock(NamedTuple):
     """An entry of the list; the first field has no meaning here."""
@@ -28,10 +31,13 @@
     :returns: None if the answer can't be read.
     """
     try:
-        answer = msgspec.json.decode(body, type=_WireKeptBlocks)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        answer = bounded.decode_json(
+            body, _WireKeptBlocks, context='kept blocks'
+        )
+    except DocumentError:
         return None
     kept: dict[str, int] = {}
     for block in answer.held:
-        kept[block.block_id] = max(block.tokens, kept.get(block.block_id, 0))
+        tokens = min(block.tokens, bounded.MAX_INTEGER)
+        kept[block.block_id] = max(tokens, kept.get(block.block_id, 0))
     return kept
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/refusal_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/refusal_headers.py
@@ -2,17 +2,13 @@
 
 from collections.abc import Mapping
 
-from lagoonbend_entry._internal.models import handover_mark
 from lagoonbend_entry._internal.platform import names
 
 MILLISECONDS_PER_SECOND = 1000
 
 
 def encode_refusal_headers(
-    header_map: Mapping[str, str],
-    retry_after_ms: int | None,
-    *,
-    concerns_instance: bool = False,
+    header_map: Mapping[str, str], retry_after_ms: int | None
 ) -> list[tuple[str, str]]:
     """Return the headers of an error answer that doesn't come from a target.
 
@@ -21,8 +17,6 @@
     :param retry_after_ms: time after which the caller may retry; None if a
         retry is of no use. Sent with milliseconds, as the platform's callers
         accept fractions of a second.
-    :param concerns_instance: True if another instance may serve the call; a
-        call that was handed over is handed back then.
     """
     headers = [('Content-Type', 'application/json')]
     attempt = header_map.get(names.HEADER_ATTEMPT)
@@ -31,6 +25,4 @@
     if retry_after_ms is not None:
         seconds = retry_after_ms / MILLISECONDS_PER_SECOND
         headers.append(('Retry-After', f'{seconds:.3f}'))
-    if concerns_instance and handover_mark.may_hand_back(header_map):
-        headers.append((handover_mark.HEADER_HANDED_BACK, '1'))
     return headers
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/rules_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/rules_codec.py
@@ -2,8 +2,6 @@
 
 from typing import Any
 
-import msgspec
-
 from lagoonbend.exceptions import DocumentError
 from lagoonbend.facts import CallerBounds
 from lagoonbend.facts import CustomerRule
@@ -12,6 +10,11 @@
 from lagoonbend.facts import ServiceProfile
 from lagoonbend.facts import WeightedService
 from lagoonbend_entry._internal.platform import names
+from lagoonbend_entry._internal.utils import bounded
+
+LOWEST_RANK = -bounded.MAX_INTEGER
+UNUSABLE = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
+"""What is raised by a value of another type or out of range."""
 
 
 def decode_rules(content: bytes) -> RuleSet:
@@ -20,9 +23,9 @@
     :raises DocumentError: if it can't be decoded.
     """
     try:
-        fields = msgspec.json.decode(content)
+        fields = bounded.decode_json(content, dict[str, Any], context='rules')
         return _read_rules(fields)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError) as error:
+    except UNUSABLE as error:
         raise DocumentError(
             f'{type(error).__name__}: {error}',
             context=names.RULES_KEY,
@@ -39,10 +42,10 @@
     for entry in fields.get('tenants') or ():
         rule = _read_customer(entry)
         for key in entry.get('api-keys') or ():
-            customers[key] = rule
+            customers[bounded.read_text(key)] = rule
     services = [_read_service(entry) for entry in fields['services']]
     return RuleSet(
-        int(fields['version']),
+        bounded.read_integer(fields['version']),
         {
             host: tuple(sorted(items, key=_get_sort_key))
             for host, items in routes.items()
@@ -64,18 +67,18 @@
     if kind not in names.ROUTE_KINDS:
         raise ValueError(f'route {entry["name"]} has unknown kind {kind!r}')
     return Route(
-        name=entry['name'],
-        host=entry['hostname'].lower(),
-        path_prefix=entry['prefix'],
+        name=bounded.read_text(entry['name']),
+        host=bounded.read_text(entry['hostname']).lower(),
+        path_prefix=bounded.read_text(entry['prefix']),
         services=_read_route_services(entry),
         is_idempotent=kind == 'safe',
         is_streaming=kind == 'streaming',
         is_resumable=bool(entry.get('resumable')),
-        timeout_ms=int(entry['timeout-ms']),
-        objective_ms=int(entry['target-latency-ms']),
-        gap_objective_ms=int(entry.get('gap-target-ms') or 0),
-        attempt_limit=max(1, int(entry['max-attempts'])),
-        rank=int(entry.get('priority') or 0),
+        timeout_ms=bounded.read_integer(entry['timeout-ms']),
+        objective_ms=bounded.read_integer(entry['target-latency-ms']),
+        gap_objective_ms=bounded.read_integer(entry.get('gap-target-ms')),
+        attempt_limit=max(1, bounded.read_integer(entry['max-attempts'])),
+        rank=bounded.read_integer(entry.get('priority'), LOWEST_RANK),
         is_public=bool(entry.get('public')),
     )
 
@@ -83,9 +86,12 @@
 def _read_route_services(entry: dict[str, Any]) -> tuple[WeightedService, ...]:
     shares = entry.get('weighted-services')
     if not shares:
-        return (WeightedService(entry['service'], 1.0),)
+        return (WeightedService(bounded.read_text(entry['service']), 1.0),)
     return tuple(
-        WeightedService(share['service'], float(share['weight']))
+        WeightedService(
+            bounded.read_text(share['service']),
+            bounded.read_fraction(share['weight']),
+        )
         for share in shares
     )
 
@@ -93,29 +99,29 @@
 def _read_service(entry: dict[str, Any]) -> ServiceProfile:
     engine = entry.get('engine')
     return ServiceProfile(
-        name=entry['name'],
-        connection_limit=int(entry.get('max-connections') or 0),
+        name=bounded.read_text(entry['name']),
+        connection_limit=bounded.read_integer(entry.get('max-connections')),
         is_engine=engine is not None,
-        memory_tokens=int((engine or {}).get('kv-capacity') or 0),
+        memory_tokens=bounded.read_integer((engine or {}).get('kv-capacity')),
     )
 
 
 def _read_customer(entry: dict[str, Any]) -> CustomerRule:
     rank = entry.get('priority')
     return CustomerRule(
-        name=entry['name'],
-        rank=None if rank is None else int(rank),
-        rate_per_s=float(entry.get('rate-per-s') or 0),
-        burst=float(entry.get('burst') or 0),
+        name=bounded.read_text(entry['name']),
+        rank=None if rank is None else bounded.read_integer(rank, LOWEST_RANK),
+        rate_per_s=bounded.read_fraction(entry.get('rate-per-s')),
+        burst=bounded.read_fraction(entry.get('burst')),
         counts_tokens=entry.get('unit') == names.TOKEN_UNIT,
-        default_tokens=int(entry.get('uncached-tokens') or 0),
+        default_tokens=bounded.read_integer(entry.get('uncached-tokens')),
     )
 
 
 def _read_bounds(limits: dict[str, Any]) -> CallerBounds:
     return CallerBounds(
-        header_bytes=int(limits['max-header-bytes']),
-        body_bytes=int(limits['max-body-bytes']),
-        header_timeout_ms=int(limits['header-timeout-ms']),
-        idle_timeout_ms=int(limits['idle-timeout-ms']),
+        header_bytes=bounded.read_integer(limits['max-header-bytes']),
+        body_bytes=bounded.read_integer(limits['max-body-bytes']),
+        header_timeout_ms=bounded.read_integer(limits['header-timeout-ms']),
+        idle_timeout_ms=bounded.read_integer(limits['idle-timeout-ms']),
     )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
@@ -9,11 +9,13 @@
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.target_connection import encode_request
+from lagoonbend_entry._internal.models.items_page import ItemsPage
+from lagoonbend_entry._internal.models.store_error import HistoryLostError
+from lagoonbend_entry._internal.models.store_error import PageTooLargeError
 from lagoonbend_entry._internal.platform import names
 from lagoonbend_entry._internal.platform.store_codec import decode_changes
 from lagoonbend_entry._internal.platform.store_codec import decode_era
 from lagoonbend_entry._internal.platform.store_codec import decode_listing
-from lagoonbend_entry._internal.platform.store_codec import ItemsPage
 
 HTTP_OK = 200
 HTTP_GONE = 410
@@ -27,14 +29,6 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
-class PageTooLargeError(PlatformError):
-    """An answer of the store exceeds its limit of bytes."""
-
-
-class HistoryLostError(PlatformError):
-    """The store no longer has the changes since a revision."""
-
-
 class StoreClient:
     """Lists and watches published items over one persistent connection.
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_codec.py
@@ -1,15 +1,17 @@
 """Decodes the answers of the platform's store."""
 
 import binascii
-from typing import NamedTuple
 from typing import TypeVar
 
 import msgspec
 
+from lagoonbend.exceptions import DocumentError
 from lagoonbend.exceptions import PlatformError
 from lagoonbend.facts import NO_ERA
 from lagoonbend.facts import PublishedItem
+from lagoonbend_entry._internal.models.items_page import ItemsPage
 from lagoonbend_entry._internal.platform import names
+from lagoonbend_entry._internal.utils import bounded
 
 MAX_ERA_DIGITS = 15
 
@@ -28,7 +30,7 @@
 class _RangeAnswer(msgspec.Struct, rename='kebab'):
     """A page of a listing; ``has-more`` is True if others follow."""
 
-    entries: list[_WireItem]
+    entries: list[msgspec.Raw]
     as_of: int
     has_more: bool = False
 
@@ -36,25 +38,10 @@
 class _WatchAnswer(msgspec.Struct, rename='kebab'):
     """Changes since a revision."""
 
-    events: list[_WireItem]
+    events: list[msgspec.Raw]
     as_of: int
 
 
-class ItemsPage(NamedTuple):
-    """Items in one answer of the store.
-
-    :param items: items in the order of the answer.
-    :param revision: revision of the store when it answered.
-    :param has_more: True if a listing continues after the last item.
-    :param era: era of the store when it answered.
-    """
-
-    items: tuple[PublishedItem, ...]
-    revision: int
-    has_more: bool
-    era: int
-
-
 def decode_era(header_map: dict[str, str]) -> int:
     """Return the era that an answer states; NO_ERA if there is none.
 
@@ -73,27 +60,41 @@
 def decode_listing(content: bytes, era: int) -> ItemsPage:
     """Return the items of a listing; raise PlatformError if unreadable."""
     answer = _decode(content, _RangeAnswer)
-    items = tuple(_read_item(item, era) for item in answer.entries)
-    return ItemsPage(items, answer.as_of, answer.has_more, era)
+    return _read_page(answer.entries, answer.as_of, answer.has_more, era)
 
 
 def decode_changes(content: bytes, era: int) -> ItemsPage:
     """Return the changes of a watch; raise PlatformError if unreadable."""
     answer = _decode(content, _WatchAnswer)
-    items = tuple(_read_item(item, era) for item in answer.events)
-    return ItemsPage(items, answer.as_of, False, era)
+    return _read_page(answer.events, answer.as_of, False, era)
 
 
 def _decode(content: bytes, cls: type[Answer]) -> Answer:
     try:
-        return msgspec.json.decode(content, type=cls)
-    except msgspec.DecodeError as error:
-        raise PlatformError(
-            f'cannot decode answer: {error}', context='platform service'
-        ) from error
-
-
-def _read_item(item: _WireItem, era: int) -> PublishedItem:
+        return bounded.decode_json(content, cls, context='answer')
+    except DocumentError as error:
+        raise PlatformError(str(error), context='platform service') from error
+
+
+def _read_page(
+    entries: list[msgspec.Raw], revision: int, has_more: bool, era: int
+) -> ItemsPage:
+    if not 0 <= revision <= bounded.MAX_INTEGER:
+        raise PlatformError('revision out of range', context='answer')
+    items: list[PublishedItem] = []
+    rejected: list[str] = []
+    for entry in entries:
+        try:
+            items.append(_read_item(bytes(entry), era))
+        except DocumentError as error:
+            rejected.append(str(error))
+    return ItemsPage(tuple(items), revision, has_more, era, tuple(rejected))
+
+
+def _read_item(entry: bytes, era: int) -> PublishedItem:
+    item = bounded.decode_json(entry, _WireItem, context='item')
+    if not 0 <= item.revision <= bounded.MAX_INTEGER:
+        raise DocumentError('revision out of range', context=ascii(item.key))
     if item.tombstone or item.value is None:
         return PublishedItem(item.key, item.revision, None, era)
     try:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
@@ -9,9 +9,7 @@
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import PublishedItem
 from lagoonbend_entry._internal.platform import names
-from lagoonbend_entry._internal.utils.bounded_json import check_integer
-from lagoonbend_entry._internal.utils.bounded_json import decode_json
-from lagoonbend_entry._internal.utils.bounded_json import MAX_INTEGER
+from lagoonbend_entry._internal.utils import bounded
 
 MAX_PORT = 65_535
 MAX_SLOTS = 4_096
@@ -43,7 +41,7 @@
     if item.value is None or not item.key.startswith(names.TARGETS_PREFIX):
         return None
     context = ascii(item.key)
-    entry = decode_json(item.value, _Registration, context=context)
+    entry = bounded.decode_json(item.value, _Registration, context=context)
     try:
         return _read_target(item.key, entry)
     except ValueError as error:
@@ -64,9 +62,9 @@
         target=name,
         service=entry.service,
         ip=ip,
-        port=check_integer(int(port), 1, MAX_PORT, 'the port'),
+        port=bounded.check_integer(int(port), 1, MAX_PORT, 'the port'),
         failure_domain=entry.zone,
-        slots=check_integer(entry.slots, 1, MAX_SLOTS, 'the slots'),
+        slots=bounded.check_integer(entry.slots, 1, MAX_SLOTS, 'the slots'),
         is_leaving=entry.state != 'ready',
         software_version=_read_version(entry.version),
         born_ms=_read_born(entry.born),
@@ -79,5 +77,7 @@
 
 def _read_born(value: object) -> int | None:
     if isinstance(value, int) and not isinstance(value, bool):
-        return check_integer(value, 0, MAX_INTEGER, 'the start')
+        return bounded.check_integer(
+            value, 0, bounded.MAX_INTEGER, 'the start'
+        )
     return None
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/bounded_json.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/bounded.py
@@ -1,5 +1,6 @@
 """Decodes JSON that any writer may have written."""
 
+from typing import Any
 from typing import TypeVar
 
 import msgspec
@@ -38,3 +39,32 @@
     if not minimum <= value <= maximum:
         raise ValueError(f'{name} is not from {minimum} to {maximum}')
     return value
+
+
+def read_text(value: Any) -> str:
+    """Return a text.
+
+    :raises TypeError: if the value is none.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f'{type(value).__name__} in place of a text')
+    return value
+
+
+def read_integer(value: Any, minimum: int = 0) -> int:
+    """Return a number as an integer within its range; None counts as 0.
+
+    :raises ValueError: if it is out of range, or a text that is no number.
+    """
+    return check_integer(int(value or 0), minimum, MAX_INTEGER, 'a number')
+
+
+def read_fraction(value: Any) -> float:
+    """Return a number that is not negative; None counts as 0.
+
+    :raises ValueError: if it is out of range, or a text that is no number.
+    """
+    number = float(value or 0)
+    if not 0 <= number <= MAX_INTEGER:
+        raise ValueError(f'a number is not from 0 to {MAX_INTEGER}')
+    return number
--- a/tests/unit/test_endless_store.py
+++ b/tests/unit/test_endless_store.py
@@ -12,6 +12,7 @@
 import gevent.socket
 
 from lagoonbend.exceptions import PlatformError
+from lagoonbend_entry._internal.models import store_error
 from lagoonbend_entry._internal.platform import store_client
 from tests.lib.raw_server import RawServer
 
@@ -75,7 +76,7 @@
         _, client = self.open_client(b'x' * 1_048_576)
         with (
             gevent.Timeout(3),
-            self.assertRaises(store_client.HistoryLostError),
+            self.assertRaises(store_error.HistoryLostError),
         ):
             client.watch('', 1, 0)
 
--- a/tests/unit/test_handover_peers.py
+++ b/tests/unit/test_handover_peers.py
@@ -6,6 +6,7 @@
 
 import random
 import unittest
+from unittest import mock
 
 from lagoonbend.clock import PausedClock
 from lagoonbend.outcomes import AttemptOutcome
@@ -16,10 +17,11 @@
 from lagoonbend_entry._internal.gateway import handover_peers
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
+from lagoonbend_entry._internal.gateway.refusal_sender import send_refusal
 from lagoonbend_entry._internal.models import handover_mark
 from lagoonbend_entry._internal.platform import call_headers
-from lagoonbend_entry._internal.platform import refusal_headers
 
 SERVICE = 'desk'
 OWN_DOMAIN = 'd0'
@@ -132,9 +134,11 @@
         self, reason: RefusalReason, mark: dict[str, str]
     ) -> bool:
         """Return True if the sender of a call asks another peer."""
-        headers = refusal_headers.encode_refusal_headers(
-            mark, 100, concerns_instance=reason.concerns_instance
+        reply = mock.Mock()
+        send_refusal(
+            mock.Mock(header_map=mark), reply, GatewayRefusal(reason, 100)
         )
+        headers = reply.send_answer.call_args.args[2]
         header_map = {name.lower(): value for name, value in headers}
         return handover_mark.is_handed_back(header_map)
 
--- a/tests/unit/test_watch_over_eras.py
+++ b/tests/unit/test_watch_over_eras.py
@@ -9,7 +9,7 @@
 from lagoonbend.clock import PausedClock
 from lagoonbend.facts import ItemCache
 from lagoonbend_entry._internal.gateway import store_watcher
-from lagoonbend_entry._internal.platform.store_codec import ItemsPage
+from lagoonbend_entry._internal.models.items_page import ItemsPage
 
 
 class WatchOverErasTest(unittest.TestCase):
