Open a link to a peer again whatever the peer has sent

One message that a peer's build doesn't send (an unknown denial, an unexpected error in a handler, deep nesting) ended the greenlet of a link for good: the instance never asked that peer again, as a decider or for facts, until one of both was started again. Bytes that are no message closed the link without a log line. A heartbeat from the future counted as alive for ever, and a number beyond 64 bits could be read and not be sent on.

A link now logs (LB0602, LB0006) and opens again; unknown denials and outcomes, and all that the decoder can raise, are PeerError; numbers are within 53 bits, and no heartbeat is newer than now.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -129,7 +129,8 @@
 
     def record_pong(self, pong: messages.Pong) -> None:
         """Record a direct heartbeat and those that it relays."""
-        self._last_known_ms[pong.address] = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        self._last_known_ms[pong.address] = now_ms
         self._unreachable_until_ms.pop(pong.address, None)
         self._domains[pong.address] = pong.failure_domain
         previous = self._heartbeats.get(pong.address)
@@ -138,7 +139,7 @@
             Heartbeat(
                 pong.address,
                 pong.failure_domain,
-                pong.sent_ms,
+                min(pong.sent_ms, now_ms),
                 pong.uptime_ms,
                 pong.is_leaving,
                 frozenset(pong.decides),
@@ -501,7 +502,7 @@
             self._domains[member.address] = member.failure_domain
             if self.is_full_mesh:
                 continue
-            last_seen_ms = now_ms - member.age_ms
+            last_seen_ms = now_ms - max(0, member.age_ms)
             stored = self._heartbeats.get(member.address)
             if stored is not None and stored.last_seen_ms >= last_seen_ms:
                 continue
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/message_channel.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/message_channel.py
@@ -93,7 +93,7 @@
             start = end
             try:
                 yield self._decoder.decode(content)
-            except msgspec.DecodeError as error:
+            except (msgspec.DecodeError, ValueError, RecursionError) as error:
                 raise PeerError(f'unreadable message: {error}') from error
         del receive_buffer[:start]
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -4,11 +4,18 @@
 version, whose layout may differ, is rejected at its greeting.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from lagoonbend.facts import NO_ERA
 
 PROTOCOL_VERSION = 1
+MAX_INTEGER = 2**53 - 1
+Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+"""A number that can be computed with and be sent on."""
+Fraction = Annotated[float, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+"""The same with fractions."""
 
 
 class Message(msgspec.Struct, array_like=True, tag=True):
@@ -18,7 +25,7 @@
 class Greeting(Message):
     """First message of the instance that opened the connection."""
 
-    protocol: int
+    protocol: Integer
     address: str
     failure_domain: str
 
@@ -31,8 +38,8 @@
 
     address: str
     failure_domain: str
-    age_ms: int
-    uptime_ms: int
+    age_ms: Integer
+    uptime_ms: Integer
     is_leaving: bool
 
 
@@ -43,8 +50,8 @@
     use of customers' limits. ``reads_reports`` is the same as in ``Pong``.
     """
 
-    sent_ms: int
-    uptime_ms: int
+    sent_ms: Integer
+    uptime_ms: Integer
     wants_news: bool
     reads_reports: bool = False
 
@@ -63,20 +70,20 @@
     ``unreached`` lists the services of which it reaches no target itself.
     """
 
-    sent_ms: int
+    sent_ms: Integer
     address: str
     failure_domain: str
     incarnation: str
-    uptime_ms: int
+    uptime_ms: Integer
     is_leaving: bool
     decides: list[str]
     rumours: list[WireMember]
-    revision: int
-    proof_age_ms: int | None
-    used: dict[str, float]
+    revision: Integer
+    proof_age_ms: Integer | None
+    used: dict[str, Fraction]
     keeps_origins: bool = False
-    era: int = NO_ERA
-    rules_version: int = 0
+    era: Integer = NO_ERA
+    rules_version: Integer = 0
     reads_reports: bool = False
     callers_endpoint: str = ''
     unreached: list[str] = []
@@ -89,19 +96,19 @@
     it sends that too. Earlier versions name no era and no version.
     """
 
-    sent_ms: int
-    since: int
-    era: int | None = None
-    rules_version: int | None = None
+    sent_ms: Integer
+    since: Integer
+    era: Integer | None = None
+    rules_version: Integer | None = None
 
 
 class WireItem(msgspec.Struct, array_like=True):
     """A published item; ``value`` is None if the item was removed."""
 
     key: str
-    revision: int
+    revision: Integer
     value: bytes | None
-    era: int = NO_ERA
+    era: Integer = NO_ERA
 
 
 class Items(Message):
@@ -111,11 +118,11 @@
     ``live_keys``, what they don't name was. Earlier versions ignore both.
     """
 
-    sent_ms: int
+    sent_ms: Integer
     items: list[WireItem]
-    revision: int
-    proof_age_ms: int | None
-    era: int = NO_ERA
+    revision: Integer
+    proof_age_ms: Integer | None
+    era: Integer = NO_ERA
     is_listing: bool = False
     live_keys: list[str] | None = None
 
@@ -124,7 +131,7 @@
     """A block of a prompt."""
 
     part: str
-    tokens: int
+    tokens: Integer
 
 
 class Ask(Message):
@@ -133,16 +140,16 @@
     call: str
     pool: str
     failure_domain: str
-    rank: int
-    level: int
+    rank: Integer
+    level: Integer
     customer: str
-    cost_units: float
-    waited_ms: int
-    objective_ms: int
-    deadline_ms: int
+    cost_units: Fraction
+    waited_ms: Integer
+    objective_ms: Integer
+    deadline_ms: Integer
     prompt: list[WirePart]
-    output_tokens: int
-    body_bytes: int
+    output_tokens: Integer
+    body_bytes: Integer
     excluded: list[str]
 
 
@@ -169,11 +176,11 @@
 
     call: str
     target: str
-    expected_ms: int
+    expected_ms: Integer
     denial: str
-    retry_after_ms: int
-    waited_ms: int
-    pool_wait_ms: int
+    retry_after_ms: Integer
+    waited_ms: Integer
+    pool_wait_ms: Integer
 
 
 class Withdraw(Message):
@@ -191,7 +198,7 @@
     target: str
     failure_domain: str
     end: str
-    first_ms: int
+    first_ms: Integer
 
 
 class WirePlace(msgspec.Struct, array_like=True):
@@ -199,11 +206,11 @@
 
     call: str
     target: str
-    rank: int
+    rank: Integer
     prompt: list[WirePart]
-    tokens: int
-    age_ms: int
-    expected_ms: int
+    tokens: Integer
+    age_ms: Integer
+    expected_ms: Integer
 
 
 class Holding(Message):
@@ -219,9 +226,9 @@
     ``left_ms`` is the time for which the stream can still be taken up.
     """
 
-    key: int
+    key: Integer
     version: str
-    left_ms: int
+    left_ms: Integer
 
 
 class Origins(Message):
@@ -238,10 +245,10 @@
     earlier versions ignore that field and ``tokens``, the block's length.
     """
 
-    key: int
+    key: Integer
     service: str
     block_id: str = ''
-    tokens: int = 0
+    tokens: Integer = 0
 
 
 class OriginFound(Message):
@@ -252,7 +259,7 @@
     there were several or it doesn't know.
     """
 
-    key: int
+    key: Integer
     origins: list[WireOrigin]
     only_version: str
 
@@ -267,8 +274,8 @@
     service: str
     carrier: str
     life: str
-    age_ms: int
-    run_ms: int | None = None
+    age_ms: Integer
+    run_ms: Integer | None = None
 
 
 class WireSound(msgspec.Struct, array_like=True):
@@ -276,7 +283,7 @@
 
     service: str
     carrier: str
-    age_ms: int
+    age_ms: Integer
 
 
 class WireAnswered(msgspec.Struct, array_like=True):
@@ -284,7 +291,7 @@
 
     service: str
     life: str
-    age_ms: int
+    age_ms: Integer
 
 
 class CrashReports(Message):
@@ -309,11 +316,11 @@
 
     target: str
     ip: str
-    port: int
-    born_ms: int | None
-    rate_per_s: float | None
-    age_ms: int
-    rejection_limit_per_s: float | None = None
+    port: Integer
+    born_ms: Integer | None
+    rate_per_s: Fraction | None
+    age_ms: Integer
+    rejection_limit_per_s: Fraction | None = None
 
 
 class LimitReport(Message):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_link.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_link.py
@@ -11,6 +11,9 @@
 from lagoonbend_entry._internal.coordination import message_channel
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.gateway.tcp_socket import open_tcp_socket
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
+from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 
 CONNECT_TIMEOUT_MS = 400
 """Timeout of one attempt to connect to a peer."""
@@ -95,7 +98,14 @@
     def run(self) -> None:
         """Keep the link up while it is wanted."""
         while self.is_wanted:
-            self._connect_and_read()
+            try:
+                self._connect_and_read()
+            except PeerError as error:
+                log_event(
+                    Event.PEER_REJECTED, peer=self.address, reason=str(error)
+                )
+            except Exception as error:
+                log_failure('peer link', error)
             self._has_tried_once.set()
             gevent.sleep(RECONNECT_DELAY_MS / MILLISECONDS_PER_SECOND)
 
@@ -119,8 +129,6 @@
             for message in self._channel.receive():
                 self.last_received_ms = self._clock.now_ms()
                 self._on_message(self, message)
-        except PeerError:
-            pass
         finally:
             self._channel.close()
             self._channel = None
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -6,7 +6,6 @@
 from lagoonbend.exceptions import PeerError
 from lagoonbend.facts import CustomerRule
 from lagoonbend.facts import NamedLimits
-from lagoonbend.scheduling import SlotOutcome
 from lagoonbend_entry._internal.coordination import crash_exchange
 from lagoonbend_entry._internal.coordination import facts_exchange
 from lagoonbend_entry._internal.coordination import limit_reports
@@ -21,6 +20,7 @@
 from lagoonbend_entry._internal.gateway.tcp_socket import set_tcp_options
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
+from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 
 
 class PeerService:
@@ -109,6 +109,8 @@
                     self._handle_message(peer, channel, message)
         except PeerError as error:
             log_event(Event.PEER_REJECTED, peer=peer, reason=str(error))
+        except Exception as error:
+            log_failure('peer service', error)
         finally:
             channel.close()
             if peer and self._channels.get(peer) is channel:
@@ -143,7 +145,7 @@
                             peer,
                             message.call,
                             message.target,
-                            SlotOutcome(message.end),
+                            wire_codec.decode_outcome(message.end),
                             message.first_ms,
                             message.failure_domain,
                         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from lagoonbend.exceptions import PeerError
 from lagoonbend.facts import PublishedItem
 from lagoonbend.facts import StreamOrigin
 from lagoonbend.scheduling import Denial
@@ -68,19 +69,40 @@
 
 
 def decode_decision(instance: str, message: messages.Decision) -> SlotDecision:
-    """Return the decision on a call of an instance."""
+    """Return the decision on a call of an instance.
+
+    :raises PeerError: if the denial is none that is known.
+    """
     return SlotDecision(
         call=message.call,
         instance=instance,
         target=message.target,
         expected_ms=message.expected_ms,
-        denial=Denial(message.denial) if message.denial else None,
+        denial=_decode_denial(message.denial),
         retry_after_ms=message.retry_after_ms,
         waited_ms=message.waited_ms,
         pool_wait_ms=message.pool_wait_ms,
     )
 
 
+def _decode_denial(value: str) -> Denial | None:
+    try:
+        return Denial(value) if value else None
+    except ValueError as error:
+        raise PeerError(f'unknown denial {ascii(value[:40])}') from error
+
+
+def decode_outcome(value: str) -> SlotOutcome:
+    """Return how the call in a slot has ended.
+
+    :raises PeerError: if the outcome is none that is known.
+    """
+    try:
+        return SlotOutcome(value)
+    except ValueError as error:
+        raise PeerError(f'unknown outcome {ascii(value[:40])}') from error
+
+
 def encode_release(
     request: SlotRequest, target: str, outcome: SlotOutcome, first_byte_ms: int
 ) -> messages.Done:
