Read numbers in headers within a range

A number of 5,000 digits in Deadline-Ms, Token-Usage or Prefix-Hash raised ValueError, so that its caller got 500 instead of an answer; one of 400 digits can't be computed with or be sent to a decider. So with the identity of an event (the stream broke) and with Server-Limit, which became infinite.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -9,13 +9,19 @@
 import msgspec
 
 from lagoonbend.facts import NO_ERA
+from lagoonbend_entry._internal.utils import bounded
 
 PROTOCOL_VERSION = 1
-MAX_INTEGER = 2**53 - 1
-Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Integer = Annotated[
+    int, msgspec.Meta(ge=-bounded.MAX_INTEGER, le=bounded.MAX_INTEGER)
+]
 """A number that can be computed with and be sent on."""
-Fraction = Annotated[float, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
+Fraction = Annotated[
+    float, msgspec.Meta(ge=-bounded.MAX_INTEGER, le=bounded.MAX_INTEGER)
+]
 """The same with fractions."""
+Rate = Annotated[float, msgspec.Meta(ge=0, le=bounded.MAX_RATE)]
+"""Requests or rejections a second."""
 
 
 class Message(msgspec.Struct, array_like=True, tag=True):
@@ -318,9 +324,9 @@
     ip: str
     port: Integer
     born_ms: Integer | None
-    rate_per_s: Fraction | None
+    rate_per_s: Rate | None
     age_ms: Integer
-    rejection_limit_per_s: Fraction | None = None
+    rejection_limit_per_s: Rate | None = None
 
 
 class LimitReport(Message):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/stream_position.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/stream_position.py
@@ -1,6 +1,7 @@
 """Position of a caller in an event stream."""
 
 from lagoonbend_entry._internal.gateway.event_identity import find_event_id
+from lagoonbend_entry._internal.utils import bounded
 
 
 class StreamPosition:
@@ -22,7 +23,7 @@
         event_id = find_event_id(event)
         if event_id is None or self.last_id is None:
             return True
-        if not (event_id.isdecimal() and self.last_id.isdecimal()):
+        if not (_is_number(event_id) and _is_number(self.last_id)):
             return event_id != self.last_id
         return int(event_id) == int(self.last_id) + 1
 
@@ -31,10 +32,14 @@
         event_id = find_event_id(event)
         if event_id is None or self.last_id is None:
             return False
-        if not (event_id.isdecimal() and self.last_id.isdecimal()):
+        if not (_is_number(event_id) and _is_number(self.last_id)):
             return event_id == self.last_id
         return int(event_id) <= int(self.last_id)
 
     def record_sent(self, event: bytes) -> None:
         """Record that an event was sent to the caller."""
         self.last_id = find_event_id(event) or self.last_id
+
+
+def _is_number(identity: str) -> bool:
+    return identity.isdecimal() and len(identity) <= bounded.MAX_DIGITS
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from lagoonbend_entry._internal.platform import names
+from lagoonbend_entry._internal.utils import bounded
 
 STATUS_WRONG_TARGET = 421
 STATUS_UNAVAILABLE = 503
@@ -79,11 +80,11 @@
         == LEAVING_VALUE,
         pause_ms=pause_ms,
         unused_retry_after=unused_retry_after,
-        request_limit_per_s=float(limit) if is_limit_valid else None,
+        request_limit_per_s=bounded.cap(limit) if is_limit_valid else None,
         unused_request_limit=''
         if is_limit_valid or not limit
         else repr(limit[:MAX_SHOWN_CHARS]),
-        rejection_limit_per_s=float(rejections) if is_brittle else None,
+        rejection_limit_per_s=bounded.cap(rejections) if is_brittle else None,
     )
 
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
@@ -8,6 +8,7 @@
 from lagoonbend.scheduling import PromptBlock
 from lagoonbend_entry._internal.models import handover_mark
 from lagoonbend_entry._internal.platform import names
+from lagoonbend_entry._internal.utils import bounded
 
 CONNECTION_HEADERS = frozenset(
     (
@@ -172,7 +173,8 @@
 
 def _read_int(value: str) -> int | None:
     text = value.strip()
-    if not text.isascii() or not text.isdecimal():
+    is_number = text.isascii() and text.isdecimal()
+    if not is_number or len(text) > bounded.MAX_DIGITS:
         return None
     return int(text)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_codec.py
@@ -13,8 +13,6 @@
 from lagoonbend_entry._internal.platform import names
 from lagoonbend_entry._internal.utils import bounded
 
-MAX_ERA_DIGITS = 15
-
 Answer = TypeVar('Answer')
 
 
@@ -50,7 +48,10 @@
     text = header_map.get(names.HEADER_STORE_ERA)
     if text is None:
         return NO_ERA
-    if not (text.isascii() and text.isdigit()) or len(text) > MAX_ERA_DIGITS:
+    if (
+        not (text.isascii() and text.isdigit())
+        or len(text) > bounded.MAX_DIGITS
+    ):
         raise PlatformError(
             f'era {text[:40]!r} is no number', context=names.HEADER_STORE_ERA
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/bounded.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/bounded.py
@@ -10,6 +10,10 @@
 MAX_INTEGER = 2**53 - 1
 """Largest integer that all writers of JSON can express. Larger ones can't be
 passed on to peers, or be computed with as fractions."""
+MAX_DIGITS = 15
+"""Digits of a number that is below ``MAX_INTEGER`` in any case."""
+MAX_RATE = 1e30
+"""Largest rate that is passed on to peers; a larger one means the same."""
 
 Decoded = TypeVar('Decoded')
 
@@ -68,3 +72,8 @@
     if not 0 <= number <= MAX_INTEGER:
         raise ValueError(f'a number is not from 0 to {MAX_INTEGER}')
     return number
+
+
+def cap(text: str) -> float:
+    """Return a decimal number, or the largest rate if it is larger."""
+    return min(float(text), MAX_RATE)
