Don't take a refusal for an answer that is still to come

A target that writes an earlier refusal once more on a kept connection could tell an instance 'not run' of a request that it ran: the refusal bore no identity, or that of the same call, which was sent again after a short pause. The caller was told to try again, or the request ran at a second target.

The connection of a refusal is closed if the refusal has no identity or the call must not run twice, so that no later call can get a copy of it.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -419,12 +419,12 @@
         outcome = AttemptOutcome.TURNED_AWAY
         if answer_facts.is_wrong_target:
             outcome = AttemptOutcome.WRONG_TARGET
-        try:
-            connection.discard_body(
-                answer, MAX_REJECTION_BYTES, REJECTION_TIMEOUT_MS
-            )
-            self._release_connection(connection, answer)
-        except NetworkError:
+        # A copy of it that arrives later on the connection could be taken for
+        # the answer to another call, or to this one if it is sent again.
+        is_identifiable = bool(answer_facts.attempt)
+        if is_identifiable and self._call.route.may_repeat:
+            self._keep_connection(connection, answer)
+        else:
             connection.close()
         return AttemptReport(
             outcome,
@@ -434,6 +434,18 @@
             asks_for_pause=answer_facts.pause_ms > 0,
         )
 
+    def _keep_connection(
+        self, connection: target_connection.TargetConnection, answer: Answer
+    ) -> None:
+        """Keep the connection of a rejection if its body ends soon."""
+        try:
+            connection.discard_body(
+                answer, MAX_REJECTION_BYTES, REJECTION_TIMEOUT_MS
+            )
+            self._release_connection(connection, answer)
+        except NetworkError:
+            connection.close()
+
     def _read_complete_answer(
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> AttemptReport:
--- a/tests/unit/test_released_connections.py
+++ b/tests/unit/test_released_connections.py
@@ -32,6 +32,7 @@
         }
         connection = mock.Mock(spec=target_connection.TargetConnection)
         connection.received_bytes = 0
+        connection.request_count = 0
         connection.read_head.return_value = answer
         connection.read_body.return_value = iter([b'id: 1\ndata: x\n\n'])
         pool = mock.Mock(spec=connection_pool.ConnectionPool)
