Write no complete answer into a stream that has begun

A stream broke off, and the target that was to go on with it answered with a status below 500 or with something else than events: the caller found its head and text in the midst of the events, after which the connection was kept. Only errors from 500 on were handled; those of 400 to 499, redirections and successful answers of another type counted as a whole answer to relay.

Such an answer now counts as a bad one, so that another target is tried or the stream ends broken. The writer refuses a second answer in any case. Answers of peers are checked where they are relayed, as before.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -450,6 +450,8 @@
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> AttemptReport:
         body = self._read_body(connection, answer)
+        if answer.status < SERVER_ERROR_STATUS:
+            self._check_fits(answer)
         self._record_answer()
         outcome = AttemptOutcome.WHOLE_ANSWER
         if answer.status >= SERVER_ERROR_STATUS:
@@ -462,6 +464,16 @@
             detail=f'status {answer.status}',
         )
 
+    def _check_fits(self, answer: Answer) -> None:
+        """Raise BadAnswerError for an answer that the caller can't get.
+
+        Only events may follow those that it has.
+        """
+        if self._reply.has_begun:
+            raise target_error.BadAnswerError(
+                f'status {answer.status} in place of the rest of a stream'
+            )
+
     def _read_body(
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> bytes:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/peer_attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/peer_attempt.py
@@ -31,6 +31,9 @@
             request.method, request.path, headers, request.body
         )
 
+    def _check_fits(self, answer: Answer) -> None:
+        """Leave that to the sender of the call, which may ask another peer."""
+
     def _decode_headers(self, answer: Answer) -> AnswerHeaders:
         """Return the values of a head; what it says concerns no target."""
         return answer_headers.decode_answer_headers(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
@@ -54,7 +54,12 @@
         headers: Iterable[tuple[str, str]],
         body: bytes,
     ) -> None:
-        """Write a complete answer."""
+        """Write a complete answer.
+
+        :raises RuntimeError: if an answer has begun.
+        """
+        if self.has_begun:
+            raise RuntimeError('an answer follows one that has begun')
         head = self._encode_head(
             status, reason, [*headers, ('Content-Length', str(len(body)))]
         )
