Notice that links are cut where connections are accepted and reset

A new connection that is reset by a target which accepts another one is a failed link now. Where some are, and for a sign that comes from a peer, the check asks the target for its health; an answer, or a connection that stays open, proves the link.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/cut_gateway.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/cut_gateway.py
@@ -50,7 +50,8 @@
 
         :raises OSError: if it can't be opened, or its link is cut.
         """
-        if address[1] in self._cut.ports:
+        is_cut = address[1] in self._cut.ports
+        if is_cut and self._cut.kind is not CutKind.RESET:
             if self._cut.kind in (CutKind.HANG, CutKind.SILENT):
                 gevent.sleep(timeout_ms / MILLISECONDS_PER_SECOND)
                 raise TimeoutError('timed out')
@@ -59,6 +60,8 @@
             )
         sock = SilencedSocket.wrap(open_tcp_socket(address, timeout_ms))
         self._opened[sock] = address[1]
+        if is_cut:
+            sock.is_reset = True
         return sock
 
     def run(self) -> None:
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -171,11 +171,15 @@
             self.processes[number] = process
         return process
 
-    def cut_links(self, number: int, kind: CutKind) -> None:
-        """Cut an instance off from all targets that are registered now."""
+    def cut_links(self, number: int, kind: CutKind, prefix: str = '') -> None:
+        """Cut an instance off from all targets that are registered now.
+
+        :param prefix: begin of the names of the targets that are concerned.
+        """
         endpoints = [
             self.target_proxies.get(name, target).endpoint
             for name, target in self.targets.items()
+            if name.startswith(prefix)
         ]
         ports = tuple(int(text.rpartition(':')[2]) for text in endpoints)
         self._write_cut(number, LinkCut(kind, ports))
@@ -354,8 +358,16 @@
                     for route in routes
                 ],
                 'services': [
-                    {'name': 'chat', 'engine': {'kv-capacity': 100_000}},
-                    {'name': 'desk', 'max-connections': 50},
+                    {
+                        'name': 'chat',
+                        'engine': {'kv-capacity': 100_000},
+                        'health-path': standin_target.HEALTH_PATH,
+                    },
+                    {
+                        'name': 'desk',
+                        'max-connections': 50,
+                        'health-path': standin_target.HEALTH_PATH,
+                    },
                 ],
                 'limits': {
                     'max-header-bytes': 8_192,
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/link_cut.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/link_cut.py
@@ -14,13 +14,15 @@
     ``REFUSE``: open ones end, new ones are refused. ``HANG``: open ones end,
     new ones time out. ``NEW_ONLY``: open ones live, new ones are refused.
     ``SILENT``: open ones carry nothing any more and end after a while, new
-    ones time out.
+    ones time out. ``RESET``: open ones end, new ones are accepted and then
+    reset.
     """
 
     REFUSE = 'refuse'
     HANG = 'hang'
     NEW_ONLY = 'new_only'
     SILENT = 'silent'
+    RESET = 'reset'
 
 
 class LinkCut(msgspec.Struct, frozen=True):
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -20,6 +20,7 @@
 FIRST_VERSION = 'v1'
 """Version of the software of a target, unless another one is given."""
 KEPT_BLOCKS_PATH = '/lagoonbend/kv-list'
+HEALTH_PATH = '/healthz'
 TOKENS_PER_BLOCK = 16
 """Blocks of prompts are kept in whole multiples of this length."""
 FAULT_HEADER = 'x-fault'
@@ -180,6 +181,9 @@
     ) -> bool:
         if request.path == KEPT_BLOCKS_PATH:
             return self._list_kept_blocks(request, sock)
+        if request.path == HEALTH_PATH:
+            self._send_answer(request, sock, 200, b'', stamp='')
+            return True
         attempt = request.header_map.get('attempt-id', '')
         self.received_attempts.append(attempt)
         expected = request.header_map.get('expect-instance', self.name)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -49,13 +49,16 @@
 from lagoonbend_entry._internal.gateway.lost_call import LostCall
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
 from lagoonbend_entry._internal.gateway.prompt_survey import PromptSurvey
+from lagoonbend_entry._internal.gateway.reachability import PEER_DOUBT_MS
 from lagoonbend_entry._internal.gateway.reachability import Reachability
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.refusal_sender import send_refusal
 from lagoonbend_entry._internal.gateway.refusal_sender import try_to_refuse
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.resumed_streams import ResumedStreams
+from lagoonbend_entry._internal.gateway.silent_calls import find_silent
 from lagoonbend_entry._internal.gateway.slot_outcomes import NOT_REACHED
+from lagoonbend_entry._internal.gateway.slot_outcomes import REJECTED
 from lagoonbend_entry._internal.gateway.slot_outcomes import SLOT_OUTCOMES
 from lagoonbend_entry._internal.gateway.slot_requests import CALLER_PATIENCE_MS
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
@@ -66,12 +69,6 @@
 LINK_CHECK_MS = 50
 """Time for which a call whose target could not be connected to waits for the
 check of the links. Sound ones answer within a few milliseconds."""
-HANDED_OVER_DOUBT_MS = 1_000
-"""Age from which a new connection to a target of a service no longer proves
-the links, while peers hand over calls of it."""
-SILENCE_MS = 1_000
-"""Time without any byte on a connection that was open before, after which the
-links are checked; a sound target may pause for as long."""
 HANDOVER_MS = 200
 """Time for which a silent target keeps a call after it has been sent to
 another one. A target that is full rejects a call at once; the platform allows
@@ -296,7 +293,9 @@
         if call.is_handed_over:
             # What a peer doesn't reach may be cut off from here, too.
             self.reachability.doubt(
-                call.service, self._clock.now_ms() - HANDED_OVER_DOUBT_MS
+                call.service,
+                self._clock.now_ms() - PEER_DOUBT_MS,
+                needs_answer=True,
             )
         if self._must_hand_back(call):
             progress.failure = 'no target of the service is reached'
@@ -417,9 +416,8 @@
         """Return the attempt for a granted slot, or why there is none."""
         target = self._grant_check.check(progress, decision.target)
         if isinstance(target, UnusableGrant):
-            self._coordinator.release(
-                request, decision.target, target.slot_outcome, 0
-            )
+            outcome = target.slot_outcome
+            self._coordinator.release(request, decision.target, outcome, 0)
             return target.report
         attempt = Attempt(
             progress.call,
@@ -480,19 +478,16 @@
         if report.outcome is AttemptOutcome.NOT_CONNECTED:
             self.reachability.record_failed(target)
             self.reachability.wait_for_check(target.service, LINK_CHECK_MS)
-        elif opened.attempt.connected_ms:
+        elif opened.attempt.connected_ms and (
+            report.first_byte_ms or report.outcome in REJECTED
+        ):
             self.reachability.record_reached(
                 target, opened.attempt.connected_ms
             )
 
     def find_silent(self) -> Iterator[tuple[str, int]]:
         """Yield the services of calls at silent targets, and since when."""
-        now_ms = self._clock.now_ms()
-        for progress in self._active_calls:
-            attempt = progress.attempt
-            since_ms = attempt.silent_since_ms if attempt else None
-            if since_ms is not None and now_ms - since_ms >= SILENCE_MS:
-                yield progress.call.service, since_ms
+        return find_silent(self._active_calls, self._clock.now_ms())
 
     def _check_target(
         self, progress: CallProgress, opened: OpenAttempt
@@ -506,6 +501,12 @@
             progress.call, opened.attempt.sent_ms, self._clock.now_ms()
         )
         check = self._ended_targets.check(opened.target, lost_call)
+        if opened.attempt.connected_ms:
+            check.link_value(
+                lambda done: self.reachability.record_reset(
+                    opened.target, has_ended=done.value
+                )
+            )
         if self._crash_guard.is_suspect(progress.call):
             check.join()
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/ended_targets.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/ended_targets.py
@@ -50,7 +50,8 @@
 
         :param target: target as listed when the request was sent.
         :param call: call whose connection broke.
-        :returns: the check, which a call may wait for.
+        :returns: the check, which a call may wait for; its value is True if
+            the target has ended.
         """
         calls = self._lost_calls.setdefault(target, [])
         calls.append(call)
@@ -58,14 +59,14 @@
             self._checks[target] = gevent.spawn(self._check, target)
         return self._checks[target]
 
-    def _check(self, target: ListedTarget) -> None:
+    def _check(self, target: ListedTarget) -> bool:
         try:
             has_ended = self._has_ended(target)
         finally:
             calls = self._lost_calls.pop(target)
             del self._checks[target]
         if not has_ended:
-            return
+            return False
         self._count_ended(target.service)
         log_event(
             Event.TARGET_ENDED,
@@ -80,6 +81,7 @@
         )
         for notify in self.on_ended:
             notify(target, calls)
+        return True
 
     def _has_ended(self, target: ListedTarget) -> bool:
         """Return True if the address of a target refuses a connection."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -30,6 +30,7 @@
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.link_probe import LinkProbe
+from lagoonbend_entry._internal.gateway.reachability import PEER_DOUBT_MS
 from lagoonbend_entry._internal.gateway.store_watcher import StoreWatcher
 from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.gateway.tcp_socket import set_tcp_options
@@ -150,7 +151,7 @@
         reachability = self._call_handler.reachability
         self._fleet.list_unreached = lambda: reachability.unreached_services
         self._fleet.on_unreached = lambda service: reachability.doubt(
-            service, self._clock.now_ms()
+            service, self._clock.now_ms() - PEER_DOUBT_MS, needs_answer=True
         )
         self._link_probe = LinkProbe(
             reachability,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/link_probe.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/link_probe.py
@@ -10,6 +10,7 @@
 from lagoonbend.clock import Clock
 from lagoonbend.facts import ListedTarget
 from lagoonbend_entry._internal.gateway import target_connection
+from lagoonbend_entry._internal.gateway import target_error
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.reachability import Reachability
 from lagoonbend_entry._internal.gateway.target_error import NotConnectedError
@@ -73,14 +74,14 @@
             self._reachability.doubt(service, since_ms)
         self._doubt_others()
         greenlets = [
-            gevent.spawn(self._check, service)
+            gevent.spawn(self._check, service, CHECKED_TARGETS)
             for service in self._reachability.take_due_checks()
         ]
         now_ms = self._clock.now_ms()
         if now_ms - self._probed_ms >= INTERVAL_MS:
             self._probed_ms = now_ms
             greenlets.extend(
-                gevent.spawn(self._try_targets, service, 1)
+                gevent.spawn(self._check, service, 1)
                 for service in self._reachability.unreached_services
             )
         return greenlets
@@ -88,15 +89,18 @@
     def _doubt_others(self) -> None:
         """Doubt all services once one of them isn't reached any more."""
         unreached = set(self._reachability.unreached_services)
-        has_new = bool(unreached - self._unreached)
+        new = unreached - self._unreached
         self._unreached = unreached
-        if has_new and self._facts.rules is not None:
+        if new and self._facts.rules is not None:
+            needs_answer = any(map(self._reachability.needs_answer, new))
             for service in self._facts.rules.services:
-                self._reachability.doubt(service, self._clock.now_ms())
+                self._reachability.doubt(
+                    service, self._clock.now_ms(), needs_answer=needs_answer
+                )
 
-    def _check(self, service: str) -> None:
+    def _check(self, service: str, count: int) -> None:
         try:
-            self._try_targets(service, CHECKED_TARGETS)
+            self._try_targets(service, count)
         except Exception as error:
             log_failure('link check', error)
         finally:
@@ -120,11 +124,43 @@
                 self._reachability.record_failed(target)
 
     def _try_target(self, target: ListedTarget) -> bool:
-        """Return True if a target accepts a connection."""
+        """Return True if a target is reached."""
         try:
             connection = self._connect((target.ip, target.port), TIMEOUT_MS)
         except NotConnectedError:
             return False
+        connected_ms = self._clock.now_ms()
+        is_reached = True
+        if self._reachability.needs_answer(target.service):
+            is_reached = self._is_kept_open(connection, target.service)
         connection.close()
-        self._reachability.record_reached(target, self._clock.now_ms())
+        if is_reached:
+            self._reachability.record_reached(target, connected_ms)
+        return is_reached
+
+    def _is_kept_open(
+        self, connection: target_connection.TargetConnection, service: str
+    ) -> bool:
+        """Return True if a target doesn't end a connection when asked.
+
+        One that is busy may not answer in time.
+        """
+        rules = self._facts.rules
+        profile = rules.services.get(service) if rules else None
+        try:
+            if profile is not None and profile.health_path:
+                connection.send(
+                    target_connection.encode_request(
+                        'GET',
+                        profile.health_path,
+                        [('Host', '{}:{}'.format(*connection.address))],
+                        b'',
+                    ),
+                    TIMEOUT_MS,
+                )
+            connection.read_head(TIMEOUT_MS)
+        except target_error.ConnectionLostError:
+            return False
+        except (target_error.BadAnswerError, target_error.TargetTimeoutError):
+            return True
         return True
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reachability.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reachability.py
@@ -12,6 +12,9 @@
 MIN_FAILED_TARGETS = 2
 """Targets in a row that could not be reached, with none in between that could.
 One alone may have ended."""
+PEER_DOUBT_MS = 500
+"""Age from which a new connection to a target no longer proves the links, when
+peers report that they don't reach the service or hand over calls of it."""
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -22,6 +25,9 @@
     its only one, have failed and none has been accepted in between. The
     targets may be up all the same: the links of this instance may be cut.
 
+    Where connections are accepted and then reset, an answer is what shows that
+    a target is reached.
+
     A service is in doubt from a sign that its links may be cut until they have
     been checked; ``on_doubt`` is called when a check is due.
 
@@ -38,6 +44,7 @@
         self._failed: dict[str, dict[str, int]] = {}
         self._unreached_since_ms: dict[str, int] = {}
         self._reached_ms: dict[str, int] = {}
+        self._answer_needed: set[str] = set()
         self._due_checks: list[str] = []
         self._checks: dict[str, gevent.event.Event] = {}
 
@@ -58,16 +65,21 @@
         """Return True if a service is unreached, or its links are checked."""
         return self.is_unreached(service) or service in self._checks
 
-    def doubt(self, service: str, since_ms: int) -> None:
+    def doubt(
+        self, service: str, since_ms: int, *, needs_answer: bool = False
+    ) -> None:
         """Request a check of the links to the targets of a service.
 
         :param since_ms: time of the sign that gave rise to the doubt; a
             connection that was accepted since makes a check unnecessary.
+        :param needs_answer: True if an accepted connection proves nothing.
         """
         if (
             not self.is_doubtful(service)
             and self._reached_ms.get(service, since_ms - 1) < since_ms
         ):
+            if needs_answer:
+                self._answer_needed.add(service)
             self._checks[service] = gevent.event.Event()
             self._due_checks.append(service)
             self.on_doubt()
@@ -115,11 +127,27 @@
         )
         self.on_doubt()
 
+    def needs_answer(self, service: str) -> bool:
+        """Return True if an accepted connection may be reset at once."""
+        return service in self._answer_needed
+
+    def record_reset(
+        self, target: ListedTarget, *, has_ended: bool = False
+    ) -> None:
+        """Record that a new connection to a target was reset.
+
+        :param has_ended: True if the target was the cause.
+        """
+        if has_ended:
+            return
+        self._answer_needed.add(target.service)
+        self.record_failed(target)
+
     def record_reached(self, target: ListedTarget, connected_ms: int) -> None:
-        """Record that a target has accepted a connection.
+        """Record that a target has answered on a new connection.
 
-        An answer on a connection that was open before says nothing: new ones
-        may fail all the same.
+        That it accepts one suffices unless some have been reset. An answer on
+        one that was open before says nothing: new ones may fail all the same.
 
         :param connected_ms: when it did, which may be before a cut.
         """
@@ -134,6 +162,8 @@
         }
         if failed:
             self._failed[service] = failed
+        else:
+            self._answer_needed.discard(service)
         since_ms = self._unreached_since_ms.get(service)
         if since_ms is None or since_ms > connected_ms:
             return
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/rules_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/rules_codec.py
@@ -47,7 +47,7 @@
     return RuleSet(
         bounded.read_integer(fields['version']),
         {
-            host: tuple(sorted(items, key=_get_sort_key))
+            host: tuple(sorted(items, key=lambda item: -len(item.path_prefix)))
             for host, items in routes.items()
         },
         {service.name: service for service in services},
@@ -58,10 +58,6 @@
     )
 
 
-def _get_sort_key(route: Route) -> int:
-    return -len(route.path_prefix)
-
-
 def _read_route(entry: dict[str, Any]) -> Route:
     kind = entry['route-kind']
     if kind not in names.ROUTE_KINDS:
@@ -103,6 +99,7 @@
         connection_limit=bounded.read_integer(entry.get('max-connections')),
         is_engine=engine is not None,
         memory_tokens=bounded.read_integer((engine or {}).get('kv-capacity')),
+        health_path=bounded.read_text(entry.get('health-path') or ''),
     )
 
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/service_profile.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/service_profile.py
@@ -11,9 +11,12 @@
         instances together; 0 if unknown.
     :param is_engine: True if its targets are model engines.
     :param memory_tokens: tokens that an engine's memory holds; 0 if unknown.
+    :param health_path: path at which targets tell their health; empty if
+        unknown.
     """
 
     name: str
     connection_limit: int = 0
     is_engine: bool = False
     memory_tokens: int = 0
+    health_path: str = ''
--- a/tests/functional/test_unreachable_targets.py
+++ b/tests/functional/test_unreachable_targets.py
@@ -93,6 +93,12 @@
         """Open connections carry nothing, and new ones time out."""
         self.assert_served_everywhere(CutKind.SILENT)
 
+    # Guards against calls that are lost one by one while each connection opens
+    # and is then reset, which looks like the end of its target.
+    def test_callers_are_served_while_connections_are_reset(self) -> None:
+        """Open connections end, new ones are accepted and then reset."""
+        self.assert_served_everywhere(CutKind.RESET)
+
     # Guards against callers with little time, who are refused until several
     # of them have waited for connections.
     def test_first_call_after_a_cut_is_served(self) -> None:
--- a/tests/unit/test_link_probe.py
+++ b/tests/unit/test_link_probe.py
@@ -12,15 +12,16 @@
 
 from lagoonbend.clock import PausedClock
 from lagoonbend.facts import ListedTarget
+from lagoonbend.facts import ServiceProfile
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend_entry._internal.coordination import fleet as fleet_module
 from lagoonbend_entry._internal.coordination.messages import Pong
 from lagoonbend_entry._internal.gateway import call_handler
 from lagoonbend_entry._internal.gateway import link_probe
+from lagoonbend_entry._internal.gateway import target_error
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.reachability import Reachability
-from lagoonbend_entry._internal.gateway.target_error import NotConnectedError
 from tests.unit.test_large_fleet import LargeFleetWorld
 
 SERVICES = ('chat', 'desk')
@@ -54,8 +55,12 @@
         self.cut: set[tuple[str, int]] = set()
         self.connected: list[tuple[str, int]] = []
         self.silent: list[tuple[str, int]] = []
+        self.answer_error: Exception | None = None
         facts = mock.Mock()
-        facts.rules.services = dict.fromkeys(SERVICES)
+        facts.rules.services = {
+            service: ServiceProfile(service, health_path='/healthz')
+            for service in SERVICES
+        }
         facts.target_directory.list_service = self.targets.get
         self.probe = link_probe.LinkProbe(
             self.reachability,
@@ -69,8 +74,10 @@
         """Open a connection unless its link is cut."""
         self.connected.append(address)
         if address in self.cut:
-            raise NotConnectedError('timed out')
-        return mock.Mock()
+            raise target_error.NotConnectedError('timed out')
+        connection = mock.Mock(address=address)
+        connection.read_head.side_effect = self.answer_error
+        return connection
 
     def cut_all(self) -> None:
         """Cut the links to all targets."""
@@ -159,6 +166,31 @@
         self.run_checks()
         self.assert_unreached(*SERVICES)
 
+    # Guards against a cut that isn't noticed, since connections are accepted
+    # before they are reset.
+    def test_connections_that_are_reset_are_a_cut(self) -> None:
+        """Until a target answers; a busy one may take its time."""
+        self.answer_error = target_error.ConnectionLostError('reset')
+        self.reachability.record_reset(self.targets['desk'][0])
+        self.run_checks()
+        self.assert_unreached(*SERVICES)
+        self.clock.advance(link_probe.INTERVAL_MS)
+        self.run_checks()
+        self.assert_unreached(*SERVICES)
+        self.answer_error = target_error.TargetTimeoutError('timed out')
+        self.clock.advance(link_probe.INTERVAL_MS)
+        self.run_checks()
+        self.assert_unreached()
+        self.assertFalse(self.reachability.needs_answer('desk'))
+
+    # Guards against calls that are handed over since one target has reset its
+    # connections, as when it has too many of them.
+    def test_target_that_resets_connections_is_no_cut(self) -> None:
+        """Others answer."""
+        self.reachability.record_reset(self.targets['desk'][0])
+        self.run_checks()
+        self.assert_unreached()
+
     # Guards against targets that all instances lose for a second, since some
     # instances have just been cut off from them.
     def test_target_is_not_reported_while_links_are_checked(self) -> None:
