--- a/tests/unit/test_fuzzed_peers.py
+++ b/tests/unit/test_fuzzed_peers.py
@@ -109,8 +109,8 @@
         """The same for messages of each kind."""
         self.check(msgspec.msgpack.encode([tag, *values]))
 
-    # Guards against a link that breaks with each stream whose origin is shared,
-    # since bounds on numbers exclude a hash.
+    # Guards against a link that breaks with each stream whose origin is
+    # shared, since bounds on numbers exclude a hash.
     @FUZZED
     @given(strategies.text(), strategies.text(), strategies.text())
     def test_origins_of_streams(
