Hand a call back only while the peer's own links are in doubt

A peer whose check finds its links sound goes on with another target, as it did before calls were handed back. Peers that have handed a call back are asked last instead of never. test_peers_that_have_handed_back_come_last: written with the fix; the code before returned no peer there, from reading.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -374,11 +374,10 @@
                     RefusalReason.MAY_HAVE_RUN,
                     gateway_refusal.DEFAULT_RETRY_AFTER_MS,
                 )
+            is_lost = report.outcome is AttemptOutcome.NOT_CONNECTED
             is_handed_back = (
-                call.may_hand_back
-                and report.outcome is AttemptOutcome.NOT_CONNECTED
-                and not progress.may_have_run
-            )
+                is_lost and call.may_hand_back and not progress.may_have_run
+            ) and self.reachability.is_doubtful(call.service)
             if step is NextStep.REFUSE_NOT_RUN or is_handed_back:
                 return self._build_not_sent_refusal(progress)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover_peers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover_peers.py
@@ -66,12 +66,14 @@
         candidates = self._find_candidates(service)
         own: list[Heartbeat] = []
         others: list[Heartbeat] = []
+        avoided: list[Heartbeat] = []
         unreached_count = 1 + candidates.unreached_count
         for peer in candidates.reaching:
             is_own = peer.failure_domain == self._failure_domain
             key = peer.address, service
             if self._avoided_until_ms.get(key, 0) > now_ms:
                 unreached_count += is_own
+                avoided.append(peer)
             else:
                 (own if is_own else others).append(peer)
         self._random_source.shuffle(own)
@@ -84,4 +86,4 @@
             peers = [*own[:1], *others, *own[1:]]
         else:
             peers = [*others, *own]
-        return peers[:MAX_PEERS]
+        return [*peers, *avoided][:MAX_PEERS]
--- a/tests/unit/test_handover_peers.py
+++ b/tests/unit/test_handover_peers.py
@@ -130,6 +130,17 @@
         asked = {peer.address for _ in range(50) for peer in self.choose()}
         self.assertIn(first.address, asked)
 
+    # Guards against calls that nobody is asked to run, since each peer has just
+    # handed one back when a target had ended.
+    def test_peers_that_have_handed_back_come_last(self) -> None:
+        """They are asked if there is no other."""
+        self.add_peers(OTHER_DOMAIN, 2)
+        first, second = self.choose()
+        self.peers.record_handed_back(first.address, SERVICE)
+        self.assertEqual([second, first], self.choose())
+        self.peers.record_handed_back(second.address, SERVICE)
+        self.assertEqual({first, second}, set(self.choose()))
+
     def is_handed_back(
         self, reason: RefusalReason, mark: dict[str, str]
     ) -> bool:
