--- a/tests/unit/test_handover_peers.py
+++ b/tests/unit/test_handover_peers.py
@@ -130,8 +130,8 @@
         asked = {peer.address for _ in range(50) for peer in self.choose()}
         self.assertIn(first.address, asked)
 
-    # Guards against calls that nobody is asked to run, since each peer has just
-    # handed one back when a target had ended.
+    # Guards against calls that nobody is asked to run, since each peer has
+    # just handed one back when a target had ended.
     def test_peers_that_have_handed_back_come_last(self) -> None:
         """They are asked if there is no other."""
         self.add_peers(OTHER_DOMAIN, 2)
