--- a/tests/unit/test_target_not_listed_yet.py
+++ b/tests/unit/test_target_not_listed_yet.py
@@ -12,6 +12,7 @@
 from lagoonbend.facts import TargetDirectory
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend_entry._internal.gateway import call_handler
+from lagoonbend_entry._internal.gateway.grant_check import GrantCheck
 
 TARGET = ListedTarget('t', 's', '10.0.1.1', 80, 'd0', 1, False)
 
@@ -27,7 +28,9 @@
             item = PublishedItem('t', number + 1, value)
             directory.apply([item], 0)
         handler = mock.Mock()
-        handler._facts.target_directory = directory
+        handler._grant_check = GrantCheck(
+            mock.Mock(target_directory=directory), mock.Mock(), mock.Mock()
+        )
         progress = mock.Mock(binding=None)
         progress.call.service = 's'
         call_handler.CallHandler._open_attempt(
