Test that a call which is interrupted at a peer may have run

The mark that the call may have run is set only once the exchange with the peer has ended by itself.

--- a/tests/unit/test_handover_answers.py
+++ b/tests/unit/test_handover_answers.py
@@ -7,8 +7,11 @@
 import unittest
 from unittest import mock
 
+import gevent
+
 from lagoonbend.clock import PausedClock
 from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend_entry._internal.gateway import handover as handover_module
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.handover import Handover
@@ -75,6 +78,30 @@
         for status in (200, 404, 500):
             self.assert_relayed(status, may_have_run=True, is_signed=True)
 
+    # Guards against the promise 'not run' to a caller whose time is up while a
+    # peer runs its call.
+    def test_call_that_is_interrupted_at_a_peer_may_have_run(self) -> None:
+        """Its sender's refusal must not say that it hasn't."""
+        peers = mock.Mock()
+        peers.choose.return_value = [
+            mock.Mock(callers_endpoint='10.0.1.1:80', address='peer:1')
+        ]
+        handover = Handover(
+            peers,
+            mock.Mock(),
+            mock.Mock(),
+            PausedClock(1_000),
+            mock.Mock(),
+        )
+        progress = mock.Mock(may_have_run=False, run_count=0, send_count=0)
+        interrupt = gevent.Timeout()
+        with mock.patch.object(handover_module, 'PeerAttempt') as attempt:
+            attempt.return_value.is_sent = True
+            attempt.return_value.run.side_effect = interrupt
+            with self.assertRaises(gevent.Timeout):
+                handover.serve(progress, mock.Mock(), mock.Mock())
+        self.assertTrue(progress.may_have_run)
+
     # Guards against bytes of another answer inside a stream.
     def test_answer_to_the_rest_of_a_stream_breaks_it(self) -> None:
         """Only events may follow those that the caller has."""
