--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -21,6 +22,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = 'calls.example'
 KEY = 'k-first'
+TOKENS_PER_EVENT = 4
 SETTINGS = """\
 [instance]
 name = {name}
@@ -51,16 +53,35 @@
 
 
 def find_free_ports(count):
-    """Return free ports of the loopback address."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(('127.0.0.1', 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return free ports below those that the system gives to clients."""
+    ports = []
+    for port in random.sample(range(20_000, 32_000), 12_000):
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind(('127.0.0.1', port))
+            ports.append(port)
+        if len(ports) == count:
+            break
     return ports
 
 
+def owns_port(pid, port):
+    """Return whether a process has a connection from a loopback port."""
+    inodes = set()
+    for line in pathlib.Path('/proc/net/tcp').read_text().splitlines()[1:]:
+        fields = line.split()
+        if int(fields[1].rpartition(':')[2], 16) == port:
+            inodes.add(f'socket:[{fields[9]}]')
+    try:
+        descriptors = list(pathlib.Path(f'/proc/{pid}/fd').iterdir())
+    except OSError:
+        return False
+    for descriptor in descriptors:
+        with contextlib.suppress(OSError):
+            if os.readlink(descriptor) in inodes:
+                return True
+    return False
+
+
 class Record:
     """Writes what was sent, answered and run, with the time since the start."""
 
@@ -137,6 +158,9 @@
         self.endpoint = f'127.0.0.1:{port}'
 
     async def _serve(self, reader, writer):
+        if not self.accepts(writer):
+            writer.transport.abort()
+            return
         self.writers.add(writer)
         try:
             while (message := await read_head(reader)) is not None:
@@ -154,6 +178,10 @@
             with contextlib.suppress(OSError):
                 writer.close()
 
+    def accepts(self, writer):
+        """Return whether a new connection is served, and not reset."""
+        return True
+
     async def answer(self, method, target, headers, body, reader, writer):
         """Answer a request; return False to close the connection."""
         raise NotImplementedError
@@ -270,7 +298,6 @@
         service,
         record,
         version='v1',
-        events=70,
         interval_s=0.1,
         work_s=lambda: 0.06,
     ):
@@ -284,9 +311,23 @@
         self.active = 0
         self.slots = 11
         self._record = record
-        self._events = events
         self._interval_s = interval_s
         self._work_s = work_s
+        self.cut = None
+        self.extra_fields = {}
+
+    def cut_off(self, instance):
+        """Reset all connections of an instance; None ends the cut."""
+        self.cut = instance
+        for writer in list(self.writers):
+            if not self.accepts(writer):
+                writer.transport.abort()
+
+    def accepts(self, writer):
+        if self.cut is None:
+            return True
+        port = writer.get_extra_info('peername')[1]
+        return not owns_port(self.cut.process.pid, port)
 
     def describe(self, state='ready'):
         """Return the entry that the server writes to the store."""
@@ -336,7 +377,9 @@
         self.active += 1
         try:
             if '/stream/' in target:
-                await self._stream(attempt, last, writer)
+                output = int(headers['token-usage'].partition(',')[2])
+                count = output // TOKENS_PER_EVENT
+                await self._stream(attempt, last, count, writer)
             else:
                 await self._work(attempt, reader, writer)
         finally:
@@ -348,6 +391,7 @@
             'Attempt-Id': attempt,
             'Server-Stamp': f'{self.name}.{attempt}',
             'Server-Load': f'{self.active},0,{self.slots}',
+            **self.extra_fields,
         }
 
     async def _work(self, attempt, reader, writer):
@@ -365,7 +409,7 @@
         writer.write(encode_answer(200, self._fields(attempt), body))
         await writer.drain()
 
-    async def _stream(self, attempt, last, writer):
+    async def _stream(self, attempt, last, count, writer):
         fields = self._fields(attempt) | {
             'Content-Type': 'text/event-stream',
             'Transfer-Encoding': 'chunked',
@@ -373,7 +417,7 @@
         lines = ['HTTP/1.1 200 X']
         lines += [f'{name}: {value}' for name, value in fields.items()]
         writer.write(('\r\n'.join(lines) + '\r\n\r\n').encode())
-        for number in range(last + 1, self._events + 1):
+        for number in range(last + 1, count + 1):
             await asyncio.sleep(self._interval_s)
             event = f'id: {number}\ndata: {self.version} {self.name}\n\n'
             writer.write(b'%x\r\n%b\r\n' % (len(event), event.encode()))
@@ -417,6 +461,27 @@
                 stderr=log,
             )
 
+    def read_log(self):
+        """Return the events that the process has logged."""
+        events = []
+        for line in self._log_path.read_text(errors='replace').splitlines():
+            with contextlib.suppress(ValueError):
+                events.append(json.loads(line))
+        return events
+
+    def find_deciders(self):
+        """Return the addresses that the process takes for deciders."""
+        deciders = {}
+        for event in self.read_log():
+            if 'decider' in event and 'before' in event:
+                deciders[event['service']] = event['decider']
+        return set(deciders.values())
+
+    @property
+    def address(self):
+        """The address for peers."""
+        return f'127.0.0.1:{self.ports[2]}'
+
     def send_signal(self, number):
         """Send a signal to the process, if it runs."""
         if self.process is not None and self.process.poll() is None:
