Say "not run" only if every attempt of a call is shown not to have run

Cause: whether a call may have run was a flag that each path set itself. The path of a peer set it when the attempt returned a report; the end of the caller's time, a stop and a block raise an error inside the attempt, which then returns none. Ruled out by the table of test_promises: a wrong refusal of the peer itself, and a lost answer.

Change: a call has a record of its attempts. An attempt adds itself when it is created, and counts from its first byte on until its outcome rules it out, so that an interruption counts without being handled. Refusals pass the record before they are sent. A peer's 429, 503 or 4xx rules its attempt out, its 500, 502 and 504 don't and are passed on as they are.

Tests: test_interrupted_and_lost_calls_may_have_run failed before for time, stop and block, at a peer and at a second peer (6 subtests); so did test_call_whose_time_ends_at_a_peer_may_have_run with processes (503 in place of 504). Both pass now. test_call_that_is_interrupted_at_a_peer_may_have_run checked a flag on a mock, which no longer exists; it now runs a real attempt up to its interruption and checks the call's own record, which is as strict. Three tests pass the record to attempts that they build.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -9,6 +9,7 @@
 from lagoonbend.exceptions import NetworkError
 from lagoonbend.facts import ListedTarget
 from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend.outcomes import SendRecord
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway import target_error
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
@@ -78,6 +79,7 @@
     :param clock: clock of the instance.
     :param search: finds another target while this one is silent.
     :param body_memory: memory of the instance for buffered bodies.
+    :param sends: all attempts of the call, to which this one is added.
     :param on_answer: called when the first event, or a whole answer, has
         arrived.
     :param on_head: called with the target, the values of each head, the time
@@ -96,11 +98,13 @@
         clock: Clock,
         search: SuccessorSearch[Any],
         body_memory: BodyMemory,
+        sends: SendRecord,
         on_answer: Callable[[], None] = lambda: None,
         on_head: HeadCallback = lambda *unused: None,
     ) -> None:
         self.is_sent = False
         self.has_answered = False
+        sends.add(self)
         self._call = call
         self._target = target
         self._expected_ms = expected_ms
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -272,6 +272,7 @@
             timer.close()
             self._crash_guard.end_trials(admitted)
             if refusal is not None:
+                refusal = refusal.restrict_to(progress.sends)
                 outcome = refusal.reason.label
             if refusal is not None and not reply.has_begun:
                 try_to_refuse(admitted.request, reply, refusal)
@@ -429,6 +430,7 @@
             self._clock,
             search,
             self._body_memory,
+            progress.sends,
             lambda: self._crash_guard.record_begun(
                 progress.call, target, attempt.sent_ms
             ),
@@ -524,6 +526,7 @@
         if progress.successor is opened:
             progress.successor = None
         if report is not None:
+            progress.sends.close(opened.attempt, report.outcome)
             slot_outcome = SLOT_OUTCOMES[report.outcome]
             first_byte_ms = report.first_byte_ms
             if report.is_target_absent:
@@ -538,7 +541,6 @@
             )
             if not slot_outcome.is_not_run:
                 progress.run_count += 1
-                progress.may_have_run = True
         progress.first_byte_ms = progress.first_byte_ms or first_byte_ms
         is_own_concern = slot_outcome in NOT_REACHED and (
             self.reachability.is_doubtful(target.service)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -1,6 +1,7 @@
 """State of a call that is being served."""
 
 from lagoonbend.facts import VersionBinding
+from lagoonbend.outcomes import SendRecord
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.attempt import Attempt
@@ -15,6 +16,7 @@
 
     ``attempt_history`` has an entry ``target:outcome`` for each attempt that
     was sent, and ``versions`` the software version of that target.
+    ``sends`` has all attempts, those at peers included.
     ``attempt_count`` is the number of slots that were asked for.
     ``excluded`` lists the targets not to be tried again. ``target`` and
     ``version`` are those of the current attempt; ``binding`` is the version
@@ -37,6 +39,7 @@
         self.slot_wait: Interrupt | None = None
         self.slot_request: SlotRequest | None = None
         self.position = StreamPosition()
+        self.sends = SendRecord()
         self.attempt_history: list[str] = []
         self.versions: list[str] = []
         self.excluded: list[str] = []
@@ -52,11 +55,15 @@
         self.attempt_count = 0
         self.send_count = 0
         self.run_count = 0
-        self.may_have_run = False
         self.waited_ms = 0
         self.first_byte_ms = 0
         self.failure = ''
 
+    @property
+    def may_have_run(self) -> bool:
+        """True unless it is certain that the call has not run."""
+        return self.sends.may_have_run
+
     def exclude(self, report: AttemptReport) -> None:
         """Exclude the target of an attempt from further ones.
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_refusal.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_refusal.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from lagoonbend.crashes import is_request
+from lagoonbend.outcomes import SendRecord
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
@@ -35,6 +36,17 @@
     reason: RefusalReason
     retry_after_ms: int | None = None
 
+    def restrict_to(self, sends: SendRecord) -> 'GatewayRefusal':
+        """Return this refusal, or one that promises nothing.
+
+        :param sends: attempts of the call, which may have run it.
+        """
+        if self.reason.promises_not_run and sends.may_have_run:
+            return GatewayRefusal(
+                RefusalReason.MAY_HAVE_RUN, DEFAULT_RETRY_AFTER_MS
+            )
+        return self
+
     @classmethod
     def from_denial(
         cls, progress: CallProgress, decision: SlotDecision
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -79,7 +79,6 @@
             progress.failure = f'{report.outcome.label}: {report.detail}'
             if report.outcome in ANSWERED:
                 return self._relay(progress, reply, report)
-            progress.may_have_run = True
             progress.run_count += 1
             if (
                 not route.may_repeat
@@ -102,9 +101,9 @@
         answer = report.answer
         if answer is None:
             return HandoverResult(is_final=True)
-        is_refusal = not answer_headers.decode_answer_headers(
+        is_refusal = answer_headers.is_refusal_unrun(
             answer.status, answer.header_map
-        ).is_signed
+        )
         if reply.has_begun or (is_refusal and progress.may_have_run):
             return MAY_HAVE_RUN
         reply.send_answer(
@@ -169,9 +168,17 @@
             self._clock,
             search,
             self._body_memory,
+            progress.sends,
         )
         try:
-            return attempt.run()
+            report = attempt.run()
+            progress.sends.close(attempt, report.outcome)
+            answer = report.answer
+            if answer is not None and answer_headers.is_refusal_unrun(
+                answer.status, answer.header_map
+            ):
+                progress.sends.rule_out(attempt)
+            return report
         finally:
             search.cancel()
             if attempt.is_sent:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_reason.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_reason.py
@@ -2,6 +2,8 @@
 
 import enum
 
+from lagoonbend_entry._internal.platform import answer_headers
+
 
 class RefusalReason(enum.Enum):
     """Reasons for a refusal, with label and HTTP status.
@@ -32,6 +34,11 @@
         self.label = label
         self.status = status
 
+    @property
+    def promises_not_run(self) -> bool:
+        """True if callers may send a call again that must not run twice."""
+        return answer_headers.promises_not_run(self.status)
+
     @property
     def concerns_instance(self) -> bool:
         """True if another instance may serve the call, which has not run."""
--- a/tests/functional/test_handed_over_calls.py
+++ b/tests/functional/test_handed_over_calls.py
@@ -100,6 +100,16 @@
         self.assertEqual(502, answers[0].status)
         self.assertEqual(1, self.count_runs('once'))
 
+    # Guards against the promise 'not run' to a caller whose time ends while a
+    # peer runs its call.
+    def test_call_whose_time_ends_at_a_peer_may_have_run(self) -> None:
+        """It has run once, and its caller must not send it again."""
+        answer = self.send(
+            'booking', 'slow', 'silent', headers={'Deadline-Ms': '600'}
+        )
+        self.assertEqual(1, self.count_runs('slow'))
+        self.assertEqual(504, answer.status)
+
     # Guards against a broken stream that ends as if it were whole.
     def test_incomplete_stream_stays_incomplete(self) -> None:
         """Its target breaks off, and the route may not repeat it."""
--- a/tests/unit/test_closed_targets.py
+++ b/tests/unit/test_closed_targets.py
@@ -13,6 +13,7 @@
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import PublishedItem
 from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend.outcomes import SendRecord
 from lagoonbend_entry._internal.gateway import attempt
 from lagoonbend_entry._internal.gateway import closed_targets
 from lagoonbend_entry._internal.gateway import connection_pool
@@ -173,6 +174,7 @@
                     PausedClock(1_000_000),
                     mock.MagicMock(),
                     mock.MagicMock(),
+                    SendRecord(),
                 )
                 report = tried.run() if run == 'run' else tried.begin(200)
                 assert report is not None
--- a/tests/unit/test_handover_answers.py
+++ b/tests/unit/test_handover_answers.py
@@ -11,12 +11,15 @@
 
 from lagoonbend.clock import PausedClock
 from lagoonbend.outcomes import AttemptOutcome
-from lagoonbend_entry._internal.gateway import handover as handover_module
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
+from lagoonbend_entry._internal.gateway.call_progress import CallProgress
 from lagoonbend_entry._internal.gateway.handover import Handover
 from lagoonbend_entry._internal.gateway.handover_result import HandoverResult
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
+from lagoonbend_entry._internal.platform.call_headers import (
+    decode_call_headers,
+)
 
 
 class HandoverAnswersTest(unittest.TestCase):
@@ -86,20 +89,28 @@
         peers.choose.return_value = [
             mock.Mock(callers_endpoint='10.0.1.1:80', address='peer:1')
         ]
+        connections = mock.Mock()
+        closed_targets = mock.Mock()
+        closed_targets.is_closed.return_value = False
         handover = Handover(
             peers,
-            mock.Mock(),
-            mock.Mock(),
+            connections,
+            closed_targets,
             PausedClock(1_000),
             mock.Mock(),
         )
-        progress = mock.Mock(may_have_run=False, run_count=0, send_count=0)
-        interrupt = gevent.Timeout()
-        with mock.patch.object(handover_module, 'PeerAttempt') as attempt:
-            attempt.return_value.is_sent = True
-            attempt.return_value.run.side_effect = interrupt
-            with self.assertRaises(gevent.Timeout):
-                handover.serve(progress, mock.Mock(), mock.Mock())
+        connection = connections.acquire.return_value
+        connection.received_bytes = 0
+        connection.read_head.side_effect = gevent.Timeout()
+        call = mock.MagicMock(expires_at_ms=4_000)
+        call.headers = decode_call_headers({'attempt-id': 'a'})
+        call.request.body = b''
+        call.route.may_repeat = False
+        progress = CallProgress(call)
+        self.assertFalse(progress.may_have_run)
+        with self.assertRaises(gevent.Timeout):
+            handover.serve(progress, mock.Mock(), mock.Mock())
+        connection.send.assert_called_once()
         self.assertTrue(progress.may_have_run)
 
     # Guards against bytes of another answer inside a stream.
--- a/tests/unit/test_released_connections.py
+++ b/tests/unit/test_released_connections.py
@@ -9,6 +9,7 @@
 
 from lagoonbend.clock import PausedClock
 from lagoonbend.exceptions import CallerGoneError
+from lagoonbend.outcomes import SendRecord
 from lagoonbend_entry._internal.gateway import attempt
 from lagoonbend_entry._internal.gateway import connection_pool
 from lagoonbend_entry._internal.gateway import target_connection
@@ -56,6 +57,7 @@
             PausedClock(1_000_000),
             mock.Mock(),
             mock.Mock(),
+            SendRecord(),
         )
         with self.assertRaises(CallerGoneError):
             tried.run()
--- a/tests/unit/test_sent_successor.py
+++ b/tests/unit/test_sent_successor.py
@@ -33,7 +33,7 @@
         progress.successor.attempt.is_sent = is_sent
         if outcome is AttemptOutcome.RESET:
             progress.run_count = 1
-            progress.may_have_run = True
+            progress.sends.add(mock.Mock(is_sent=True))
         handler = mock.Mock()
         handler._clock.now_ms.return_value = 0
         return call_handler.CallHandler._choose_next_step(
--- a/tests/unit/test_target_pauses.py
+++ b/tests/unit/test_target_pauses.py
@@ -14,6 +14,7 @@
 from lagoonbend.clock import PausedClock
 from lagoonbend.clock import RuntimeClock
 from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend.outcomes import SendRecord
 from lagoonbend.scheduling import RANK_ORDERS
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotOutcome
@@ -195,6 +196,7 @@
                     clock,
                     mock.Mock(),
                     mock.MagicMock(),
+                    SendRecord(),
                 )
                 with mock.patch.object(tried, '_encode_request'):
                     report = tried.run()
