--- a/tests/unit/test_handover_answers.py
+++ b/tests/unit/test_handover_answers.py
@@ -17,9 +17,7 @@
 from lagoonbend_entry._internal.gateway.handover import Handover
 from lagoonbend_entry._internal.gateway.handover_result import HandoverResult
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
-from lagoonbend_entry._internal.platform.call_headers import (
-    decode_call_headers,
-)
+from lagoonbend_entry._internal.platform import call_headers
 
 
 class HandoverAnswersTest(unittest.TestCase):
@@ -103,7 +101,7 @@
         connection.received_bytes = 0
         connection.read_head.side_effect = gevent.Timeout()
         call = mock.MagicMock(expires_at_ms=4_000)
-        call.headers = decode_call_headers({'attempt-id': 'a'})
+        call.headers = call_headers.decode_call_headers({'attempt-id': 'a'})
         call.request.body = b''
         call.route.may_repeat = False
         progress = CallProgress(call)
