Don't take the listed version for the only one there was

Cause: find_only_version counted on the one version that is listed if no listed target had started for as long as a stream lasts. Versions may have served side by side for longer, and the others have just left. Ruled out: a prompt that a target of the other version has read.

Change: an instance counts on one version only if it has followed the list for as long as a stream lasts. That time begins anew if changes may have been missed: a listing after a gap, a peer's items without removals, the removal of a target that was never seen. A version that comes and goes within one answer counts as well. Until then origins are shared as in a service with several versions, and targets are asked for the prompt.

Tests: test_restarted_fleet_knows_no_version_that_has_left failed before (200 from v2), as did five of the six of test_versions_in_the_facts. test_unknown_stream_is_refused_while_two_versions_serve wanted an unknown stream to be taken up one second after the start, which is the guess; it now wants a refusal then, and the take-up once the routes' timeout has passed.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -146,7 +146,10 @@
             (fleet.list_origin_keepers, fleet.find_searcher),
             self._links.send,
             facts.find_only_version,
-            lambda service: len(facts.list_versions(service)) > 1,
+            lambda service: (
+                len(facts.list_versions(service)) > 1
+                or not facts.knows_versions()
+            ),
         )
         self.crashes = crash_exchange.CrashExchange(
             clock,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
@@ -76,8 +76,8 @@
     :param find_only_version: returns the only version that targets of a
         service have had for as long as a stream may last; empty if there
         were several or it isn't known.
-    :param is_mixed: returns True if targets of a service have, or had lately,
-        several software versions.
+    :param is_mixed: returns True if targets of a service have, or may have had
+        lately, several software versions.
 
     ``search_prompt`` asks the targets of a service which software version has
     read the last block of a prompt.
@@ -120,7 +120,10 @@
             self.apply_facts()
         own_origins.add([origin])
         if service in self._mixed_services:
-            self._queue([origin])
+            if self._is_mixed(service):
+                self._queue([origin])
+            else:
+                self._mixed_services.discard(service)
 
     def find(self, key: int) -> StreamOrigin | None:
         """Return the origin of a stream, if it is known here."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import time
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import DocumentError
@@ -25,9 +24,6 @@
 """Age of the facts from which a further version may serve without this
 instance knowing. While the platform's store answers, the last confirmation
 is at most 2.8 s old."""
-MAX_CLOCK_ERROR_MS = 5_000
-"""Difference between two clocks' times of day that is allowed for; the users'
-machines may jump by some seconds."""
 MAX_REASON_CHARACTERS = 400
 """Length of an error about an entry that is logged."""
 REWRITE_MS = 2_000
@@ -36,11 +32,6 @@
 are the newest."""
 
 
-def read_time_of_day_ms() -> int:
-    """Return the time of day of this machine."""
-    return time.time_ns() // 1_000_000
-
-
 class FactsCache:
     """Caches published items and the rules and targets decoded from them.
 
@@ -55,7 +46,6 @@
     :param decode_rules: decodes the operators' configuration.
     :param decode_target: decodes a target's registration.
     :param rules_key: key of the item that holds the configuration.
-    :param read_time_of_day_ms: returns the time of day, which may jump.
     """
 
     def __init__(
@@ -64,7 +54,6 @@
         decode_rules: Callable[[bytes], RuleSet],
         decode_target: Callable[[PublishedItem], ListedTarget | None],
         rules_key: str,
-        read_time_of_day_ms: Callable[[], int] = read_time_of_day_ms,
     ) -> None:
         self.item_cache = ItemCache()
         self.target_directory = TargetDirectory(decode_target)
@@ -74,7 +63,6 @@
         self._clock = clock
         self._decode_rules = decode_rules
         self._rules_key = rules_key
-        self._read_time_of_day_ms = read_time_of_day_ms
         self._rules_value: bytes | None = None
         self._settled_ms: int | None = None
 
@@ -117,30 +105,28 @@
     def find_only_version(self, service: str) -> str:
         """Return the only version that may have begun a stream of a service.
 
-        They are known for as long as a stream may last if the instance has
-        read the list for so long, or if no listed target has started since:
-        a release starts targets before it removes others.
+        They are known once the instance has followed the list, without a gap,
+        for as long as a stream may last. What is listed now says nothing of
+        targets that have left.
 
         :returns: an empty string if there are several, or if the versions are
             not known or not up to date.
         """
         versions = self.list_versions(service)
         version = next(iter(versions)) if len(versions) == 1 else None
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         age_ms = self.age_ms()
         if version is None or age_ms is None or age_ms >= MAX_VERSIONS_AGE_MS:
             return ''
         if self.is_settling:
             # Targets of other versions may not be listed again yet.
             return ''
+        return version if self.knows_versions() else ''
+
+    def knows_versions(self) -> bool:
+        """Return True if all versions are known that a stream may have."""
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         now_ms = self._clock.now_ms()
-        last_start_ms = self.target_directory.find_last_start_ms(service)
-        is_known = self.target_directory.knows_since(now_ms, longest_ms) or (
-            last_start_ms is not None
-            and self._read_time_of_day_ms() - last_start_ms
-            >= longest_ms + MAX_CLOCK_ERROR_MS
-        )
-        return version if is_known else ''
+        return self.target_directory.knows_since(now_ms, longest_ms)
 
     def apply_listing(
         self,
@@ -236,7 +222,9 @@
             self.target_directory.begin_era(era, revision)
         rules = self.rules
         self._take_rules(items, source)
+        history_start = self.item_cache.history_start
         updates = self.item_cache.replace('', items, revision, era)
+        self._check_history(history_start)
         self._apply(updates, source, has_rules=self.rules is not rules)
 
     def _apply_changed(self, items: list[PublishedItem], source: str) -> None:
@@ -254,11 +242,18 @@
         era, revision = position
         rules = self.rules
         self._take_rules(items, 'peer')
+        history_start = self.item_cache.history_start
         updates = self.item_cache.merge_changes(
             items, live_keys, revision, era
         )
+        self._check_history(history_start)
         self._apply(updates, 'peer', has_rules=self.rules is not rules)
 
+    def _check_history(self, start_before: tuple[int, int]) -> None:
+        """Forget what was known of the past if changes have been missed."""
+        if self.item_cache.history_start != start_before:
+            self.target_directory.forget_history(self._clock.now_ms())
+
     def _apply_rules_only(
         self, items: Iterable[PublishedItem], source: str
     ) -> None:
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -63,6 +63,10 @@
         for name in self._lapsed_until_ms:
             self._lapsed_until_ms[name] = now_ms + LAPSE_GRACE_MS
 
+    def forget_history(self, now_ms: int) -> None:
+        """Record that changes before this time have been missed."""
+        self._listed_since_ms = now_ms
+
     def begin_era(self, era: int, revision: int) -> None:
         """Record the position of the listing that began an era.
 
@@ -140,24 +144,12 @@
     def knows_since(self, now_ms: int, window_ms: int) -> bool:
         """Return True if the targets of a whole window are known.
 
-        Versions that were gone before an instance started are not.
+        Versions that were gone before an instance started, or that came and
+        went while it missed changes, are not.
         """
         since_ms = self._listed_since_ms
         return since_ms is not None and now_ms - since_ms >= window_ms
 
-    def find_last_start_ms(self, service: str) -> int | None:
-        """Return the time of day at which a target of a service last started.
-
-        :returns: None if it isn't known of all listed targets.
-        """
-        starts_ms = [
-            target.born_ms for target in self.list_registered(service)
-        ]
-        known_ms = [start_ms for start_ms in starts_ms if start_ms is not None]
-        if not known_ms or len(known_ms) < len(starts_ms):
-            return None
-        return max(known_ms)
-
     def list_mixed_services(self) -> list[str]:
         """Return the services whose listed targets have several versions."""
         return sorted(
@@ -178,6 +170,11 @@
                 gone[version] = now_ms
         self._versions = versions
 
+    def _record_version(self, target: ListedTarget, now_ms: int) -> None:
+        """Record a version that may be gone with the next change."""
+        gone = self._gone_versions.setdefault(target.service, {})
+        gone[target.software_version] = now_ms
+
     def _apply_item(self, item: PublishedItem, now_ms: int) -> None:
         name = item.key
         if item.value is not None:
@@ -189,10 +186,14 @@
             else:
                 self._targets[name] = self._restrict(target, item, now_ms)
                 self._record_name(name)
+                self._record_version(target, now_ms)
             return
         self._returned_until_ms.pop(name, None)
         known = self._targets.get(name)
         if known is None:
+            if name not in self._known_names:
+                # It was listed in between, with an unknown version.
+                self.forget_history(now_ms)
             return
         ended_ms = self._outage_ended_ms
         is_lapse = (
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -161,8 +161,13 @@
 
     # Guards against a guess at the version of a stream.
     def test_unknown_stream_is_refused_while_two_versions_serve(self) -> None:
-        """It is refused at once, and taken up while one version serves."""
+        """It is refused at once, and taken up while one version serves.
+
+        That is known once instances have run for as long as a stream.
+        """
         self.add_engines('v1')
+        self.assertEqual((503, []), self.take_up(0, 'nobody'))
+        gevent.sleep(gateway_fleet.ROUTE_TIMEOUT_MS / 1000)
         status, runs = self.take_up(0, 'nobody')
         self.assertEqual((200, ['chat-0']), (status, runs))
         self.fleet.add_target('chat-1', 'chat', 'v2')
@@ -289,10 +294,24 @@
         self.fleet.targets[name].kept_blocks['bb02'] = 512
         self.assertEqual((503, []), self.take_up(1))
 
+    # Guards against a guess at the version where its engines left without a
+    # later start of the others.
+    def test_restarted_fleet_knows_no_version_that_has_left(self) -> None:
+        """Both served side by side; the entry of the older one is removed."""
+        self.add_engines('v1')
+        self.begin_stream()
+        self.fleet.add_target('chat-1', 'chat', 'v2')
+        gevent.sleep(CHANGE_SPREAD_S)
+        self.fleet.store.delete('servers/chat-0')
+        gevent.sleep(CHANGE_SPREAD_S)
+        self.restart_all()
+        for instance in range(3):
+            self.assertEqual((503, []), self.take_up(instance))
+
     # Guards against streams that are refused after a restart of all although
     # their service has had one version only.
     def test_restarted_fleet_takes_up_streams_of_one_version(self) -> None:
-        """No engine has started within the time of the stream."""
+        """An engine has read the prompt."""
         self.add_engines('v1', 'v1')
         self.begin_stream()
         for instance in range(3):
--- /dev/null
+++ b/tests/unit/test_versions_in_the_facts.py
@@ -0,0 +1,124 @@
+"""Versions that may have begun a stream, by what an instance has read.
+
+Guards against a stream that goes on at another version, since an instance
+takes the version that it sees for the only one there was.
+"""
+
+import unittest
+from unittest import mock
+
+from lagoonbend.clock import PausedClock
+from lagoonbend.facts import ListedTarget
+from lagoonbend.facts import PublishedItem
+from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+
+TIMEOUT_MS = 15_000
+FIRST_REVISION = 10
+
+
+def decode_target(item: PublishedItem) -> ListedTarget | None:
+    """Return a target whose version is the value of an item."""
+    version = (item.value or b'').decode()
+    return ListedTarget(
+        item.key, 'chat', '10.0.0.1', 80, 'd', 4, False, version
+    )
+
+
+def build_item(name: str, version: str, revision: int) -> PublishedItem:
+    """Return the registration of a target; its removal without a version."""
+    return PublishedItem(name, revision, version.encode() or None)
+
+
+class VersionsInTheFactsTest(unittest.TestCase):
+    """An instance that has read the list for as long as a stream may last."""
+
+    def setUp(self) -> None:
+        """Read a list with one target of v1, and follow it."""
+        self.clock = PausedClock()
+        self.facts = FactsCache(
+            self.clock,
+            mock.Mock(),
+            decode_target,
+            'op/config',
+        )
+        self.facts.rules = mock.Mock(longest_timeout_ms=TIMEOUT_MS, version=1)
+        self.list(FIRST_REVISION, build_item('a', 'v1', 5))
+        self.follow(TIMEOUT_MS)
+        self.assertEqual('v1', self.facts.find_only_version('chat'))
+
+    def list(self, revision: int, *items: PublishedItem) -> None:
+        """Apply a complete listing."""
+        self.facts.apply_listing(items, revision, self.clock.now_ms())
+
+    def watch(self, revision: int, *items: PublishedItem) -> None:
+        """Apply the changes of a watch."""
+        self.facts.apply_changes(items, revision, self.clock.now_ms())
+
+    def follow(self, duration_ms: int) -> None:
+        """Let time pass without a change."""
+        self.clock.advance(duration_ms)
+        self.watch(self.facts.item_cache.complete_revision)
+
+    def assert_unknown_until_window(self) -> None:
+        """Check that the version is known again once a stream has ended."""
+        self.assertEqual('', self.facts.find_only_version('chat'))
+        self.follow(TIMEOUT_MS - 1)
+        self.assertEqual('', self.facts.find_only_version('chat'))
+        self.follow(1)
+        self.assertEqual('v1', self.facts.find_only_version('chat'))
+
+    # Guards against a guess by the time at which the listed targets started.
+    def test_instance_that_has_just_started_knows_nothing(self) -> None:
+        """Targets of another version may have left just before."""
+        facts = FactsCache(
+            self.clock,
+            mock.Mock(),
+            lambda item: ListedTarget(
+                item.key, 'chat', '10.0.0.1', 80, 'd', 4, False, 'v1', 1
+            ),
+            'op/config',
+        )
+        facts.rules = self.facts.rules
+        facts.apply_listing(
+            [build_item('a', 'v1', 5)], FIRST_REVISION, self.clock.now_ms()
+        )
+        self.assertEqual('', facts.find_only_version('chat'))
+
+    # Guards against a version that came and went while the store's history
+    # was lost.
+    def test_listing_after_a_gap_begins_the_window_anew(self) -> None:
+        """A listing shows what there is, not what there was."""
+        self.list(20, build_item('a', 'v1', 5))
+        self.assert_unknown_until_window()
+
+    # Guards against a window that is lost although nothing was missed.
+    def test_listing_without_a_change_keeps_the_window(self) -> None:
+        """Its revision is the one up to which all is known."""
+        self.list(FIRST_REVISION, build_item('a', 'v1', 5))
+        self.assertEqual('v1', self.facts.find_only_version('chat'))
+
+    # Guards against the same where a peer sends what exists now.
+    def test_items_without_removals_begin_the_window_anew(self) -> None:
+        """The peer's own history begins after what is known here."""
+        self.facts.apply_peer_items(
+            [], 20, self.clock.now_ms(), live_keys=['a']
+        )
+        self.assert_unknown_until_window()
+
+    # Guards against a version that came and went between two answers.
+    def test_version_within_one_answer_counts(self) -> None:
+        """The target was listed, and instances may have used it."""
+        self.watch(12, build_item('b', 'v2', 11), build_item('b', '', 12))
+        self.assert_unknown_until_window()
+
+    # Guards against the same where only the removal is passed on.
+    def test_removal_of_an_unknown_target_begins_the_window_anew(
+        self,
+    ) -> None:
+        """Its version and its service are not known."""
+        self.watch(12, build_item('b', '', 12))
+        self.assert_unknown_until_window()
+
+
+if __name__ == '__main__':
+    unittest.main()
