Bind a stream to the version at which a peer has begun it

Cause: the binding of an answer was set from attempts of the instance itself; a stream that a peer began had none, so that any server could go on with it.

Change: a peer names the version of its target in the head of a stream that was handed over to it. The instance removes that header and binds the stream. If the peer doesn't name it, as one of an earlier build, the version is looked for as for a stream that a caller takes up; the stream breaks off if that finds none.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -24,6 +24,7 @@
 from lagoonbend_entry._internal.gateway.stream_position import StreamPosition
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
 from lagoonbend_entry._internal.gateway.target_connection import encode_request
+from lagoonbend_entry._internal.models import handover_mark
 from lagoonbend_entry._internal.platform import answer_headers
 from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry._internal.platform.answer_headers import AnswerHeaders
@@ -583,11 +584,20 @@
             self._reply.begin_stream(
                 answer.status,
                 answer.reason,
-                list_relayed_headers(answer),
+                self._list_stream_headers(answer),
                 event,
             )
         self._position.record_sent(event)
 
+    def _list_stream_headers(self, answer: Answer) -> list[tuple[str, str]]:
+        headers = list_relayed_headers(answer)
+        if not self._call.is_handed_over:
+            return headers
+        # The instance before this one may have to let the stream go on.
+        return handover_mark.mark_software(
+            headers, self._target.software_version
+        )
+
     def _get_first_byte_patience_ms(self) -> int:
         """Return the silence before the first byte that is no concern."""
         left_ms = self._left_ms()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -303,13 +303,9 @@
             return self._build_not_sent_refusal(progress)
         retry_share.record_request()
         if call.route.is_streaming and call.headers.last_event:
-            progress.binding = self._resumed_streams.find(call)
-            if progress.binding is None:
-                progress.failure = 'origin of the stream is not known'
-                return GatewayRefusal(
-                    RefusalReason.UNKNOWN_ORIGIN,
-                    gateway_refusal.DEFAULT_RETRY_AFTER_MS,
-                )
+            refusal = self._bind_continued_stream(progress)
+            if refusal is not None:
+                return refusal
         search: SuccessorSearch[OpenAttempt] = SuccessorSearch(
             lambda: self._open_successor(progress, reply, retry_share, search),
             lambda successor: self._drop_successor(progress, successor),
@@ -343,6 +339,10 @@
                     result = self._handover.serve(progress, reply, retry_share)
                     if result.is_final:
                         return result.refusal
+                if reply.has_begun:
+                    refusal = self._bind_continued_stream(progress)
+                    if refusal is not None:
+                        return refusal
                 request, decision = self._acquire(progress, reply)
                 progress.pool = decision.pool
                 progress.waited_ms += decision.waited_ms
@@ -382,6 +382,27 @@
             if step is NextStep.REFUSE_NOT_RUN or is_handed_back:
                 return self._build_not_sent_refusal(progress)
 
+    def _bind_continued_stream(
+        self, progress: CallProgress
+    ) -> GatewayRefusal | None:
+        """Bind a stream to the version that began it.
+
+        A peer that has begun it may not have said at which version.
+
+        :returns: a refusal if the version can't be found.
+        """
+        binding = progress.binding
+        if binding is None or binding.version is None:
+            binding = self._resumed_streams.find(progress.call)
+        if binding is None:
+            progress.failure = 'origin of the stream is not known'
+            return GatewayRefusal(
+                RefusalReason.UNKNOWN_ORIGIN,
+                gateway_refusal.DEFAULT_RETRY_AFTER_MS,
+            )
+        progress.binding = binding
+        return None
+
     def _must_hand_over(
         self, call: AdmittedCall, report: AttemptReport | None = None
     ) -> bool:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -2,6 +2,7 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend.facts import ListedTarget
+from lagoonbend.facts import VersionBinding
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.outcomes import RetryShare
 from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
@@ -183,6 +184,8 @@
             search.cancel()
             if attempt.is_sent:
                 progress.send_count += 1
+            if reply.has_begun and progress.binding is None:
+                progress.binding = VersionBinding(attempt.software_version)
 
 
 def _is_handed_back(report: AttemptReport) -> bool:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
@@ -3,7 +3,9 @@
 They are headers between instances, and none of the users' platform.
 """
 
+from collections.abc import Iterable
 from collections.abc import Mapping
+import urllib.parse
 
 HEADER_HANDED_OVER = 'lagoonbend-handed-over'
 """Marks a call that must not be handed over again. It is 2 if the sender
@@ -12,6 +14,9 @@
 HEADER_HANDED_BACK = 'lagoonbend-handed-back'
 """Marks a refusal of such a call, for a reason that concerns the refusing
 instance alone. The call has not run."""
+HEADER_SOFTWARE = 'lagoonbend-software'
+"""Names, in the answer to such a call, the software version that has begun the
+stream, percent-encoded. Earlier versions of an instance don't send it."""
 
 
 def is_handed_over(header_map: Mapping[str, str]) -> bool:
@@ -38,3 +43,33 @@
 def is_handed_back(header_map: Mapping[str, str]) -> bool:
     """Return True if an answer that no target has signed hands a call back."""
     return HEADER_HANDED_BACK in header_map
+
+
+def mark_software(
+    headers: Iterable[tuple[str, str]], version: str | None
+) -> list[tuple[str, str]]:
+    """Return the headers of an answer, with the version of its target.
+
+    :param version: None if it isn't known.
+    """
+    marked = remove_software(headers)
+    if version is not None:
+        marked.append((HEADER_SOFTWARE, urllib.parse.quote(version)))
+    return marked
+
+
+def remove_software(
+    headers: Iterable[tuple[str, str]],
+) -> list[tuple[str, str]]:
+    """Return the headers of an answer without the version."""
+    return [
+        (name, value)
+        for name, value in headers
+        if name.lower() != HEADER_SOFTWARE
+    ]
+
+
+def find_software(header_map: Mapping[str, str]) -> str | None:
+    """Return the version that an answer names; None if it names none."""
+    value = header_map.get(HEADER_SOFTWARE)
+    return None if value is None else urllib.parse.unquote(value)
--- /dev/null
+++ b/tests/unit/test_versions_named_by_peers.py
@@ -0,0 +1,114 @@
+"""Versions of streams that peers have begun for this instance.
+
+Guards against a stream that goes on at any version, since the peer is of an
+earlier build, which doesn't name the one that it chose.
+"""
+
+from collections.abc import Iterator
+import unittest
+from unittest import mock
+
+from lagoonbend.clock import PausedClock
+from lagoonbend.exceptions import NetworkError
+from lagoonbend.facts import VersionBinding
+from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend_entry._internal.gateway import call_handler
+from lagoonbend_entry._internal.gateway import handover as handover_module
+from lagoonbend_entry._internal.gateway.answer import Answer
+from lagoonbend_entry._internal.gateway.call_progress import CallProgress
+from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
+from lagoonbend_entry._internal.models import handover_mark
+from lagoonbend_entry._internal.platform import call_headers
+
+ODD_VERSION = 'v1 \u2192 2%20'
+
+
+class VersionsNamedByPeersTest(unittest.TestCase):
+    """A peer begins a stream and is gone after the first event."""
+
+    def hand_over(self, headers: dict[str, str]) -> CallProgress:
+        """Return the call after the first event from a peer.
+
+        :param headers: further headers of the peer's answer.
+        """
+        answer = Answer()
+        answer.status = 200
+        answer.header_map = {
+            'attempt-id': 'a',
+            'server-stamp': 'stamp',
+            'content-type': 'text/event-stream',
+            **headers,
+        }
+        answer.headers = list(answer.header_map.items())
+        pool = mock.Mock()
+        connection = pool.acquire.return_value
+        connection.received_bytes = 0
+        connection.read_head.return_value = answer
+        connection.read_body.side_effect = lambda *unused: read_broken()
+        closed_targets = mock.Mock()
+        closed_targets.is_closed.return_value = False
+        handover = handover_module.Handover(
+            mock.Mock(), pool, closed_targets, PausedClock(1_000), mock.Mock()
+        )
+        call = mock.MagicMock(expires_at_ms=4_000)
+        call.headers = call_headers.decode_call_headers({'attempt-id': 'a'})
+        call.request.body = b''
+        call.route.may_repeat = False
+        call.is_handed_over = False
+        reply = mock.Mock(has_begun=False)
+
+        def begin(*arguments: object) -> None:
+            reply.has_begun = True
+
+        reply.begin_stream.side_effect = begin
+        progress = CallProgress(call)
+        report = handover._run_at(
+            mock.Mock(callers_endpoint='10.0.1.1:80', address='peer:1'),
+            progress,
+            reply,
+        )
+        self.assertIs(AttemptOutcome.BROKEN_STREAM, report.outcome)
+        relayed = dict(reply.begin_stream.call_args.args[2])
+        self.assertNotIn(handover_mark.HEADER_SOFTWARE, relayed)
+        return progress
+
+    def test_stream_is_bound_to_the_version_that_the_peer_names(self) -> None:
+        """Whatever characters the version has."""
+        for version in ('v1', '', ODD_VERSION):
+            marks = handover_mark.mark_software([], version)
+            progress = self.hand_over(dict(marks))
+            self.assertEqual(VersionBinding(version), progress.binding)
+
+    def test_version_that_is_not_named_is_asked_for(self) -> None:
+        """The stream ends if nobody knows it, and takes no other version."""
+        progress = self.hand_over({})
+        self.assertEqual(VersionBinding(None), progress.binding)
+        handler = mock.Mock()
+        bind = call_handler.CallHandler._bind_continued_stream
+        handler._resumed_streams.find.return_value = None
+        refusal = bind(handler, progress)
+        assert refusal is not None
+        self.assertIs(RefusalReason.UNKNOWN_ORIGIN, refusal.reason)
+        handler._resumed_streams.find.return_value = VersionBinding('v2')
+        self.assertIsNone(bind(handler, progress))
+        self.assertEqual(VersionBinding('v2'), progress.binding)
+
+    def test_target_can_not_name_another_version(self) -> None:
+        """Its header is replaced by the version in the list."""
+        headers = [('Lagoonbend-Software', 'v9'), ('X-Other', '1')]
+        marked = handover_mark.mark_software(headers, 'v1')
+        expected = [('X-Other', '1'), (handover_mark.HEADER_SOFTWARE, 'v1')]
+        self.assertEqual(expected, marked)
+        self.assertEqual(
+            [('X-Other', '1')], handover_mark.mark_software(headers, None)
+        )
+
+
+def read_broken() -> Iterator[bytes]:
+    """Yield one event, after which the connection ends."""
+    yield b'id: 1\ndata: x\n\n'
+    raise NetworkError('reset')
+
+
+if __name__ == '__main__':
+    unittest.main()
