Log the status of each answer

A record of users shows calls that ran and were answered with a promise that they had not, and lines `error_answer`, `ran`, `answered` of the same route. It can't tell whether a target gave that status or the instance did. LB0203, LB0205 and LB0218 have a field `status` now. No change of behaviour.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt_report.py
@@ -42,6 +42,11 @@
     is_sent: bool = False
     has_answered: bool = False
 
+    @property
+    def status(self) -> int | None:
+        """Status of the answer to relay; None if there is none."""
+        return self.answer.status if self.answer is not None else None
+
     @property
     def is_lost_unanswered(self) -> bool:
         """True if the exchange broke before the target had answered."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -364,7 +364,7 @@
                 progress, reply, report, retry_share, search
             )
             if step is NextStep.RELAY:
-                self._relay(reply, report)
+                self._relay(progress, reply, report)
                 return None
             if step is NextStep.BREAK_STREAM:
                 return GatewayRefusal(RefusalReason.MAY_HAVE_RUN)
@@ -811,9 +811,12 @@
         return step
 
     @staticmethod
-    def _relay(reply: ReplyWriter, report: AttemptReport) -> None:
+    def _relay(
+        progress: CallProgress, reply: ReplyWriter, report: AttemptReport
+    ) -> None:
         if report.answer is None:
             return
+        progress.status = report.status
         reply.send_answer(
             report.answer.status,
             report.answer.reason,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -26,6 +26,8 @@
     has been granted, which takes the call's units from its customer's limit.
     ``has_paid_retry`` is True while a retry has been taken from the budget and
     not been sent.
+    ``status`` is that of a whole answer that was relayed; None if there is
+    none.
     ``failure`` says why the call has no answer yet. ``interrupt`` raises an
     error in the greenlet that serves the call, ``slot_wait`` only while it
     waits for a slot, with ``slot_request``.
@@ -57,6 +59,7 @@
         self.run_count = 0
         self.waited_ms = 0
         self.first_byte_ms = 0
+        self.status: int | None = None
         self.failure = ''
 
     @property
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -107,6 +107,7 @@
         )
         if reply.has_begun or (is_refusal and progress.may_have_run):
             return MAY_HAVE_RUN
+        progress.status = answer.status
         reply.send_answer(
             answer.status,
             answer.reason,
@@ -134,6 +135,7 @@
                 failure_domain=peer.failure_domain,
                 end='handed_back' if is_handed_back else report.outcome.label,
                 detail=report.detail,
+                status=report.status,
                 first_ms=report.first_byte_ms,
                 peer_age_ms=self._clock.now_ms() - peer.last_seen_ms,
             )
