Log calls that are interrupted at a peer

LB0218 was written when the peer's answer had come, so that the calls which are most in doubt had none: those whose time ended, whose caller left, or whose instance stopped meanwhile. They have one now, with the end 'interrupted'. In the users' record the instances that answered have no such line for the two calls, which fits an interruption and not an answer of the peer.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -125,26 +125,44 @@
         """
         service = progress.call.service
         for peer in self._peers.choose(service):
-            report = self._run_at(peer, progress, reply)
-            is_handed_back = _is_handed_back(report)
-            log_event(
-                Event.CALL_HANDED_OVER,
-                request=progress.call.headers.attempt,
-                service=service,
-                peer=peer.address,
-                failure_domain=peer.failure_domain,
-                end='handed_back' if is_handed_back else report.outcome.label,
-                detail=report.detail,
-                status=report.status,
-                first_ms=report.first_byte_ms,
-                peer_age_ms=self._clock.now_ms() - peer.last_seen_ms,
-            )
-            if is_handed_back:
+            report: AttemptReport | None = None
+            try:
+                report = self._run_at(peer, progress, reply)
+            finally:
+                self._log(progress, peer, report)
+            if _is_handed_back(report):
                 self._peers.record_handed_back(peer.address, service)
             elif report.outcome is not AttemptOutcome.NOT_CONNECTED:
                 return report
         return None
 
+    def _log(
+        self,
+        progress: CallProgress,
+        peer: Heartbeat,
+        report: AttemptReport | None,
+    ) -> None:
+        """Log what became of a call at a peer.
+
+        :param report: None if the call was interrupted.
+        """
+        end = 'interrupted'
+        if report is not None:
+            is_handed_back = _is_handed_back(report)
+            end = 'handed_back' if is_handed_back else report.outcome.label
+        log_event(
+            Event.CALL_HANDED_OVER,
+            request=progress.call.headers.attempt,
+            service=progress.call.service,
+            peer=peer.address,
+            failure_domain=peer.failure_domain,
+            end=end,
+            detail=report.detail if report else '',
+            status=report.status if report else None,
+            first_ms=report.first_byte_ms if report else 0,
+            peer_age_ms=self._clock.now_ms() - peer.last_seen_ms,
+        )
+
     def _run_at(
         self, peer: Heartbeat, progress: CallProgress, reply: ReplyWriter
     ) -> AttemptReport:
