Pass on no promise of a target that has run the call

Users saw two bookings that ran although their callers had been answered with a promise that they had not.

Cause: a target's 408, 429 or 503 without Not-Executed was relayed like any failure. To callers these statuses promise that the call has not run, so that they make a booking again.

Change: such an answer to a call that must not run twice becomes the instance's own 502, unless the record of attempts shows that the call has not run. Answers to calls that may be repeated are relayed as before. One function relays answers of targets and peers now, in place of two.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -98,12 +98,14 @@
     they did. While ``retry_after_values`` has any, each request is turned away
     with the next of them, and the last one is kept. Fault ``turned-away``
     rejects the request as full. Fault ``leaving`` answers whole and says that
-    the target leaves, ``leaving-turned-away`` says it in a rejection and
-    ``leaving-foreign`` in an answer to another attempt. Faults ``pause`` and
-    ``pause-stream`` are silent for a while before the head or inside a stream,
-    and then complete the answer. ``drip-stream`` writes two events and then
-    single bytes of a comment that doesn't end. ``unframed`` and the faults
-    whose names begin so answer with neither a length nor chunks.
+    the target leaves. Faults ``ran-408``, ``ran-429`` and ``ran-503`` run the
+    request and answer with that status. ``leaving-turned-away`` says it in a
+    rejection and ``leaving-foreign`` in an answer to another attempt. Faults
+    ``pause`` and ``pause-stream`` are silent for a while before the head or
+    inside a stream, and then complete the answer. ``drip-stream`` writes two
+    events and then single bytes of a comment that doesn't end. ``unframed``
+    and the faults whose names begin so answer with neither a length nor
+    chunks.
 
     Each event of a stream names the version of the target that wrote it.
 
@@ -376,6 +378,13 @@
         self._send_answer(request, sock, 500, b'failed')
         return True
 
+    def _send_failure(
+        self, request: IncomingRequest, sock: gevent.socket.socket
+    ) -> bool:
+        status = int(self._find_fault(request).removeprefix('ran-'))
+        self._send_answer(request, sock, status, b'failed')
+        return True
+
     def _send_unsigned(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
@@ -499,6 +508,9 @@
     'reset': StandinTarget._reset_connection,
     'silent': StandinTarget._never_answer,
     'error': StandinTarget._send_error,
+    'ran-408': StandinTarget._send_failure,
+    'ran-429': StandinTarget._send_failure,
+    'ran-503': StandinTarget._send_failure,
     'unsigned': StandinTarget._send_unsigned,
     'noise': StandinTarget._send_invalid_bytes,
     'truncated': StandinTarget._send_truncated_answer,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -28,8 +28,8 @@
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.admission import Admission
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
+from lagoonbend_entry._internal.gateway.answer_relay import relay_answer
 from lagoonbend_entry._internal.gateway.attempt import Attempt
-from lagoonbend_entry._internal.gateway.attempt import list_relayed_headers
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
 from lagoonbend_entry._internal.gateway.call_log import CallLog
@@ -364,8 +364,7 @@
                 progress, reply, report, retry_share, search
             )
             if step is NextStep.RELAY:
-                self._relay(progress, reply, report)
-                return None
+                return relay_answer(progress, reply, report)
             if step is NextStep.BREAK_STREAM:
                 return GatewayRefusal(RefusalReason.MAY_HAVE_RUN)
             if self._clock.now_ms() + MIN_ATTEMPT_MS >= call.expires_at_ms:
@@ -810,20 +809,6 @@
             progress.exclude(report)
         return step
 
-    @staticmethod
-    def _relay(
-        progress: CallProgress, reply: ReplyWriter, report: AttemptReport
-    ) -> None:
-        if report.answer is None:
-            return
-        progress.status = report.status
-        reply.send_answer(
-            report.answer.status,
-            report.answer.reason,
-            list_relayed_headers(report.answer),
-            report.body,
-        )
-
     def _get_retry_share(self, service: str) -> RetryShare:
         retry_share = self._retry_shares.get(service)
         if retry_share is None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -7,7 +7,7 @@
 from lagoonbend.outcomes import RetryShare
 from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
 from lagoonbend_entry._internal.gateway import gateway_refusal
-from lagoonbend_entry._internal.gateway.attempt import list_relayed_headers
+from lagoonbend_entry._internal.gateway.answer_relay import relay_answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
@@ -107,14 +107,9 @@
         )
         if reply.has_begun or (is_refusal and progress.may_have_run):
             return MAY_HAVE_RUN
-        progress.status = answer.status
-        reply.send_answer(
-            answer.status,
-            answer.reason,
-            list_relayed_headers(answer),
-            report.body,
+        return HandoverResult(
+            is_final=True, refusal=relay_answer(progress, reply, report)
         )
-        return HandoverResult(is_final=True)
 
     def _run(
         self, progress: CallProgress, reply: ReplyWriter
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -133,6 +133,20 @@
                 self.assertNotIn('server-stamp', answer.headers)
                 self.assertEqual(1, len(self.list_runs(attempt)))
 
+    # Guards against a booking that is made twice, since its target has run it
+    # and answered with a status that promises that it hasn't.
+    def test_failure_that_promises_what_is_not_so_is_replaced(self) -> None:
+        """Callers get 502, which promises nothing, without the signature."""
+        for status in (408, 429, 503):
+            for route in ('booking', 'once-stream'):
+                with self.subTest(status=status, route=route):
+                    attempt, answer = call(
+                        self.fleet, route, X_Fault=f'ran-{status}'
+                    )
+                    self.assertEqual(502, answer.status)
+                    self.assertNotIn('server-stamp', answer.headers)
+                    self.assertEqual(1, len(self.list_runs(attempt)))
+
     def test_idempotent_call_goes_to_another_target(self) -> None:
         """One faulty target does not make an idempotent call fail."""
         for fault in ('reset', 'truncated', 'noise', 'unsigned', 'error'):
--- a/tests/functional/test_handed_over_calls.py
+++ b/tests/functional/test_handed_over_calls.py
@@ -124,6 +124,14 @@
         self.assertEqual((500, b'failed'), (answer.status, answer.body))
         self.assertEqual(1, self.count_runs('failing'))
 
+    # Guards against a promise of a target that a peer passes on.
+    def test_false_promise_of_a_target_is_replaced(self) -> None:
+        """It has run the call."""
+        answer = self.send('booking', 'promised', 'ran-503')
+        self.assertEqual(502, answer.status)
+        self.assertNotIn('server-stamp', answer.headers)
+        self.assertEqual(1, self.count_runs('promised'))
+
     # Guards against calls that are counted twice against their customer's
     # limit, at each of the two instances.
     def test_limit_counts_a_call_once(self) -> None:
--- a/tests/unit/test_handover_answers.py
+++ b/tests/unit/test_handover_answers.py
@@ -85,7 +85,11 @@
         """Its sender's refusal must not say that it hasn't."""
         peers = mock.Mock()
         peers.choose.return_value = [
-            mock.Mock(callers_endpoint='10.0.1.1:80', address='peer:1')
+            mock.Mock(
+                callers_endpoint='10.0.1.1:80',
+                address='peer:1',
+                last_seen_ms=0,
+            )
         ]
         connections = mock.Mock()
         closed_targets = mock.Mock()
--- a/tests/unit/test_promises.py
+++ b/tests/unit/test_promises.py
@@ -88,6 +88,12 @@
     Row('bad answer', fail_with(target_error.BadAnswerError('noise'))),
     Row('unsigned', answer_with(200, UNSIGNED)),
 )
+RAN = tuple(
+    Row(f'ran, status {status}', answer_with(status, SIGNED))
+    for status in (408, 429, 503)
+)
+"""Answers of targets that don't say that they have not run the call. Status
+421 always says so."""
 
 
 class PromiseCase(test_errors_amid_a_call.HandlerCase):
@@ -191,6 +197,20 @@
             INTERRUPTIONS + LOSSES, answer_with(503, NOT_RUN)
         )
 
+    # Guards against a target's failure that promises what isn't so.
+    def test_failures_of_targets_that_ran_the_call_promise_nothing(
+        self,
+    ) -> None:
+        """Their status is not passed on, nor their signature."""
+        self.assert_no_promise(RAN)
+
+    # Guards against a repeatable call that loses its answer by the same.
+    def test_answers_to_repeatable_calls_are_passed_on(self) -> None:
+        """Their callers may repeat them in any case."""
+        self.route = self.route._replace(is_idempotent=True)
+        for status in (429, 408):
+            self.assertEqual(status, self.serve(answer_with(status, SIGNED)))
+
     # Guards against callers that may not repeat a call which has not run.
     def test_calls_that_have_not_run_are_refused_so(self) -> None:
         """Not connected, not sent, or rejected by all targets."""
@@ -224,6 +244,13 @@
         """The sender can't know what the peer has done."""
         self.assert_no_promise(INTERRUPTIONS + LOSSES, *self.before)
 
+    # Guards against a target's failure that a peer passes on unchanged.
+    def test_failures_of_targets_that_ran_the_call_promise_nothing(
+        self,
+    ) -> None:
+        """Other versions of an instance do so."""
+        self.assert_no_promise(RAN, *self.before)
+
     # Guards against a changed answer of a peer that promises nothing.
     def test_failures_of_peers_are_passed_on(self) -> None:
         """They say that the call may have run."""
