Let the store confirm the list before a stream counts on its only version

Change: a take-up whose origin isn't known here counts on the only listed version after the store has answered, on a connection of its own, that there is no further change. Calls at the same time share a read; a read that is interrupted closes its connection. Peers' word on the only version counts under the same condition, since peers may be cut off together. Streams whose origin is known, and services with several versions, need no read.

Not shown with processes.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -40,7 +40,8 @@
     version: while the copy has a lower one, they keep their place among the
     items that peers receive.
 
-    The callbacks in ``on_change`` run after each change.
+    The callbacks in ``on_change`` run after each change. ``confirm`` asks the
+    store at once, and returns True if the facts hold all changes made before.
 
     :param clock: clock that also advances while the machine is suspended.
     :param decode_rules: decodes the operators' configuration.
@@ -60,6 +61,7 @@
         self.target_directory.on_unreadable = _log_unreadable
         self.rules: RuleSet | None = None
         self.on_change: list[Callable[[], None]] = []
+        self.confirm: Callable[[], bool] = lambda: False
         self._clock = clock
         self._decode_rules = decode_rules
         self._rules_key = rules_key
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -22,6 +22,7 @@
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.gateway import caller_connection
+from lagoonbend_entry._internal.gateway import facts_confirmer
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.admission import Admission
 from lagoonbend_entry._internal.gateway.call_handler import CallHandler
@@ -127,6 +128,15 @@
         self._store_watcher = StoreWatcher(
             self._facts, self._store_client, self._clock, self._is_store_reader
         )
+        self._facts.confirm = facts_confirmer.FactsConfirmer(
+            self._facts,
+            StoreClient(
+                parse_endpoint(settings.platform.endpoint),
+                settings.instance.name,
+                facts_confirmer.CONFIRM_TIMEOUT_MS,
+            ),
+            self._clock,
+        ).confirm
         self._metrics = GatewayMetrics()
         self._metrics_server = TextServer(
             METRICS_PATH, lambda: (HTTP_OK, self._render_metrics())
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
@@ -31,8 +31,9 @@
     def find(self, call: AdmittedCall) -> VersionBinding | None:
         """Return the version of the stream that a caller takes up.
 
-        While a service has one version, that one began the stream. Otherwise
-        the version must be known, here or at a peer, or targets of one version
+        While a service has one version, that one began the stream. The store
+        must confirm that, as this instance may be out of step. Otherwise the
+        version must be known, here or at a peer, or targets of one version
         alone must have read the prompt.
 
         :returns: None if it isn't known.
@@ -40,16 +41,25 @@
         service = call.service
         key = self._compute_origin_key(call)
         origin = self._origins.find(key) if key is not None else None
+        if origin is not None:
+            return VersionBinding(origin.version)
+        is_current = (
+            len(self._facts.list_versions(service)) == 1
+            and self._facts.confirm()
+        )
         version = self._facts.find_only_version(service)
-        if origin is not None or version:
-            return VersionBinding(origin.version if origin else version)
+        if is_current and version:
+            return VersionBinding(version)
         if key is None:
             return None
         answer = self._origins.ask(key, service)
         if answer.origin is not None:
             return VersionBinding(answer.origin.version)
         # A peer that has run for longer may know what this instance doesn't.
-        is_agreed = self._facts.list_versions(service) == answer.only_versions
+        is_agreed = (
+            is_current
+            and self._facts.list_versions(service) == answer.only_versions
+        )
         if len(answer.only_versions) == 1 and is_agreed:
             return VersionBinding(next(iter(answer.only_versions)))
         if not call.headers.prompt:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
@@ -95,7 +95,7 @@
         wait_ms = self._watch_wait_ms
         page = self._client.watch('', revision, wait_ms)
         _check_era(page, era)
-        _log_rejected(page)
+        log_rejected(page)
         self._record_success()
         if page.era > era:
             # The revision has another meaning there; all is listed next.
@@ -119,7 +119,7 @@
 
     def _list_all(self, sent_ms: int, known_era: int) -> None:
         page = self._client.list_items('', '')
-        _log_rejected(page)
+        log_rejected(page)
         era, revision = page.era, page.revision
         items = list(page.items)
         while page.has_more and page.items:
@@ -129,7 +129,7 @@
                     f'era {page.era} within a listing of era {era}',
                     context='platform service',
                 )
-            _log_rejected(page)
+            log_rejected(page)
             items.extend(page.items)
         _check_era(page, max(known_era, self._client.newest_era))
         self._record_success()
@@ -176,7 +176,8 @@
         )
 
 
-def _log_rejected(page: ItemsPage) -> None:
+def log_rejected(page: ItemsPage) -> None:
+    """Log the entries of an answer that can't be read."""
     for reason in page.rejected[:MAX_LOGGED_REJECTIONS]:
         log_event(
             Event.ENTRY_REJECTED,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -175,6 +175,11 @@
         'error',
         "A published entry can't be read and is left out.",
     )
+    FACTS_NOT_CONFIRMED = (
+        'LB0512',
+        'info',
+        'The store does not confirm that the facts are current.',
+    )
     PEER_REACHED = ('LB0600', 'info', 'A peer answers.')
     PEER_LOST = ('LB0601', 'warning', 'The link to a peer is lost.')
     PEER_REJECTED = (
--- a/tests/unit/test_versions_in_the_facts.py
+++ b/tests/unit/test_versions_in_the_facts.py
@@ -29,7 +29,7 @@
     return PublishedItem(name, revision, version.encode() or None)
 
 
-class VersionsInTheFactsTest(unittest.TestCase):
+class FactsCase(unittest.TestCase):
     """An instance that has read the list for as long as a stream may last."""
 
     def setUp(self) -> None:
@@ -59,6 +59,10 @@
         self.clock.advance(duration_ms)
         self.watch(self.facts.item_cache.complete_revision)
 
+
+class VersionsInTheFactsTest(FactsCase):
+    """The list changes, or changes may have been missed."""
+
     def assert_unknown_until_window(self) -> None:
         """Check that the version is known again once a stream has ended."""
         self.assertEqual('', self.facts.find_only_version('chat'))
