Take a success that ends right after its head for one that was cut

Searched: nine forms of an answer (length, chunks, trailers, folded and repeated fields, interim answer, stream, no length) cut at each byte, by a close and by a reset, on a new connection and after another answer, with the bytes at once and one by one. None that is cut within its head, and none that has a framing, counts as complete.

One case is left: a 2xx with neither a length nor chunks whose target closes right after the head. Streams were taken for cut then, other answers got passed on as a whole empty body. They are taken for cut as well now, except for HEAD: a caller who may repeat gets the answer of another target, the others 502.

Test, failed before: CutBodiesTest (200 in place of 502). The others of test_cut_heads passed before; they guard the search.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -455,6 +455,9 @@
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> AttemptReport:
         body = self._read_body(connection, answer)
+        is_success = answer.status < SUCCESS_STATUS_END
+        if is_success and answer.ends_at_close and not body:
+            self._check_may_be_empty()
         if answer.status < SERVER_ERROR_STATUS:
             self._check_fits(answer)
         self._record_answer()
@@ -469,6 +472,17 @@
             detail=f'status {answer.status}',
         )
 
+    def _check_may_be_empty(self) -> None:
+        """Raise ConnectionLostError for a body that may have been cut off.
+
+        A target that ends after the head leaves the same bytes as an answer
+        that has neither a length nor a body.
+        """
+        if self._call.request.method != 'HEAD':
+            raise target_error.ConnectionLostError(
+                'connection closed before the body'
+            )
+
     def _check_fits(self, answer: Answer) -> None:
         """Raise BadAnswerError for an answer that the caller can't get.
 
