Read the body of a request that offers another protocol

Cause: the binding of the parsing library ends such a request with its head and reports the rest as another protocol. The request had been added by then. Ruled out: a body lost when the request is encoded (the parser alone shows it).

Change: a new parser goes on behind the head of such a request, fed with its framing alone, so that the offer is ignored (RFC 9110, section 7.8) and the next request on the connection is the next one. CONNECT is rejected at its head. A request or an answer whose body has another length than its head states is rejected, whatever the library does.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
@@ -10,6 +10,7 @@
 """Limit on a head with the interim ones before it, and on framing and trailers
 without body. The platform's pages set none; many heads at once must fit into
 the 128 MB of an instance."""
+STATUSES_WITHOUT_BODY = (204, 304)
 HEADER_LINE_OVERHEAD_BYTES = 4
 """Bytes of a header line besides its name and value: colon, space and CRLF."""
 MAX_UNREAD_ANSWERS = 16
@@ -30,6 +31,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._current: Answer | None = None
         self._has_framing = False
+        self._body_bytes = 0
         self._head_bytes = 0
         self._idle_bytes = 0
         self._has_progressed = False
@@ -66,6 +68,7 @@
             self.is_malformed = True
             return
         self._head_bytes = 0
+        self._body_bytes = 0
         self._current = Answer()
         self._has_framing = False
         self.answers.append(self._current)
@@ -101,8 +104,7 @@
         answer.status = self._parser.get_status_code()
         answer.is_head_complete = True
         self._has_progressed |= not answer.is_interim
-        has_body = not answer.is_interim and answer.status not in (204, 304)
-        answer.ends_at_close = has_body and not self._has_framing
+        answer.ends_at_close = has_body(answer) and not self._has_framing
         answer.keeps_connection = (
             self._parser.should_keep_alive() and not answer.ends_at_close
         )
@@ -111,9 +113,27 @@
         """Store a chunk of the body."""
         if self._current is not None:
             self._current.chunks.append(body)
+            self._body_bytes += len(body)
             self._has_progressed = True
 
     def on_message_complete(self) -> None:
-        """Complete the answer."""
-        if self._current is not None:
-            self._current.is_complete = True
+        """Complete the answer, if its body is as long as its head says."""
+        answer = self._current
+        if answer is None:
+            return
+        length = answer.header_map.get('content-length')
+        if (
+            length is not None
+            and has_body(answer)
+            and 'transfer-encoding' not in answer.header_map
+            and int(length) != self._body_bytes
+        ):
+            self._current = None
+            self.is_malformed = True
+            return
+        answer.is_complete = True
+
+
+def has_body(answer: Answer) -> bool:
+    """Return True if the status of an answer allows a body."""
+    return not answer.is_interim and answer.status not in STATUSES_WITHOUT_BODY
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/request_parser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/request_parser.py
@@ -11,6 +11,7 @@
 HEADER_LINE_OVERHEAD_BYTES = 4
 """Bytes of a header line besides its name and value: colon, space and CRLF."""
 UNREPEATABLE_HEADERS = ('host', 'authorization', 'content-length')
+FRAMING_HEADERS = ('connection', 'content-length', 'transfer-encoding')
 
 
 class RequestParser:
@@ -20,6 +21,9 @@
     beyond the bounds, 0 if there is none. Complete requests before it are
     served first. ``bounds`` may be replaced between two calls of ``feed``.
 
+    An offer to change the protocol is ignored (RFC 9110, section 7.8). The
+    library ends a message that makes one with its head.
+
     :param clock: clock of the instance.
     :param bounds: maximum sizes of heads and bodies.
     """
@@ -43,6 +47,8 @@
         self._header_map: dict[str, str] = {}
         self._body = bytearray()
         self._received_ms = 0
+        self._has_offer = False
+        self._is_replaying = False
 
     def feed(self, data: bytes) -> None:
         """Parse bytes.
@@ -53,12 +59,7 @@
         if self.error_status:
             return
         self._has_progressed = False
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserError:
-            self._reject(400)
+        self._parse(data)
         if self.is_reading and not self.is_head_complete:
             self._incomplete_head_bytes += len(data)
             if self._incomplete_head_bytes > 2 * self.bounds.header_bytes:
@@ -69,8 +70,39 @@
         if self._idle_bytes > 2 * self.bounds.header_bytes:
             self._reject(431)
 
+    def _parse(self, data: bytes) -> None:
+        while not self.error_status:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as error:
+                data = data[error.args[0] :]
+                self._begin_body()
+            except httptools.HttpParserError:
+                self._reject(400)
+
+    def _begin_body(self) -> None:
+        """Let a new parser go on behind a head that has made an offer."""
+        lines = [
+            f'{self._parser.get_method().decode()} / '
+            f'HTTP/{self._parser.get_http_version()}',
+            *(
+                f'{name}: {value}'
+                for name, value in self._headers
+                if name.lower() in FRAMING_HEADERS
+            ),
+        ]
+        head = '\r\n'.join(lines) + '\r\n\r\n'
+        self._parser = httptools.HttpRequestParser(self)
+        self._has_offer = False
+        self._is_replaying = True
+        self._parse(head.encode('latin-1'))
+        self._is_replaying = False
+
     def on_message_begin(self) -> None:
         """Begin a new request."""
+        if self._is_replaying:
+            return
         self.is_reading = True
         self.is_head_complete = False
         self.wants_continue = False
@@ -83,12 +115,14 @@
 
     def on_url(self, url: bytes) -> None:
         """Store a piece of the path."""
+        if self._is_replaying:
+            return
         self._url += url
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header; trailers are ignored."""
-        if self.is_head_complete:
+        if self.is_head_complete or self._is_replaying:
             return
         self._count_head_bytes(
             len(name) + len(value) + HEADER_LINE_OVERHEAD_BYTES
@@ -105,6 +139,11 @@
 
     def on_headers_complete(self) -> None:
         """Validate the head."""
+        if self._is_replaying:
+            return
+        self._has_offer = self._parser.should_upgrade()
+        if self._parser.get_method() == b'CONNECT':
+            self._reject(400)
         self.is_head_complete = True
         self._has_progressed = True
         self._received_ms = self._clock.now_ms()
@@ -127,9 +166,13 @@
             self._reject(413)
 
     def on_message_complete(self) -> None:
-        """Complete the request."""
+        """Complete the request, unless its body is still to come."""
+        if self._has_offer:
+            return
         self._has_progressed = True
         self.is_reading = False
+        if not self._has_stated_length():
+            self._reject(400)
         if self.error_status:
             return
         version = self._parser.get_http_version()
@@ -147,6 +190,13 @@
         )
         self._body = bytearray()
 
+    def _has_stated_length(self) -> bool:
+        """Return True if the body is as long as the head says."""
+        if 'transfer-encoding' in self._header_map:
+            return True
+        length = self._header_map.get('content-length', '0').strip()
+        return length.isdecimal() and int(length) == len(self._body)
+
     def _count_head_bytes(self, size: int) -> None:
         self._head_bytes += size
         if self._head_bytes > self.bounds.header_bytes:
--- a/tests/functional/test_gateway_answers.py
+++ b/tests/functional/test_gateway_answers.py
@@ -121,6 +121,23 @@
         for name in ('authorization', 'hold', 'pin-ms'):
             self.assertNotIn(name, header_map)
 
+    # Guards against a booking that runs without its body, since its client
+    # offers another protocol as some do by default.
+    def test_offer_of_another_protocol_is_ignored(self) -> None:
+        """The request runs as sent, and the target gets no offer."""
+        attempt, answer = call(
+            self.fleet,
+            'booking',
+            Connection='Upgrade, HTTP2-Settings',
+            Upgrade='h2c',
+            HTTP2_Settings='AAMAAABkAARAAAAAAAIAAAAA',
+        )
+        self.assertEqual(200, answer.status)
+        run = next(r for r in self.fleet.runs if r.attempt == attempt)
+        self.assertEqual(b'van on Friday', run.request.body)
+        for name in ('upgrade', 'http2-settings'):
+            self.assertNotIn(name, run.request.header_map)
+
     def test_non_idempotent_call_runs_at_most_once(self) -> None:
         """A call that fails after it was sent is not repeated.
 
