Count an instance that refuses connections as out of reach

Cause: a refused connection was taken for the end of the process, and the peer no longer counted as known. Behind a cut with resets it runs and uses its share.

Change: such a peer counts as out of reach, as in a silent cut, unless it has said that it leaves. So do limits of customers and of targets, shares of slots and the retry slack, which all go by the same count.

Tests, failed before: test_each_side_of_a_cut_with_resets_counts_the_other, test_instance_that_refuses_keeps_its_part_of_limits. The latter replaces test_stopped_instance_takes_no_part_of_limits, which wanted the fault: a refused instance took no part at once. It still does so once it has said that it leaves. The test of unreachable domains asks for the same in place of any refusal.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -101,6 +101,7 @@
         self._last_known_ms: dict[str, int] = {}
         self._heartbeats: dict[str, Heartbeat] = {}
         self._unreachable_until_ms: dict[str, int] = {}
+        self._leaving: set[str] = set()
         self._domains: dict[str, str] = {}
         self._view: MembershipView | None = None
         self.add_peers(seeds)
@@ -164,13 +165,16 @@
         )
         self._last_known_ms[address] = now_ms
 
-    def record_stopped(self, address: str) -> None:
-        """Record that no process listens at an address any more.
+    def record_refused(self, address: str) -> None:
+        """Record that a connection to an instance was refused.
 
-        Such an instance uses no share of a limit, while one that is out of
-        reach may.
+        One that has said that it leaves has ended, and uses no share of a
+        limit. Any other may be sound behind a cut that resets connections,
+        and counts as out of reach.
         """
         self.record_unreachable(address)
+        if address not in self._leaving:
+            return
         self._domains.pop(address, None)
         self._last_known_ms[address] = self._clock.now_ms() - MEMBER_EXPIRY_MS
         self._view = None
@@ -481,6 +485,10 @@
         """Store a heartbeat; drop the view if more than times changed."""
         previous = self._heartbeats.get(heartbeat.address)
         self._heartbeats[heartbeat.address] = heartbeat
+        if heartbeat.is_leaving:
+            self._leaving.add(heartbeat.address)
+        else:
+            self._leaving.discard(heartbeat.address)
         is_unchanged = (
             previous is not None
             and self._is_fresh(previous, self._clock.now_ms())
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_link.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_link.py
@@ -34,7 +34,7 @@
     :param on_message: called with the link and each message.
     :param on_open: called with the link once it is open.
     :param on_lost: called with the link when it is lost.
-    :param on_stopped: called with the address if no process listens there.
+    :param on_refused: called with the address if a connection is refused.
     :param on_unreachable: called with the address if connecting fails for
         another reason.
     """
@@ -48,7 +48,7 @@
         on_message: Callable[['PeerLink', messages.AnyMessage], None],
         on_open: Callable[['PeerLink'], None],
         on_lost: Callable[['PeerLink'], None],
-        on_stopped: Callable[[str], None],
+        on_refused: Callable[[str], None],
         on_unreachable: Callable[[str], None],
     ) -> None:
         self.address = address
@@ -60,7 +60,7 @@
         self._on_message = on_message
         self._on_open = on_open
         self._on_lost = on_lost
-        self._on_stopped = on_stopped
+        self._on_refused = on_refused
         self._on_unreachable = on_unreachable
         self._channel: message_channel.MessageChannel | None = None
         self._has_tried_once = gevent.event.Event()
@@ -115,7 +115,7 @@
             sock = open_tcp_socket((ip, int(port)), CONNECT_TIMEOUT_MS)
         except OSError as error:
             if error.errno == errno.ECONNREFUSED:
-                self._on_stopped(self.address)
+                self._on_refused(self.address)
             else:
                 self._on_unreachable(self.address)
             return
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
@@ -140,7 +140,7 @@
             on_message=self._on_message,
             on_open=self._on_link_open,
             on_lost=self._on_link_lost,
-            on_stopped=self._fleet.record_stopped,
+            on_refused=self._fleet.record_refused,
             on_unreachable=self._fleet.record_unreachable,
         )
         self._links[address] = link
--- a/tests/unit/test_cut_between_domains.py
+++ b/tests/unit/test_cut_between_domains.py
@@ -126,17 +126,49 @@
         world.leaving.clear()
         self.assertFalse(second & set(world.update_deciders().values()))
 
-    def test_stopped_instance_takes_no_part_of_limits(self) -> None:
-        """Shares of limits count unreachable instances, not stopped ones."""
+    # Guards against a limit that both sides of a cut use as a whole, since a
+    # cut that resets connections looks like the end of all peers beyond it.
+    def test_instance_that_refuses_keeps_its_part_of_limits(self) -> None:
+        """Unless it has said that it leaves, and not come back since."""
         world = FleetWorld(6)
         fleet = world.fleets[world.names[0]]
         self.assertEqual(6, fleet.count_known())
+        world.leaving = {world.names[4]}
+        world.advance(250)
         world.sides = [set(world.names[:4])]
         world.advance(1_500)
         self.assertEqual(4, fleet.count_alive())
         self.assertEqual(6, fleet.count_known())
-        fleet.record_stopped(world.names[5])
+        fleet.record_refused(world.names[5])
+        self.assertEqual(6, fleet.count_known())
+        fleet.record_refused(world.names[4])
         self.assertEqual(5, fleet.count_known())
+        world.leaving.clear()
+        world.sides = [set(world.names)]
+        world.advance(250)
+        self.assertEqual(6, fleet.count_known())
+        fleet.record_refused(world.names[4])
+        self.assertEqual(6, fleet.count_known())
+
+    # Guards against the same in a fleet that learns of most by hearsay.
+    def test_each_side_of_a_cut_with_resets_counts_the_other(self) -> None:
+        """Not more than one side uses the whole limit."""
+        for count in (6, 7, 24):
+            world = FleetWorld(count)
+            half = set(world.names[::2])
+            world.sides = [half, set(world.names) - half]
+            for side in world.sides:
+                for name in side:
+                    for other in set(world.names) - side:
+                        world.fleets[name].record_refused(other)
+            world.advance(2_500)
+            majorities = [
+                fleet.count_alive() > fleet.count_known() / 2
+                for fleet in (
+                    world.fleets[sorted(side)[0]] for side in world.sides
+                )
+            ]
+            self.assertLessEqual(sum(majorities), 1, count)
 
 
 def list_targets(records: list[CallRecord]) -> set[str]:
@@ -148,18 +180,25 @@
     """Which failure domains count as unreachable."""
 
     def test_domain_without_any_heartbeat_is_unreachable(self) -> None:
-        """Domains of stopped instances and the own one are not unreachable."""
+        """Domains of instances that have left and the own one are not."""
         world = FleetWorld(6)
         reachable = [
             name for name in world.names if name.split('.')[2] in '024'
         ]
         fleet = world.fleets[reachable[0]]
         self.assertEqual(frozenset(), fleet.list_unreachable_domains())
-        world.sides = [set(reachable), set(world.names) - set(reachable)]
+        others = set(world.names) - set(reachable)
+        world.sides = [set(reachable), others]
         world.advance(1_250)
         self.assertEqual(frozenset({'d1'}), fleet.list_unreachable_domains())
-        for name in set(world.names) - set(reachable):
-            fleet.record_stopped(name)
+        for name in others:
+            fleet.record_refused(name)
+        self.assertEqual(frozenset({'d1'}), fleet.list_unreachable_domains())
+        world.sides = [set(world.names)]
+        world.leaving = others
+        world.advance(250)
+        for name in others:
+            fleet.record_refused(name)
         self.assertEqual(frozenset(), fleet.list_unreachable_domains())
 
 
--- a/tests/unit/test_fuzzed_peers.py
+++ b/tests/unit/test_fuzzed_peers.py
@@ -181,7 +181,7 @@
             on_message=on_message,
             on_open=mock.Mock(),
             on_lost=mock.Mock(),
-            on_stopped=mock.Mock(),
+            on_refused=mock.Mock(),
             on_unreachable=mock.Mock(),
         )
         greenlet = gevent.spawn(link.run)
--- a/tests/unit/test_keepers_of_origins.py
+++ b/tests/unit/test_keepers_of_origins.py
@@ -82,7 +82,7 @@
                 fleet = self.fleets[address]
                 for peer in fleet.select_peers((), (), shares_origins=True):
                     if peer in self.dead:
-                        fleet.record_stopped(peer)
+                        fleet.record_refused(peer)
                         continue
                     relayed = self.fleets[peer].list_relayed_members()
                     fleet.record_pong(self.build_pong(peer, relayed))
