Don't believe an earlier build that guesses the only version

Change: OriginFound says that its sender has followed the list. Earlier builds don't send that and ignore it; their word on the only version doesn't count, and the targets are asked for the prompt.

Test, failed before: test_version_of_a_peer_that_may_guess_does_not_count, with the bytes of an earlier build. test_stream_that_no_peer_knows_is_unknown_at_once sends the new field.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -264,12 +264,15 @@
 
     ``only_version`` is the version of all targets that the service has had
     for as long as a stream may last, as far as the sender knows; empty if
-    there were several or it doesn't know.
+    there were several or it doesn't know. ``has_followed`` is True if the
+    sender has read all changes in that time. Earlier versions don't send it
+    and may guess.
     """
 
     key: Key
     origins: list[WireOrigin]
     only_version: str
+    has_followed: bool = False
 
 
 class WireCrash(msgspec.Struct, array_like=True):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
@@ -251,7 +251,7 @@
         question = self._questions.get(message.key)
         if question is None:
             return
-        if message.only_version:
+        if message.only_version and message.has_followed:
             question.only_versions.add(message.only_version)
         question.peers.discard(peer)
         if message.origins or not question.peers:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
@@ -207,7 +207,9 @@
 ) -> messages.OriginFound:
     """Return the answer to a question for the origin of a stream."""
     found = [] if origin is None else [_encode_origin(origin, now_ms)]
-    return messages.OriginFound(key, found, only_version)
+    return messages.OriginFound(
+        key, found, only_version, has_followed=bool(only_version)
+    )
 
 
 def decode_origin_answer(
--- a/tests/unit/test_stream_origins.py
+++ b/tests/unit/test_stream_origins.py
@@ -137,11 +137,25 @@
         gevent.sleep(0)
         for peer in PEERS:
             self.exchange.handle_answer(
-                peer, messages.OriginFound(KEY, [], 'v1')
+                peer, messages.OriginFound(KEY, [], 'v1', has_followed=True)
             )
         answer = asking.get(timeout=0.1)
         self.assertEqual((None, {'v1'}), answer)
 
+    # Guards against the guess of an earlier build that has just started.
+    def test_version_of_a_peer_that_may_guess_does_not_count(self) -> None:
+        """Its answer lacks the last field; it counts as an answer."""
+        asking = gevent.spawn(self.exchange.ask, KEY, 'chat')
+        gevent.sleep(0)
+        message = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(['OriginFound', KEY, [], 'v1']),
+            type=messages.OriginFound,
+        )
+        for peer in PEERS:
+            self.exchange.handle_answer(peer, message)
+        answer = asking.get(timeout=0.1)
+        self.assertEqual((None, frozenset()), answer)
+
     def test_instance_without_peers_has_no_answer(self) -> None:
         """It learns that it is alone, and doesn't wait."""
         self.unreachable = set(PEERS)
