Record that a target leaves when a peer's answer says so

An instance that passed on an answer with Server-Leaving from a peer went on to send that target requests once it reached targets again (DRAIN, if the store doesn't tell meanwhile).

Cause: what heads say of a target is recorded from attempts at targets alone; a peer's answer doesn't name its target.

Change: a peer names the target and its start beside the software version in the answer to a call that was handed over, and the sender records that it leaves if it lists that target in that life. Both headers are removed before the answer goes to the caller, and replaced if a target sends them.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -245,6 +245,10 @@
     def _exchange(self) -> AttemptReport:
         connection = self._send()
         answer, answer_facts = self._read_matching_head(connection)
+        if self._call.is_handed_over:
+            answer.headers = handover_mark.mark_answer(
+                answer.headers, self._target
+            )
         self._asks_for_pause = answer_facts.pause_ms > 0
         self._first_byte_ms = max(1, self._clock.now_ms() - self.sent_ms)
         if answer_facts.is_encoded:
@@ -598,20 +602,11 @@
             self._reply.begin_stream(
                 answer.status,
                 answer.reason,
-                self._list_stream_headers(answer),
+                list_relayed_headers(answer),
                 event,
             )
         self._position.record_sent(event)
 
-    def _list_stream_headers(self, answer: Answer) -> list[tuple[str, str]]:
-        headers = list_relayed_headers(answer)
-        if not self._call.is_handed_over:
-            return headers
-        # The instance before this one may have to let the stream go on.
-        return handover_mark.mark_software(
-            headers, self._target.software_version
-        )
-
     def _get_first_byte_patience_ms(self) -> int:
         """Return the silence before the first byte that is no concern."""
         left_ms = self._left_ms()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -183,6 +183,7 @@
             closed_targets,
             clock,
             self._body_memory,
+            facts.target_directory.find,
         )
         self._limit_recorder = LimitRecorder(
             coordinator.named_limits, clock, coordinator.report_limit
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -1,5 +1,8 @@
 """Lets peers run the calls whose targets this instance doesn't reach."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
+
 from lagoonbend.clock import Clock
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import VersionBinding
@@ -44,6 +47,7 @@
     :param closed_targets: targets that get no requests.
     :param clock: clock of the instance.
     :param body_memory: memory of the instance for buffered bodies.
+    :param find_target: returns a target as listed now.
     """
 
     def __init__(
@@ -53,12 +57,14 @@
         closed_targets: ClosedTargets,
         clock: Clock,
         body_memory: BodyMemory,
+        find_target: Callable[[str], ListedTarget | None] = lambda name: None,
     ) -> None:
         self._peers = peers
         self._connection_pool = connection_pool
         self._closed_targets = closed_targets
         self._clock = clock
         self._body_memory = body_memory
+        self._find_target = find_target
 
     def serve(
         self,
@@ -158,6 +164,16 @@
             peer_age_ms=self._clock.now_ms() - peer.last_seen_ms,
         )
 
+    def _record_leaving(self, header_map: Mapping[str, str]) -> None:
+        """Send nothing more to a target whose answer says that it leaves."""
+        target = self._find_target(handover_mark.find_target_name(header_map))
+        if (
+            target is not None
+            and handover_mark.names_target(header_map, target)
+            and self._closed_targets.record_leaving(target)
+        ):
+            self._connection_pool.close_idle((target.ip, target.port))
+
     def _run_at(
         self, peer: Heartbeat, progress: CallProgress, reply: ReplyWriter
     ) -> AttemptReport:
@@ -185,6 +201,7 @@
             search,
             self._body_memory,
             progress.sends,
+            on_leaving=self._record_leaving,
         )
         try:
             report = attempt.run()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/peer_attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/peer_attempt.py
@@ -1,5 +1,9 @@
 """One attempt to let a peer run a call."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt import Attempt
 from lagoonbend_entry._internal.gateway.target_connection import encode_request
@@ -17,9 +21,20 @@
 
     ``software_version`` is the version at which the peer has begun a stream;
     None if it hasn't said so.
+
+    :param arguments: those of an attempt.
+    :param on_leaving: called with the headers of an answer whose target says
+        that it leaves.
     """
 
-    software_version: str | None = None
+    def __init__(
+        self,
+        *arguments: Any,
+        on_leaving: Callable[[Mapping[str, str]], None],
+    ) -> None:
+        super().__init__(*arguments)
+        self.software_version: str | None = None
+        self._on_leaving = on_leaving
 
     def _encode_request(self) -> bytes:
         call = self._call
@@ -41,9 +56,15 @@
         """Leave that to the sender of the call, which may ask another peer."""
 
     def _decode_headers(self, answer: Answer) -> AnswerHeaders:
-        """Return the values of a head; what it says concerns no target."""
+        """Return the values of a head; record that a target leaves.
+
+        What else it says is for the peer, which has sent the request.
+        """
         self.software_version = handover_mark.find_software(answer.header_map)
-        answer.headers = handover_mark.remove_software(answer.headers)
-        return answer_headers.decode_answer_headers(
+        answer.headers = handover_mark.remove_marks(answer.headers)
+        answer_facts = answer_headers.decode_answer_headers(
             answer.status, answer.header_map
         )
+        if answer_facts.is_leaving:
+            self._on_leaving(answer.header_map)
+        return answer_facts
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
@@ -7,6 +7,8 @@
 from collections.abc import Mapping
 import urllib.parse
 
+from lagoonbend.facts import ListedTarget
+
 HEADER_HANDED_OVER = 'lagoonbend-handed-over'
 """Marks a call that must not be handed over again. It is 2 if the sender
 understands a call that is handed back; earlier versions send 1."""
@@ -17,6 +19,10 @@
 HEADER_SOFTWARE = 'lagoonbend-software'
 """Names, in the answer to such a call, the software version that has begun the
 stream, percent-encoded. Earlier versions of an instance don't send it."""
+HEADER_TARGET = 'lagoonbend-target'
+"""Names, in the answer to such a call, the target that gave it and its start,
+so that what the answer says of the target counts for the sender, too."""
+ANSWER_MARKS = (HEADER_SOFTWARE, HEADER_TARGET)
 
 
 def is_handed_over(header_map: Mapping[str, str]) -> bool:
@@ -45,27 +51,26 @@
     return HEADER_HANDED_BACK in header_map
 
 
-def mark_software(
-    headers: Iterable[tuple[str, str]], version: str | None
+def mark_answer(
+    headers: Iterable[tuple[str, str]], target: ListedTarget
 ) -> list[tuple[str, str]]:
-    """Return the headers of an answer, with the version of its target.
-
-    :param version: None if it isn't known.
-    """
-    marked = remove_software(headers)
-    if version is not None:
-        marked.append((HEADER_SOFTWARE, urllib.parse.quote(version)))
+    """Return the headers of an answer, with the target that gave it."""
+    marked = remove_marks(headers)
+    if target.software_version is not None:
+        version = urllib.parse.quote(target.software_version)
+        marked.append((HEADER_SOFTWARE, version))
+    marked.append((HEADER_TARGET, _encode_life(target)))
     return marked
 
 
-def remove_software(
+def remove_marks(
     headers: Iterable[tuple[str, str]],
 ) -> list[tuple[str, str]]:
-    """Return the headers of an answer without the version."""
+    """Return the headers of an answer without what a peer has added."""
     return [
         (name, value)
         for name, value in headers
-        if name.lower() != HEADER_SOFTWARE
+        if name.lower() not in ANSWER_MARKS
     ]
 
 
@@ -73,3 +78,18 @@
     """Return the version that an answer names; None if it names none."""
     value = header_map.get(HEADER_SOFTWARE)
     return None if value is None else urllib.parse.unquote(value)
+
+
+def names_target(header_map: Mapping[str, str], target: ListedTarget) -> bool:
+    """Return True if an answer names a target in its present life."""
+    return header_map.get(HEADER_TARGET) == _encode_life(target)
+
+
+def find_target_name(header_map: Mapping[str, str]) -> str:
+    """Return the identity of the target that an answer names, or none."""
+    name, _, _ = header_map.get(HEADER_TARGET, '').partition(';')
+    return urllib.parse.unquote(name)
+
+
+def _encode_life(target: ListedTarget) -> str:
+    return f'{urllib.parse.quote(target.target)};{target.born_ms}'
--- a/tests/functional/test_handed_over_calls.py
+++ b/tests/functional/test_handed_over_calls.py
@@ -132,6 +132,26 @@
         self.assertNotIn('server-stamp', answer.headers)
         self.assertEqual(1, self.count_runs('promised'))
 
+    # Guards against requests to a target that has said that it leaves, in an
+    # answer that the instance has passed on.
+    def test_target_that_leaves_gets_no_request_after_the_cut(self) -> None:
+        """Whatever the platform lists."""
+        self.send('look-up', 'before', 'leaving')
+        (before,) = [
+            r.target for r in self.fleet.runs if r.attempt == 'before'
+        ]
+        self.fleet.mend_links(CUT)
+        gevent.sleep(SETTLE_S)
+        for number in range(12):
+            answer = self.send('look-up', f'after-{number}')
+            self.assertEqual(200, answer.status)
+        after = {
+            run.target
+            for run in self.fleet.runs
+            if run.attempt.startswith('after')
+        }
+        self.assertEqual({'desk-0', 'desk-1'} - {before}, after)
+
     # Guards against calls that are counted twice against their customer's
     # limit, at each of the two instances.
     def test_limit_counts_a_call_once(self) -> None:
--- a/tests/unit/test_versions_named_by_peers.py
+++ b/tests/unit/test_versions_named_by_peers.py
@@ -10,6 +10,7 @@
 
 from lagoonbend.clock import PausedClock
 from lagoonbend.exceptions import NetworkError
+from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import VersionBinding
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend_entry._internal.gateway import call_handler
@@ -20,6 +21,7 @@
 from lagoonbend_entry._internal.models import handover_mark
 from lagoonbend_entry._internal.platform import call_headers
 
+TARGET = ListedTarget('i;1', 'chat', '10.0.0.1', 80, 'd', 4, False, born_ms=5)
 ODD_VERSION = 'v1 \u2192 2%20'
 
 
@@ -45,10 +47,15 @@
         connection.received_bytes = 0
         connection.read_head.return_value = answer
         connection.read_body.side_effect = lambda *unused: read_broken()
-        closed_targets = mock.Mock()
-        closed_targets.is_closed.return_value = False
+        self.closed_targets = mock.Mock()
+        self.closed_targets.is_closed.return_value = False
         handover = handover_module.Handover(
-            mock.Mock(), pool, closed_targets, PausedClock(1_000), mock.Mock()
+            mock.Mock(),
+            pool,
+            self.closed_targets,
+            PausedClock(1_000),
+            mock.Mock(),
+            {TARGET.target: TARGET}.get,
         )
         call = mock.MagicMock(expires_at_ms=4_000)
         call.headers = call_headers.decode_call_headers({'attempt-id': 'a'})
@@ -69,14 +76,15 @@
         )
         self.assertIs(AttemptOutcome.BROKEN_STREAM, report.outcome)
         relayed = dict(reply.begin_stream.call_args.args[2])
-        self.assertNotIn(handover_mark.HEADER_SOFTWARE, relayed)
+        for name in handover_mark.ANSWER_MARKS:
+            self.assertNotIn(name, relayed)
         return progress
 
     def test_stream_is_bound_to_the_version_that_the_peer_names(self) -> None:
         """Whatever characters the version has."""
         for version in ('v1', '', ODD_VERSION):
-            marks = handover_mark.mark_software([], version)
-            progress = self.hand_over(dict(marks))
+            target = TARGET._replace(software_version=version)
+            progress = self.hand_over(mark(target))
             self.assertEqual(VersionBinding(version), progress.binding)
 
     def test_version_that_is_not_named_is_asked_for(self) -> None:
@@ -94,14 +102,45 @@
         self.assertEqual(VersionBinding('v2'), progress.binding)
 
     def test_target_can_not_name_another_version(self) -> None:
-        """Its header is replaced by the version in the list."""
-        headers = [('Lagoonbend-Software', 'v9'), ('X-Other', '1')]
-        marked = handover_mark.mark_software(headers, 'v1')
-        expected = [('X-Other', '1'), (handover_mark.HEADER_SOFTWARE, 'v1')]
-        self.assertEqual(expected, marked)
-        self.assertEqual(
-            [('X-Other', '1')], handover_mark.mark_software(headers, None)
-        )
+        """Its headers are replaced by what the list says."""
+        headers = [
+            ('Lagoonbend-Software', 'v9'),
+            ('LAGOONBEND-TARGET', 'other;1'),
+            ('X-Other', '1'),
+        ]
+        for version, expected in (('v1', 'v1'), (None, None)):
+            target = TARGET._replace(software_version=version)
+            marked = handover_mark.mark_answer(headers, target)
+            header_map = {name.lower(): value for name, value in marked}
+            self.assertEqual(expected, handover_mark.find_software(header_map))
+            self.assertTrue(handover_mark.names_target(header_map, TARGET))
+            self.assertEqual(
+                [('X-Other', '1')], handover_mark.remove_marks(marked)
+            )
+
+    # Guards against requests to a target that has said that it leaves, in an
+    # answer that a peer has passed on.
+    def test_target_that_leaves_is_recorded(self) -> None:
+        """Not if it has started again, or the peer doesn't name it."""
+        for named, is_recorded in (
+            (mark(TARGET), True),
+            (mark(TARGET._replace(born_ms=6)), False),
+            (mark(TARGET._replace(target='unlisted')), False),
+            ({}, False),
+        ):
+            self.hand_over({**named, 'server-leaving': '1'})
+            leaving = [
+                item.args[0]
+                for item in self.closed_targets.record_leaving.mock_calls
+            ]
+            self.assertEqual([TARGET] if is_recorded else [], leaving)
+        self.hand_over(mark(TARGET))
+        self.closed_targets.record_leaving.assert_not_called()
+
+
+def mark(target: ListedTarget) -> dict[str, str]:
+    """Return the headers by which a peer names a target."""
+    return dict(handover_mark.mark_answer([], target))
 
 
 def read_broken() -> Iterator[bytes]:
