Keep what is known of versions when an entry that is no target is removed

The removal of a name that was never listed as a target begins the time anew from which an instance knows all versions. Entries of other writers, which can't be read or are no targets, were among these names, so that one that comes and goes would have kept instances from ever counting on a service's only version. No stream can have begun there.

Test, failed before: test_entry_that_is_no_target_keeps_the_window.

--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -52,6 +52,7 @@
         self._gone_versions: dict[str, dict[str | None, int]] = {}
         self._listed_since_ms: int | None = None
         self._known_names: dict[str, None] = {}
+        self._other_names: set[str] = set()
         self.change_count = 0
 
     def __len__(self) -> int:
@@ -180,9 +181,11 @@
         if item.value is not None:
             target = self._read(item)
             self._end_lapse(name)
+            self._other_names.discard(name)
             if target is None:
                 self._returned_until_ms.pop(name, None)
                 self._targets.pop(name, None)
+                self._other_names.add(name)
             else:
                 self._targets[name] = self._restrict(target, item, now_ms)
                 self._record_name(name)
@@ -191,7 +194,9 @@
         self._returned_until_ms.pop(name, None)
         known = self._targets.get(name)
         if known is None:
-            if name not in self._known_names:
+            is_other = name in self._other_names
+            self._other_names.discard(name)
+            if not is_other and name not in self._known_names:
                 # It was listed in between, with an unknown version.
                 self.forget_history(now_ms)
             return
--- a/tests/unit/test_versions_in_the_facts.py
+++ b/tests/unit/test_versions_in_the_facts.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from lagoonbend.clock import PausedClock
+from lagoonbend.exceptions import DocumentError
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import PublishedItem
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
@@ -17,8 +18,13 @@
 
 
 def decode_target(item: PublishedItem) -> ListedTarget | None:
-    """Return a target whose version is the value of an item."""
+    """Return a target whose version is the value of an item.
+
+    :raises DocumentError: for the value ``odd``.
+    """
     version = (item.value or b'').decode()
+    if version == 'odd':
+        raise DocumentError("entry can't be read")
     return ListedTarget(
         item.key, 'chat', '10.0.0.1', 80, 'd', 4, False, version
     )
@@ -115,6 +121,14 @@
         self.watch(12, build_item('b', 'v2', 11), build_item('b', '', 12))
         self.assert_unknown_until_window()
 
+    # Guards against a window that never ends, since entries of another writer
+    # come and go.
+    def test_entry_that_is_no_target_keeps_the_window(self) -> None:
+        """No stream can have begun there."""
+        self.watch(12, build_item('b', 'odd', 11))
+        self.watch(13, build_item('b', '', 13))
+        self.assertEqual('v1', self.facts.find_only_version('chat'))
+
     # Guards against the same where only the removal is passed on.
     def test_removal_of_an_unknown_target_begins_the_window_anew(
         self,
