Move what a status promises out of the folder of the platform

It stands in models/promises.py now; the platform decodes the signature and nothing else. No change of behaviour.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_relay.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_relay.py
@@ -7,7 +7,7 @@
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
-from lagoonbend_entry._internal.platform import answer_headers
+from lagoonbend_entry._internal.models import promises
 
 
 def relay_answer(
@@ -25,7 +25,7 @@
     if answer is None:
         return None
     if (
-        answer_headers.promises_not_run(answer.status)
+        promises.promises_not_run(answer.status)
         and progress.may_have_run
         and not progress.call.route.may_repeat
     ):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -10,6 +10,7 @@
 from lagoonbend.outcomes import RetryShare
 from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
 from lagoonbend_entry._internal.gateway import gateway_refusal
+from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.answer_relay import relay_answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.body_memory import BodyMemory
@@ -25,6 +26,7 @@
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
 from lagoonbend_entry._internal.models import handover_mark
+from lagoonbend_entry._internal.models import promises
 from lagoonbend_entry._internal.platform import answer_headers
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
@@ -108,9 +110,7 @@
         answer = report.answer
         if answer is None:
             return HandoverResult(is_final=True)
-        is_refusal = answer_headers.is_refusal_unrun(
-            answer.status, answer.header_map
-        )
+        is_refusal = _is_unrun_refusal(answer)
         if reply.has_begun or (is_refusal and progress.may_have_run):
             return MAY_HAVE_RUN
         return HandoverResult(
@@ -207,9 +207,7 @@
             report = attempt.run()
             progress.sends.close(attempt, report.outcome)
             answer = report.answer
-            if answer is not None and answer_headers.is_refusal_unrun(
-                answer.status, answer.header_map
-            ):
+            if answer is not None and _is_unrun_refusal(answer):
                 progress.sends.rule_out(attempt)
             return report
         finally:
@@ -226,7 +224,18 @@
     return (
         answer is not None
         and handover_mark.is_handed_back(answer.header_map)
-        and not answer_headers.decode_answer_headers(
-            answer.status, answer.header_map
-        ).is_signed
+        and not _is_signed(answer)
     )
+
+
+def _is_unrun_refusal(answer: Answer) -> bool:
+    """Return True if the peer refuses a call that it has not run."""
+    return promises.is_unrun_refusal(
+        answer.status, is_signed=_is_signed(answer)
+    )
+
+
+def _is_signed(answer: Answer) -> bool:
+    return answer_headers.decode_answer_headers(
+        answer.status, answer.header_map
+    ).is_signed
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_reason.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_reason.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from lagoonbend_entry._internal.platform import answer_headers
+from lagoonbend_entry._internal.models import promises
 
 
 class RefusalReason(enum.Enum):
@@ -37,7 +37,7 @@
     @property
     def promises_not_run(self) -> bool:
         """True if callers may send a call again that must not run twice."""
-        return answer_headers.promises_not_run(self.status)
+        return promises.promises_not_run(self.status)
 
     @property
     def concerns_instance(self) -> bool:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
@@ -10,9 +10,6 @@
 
 STATUS_WRONG_TARGET = 421
 STATUS_UNAVAILABLE = 503
-PROMISE_STATUSES = frozenset((408, STATUS_WRONG_TARGET, 429, 503))
-"""Statuses that tell callers that a call has not run and never will."""
-CALLER_ERROR_STATUSES = range(400, 500)
 LEAVING_VALUE = '1'
 DECIMAL_PATTERN = re.compile(r'\d+\.?\d*|\.\d+', re.ASCII)
 MAX_PAUSE_MS = 60_000
@@ -91,23 +88,6 @@
     )
 
 
-def promises_not_run(status: int) -> bool:
-    """Return True if a status tells callers that a call has not run."""
-    return status in PROMISE_STATUSES
-
-
-def is_refusal_unrun(status: int, headers: Mapping[str, str]) -> bool:
-    """Return True if an instance refuses a call that it hasn't run.
-
-    Its other failures don't say whether the call has run.
-
-    :param headers: first value of each header by lower-case name.
-    """
-    return names.HEADER_STAMP not in headers and (
-        status in PROMISE_STATUSES or status in CALLER_ERROR_STATUSES
-    )
-
-
 def _decode_pause(status: int, headers: Mapping[str, str]) -> tuple[int, str]:
     """Return the pause in milliseconds, and the value if it isn't used."""
     value = headers.get(names.HEADER_RETRY_AFTER)
