Share origins for an unknown past in small fleets only

Cause, suspected and not shown by a comparison yet: since an instance that has missed changes shares the origins of all its streams for as long as a stream lasts, with links to the keepers of all domains; 195 instances do so at the same time.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -146,10 +146,7 @@
             (fleet.list_origin_keepers, fleet.find_searcher),
             self._links.send,
             facts.find_only_version,
-            lambda service: (
-                len(facts.list_versions(service)) > 1
-                or not facts.knows_versions()
-            ),
+            self._may_be_mixed,
         )
         self.crashes = crash_exchange.CrashExchange(
             clock,
@@ -329,6 +326,17 @@
         counts.update(self._fallback_schedulers.count_waiting())
         return counts
 
+    def _may_be_mixed(self, service: str) -> bool:
+        """Return True if the origins of a service's streams are shared.
+
+        While the past isn't known, that is done in a small fleet only. In a
+        larger one many instances miss changes at the same time, and targets
+        are asked for the prompts of the few streams that are taken up.
+        """
+        return len(self._facts.list_versions(service)) > 1 or (
+            self._fleet.is_full_mesh and not self._facts.knows_versions()
+        )
+
     def count_known(self) -> int:
         """Return the number of instances that share fleet-wide limits."""
         return self._fleet.count_known()
