Keep what is known of versions over a short gap in the store's history

Cause, suspected: each listing after lost history began the time anew from which an instance knows all versions, at all instances. Streams of engines that had crashed were then looked for in the prompts of engines that had not read them, and refused.

Change: a listing within three seconds of the last confirmation doesn't begin it anew; no version can join, begin streams and leave in that time. Unit tests of gaps wait for that time now, and test_listing_after_a_short_gap_keeps_the_window failed before.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -252,8 +252,14 @@
         self._apply(updates, 'peer', has_rules=self.rules is not rules)
 
     def _check_history(self, start_before: tuple[int, int]) -> None:
-        """Forget what was known of the past if changes have been missed."""
-        if self.item_cache.history_start != start_before:
+        """Forget what was known of the past if changes have been missed.
+
+        A version can't join, begin streams and leave within a short gap: a
+        registration lapses after three heartbeats.
+        """
+        age_ms = self.age_ms()
+        is_short = age_ms is not None and age_ms < MAX_VERSIONS_AGE_MS
+        if self.item_cache.history_start != start_before and not is_short:
             self.target_directory.forget_history(self._clock.now_ms())
 
     def _apply_rules_only(
--- a/tests/unit/test_versions_in_the_facts.py
+++ b/tests/unit/test_versions_in_the_facts.py
@@ -15,6 +15,8 @@
 
 TIMEOUT_MS = 15_000
 FIRST_REVISION = 10
+GAP_MS = 3_000
+"""Time in which a version could come and go."""
 
 
 def decode_target(item: PublishedItem) -> ListedTarget | None:
@@ -98,9 +100,18 @@
     # was lost.
     def test_listing_after_a_gap_begins_the_window_anew(self) -> None:
         """A listing shows what there is, not what there was."""
+        self.clock.advance(GAP_MS)
         self.list(20, build_item('a', 'v1', 5))
         self.assert_unknown_until_window()
 
+    # Guards against streams that all instances refuse after engines have
+    # ended, since the store has just lost its history.
+    def test_listing_after_a_short_gap_keeps_the_window(self) -> None:
+        """No version can have come and gone."""
+        self.clock.advance(GAP_MS - 1)
+        self.list(20, build_item('a', 'v1', 5))
+        self.assertEqual('v1', self.facts.find_only_version('chat'))
+
     # Guards against a window that is lost although nothing was missed.
     def test_listing_without_a_change_keeps_the_window(self) -> None:
         """Its revision is the one up to which all is known."""
@@ -110,6 +121,7 @@
     # Guards against the same where a peer sends what exists now.
     def test_items_without_removals_begin_the_window_anew(self) -> None:
         """The peer's own history begins after what is known here."""
+        self.clock.advance(GAP_MS)
         self.facts.apply_peer_items(
             [], 20, self.clock.now_ms(), live_keys=['a']
         )
