Log who ran a call and what shows the version of a stream

From the answering instance alone: LB0203 lists the peers that were asked to run the call, with how that ended; LB0218 names the version to which the stream is bound by then; LB0220 lists how much of the block each target keeps; LB0221, new, has the evidence for the version of a stream that goes on (the origin known here or at a peer, the only version, the prompt), with the versions that the service may have had and the age of the facts. No decision changes.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
@@ -118,6 +118,7 @@
             pool=progress.pool,
             targets=progress.attempt_history,
             software=progress.versions,
+            peers=progress.peers,
             continues=call.headers.continued_attempt,
             bound_to=progress.binding.version if progress.binding else None,
             last_event=progress.position.last_id or '',
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -16,6 +16,7 @@
 
     ``attempt_history`` has an entry ``target:outcome`` for each attempt that
     was sent, and ``versions`` the software version of that target.
+    ``peers`` has an entry ``address:end`` for each peer that was asked.
     ``sends`` has all attempts, those at peers included.
     ``attempt_count`` is the number of slots that were asked for.
     ``excluded`` lists the targets not to be tried again. ``target`` and
@@ -44,6 +45,7 @@
         self.sends = SendRecord()
         self.attempt_history: list[str] = []
         self.versions: list[str] = []
+        self.peers: list[str] = []
         self.excluded: list[str] = []
         self._closed_once: set[str] = set()
         self.pool = ''
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -151,6 +151,8 @@
         if report is not None:
             is_handed_back = _is_handed_back(report)
             end = 'handed_back' if is_handed_back else report.outcome.label
+        progress.peers.append(f'{peer.address}:{end}')
+        binding = progress.binding
         log_event(
             Event.CALL_HANDED_OVER,
             request=progress.call.headers.attempt,
@@ -160,6 +162,7 @@
             end=end,
             detail=report.detail if report else '',
             status=report.status if report else None,
+            bound_to=binding.version if binding else None,
             first_ms=report.first_byte_ms if report else 0,
             peer_age_ms=self._clock.now_ms() - peer.last_seen_ms,
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
@@ -64,11 +64,6 @@
         """
         all_kept = self._ask_targets(service)
         version = find_reading_version(all_kept, block.block_id, block.tokens)
-        readers = [
-            kept.target
-            for kept in all_kept
-            if kept.has_read(block.block_id, block.tokens)
-        ]
         silent = [
             kept.target for kept in all_kept if kept.tokens_by_block is None
         ]
@@ -79,7 +74,12 @@
             tokens=block.tokens,
             software=version,
             asked=len(all_kept),
-            readers=[f'{t.target} {t.software_version}' for t in readers],
+            kept=[
+                f'{kept.target.target} {kept.target.software_version} '
+                f'{kept.count_tokens(block.block_id)}'
+                for kept in all_kept
+                if kept.count_tokens(block.block_id)
+            ],
             silent=[f'{t.target} {t.software_version}' for t in silent],
         )
         return version
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
@@ -1,11 +1,15 @@
 """Versions of the streams that callers may take up again."""
 
+from collections.abc import Iterator
+
 from lagoonbend.facts import compute_origin_key
 from lagoonbend.facts import StreamOrigin
 from lagoonbend.facts import VersionBinding
 from lagoonbend_entry._internal.coordination import origin_exchange
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
 
 ORIGIN_GRACE_MS = 1_000
 """Time by which the origin of a stream is kept longer than its caller may
@@ -38,35 +42,55 @@
 
         :returns: None if it isn't known.
         """
-        service = call.service
         key = self._compute_origin_key(call)
+        evidence, version = next(self._list_evidence(call, key), ('', None))
+        service = call.service
+        log_event(
+            Event.STREAM_BOUND,
+            request=call.headers.attempt,
+            continues=call.headers.continued_attempt,
+            last_event=call.headers.last_event,
+            service=service,
+            evidence=evidence,
+            software=version,
+            versions=sorted(map(str, self._facts.list_versions(service))),
+            knows_versions=self._facts.knows_versions(),
+            fact_age_ms=self._facts.age_ms(),
+        )
+        return None if version is None else VersionBinding(version)
+
+    def _list_evidence(
+        self, call: AdmittedCall, key: int | None
+    ) -> Iterator[tuple[str, str]]:
+        """Yield what shows the version of a stream, and that version."""
+        service = call.service
         origin = self._origins.find(key) if key is not None else None
         if origin is not None:
-            return VersionBinding(origin.version)
+            yield 'known_origin', origin.version
         is_current = (
             len(self._facts.list_versions(service)) == 1
             and self._facts.confirm()
         )
         version = self._facts.find_only_version(service)
         if is_current and version:
-            return VersionBinding(version)
+            yield 'only_version', version
         if key is None:
-            return None
+            return
         answer = self._origins.ask(key, service)
         if answer.origin is not None:
-            return VersionBinding(answer.origin.version)
+            yield 'origin_at_peer', answer.origin.version
         # A peer that has run for longer may know what this instance doesn't.
         is_agreed = (
             is_current
             and self._facts.list_versions(service) == answer.only_versions
         )
         if len(answer.only_versions) == 1 and is_agreed:
-            return VersionBinding(next(iter(answer.only_versions)))
-        if not call.headers.prompt:
-            return None
-        block = call.headers.prompt[-1]
-        origin = self._origins.search(key, service, block)
-        return VersionBinding(origin.version) if origin else None
+            yield 'only_version_at_peer', next(iter(answer.only_versions))
+        if call.headers.prompt:
+            block = call.headers.prompt[-1]
+            origin = self._origins.search(key, service, block)
+            if origin is not None:
+                yield 'prompt', origin.version
 
     def record(self, call: AdmittedCall, version: str | None) -> None:
         """Record the version of a stream that its caller may take up."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -124,6 +124,11 @@
         'Targets were asked who has read a prompt, for the version of a '
         'stream.',
     )
+    STREAM_BOUND = (
+        'LB0221',
+        'info',
+        'The version of a stream that goes on here was looked for.',
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
@@ -22,9 +22,13 @@
     target: ListedTarget
     tokens_by_block: Mapping[str, int] | None
 
+    def count_tokens(self, block_id: str) -> int:
+        """Return the tokens that the target keeps of a block."""
+        return (self.tokens_by_block or {}).get(block_id, 0)
+
     def has_read(self, block_id: str, tokens: int) -> bool:
         """Return True if the target has read a block to its end."""
-        kept_tokens = (self.tokens_by_block or {}).get(block_id, 0)
+        kept_tokens = self.count_tokens(block_id)
         return kept_tokens > max(0, tokens - MAX_UNKEPT_TOKENS)
 
 
