Test streams that began after another version had read their prompt

A call is sent to v1, which reads its prompt and gives no event; then it begins at v2, and all instances are killed. If v2's engines leave, the stream is taken up at v1: 200, with events of two versions. If they stay, it is refused.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -23,6 +23,7 @@
 HEALTH_PATH = '/healthz'
 TOKENS_PER_BLOCK = 16
 """Blocks of prompts are kept in whole multiples of this length."""
+TOKENS_PER_EVENT = 4
 FAULT_HEADER = 'x-fault'
 EVENT_INTERVAL_S = 0.005
 SLOW_EVENT_INTERVAL_S = 0.3
@@ -114,7 +115,8 @@
     called with the target and the cause.
 
     ``kept_blocks`` holds the blocks of the prompts that it has read, with the
-    tokens that it keeps of each. It lists them on request, unless
+    tokens that it keeps of each. The last block grows while an answer is
+    written. It lists them on request, unless
     ``lists_blocks`` is False; such a request is then not answered.
 
     ``named_limit`` is the value of ``Server-Limit`` in its answers; empty for
@@ -219,6 +221,14 @@
         for block, tokens in list_blocks(request):
             self.kept_blocks[block] = tokens - tokens % TOKENS_PER_BLOCK
 
+    def _keep_written(
+        self, request: IncomingRequest, event_count: int
+    ) -> None:
+        """Keep what has been written, with the last block of the prompt."""
+        for block, tokens in list_blocks(request)[-1:]:
+            tokens += event_count * TOKENS_PER_EVENT
+            self.kept_blocks[block] = tokens - tokens % TOKENS_PER_BLOCK
+
     def _list_kept_blocks(
         self, request: IncomingRequest, sock: gevent.socket.socket
     ) -> bool:
@@ -316,6 +326,7 @@
                     request.header_map['attempt-id']
                 )
                 raise
+            self._keep_written(request, number - first_number + 1)
             if number == pause_after:
                 self._pause(sock)
             gevent.sleep(interval_s)
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -13,6 +13,7 @@
 from lagoonbend_devkit._internal.gateway import gateway_fleet
 from tests.functional.test_gateway_answers import call
 from tests.functional.test_gateway_lifecycle import open_stream
+from tests.functional.test_gateway_lifecycle import REQUEST_HEAD
 
 CHANGE_SPREAD_S = 1.0
 ENGINES = {
@@ -269,6 +270,51 @@
         self.restart_all()
         self.assertEqual((503, []), self.take_up(1))
 
+    def begin_after_silence(self) -> str:
+        """Let a stream begin at v2 after the engine of v1 was silent.
+
+        Return the name of the engine that began it.
+        """
+        self.add_engines('v1')
+        headers = f'Prefix-Hash: {PROMPT}\r\nX-Fault: silent@chat-0\r\n'
+        sock = gevent.socket.create_connection(
+            ('127.0.0.1', self.fleet.callers_port(0))
+        )
+        self.addCleanup(sock.close)
+        sock.sendall(REQUEST_HEAD % (b'stream', b'first', headers.encode()))
+        for name in ('chat-1', 'chat-2'):
+            self.fleet.add_target(name, 'chat', 'v2')
+        received = b''
+        while b'piece 1' not in received:
+            received += sock.recv(4_096)
+        first, second = (run.target for run in self.fleet.runs)
+        self.assertEqual('chat-0', first)
+        return second
+
+    # Guards against a stream that goes on at a version which has read its
+    # prompt and was silent, once the version that began it has left.
+    def test_prompt_read_at_a_silent_version_tells_nothing(self) -> None:
+        """All instances are killed, and the engines of v2 leave."""
+        self.begin_after_silence()
+        for process in self.fleet.processes:
+            process.kill()
+        for name in ('chat-1', 'chat-2'):
+            self.fleet.store.delete(f'servers/{name}')
+            self.fleet.targets[name].stop()
+        self.restart_all()
+        for instance in range(3):
+            self.assertEqual((503, []), self.take_up(instance))
+
+    # Guards against a refusal of the same stream while its version serves.
+    def test_version_that_has_written_goes_on_after_a_silent_one(self) -> None:
+        """Both versions have read the prompt, and one has written events."""
+        began = ENGINES[self.begin_after_silence()]
+        self.restart_all()
+        for instance in range(3):
+            status, runs = self.take_up(instance)
+            self.assertEqual(200, status)
+            self.assertEqual([began], [ENGINES[run] for run in runs])
+
     # Guards against the same where the engine that began it can't be asked.
     def test_silent_engine_may_have_begun_the_stream(self) -> None:
         """The call is refused at once while the engine might have."""
