Bind a stream to the version that has written it, not to one that has read it

Cause: "a target has read the prompt" was taken for "it began the stream". Reading is no statement about the stream, and the targets that are listed aren't all there were.

Engines keep what they write with the last block of the prompt, so that one that keeps more than the prompt has written an answer. That decides first. A reader counts only if no target of another version can have ended since the stream began: followed by the instance, or read from the store's history by one that has just started; the store must confirm the list, and answers from before the take-up don't count. The refusal costs streams whose written tokens don't fill a block of 16, and only once a target of another version has ended.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -42,6 +42,8 @@
 
     The callbacks in ``on_change`` run after each change. ``confirm`` asks the
     store at once, and returns True if the facts hold all changes made before.
+    ``read_history`` reads from the store which targets ended before the
+    instance started.
 
     :param clock: clock that also advances while the machine is suspended.
     :param decode_rules: decodes the operators' configuration.
@@ -62,6 +64,7 @@
         self.rules: RuleSet | None = None
         self.on_change: list[Callable[[], None]] = []
         self.confirm: Callable[[], bool] = lambda: False
+        self.read_history: Callable[[], bool] = lambda: False
         self._clock = clock
         self._decode_rules = decode_rules
         self._rules_key = rules_key
@@ -130,6 +133,23 @@
         now_ms = self._clock.now_ms()
         return self.target_directory.knows_since(now_ms, longest_ms)
 
+    def may_have_lost(self, service: str, version: str) -> bool:
+        """Return True if a target may have ended that began a stream.
+
+        :param service: service of the target.
+        :param version: version whose targets don't count.
+        """
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
+        if not self.target_directory.knows_ends_since(
+            self._clock.now_ms(), longest_ms
+        ):
+            self.read_history()
+        age_ms = self.age_ms()
+        is_current = age_ms is not None and age_ms < MAX_VERSIONS_AGE_MS
+        return not is_current or self.target_directory.may_have_lost(
+            service, version, self._clock.now_ms(), longest_ms
+        )
+
     def apply_listing(
         self,
         items: Iterable[PublishedItem],
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_confirmer.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_confirmer.py
@@ -1,10 +1,9 @@
 """Asks the store at once whether the facts are current."""
 
-import gevent.lock
-
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import PlatformError
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+from lagoonbend_entry._internal.gateway.shared_read import SharedRead
 from lagoonbend_entry._internal.gateway.store_watcher import log_rejected
 from lagoonbend_entry._internal.platform.store_client import StoreClient
 from lagoonbend_entry._internal.utils.event import Event
@@ -33,19 +32,11 @@
         self._facts = facts
         self._client = client
         self._clock = clock
-        self._lock = gevent.lock.BoundedSemaphore()
-        self._read_ms = -1
-        self._is_confirmed = False
+        self._shared_read = SharedRead(self._read, clock)
 
     def confirm(self) -> bool:
         """Return True if the facts hold all changes made before this call."""
-        asked_ms = self._clock.now_ms()
-        with self._lock:
-            if self._read_ms < asked_ms:
-                read_ms = self._clock.now_ms()
-                self._is_confirmed = self._read()
-                self._read_ms = read_ms
-            return self._is_confirmed
+        return self._shared_read.run()
 
     def _read(self) -> bool:
         era, revision = self._facts.item_cache.position
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -30,6 +30,7 @@
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
+from lagoonbend_entry._internal.gateway.history_reader import HistoryReader
 from lagoonbend_entry._internal.gateway.link_probe import LinkProbe
 from lagoonbend_entry._internal.gateway.reachability import PEER_DOUBT_MS
 from lagoonbend_entry._internal.gateway.store_watcher import StoreWatcher
@@ -128,15 +129,23 @@
         self._store_watcher = StoreWatcher(
             self._facts, self._store_client, self._clock, self._is_store_reader
         )
-        self._facts.confirm = facts_confirmer.FactsConfirmer(
-            self._facts,
+        confirming_client, history_client = (
             StoreClient(
                 parse_endpoint(settings.platform.endpoint),
                 settings.instance.name,
                 facts_confirmer.CONFIRM_TIMEOUT_MS,
-            ),
-            self._clock,
+            )
+            for _ in range(2)
+        )
+        self._facts.confirm = facts_confirmer.FactsConfirmer(
+            self._facts, confirming_client, self._clock
         ).confirm
+        self._facts.read_history = HistoryReader(
+            self._facts,
+            history_client,
+            self._clock,
+            round(settings.platform.history_s * 1000),
+        ).read
         self._metrics = GatewayMetrics()
         self._metrics_server = TextServer(
             METRICS_PATH, lambda: (HTTP_OK, self._render_metrics())
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
@@ -1,4 +1,4 @@
-"""Asks targets which prompts they have read."""
+"""Asks targets which prompts they have read, and what they have written."""
 
 from typing import NamedTuple
 
@@ -6,9 +6,10 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import NetworkError
-from lagoonbend.facts import find_reading_version
 from lagoonbend.facts import KeptPrompts
 from lagoonbend.facts import ListedTarget
+from lagoonbend.facts import PromptEvidence
+from lagoonbend.facts import weigh_kept_prompts
 from lagoonbend.scheduling import PromptBlock
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway import target_error
@@ -57,13 +58,18 @@
         self._surveys: dict[str, _Survey] = {}
 
     def find_version(self, service: str, block: PromptBlock) -> str | None:
-        """Return the version whose targets have read the prompt of a request.
+        """Return the version at which the answer to a request began.
 
         :param block: last block of the prompt.
         :returns: None if it isn't certain.
         """
-        all_kept = self._ask_targets(service)
-        version = find_reading_version(all_kept, block.block_id, block.tokens)
+        asked_ms = self._clock.now_ms()
+        all_kept = self._ask_targets(service, asked_ms - REUSE_MS + 1)
+        evidence = self._weigh(service, block, all_kept)
+        if evidence.version is not None and not evidence.has_written:
+            # The stream may have begun at another target since the answers.
+            all_kept = self._ask_targets(service, asked_ms)
+            evidence = self._weigh(service, block, all_kept)
         silent = [
             kept.target for kept in all_kept if kept.tokens_by_block is None
         ]
@@ -72,7 +78,8 @@
             service=service,
             block=block.block_id,
             tokens=block.tokens,
-            software=version,
+            software=evidence.version,
+            has_written=evidence.has_written,
             asked=len(all_kept),
             kept=[
                 f'{kept.target.target} {kept.target.software_version} '
@@ -81,16 +88,49 @@
                 if kept.count_tokens(block.block_id)
             ],
             silent=[f'{t.target} {t.software_version}' for t in silent],
+            ended=[
+                f'{kept.target.target} {kept.target.software_version}'
+                for kept in all_kept
+                if kept.has_ended
+            ],
+        )
+        return evidence.version
+
+    def _weigh(
+        self, service: str, block: PromptBlock, all_kept: list[KeptPrompts]
+    ) -> PromptEvidence:
+        return weigh_kept_prompts(
+            all_kept,
+            block.block_id,
+            block.tokens,
+            lambda version: self._may_have_lost(service, version, all_kept),
+        )
+
+    def _may_have_lost(
+        self, service: str, version: str, all_kept: list[KeptPrompts]
+    ) -> bool:
+        """Return True if a target of another version may have ended lately.
+
+        :param all_kept: what the targets have told that were listed then.
+        """
+        asked = [kept.target for kept in all_kept]
+        return (
+            not self._facts.confirm()
+            or self._facts.target_directory.list_registered(service) != asked
+            or self._facts.may_have_lost(service, version)
         )
-        return version
 
-    def _ask_targets(self, service: str) -> list[KeptPrompts]:
-        """Return what all targets keep; ask them unless they were just now."""
-        now_ms = self._clock.now_ms()
+    def _ask_targets(self, service: str, since_ms: int) -> list[KeptPrompts]:
+        """Return what all targets keep; ask them unless they were lately.
+
+        :param since_ms: time from which on they must have been asked.
+        """
         survey = self._surveys.get(service)
-        if survey is None or now_ms - survey.started_ms >= REUSE_MS:
+        if survey is None or survey.started_ms < since_ms:
             # Goes on if the caller that needs it first leaves.
-            survey = _Survey(now_ms, gevent.spawn(self._ask_all, service))
+            survey = _Survey(
+                self._clock.now_ms(), gevent.spawn(self._ask_all, service)
+            )
             self._surveys[service] = survey
         all_kept: list[KeptPrompts] = survey.greenlet.get()
         return all_kept
@@ -100,21 +140,19 @@
         greenlets = [gevent.spawn(_ask, target) for target in targets]
         gevent.joinall(greenlets, ANSWER_TIMEOUT_MS / MILLISECONDS_PER_SECOND)
         all_kept = [
-            KeptPrompts(
-                target, greenlet.value if greenlet.successful() else None
-            )
+            greenlet.value
+            if greenlet.successful()
+            else KeptPrompts(target, None)
             for target, greenlet in zip(targets, greenlets, strict=True)
         ]
         gevent.killall(greenlets, block=False)
         return all_kept
 
 
-def _ask(target: ListedTarget) -> dict[str, int] | None:
+def _ask(target: ListedTarget) -> KeptPrompts:
     """Return the tokens that a target keeps of each block.
 
-    A leaving target that doesn't listen any more has left, with its memory.
-
-    :returns: None if the target doesn't tell.
+    A leaving target that doesn't listen any more has ended.
     """
     address = (target.ip, target.port)
     host = '{}:{}'.format(*address)
@@ -139,9 +177,12 @@
         finally:
             connection.close()
     except target_error.TargetAbsentError:
-        return {} if target.is_leaving else None
+        if target.is_leaving:
+            return KeptPrompts(target, {}, has_ended=True)
+        return KeptPrompts(target, None)
     except NetworkError:
-        return None
-    return (
-        decode_kept_blocks(bytes(body)) if answer.status == HTTP_OK else None
+        return KeptPrompts(target, None)
+    is_told = answer.status == HTTP_OK
+    return KeptPrompts(
+        target, decode_kept_blocks(bytes(body)) if is_told else None
     )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
@@ -46,10 +46,12 @@
 
     :param endpoint: endpoint of the service.
     :param timeout_ms: timeout for connecting and for an answer, each.
+    :param history_s: time for which it keeps the changes of what it publishes.
     """
 
     endpoint: str
     timeout_ms: int = 700
+    history_s: float = 20.0
 
 
 class GatewaySchedulingSettings(NamedTuple):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -180,6 +180,16 @@
         'error',
         "A published entry can't be read and is left out.",
     )
+    HISTORY_READ = (
+        'LB0513',
+        'info',
+        'The store has told which targets ended before the instance started.',
+    )
+    HISTORY_NOT_READ = (
+        'LB0514',
+        'info',
+        'The store does not tell which targets have ended.',
+    )
     FACTS_NOT_CONFIRMED = (
         'LB0512',
         'info',
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
@@ -1,5 +1,6 @@
 """What targets keep of the prompts that they have read."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -17,10 +18,12 @@
     :param target: the target.
     :param tokens_by_block: tokens that it keeps of each block; None if it
         has not told.
+    :param has_ended: True if the target has ended, with its memory.
     """
 
     target: ListedTarget
     tokens_by_block: Mapping[str, int] | None
+    has_ended: bool = False
 
     def count_tokens(self, block_id: str) -> int:
         """Return the tokens that the target keeps of a block."""
@@ -31,33 +34,71 @@
         kept_tokens = self.count_tokens(block_id)
         return kept_tokens > max(0, tokens - MAX_UNKEPT_TOKENS)
 
+    def has_written(self, block_id: str, tokens: int) -> bool:
+        """Return True if the target has written an answer to the block."""
+        return self.count_tokens(block_id) > tokens
 
-def find_reading_version(
-    kept_prompts: Iterable[KeptPrompts], block_id: str, tokens: int
-) -> str | None:
-    """Return the only software version whose targets have read a block.
+
+class PromptEvidence(NamedTuple):
+    """What the targets of a service show of a stream.
+
+    :param version: version that began it; None if that isn't certain.
+    :param has_written: True if a target of it keeps more than the prompt.
+    """
+
+    version: str | None
+    has_written: bool = False
+
+
+UNCERTAIN = PromptEvidence(None)
+
+
+def weigh_kept_prompts(
+    kept_prompts: Iterable[KeptPrompts],
+    block_id: str,
+    tokens: int,
+    may_have_left: Callable[[str], bool],
+) -> PromptEvidence:
+    """Return the software version that began a stream, by its prompt.
 
     The last block of a prompt belongs to one request, or to its session with
-    a length that grows from request to request. A target that has read it has
-    run the request.
+    a length that grows from request to request. A target that keeps more than
+    that has written an answer. One that has just read it need not have: it may
+    have been silent until the call went to another version, so that it counts
+    only if no other version can have begun the stream.
 
     :param kept_prompts: all targets of a service.
+    :param block_id: last block of the prompt.
     :param tokens: length of the block.
-    :returns: None if there is no such version, if there are several, or if a
-        target of another version has not told.
+    :param may_have_left: returns True if a target of another version than the
+        given one, or such a life of it, may have ended since a stream that can
+        be taken up began.
+    :returns: no version if several fit, or if a target of another one has not
+        told.
     """
     all_kept = tuple(kept_prompts)
-    versions = {
+    writers = {
+        kept.target.software_version
+        for kept in all_kept
+        if kept.has_written(block_id, tokens)
+    }
+    readers = {
         kept.target.software_version
         for kept in all_kept
         if kept.has_read(block_id, tokens)
     }
-    if len(versions) != 1:
-        return None
-    version = versions.pop()
-    is_certain = all(
+    candidates = writers or readers
+    version = next(iter(candidates)) if len(candidates) == 1 else None
+    if version is None or not all(
         kept.tokens_by_block is not None
         or kept.target.software_version == version
         for kept in all_kept
+    ):
+        return UNCERTAIN
+    has_lost = any(
+        kept.has_ended and kept.target.software_version != version
+        for kept in all_kept
     )
-    return version if is_certain else None
+    if not writers and (has_lost or may_have_left(version)):
+        return UNCERTAIN
+    return PromptEvidence(version, has_written=bool(writers))
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -50,6 +50,9 @@
         self._outage_ended_ms: int | None = None
         self._versions: dict[str, set[str | None]] = {}
         self._gone_versions: dict[str, dict[str | None, int]] = {}
+        self._ended_versions: dict[str, dict[str | None, int]] = {}
+        self._unknown_end_ms: int | None = None
+        self._past_since_ms: int | None = None
         self._listed_since_ms: int | None = None
         self._known_names: dict[str, None] = {}
         self._other_names: set[str] = set()
@@ -67,6 +70,34 @@
     def forget_history(self, now_ms: int) -> None:
         """Record that changes before this time have been missed."""
         self._listed_since_ms = now_ms
+        self._past_since_ms = None
+
+    def apply_history(
+        self, items: Iterable[PublishedItem], since_ms: int, now_ms: int
+    ) -> None:
+        """Record the targets that ended before the list was first read.
+
+        :param items: all changes that the store still has, in their order.
+        :param since_ms: time since which it has all changes.
+        """
+        lives: dict[str, ListedTarget | None] = {}
+        for item in items:
+            known = lives.get(item.key)
+            target = self._read(item)
+            if known is not None and not _is_continued(known, target):
+                self._record_end(known, now_ms)
+            elif item.value is None and item.key not in lives:
+                self._unknown_end_ms = now_ms
+            lives[item.key] = target
+        for name, known in lives.items():
+            listed = self._targets.get(name)
+            if (
+                known is not None
+                and listed is not None
+                and not _is_continued(known, listed)
+            ):
+                self._record_end(known, now_ms)
+        self._past_since_ms = since_ms
 
     def begin_era(self, era: int, revision: int) -> None:
         """Record the position of the listing that began an era.
@@ -94,6 +125,7 @@
             target = self._targets.pop(name, None)
             if target is not None:
                 self._departures.record(name, target, era)
+                self._record_end(target, now_ms)
         returned = _pop_expired(self._returned_until_ms, now_ms)
         for name in returned:
             self._departures.forget(name)
@@ -151,6 +183,34 @@
         since_ms = self._listed_since_ms
         return since_ms is not None and now_ms - since_ms >= window_ms
 
+    def knows_ends_since(self, now_ms: int, window_ms: int) -> bool:
+        """Return True if the ends of targets in a whole window are known.
+
+        Those before the instance started are known from the store's history.
+        """
+        past_ms = self._past_since_ms
+        return self.knows_since(now_ms, window_ms) or (
+            past_ms is not None and now_ms - past_ms >= window_ms
+        )
+
+    def may_have_lost(
+        self, service: str, version: str, now_ms: int, window_ms: int
+    ) -> bool:
+        """Return True if a target of another version may have ended lately.
+
+        Another life of a target counts, as it knows nothing of before.
+
+        :param version: version whose targets don't count.
+        :param window_ms: time that counts.
+        """
+        if not self.knows_ends_since(now_ms, window_ms):
+            return True
+        ended = self._ended_versions.get(service, {})
+        ends_ms = [ended[other] for other in ended if other != version]
+        if self._unknown_end_ms is not None:
+            ends_ms.append(self._unknown_end_ms)
+        return any(now_ms - end_ms < window_ms for end_ms in ends_ms)
+
     def list_mixed_services(self) -> list[str]:
         """Return the services whose listed targets have several versions."""
         return sorted(
@@ -176,12 +236,19 @@
         gone = self._gone_versions.setdefault(target.service, {})
         gone[target.software_version] = now_ms
 
+    def _record_end(self, target: ListedTarget, now_ms: int) -> None:
+        ended = self._ended_versions.setdefault(target.service, {})
+        ended[target.software_version] = now_ms
+
     def _apply_item(self, item: PublishedItem, now_ms: int) -> None:
         name = item.key
+        known = self._targets.get(name)
         if item.value is not None:
             target = self._read(item)
             self._end_lapse(name)
             self._other_names.discard(name)
+            if known is not None and not _is_continued(known, target):
+                self._record_end(known, now_ms)
             if target is None:
                 self._returned_until_ms.pop(name, None)
                 self._targets.pop(name, None)
@@ -192,7 +259,6 @@
                 self._record_version(target, now_ms)
             return
         self._returned_until_ms.pop(name, None)
-        known = self._targets.get(name)
         if known is None:
             is_other = name in self._other_names
             self._other_names.discard(name)
@@ -214,6 +280,7 @@
         if not known.is_leaving:
             self._departures.record(name, known, item.era)
         del self._targets[name]
+        self._record_end(known, now_ms)
 
     def _read(self, item: PublishedItem) -> ListedTarget | None:
         try:
@@ -275,6 +342,16 @@
         }
 
 
+def _is_continued(known: ListedTarget, target: ListedTarget | None) -> bool:
+    """Return True if a registration is of the life that is known."""
+    return (
+        target is not None
+        and target.is_same_life(known)
+        and (target.service, target.software_version)
+        == (known.service, known.software_version)
+    )
+
+
 def _ignore(error: DocumentError) -> None:
     """Do nothing with an unreadable entry."""
 
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -3,8 +3,9 @@
 from lagoonbend._internal.facts.caller_bounds import CallerBounds
 from lagoonbend._internal.facts.customer_rule import CustomerRule
 from lagoonbend._internal.facts.item_cache import ItemCache
-from lagoonbend._internal.facts.kept_prompts import find_reading_version
 from lagoonbend._internal.facts.kept_prompts import KeptPrompts
+from lagoonbend._internal.facts.kept_prompts import PromptEvidence
+from lagoonbend._internal.facts.kept_prompts import weigh_kept_prompts
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.named_limit import NamedLimit
 from lagoonbend._internal.facts.named_limits import NamedLimits
@@ -29,6 +30,7 @@
     'NO_ERA',
     'NamedLimit',
     'NamedLimits',
+    'PromptEvidence',
     'PublishedItem',
     'Route',
     'RuleSet',
@@ -39,5 +41,5 @@
     'VersionBinding',
     'WeightedService',
     'compute_origin_key',
-    'find_reading_version',
+    'weigh_kept_prompts',
 ]
--- /dev/null
+++ b/tests/unit/test_ends_of_targets.py
@@ -0,0 +1,147 @@
+"""Targets that have ended while a stream may have begun there.
+
+Guards against a stream that goes on at a version which has read its prompt,
+since an instance takes the targets that are listed for all there were.
+"""
+
+from collections.abc import Callable
+import unittest
+from unittest import mock
+
+from lagoonbend.exceptions import PlatformError
+from lagoonbend.facts import NO_ERA
+from lagoonbend.facts import PublishedItem
+from lagoonbend_entry._internal.gateway.history_reader import HistoryReader
+from lagoonbend_entry._internal.models.items_page import ItemsPage
+from lagoonbend_entry._internal.models.store_error import HistoryLostError
+from tests.unit import test_versions_in_the_facts
+
+TIMEOUT_MS = test_versions_in_the_facts.TIMEOUT_MS
+HISTORY_MS = 20_000
+MAX_READS = 40
+build_item = test_versions_in_the_facts.build_item
+
+
+class EndsOfTargetsTest(test_versions_in_the_facts.FactsCase):
+    """An instance that has followed the list for long."""
+
+    def assert_lost_for_window(self, version: str = 'v1') -> None:
+        """Check that an end counts for as long as a stream may last."""
+        self.assertTrue(self.facts.may_have_lost('chat', version))
+        self.follow(TIMEOUT_MS - 1)
+        self.assertTrue(self.facts.may_have_lost('chat', version))
+        self.follow(1)
+        self.assertFalse(self.facts.may_have_lost('chat', version))
+
+    def test_removal_counts_for_other_versions(self) -> None:
+        """Whether another target of the version stays or not."""
+        self.watch(11, build_item('b', 'v2', 11), build_item('c', 'v2', 11))
+        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.watch(12, build_item('b', '', 12))
+        self.assertFalse(self.facts.may_have_lost('chat', 'v2'))
+        self.assert_lost_for_window()
+
+    def test_new_version_under_an_identity_ends_the_old_one(self) -> None:
+        """The target has started again, without its memory."""
+        self.watch(11, build_item('a', 'v2', 11))
+        self.assert_lost_for_window('v2')
+
+    def test_unreadable_entry_ends_the_target(self) -> None:
+        """Nobody can be asked then."""
+        self.watch(11, build_item('b', 'v2', 11))
+        self.watch(12, build_item('b', 'odd', 12))
+        self.assert_lost_for_window()
+
+    def test_old_facts_tell_nothing(self) -> None:
+        """A target may have ended since."""
+        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.clock.advance(test_versions_in_the_facts.GAP_MS)
+        self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+
+
+class HistoryReaderTest(test_versions_in_the_facts.FactsCase):
+    """An instance that has just started, and the store's history."""
+
+    def setUp(self) -> None:
+        """List the targets for the first time."""
+        super().setUp()
+        self.client = mock.Mock()
+        self.client.watch.side_effect = self.answer
+        self.oldest = 0
+        self.changes: tuple[PublishedItem, ...] = (build_item('a', 'v1', 5),)
+        self.restart()
+
+    def restart(self, history_ms: int = HISTORY_MS) -> None:
+        """Forget all, as after a start, and read the list anew."""
+        reader = HistoryReader(self.facts, self.client, self.clock, history_ms)
+        self.facts.read_history = reader.read
+        self.facts.target_directory.forget_history(self.clock.now_ms())
+
+    def answer(self, prefix: str, revision: int, wait_ms: int) -> ItemsPage:
+        """Answer with the changes after a revision, if the store has them."""
+        if revision < self.oldest:
+            raise HistoryLostError('gone', context='history')
+        changes = tuple(c for c in self.changes if c.revision > revision)
+        return ItemsPage(changes, 20, False, NO_ERA)
+
+    def test_history_without_an_end_shows_that_nothing_was_lost(self) -> None:
+        """It is read once."""
+        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        reads = self.client.watch.call_count
+        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.assertEqual(reads, self.client.watch.call_count)
+
+    def test_end_in_the_history_counts(self) -> None:
+        """Of a target that was registered in that time, or before."""
+        registered = build_item('b', 'v2', 7)
+        removed = build_item('b', '', 8)
+        ends: tuple[tuple[PublishedItem, ...], ...] = (
+            (registered, removed),
+            (removed,),
+            (build_item('a', 'v2', 4), build_item('a', 'v1', 5)),
+        )
+        for changes in ends:
+            with self.subTest(changes=changes):
+                self.restart()
+                self.changes = changes
+                self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+                self.follow(TIMEOUT_MS)
+                self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+
+    def test_all_that_the_store_still_has_is_read(self) -> None:
+        """Whatever the oldest revision is, in few reads."""
+        for oldest in range(test_versions_in_the_facts.FIRST_REVISION + 1):
+            self.restart()
+            self.oldest = oldest
+            self.changes = (build_item('b', '', oldest + 1),)
+            self.client.watch.reset_mock()
+            with self.subTest(oldest=oldest):
+                is_new = oldest < test_versions_in_the_facts.FIRST_REVISION
+                lost = self.facts.may_have_lost('chat', 'v1')
+                self.assertTrue(lost or not is_new)
+                self.assertLess(self.client.watch.call_count, MAX_READS)
+            self.follow(TIMEOUT_MS)
+
+    def test_store_that_does_not_tell_shows_nothing(self) -> None:
+        """It doesn't answer, has no history at all, or is of another era."""
+        answers: tuple[Callable[..., ItemsPage] | Exception, ...] = (
+            PlatformError('status 503'),
+            HistoryLostError('gone', context='history'),
+            lambda *unused: ItemsPage((), 20, False, NO_ERA + 1),
+        )
+        for answer in answers:
+            self.client.watch.side_effect = answer
+            with self.subTest(answer=answer):
+                self.clock.advance(1)
+                self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+
+    def test_history_that_is_too_short_shows_nothing(self) -> None:
+        """The stream may have begun before."""
+        self.restart(TIMEOUT_MS - 1)
+        self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+        self.follow(1)
+        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+
+
+if __name__ == '__main__':
+    unittest.main()
--- a/tests/unit/test_prompt_survey.py
+++ b/tests/unit/test_prompt_survey.py
@@ -13,9 +13,9 @@
 import gevent
 
 from lagoonbend.clock import PausedClock
-from lagoonbend.facts import find_reading_version
 from lagoonbend.facts import KeptPrompts
 from lagoonbend.facts import ListedTarget
+from lagoonbend.facts import weigh_kept_prompts
 from lagoonbend.scheduling import PromptBlock
 from lagoonbend_entry._internal.gateway import prompt_survey
 from lagoonbend_entry._internal.platform.prompt_codec import decode_kept_blocks
@@ -26,6 +26,7 @@
 
 BLOCK = PromptBlock('bb02', 1_030)
 READ = {'aa01': 48, 'bb02': 1_024}
+WRITTEN = {'aa01': 48, 'bb02': 1_040}
 CALLERS = 100
 
 
@@ -39,21 +40,46 @@
     return KeptPrompts(target, tokens)
 
 
-class ReadingVersionTest(unittest.TestCase):
+class PromptEvidenceTest(unittest.TestCase):
     """Which answers of targets show the version of a stream."""
 
-    def find(self, *kept: Told) -> Any:
-        """Return the version that the answers of targets show."""
+    def find(self, *kept: Told, may_have_left: bool = False) -> Any:
+        """Return the version that the answers of targets show.
+
+        :param may_have_left: True if another version may have left.
+        """
         all_kept = [
             build_kept(f't{number}', *told) for number, told in enumerate(kept)
         ]
-        return find_reading_version(all_kept, *BLOCK)
+        return weigh_kept_prompts(
+            all_kept, *BLOCK, lambda version: may_have_left
+        ).version
 
     def test_version_whose_target_has_read_the_prompt(self) -> None:
         """Others of the version may be silent or have read nothing."""
         found = self.find(('v1', READ), ('v2', {}), ('v1', None), ('v1', {}))
         self.assertEqual('v1', found)
 
+    # Guards against a stream that goes on at a version which has read the
+    # prompt and was silent, while the one that began it has left.
+    def test_reader_shows_nothing_once_another_version_has_left(self) -> None:
+        """The call may have gone on to a target that can't be asked."""
+        told: tuple[Told, ...] = (('v1', READ), ('v2', {}))
+        self.assertIsNone(self.find(*told, may_have_left=True))
+        all_kept = [build_kept('t1', 'v1', READ)]
+        for version, expected in (('v1', 'v1'), ('v2', None)):
+            ended = build_kept('t2', version, {})._replace(has_ended=True)
+            evidence = weigh_kept_prompts(
+                [*all_kept, ended], *BLOCK, lambda version: False
+            )
+            self.assertEqual(expected, evidence.version)
+
+    def test_writer_shows_the_version_whoever_has_left(self) -> None:
+        """Another version has read the prompt and written nothing."""
+        for other in (READ, {}):
+            told: tuple[Told, ...] = (('v1', WRITTEN), ('v2', other))
+            self.assertEqual('v1', self.find(*told, may_have_left=True))
+
     def test_generated_tokens_belong_to_the_block(self) -> None:
         """The block grows while the answer is written."""
         self.assertEqual('v1', self.find(('v1', {'bb02': 1_400}), ('v2', {})))
@@ -64,6 +90,8 @@
             (),
             (('v1', {}), ('v2', {})),
             (('v1', READ), ('v2', READ)),
+            (('v1', WRITTEN), ('v2', WRITTEN)),
+            (('v1', WRITTEN), ('v2', None)),
             (('v1', READ), ('v2', None)),
             (('v1', READ), (None, None)),
             (('v1', {'bb02': 512}), ('v2', {})),
@@ -77,7 +105,8 @@
     def test_short_block_that_is_not_kept_shows_nothing(self) -> None:
         """Engines keep whole multiples of 16 tokens."""
         all_kept = [build_kept('t', 'v1', {})]
-        self.assertIsNone(find_reading_version(all_kept, 'bb02', 9))
+        evidence = weigh_kept_prompts(all_kept, 'bb02', 9, lambda v: False)
+        self.assertIsNone(evidence.version)
 
 
 class PromptCodecTest(unittest.TestCase):
@@ -117,20 +146,27 @@
             build_kept('t1', 'v1', None).target,
             build_kept('t2', 'v2', None).target,
         ]
-        directory = mock.Mock()
-        directory.list_registered.return_value = targets
-        facts: Any = types.SimpleNamespace(target_directory=directory)
+        self.directory = mock.Mock()
+        self.directory.list_registered.return_value = targets
+        self.facts = types.SimpleNamespace(
+            target_directory=self.directory,
+            confirm=lambda: True,
+            may_have_lost=lambda service, version: False,
+        )
+        self.told = WRITTEN
+        facts: Any = self.facts
         self.survey = prompt_survey.PromptSurvey(facts, self.clock)
         self.delay_s = 0.01
         patched = mock.patch.object(prompt_survey, '_ask', self.ask)
         patched.start()
         self.addCleanup(patched.stop)
 
-    def ask(self, target: ListedTarget) -> dict[str, int]:
+    def ask(self, target: ListedTarget) -> KeptPrompts:
         """Answer a question to a target; only v1 has read the prompt."""
         self.asked.append(target.target)
         gevent.sleep(self.delay_s)
-        return READ if target.software_version == 'v1' else {}
+        is_reader = target.software_version == 'v1'
+        return KeptPrompts(target, self.told if is_reader else {})
 
     def find(self) -> str | None:
         """Return the version of the prompt."""
@@ -152,6 +188,33 @@
         self.find()
         self.assertEqual(4, len(self.asked))
 
+    # Guards against a reader that counts although the stream has begun at
+    # another target since the answers that are used again.
+    def test_reader_counts_only_in_answers_to_later_questions(self) -> None:
+        """Targets are asked anew, once for all who ask at that time."""
+        self.told = READ
+        self.find()
+        self.clock.advance(1)
+        greenlets = [gevent.spawn(self.find) for _ in range(CALLERS)]
+        gevent.joinall(greenlets)
+        self.assertEqual({'v1'}, {greenlet.value for greenlet in greenlets})
+        self.assertEqual(4, len(self.asked))
+
+    # Guards against the same while the instance is out of step.
+    def test_reader_counts_only_if_all_targets_were_asked(self) -> None:
+        """Another one has joined, or nobody can tell."""
+        self.told = READ
+        joined = build_kept('t3', 'v2', None).target
+        with mock.patch.object(self.facts, 'confirm', lambda: False):
+            self.assertIsNone(self.find())
+        with mock.patch.object(
+            self.facts, 'may_have_lost', lambda service, version: True
+        ):
+            self.assertIsNone(self.find())
+        targets = self.directory.list_registered.return_value
+        self.facts.confirm = lambda: targets.append(joined) or True
+        self.assertIsNone(self.find())
+
     def test_caller_that_leaves_ends_no_other_wait(self) -> None:
         """The first one leaves while the targets are asked."""
         first, second = (gevent.spawn(self.find) for _ in range(2))
