Read the store's history once for calls that wait for it together

A read that follows looks whether the facts know the ends by then. LB0221 names the block of the prompt, so that its line can be joined with LB0220.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -133,17 +133,22 @@
         now_ms = self._clock.now_ms()
         return self.target_directory.knows_since(now_ms, longest_ms)
 
+    def knows_ends(self) -> bool:
+        """Return True if each target is known that ended under a stream."""
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
+        return self.target_directory.knows_ends_since(
+            self._clock.now_ms(), longest_ms
+        )
+
     def may_have_lost(self, service: str, version: str) -> bool:
         """Return True if a target may have ended that began a stream.
 
         :param service: service of the target.
         :param version: version whose targets don't count.
         """
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
-        if not self.target_directory.knows_ends_since(
-            self._clock.now_ms(), longest_ms
-        ):
+        if not self.knows_ends():
             self.read_history()
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         age_ms = self.age_ms()
         is_current = age_ms is not None and age_ms < MAX_VERSIONS_AGE_MS
         return not is_current or self.target_directory.may_have_lost(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/history_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/history_reader.py
@@ -47,6 +47,8 @@
         return self._shared_read.run()
 
     def _read(self) -> bool:
+        if self._facts.knows_ends():
+            return True
         era, newest = self._facts.item_cache.position
         since_ms = self._clock.now_ms() - self._history_ms
         self._read_count = 0
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
@@ -51,6 +51,9 @@
             continues=call.headers.continued_attempt,
             last_event=call.headers.last_event,
             service=service,
+            block=call.headers.prompt[-1].block_id
+            if call.headers.prompt
+            else '',
             evidence=evidence,
             software=version,
             versions=sorted(map(str, self._facts.list_versions(service))),
