Bound the questions to targets for calls that need answers of their own time

A reader of a prompt counts only in answers to questions that were asked after the call arrived. In a burst each millisecond with a call brought a question to each target; now there is one in 0.1 s, and the calls in between share its answers. test_calls_that_need_new_answers_take_turns failed with 8 questions in place of 4.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
@@ -25,6 +25,8 @@
 REUSE_MS = 1_000
 """Time for which the answers count for further calls. Callers take streams up
 within seconds of a failure, and each list costs a target some work."""
+MIN_INTERVAL_MS = 100
+"""Time between two questions for calls that need answers of their own time."""
 MAX_LIST_BYTES = 4 * 1024 * 1024
 """Limit on one answer; 550,000 tokens in blocks of 16 make about 1 MB."""
 HTTP_OK = 200
@@ -68,6 +70,7 @@
         evidence = self._weigh(service, block, all_kept)
         if evidence.version is not None and not evidence.has_written:
             # The stream may have begun at another target since the answers.
+            self._wait_for_turn(service, asked_ms)
             all_kept = self._ask_targets(service, asked_ms)
             evidence = self._weigh(service, block, all_kept)
         silent = [
@@ -120,6 +123,16 @@
             or self._facts.may_have_lost(service, version)
         )
 
+    def _wait_for_turn(self, service: str, since_ms: int) -> None:
+        """Wait until targets may be asked again, unless they just were.
+
+        :param since_ms: time from which on they must have been asked.
+        """
+        started_ms = self._surveys[service].started_ms
+        left_ms = started_ms + MIN_INTERVAL_MS - self._clock.now_ms()
+        if started_ms < since_ms and left_ms > 0:
+            gevent.sleep(left_ms / MILLISECONDS_PER_SECOND)
+
     def _ask_targets(self, service: str, since_ms: int) -> list[KeptPrompts]:
         """Return what all targets keep; ask them unless they were lately.
 
--- a/tests/unit/test_prompt_survey.py
+++ b/tests/unit/test_prompt_survey.py
@@ -200,6 +200,21 @@
         self.assertEqual({'v1'}, {greenlet.value for greenlet in greenlets})
         self.assertEqual(4, len(self.asked))
 
+    # Guards against a question to each target for each call of a burst.
+    def test_calls_that_need_new_answers_take_turns(self) -> None:
+        """Those that arrive within a tenth of a second share the answers."""
+        self.told = READ
+        self.delay_s = 0.0
+        self.find()
+        greenlets = []
+        for _ in range(9):
+            self.clock.advance(1)
+            greenlets.append(gevent.spawn(self.find))
+            gevent.sleep(0)
+        gevent.joinall(greenlets)
+        self.assertEqual({'v1'}, {greenlet.value for greenlet in greenlets})
+        self.assertEqual(4, len(self.asked))
+
     # Guards against the same while the instance is out of step.
     def test_reader_counts_only_if_all_targets_were_asked(self) -> None:
         """Another one has joined, or nobody can tell."""
