--- a/tests/unit/test_target_pauses.py
+++ b/tests/unit/test_target_pauses.py
@@ -220,6 +220,7 @@
             build_target('i-3')._replace(software_version='v2'),
         ]
         facts = mock.Mock()
+        facts.list_versions.return_value = {'v1', 'v2'}
         facts.target_directory.find.return_value = self.open_target
         facts.target_directory.list_service.return_value = self.targets
         self.coordinator = build_mock_coordinator()
