Let a reader of another version speak against one that has completed an answer

Found by the review: a call runs to its end at a silent v1 that was given up, streams at v2 and is cut there by a kill of all instances. v1 keeps more than the prompt, v2 the prompt alone, as engines drop what a cut stream has written.

A completed answer now only replaces the proof that nothing has ended.

It replaces test_version_that_has_written_goes_on_after_a_silent_one, which asserted the unsound side: its evidence, both versions having read the prompt, fits the story above too. The first case of test_writer_shows_the_version_whoever_has_left is gone for the same reason.

--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
@@ -35,7 +35,7 @@
         return kept_tokens > max(0, tokens - MAX_UNKEPT_TOKENS)
 
     def has_written(self, block_id: str, tokens: int) -> bool:
-        """Return True if the target has written an answer to the block."""
+        """Return True if the target has completed an answer to the block."""
         return self.count_tokens(block_id) > tokens
 
 
@@ -63,9 +63,10 @@
 
     The last block of a prompt belongs to one request, or to its session with
     a length that grows from request to request. A target that keeps more than
-    that has written an answer. One that has just read it need not have: it may
-    have been silent until the call went to another version, so that it counts
-    only if no other version can have begun the stream.
+    that has completed an answer. One that keeps the prompt alone need not have
+    written anything: it may have been silent until the call went to another
+    version, so that it counts only if no target of one can have ended. Neither
+    counts beside a reader of another version, whose stream may have been cut.
 
     :param kept_prompts: all targets of a service.
     :param block_id: last block of the prompt.
@@ -77,18 +78,12 @@
         told.
     """
     all_kept = tuple(kept_prompts)
-    writers = {
-        kept.target.software_version
-        for kept in all_kept
-        if kept.has_written(block_id, tokens)
-    }
     readers = {
         kept.target.software_version
         for kept in all_kept
         if kept.has_read(block_id, tokens)
     }
-    candidates = writers or readers
-    version = next(iter(candidates)) if len(candidates) == 1 else None
+    version = next(iter(readers)) if len(readers) == 1 else None
     if version is None or not all(
         kept.tokens_by_block is not None
         or kept.target.software_version == version
@@ -99,6 +94,7 @@
         kept.has_ended and kept.target.software_version != version
         for kept in all_kept
     )
-    if not writers and (has_lost or may_have_left(version)):
+    has_written = any(kept.has_written(block_id, tokens) for kept in all_kept)
+    if not has_written and (has_lost or may_have_left(version)):
         return UNCERTAIN
-    return PromptEvidence(version, has_written=bool(writers))
+    return PromptEvidence(version, has_written=has_written)
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -305,15 +305,16 @@
         for instance in range(3):
             self.assertEqual((503, []), self.take_up(instance))
 
-    # Guards against a refusal of the same stream while its version serves.
-    def test_version_that_has_written_goes_on_after_a_silent_one(self) -> None:
-        """Both versions have read the prompt, and one has written events."""
-        began = ENGINES[self.begin_after_silence()]
+    # Guards against a silent engine that runs the call to its end after it
+    # was given up, and counts more than the one whose stream was cut.
+    def test_complete_answer_elsewhere_is_not_the_stream(self) -> None:
+        """Both serve; v1 has completed an answer that nobody received."""
+        began = self.begin_after_silence()
         self.restart_all()
+        self.fleet.targets['chat-0'].kept_blocks['bb02'] = 1_040
+        self.fleet.targets[began].kept_blocks['bb02'] = 1_024
         for instance in range(3):
-            status, runs = self.take_up(instance)
-            self.assertEqual(200, status)
-            self.assertEqual([began], [ENGINES[run] for run in runs])
+            self.assertEqual((503, []), self.take_up(instance))
 
     # Guards against the same where the engine that began it can't be asked.
     def test_silent_engine_may_have_begun_the_stream(self) -> None:
--- a/tests/unit/test_prompt_survey.py
+++ b/tests/unit/test_prompt_survey.py
@@ -75,10 +75,15 @@
             self.assertEqual(expected, evidence.version)
 
     def test_writer_shows_the_version_whoever_has_left(self) -> None:
-        """Another version has read the prompt and written nothing."""
-        for other in (READ, {}):
-            told: tuple[Told, ...] = (('v1', WRITTEN), ('v2', other))
-            self.assertEqual('v1', self.find(*told, may_have_left=True))
+        """No target of another version that is listed has the prompt."""
+        told: tuple[Told, ...] = (('v1', WRITTEN), ('v2', {}))
+        self.assertEqual('v1', self.find(*told, may_have_left=True))
+
+    # Guards against a silent target that runs the call to its end although it
+    # was given up, and counts more than the one whose stream was cut.
+    def test_complete_answer_elsewhere_is_not_the_stream(self) -> None:
+        """A stream that was cut leaves its prompt alone."""
+        self.assertIsNone(self.find(('v1', WRITTEN), ('v2', READ)))
 
     def test_generated_tokens_belong_to_the_block(self) -> None:
         """The block grows while the answer is written."""
