Count the timeout under which a stream began, not a shorter one since

Found by the review: a configuration that shortens the longest timeout also shortened the time for which versions and ends of targets are remembered, while streams run that began under the longer one.

The longest timeout of before counts until the streams have ended that began under it. test_timeout_of_before_counts_for_its_own_time failed before: v1 was the only version 6 s after v2 had left, under a timeout of 15 s.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -69,6 +69,8 @@
         self._decode_rules = decode_rules
         self._rules_key = rules_key
         self._rules_value: bytes | None = None
+        self._past_timeout_ms = 0
+        self._past_timeout_end_ms = 0
         self._settled_ms: int | None = None
 
     @property
@@ -102,9 +104,8 @@
         They are those of the listed targets and of targets that have gone
         since the longest timeout of a route.
         """
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         return self.target_directory.list_versions(
-            service, self._clock.now_ms(), longest_ms
+            service, self._clock.now_ms(), self._get_stream_time_ms()
         )
 
     def find_only_version(self, service: str) -> str:
@@ -129,15 +130,15 @@
 
     def knows_versions(self) -> bool:
         """Return True if all versions are known that a stream may have."""
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         now_ms = self._clock.now_ms()
-        return self.target_directory.knows_since(now_ms, longest_ms)
+        return self.target_directory.knows_since(
+            now_ms, self._get_stream_time_ms()
+        )
 
     def knows_ends(self) -> bool:
         """Return True if each target is known that ended under a stream."""
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         return self.target_directory.knows_ends_since(
-            self._clock.now_ms(), longest_ms
+            self._clock.now_ms(), self._get_stream_time_ms()
         )
 
     def may_have_lost(self, service: str, version: str) -> bool:
@@ -148,13 +149,25 @@
         """
         if not self.knows_ends():
             self.read_history()
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         age_ms = self.age_ms()
         is_current = age_ms is not None and age_ms < MAX_VERSIONS_AGE_MS
         return not is_current or self.target_directory.may_have_lost(
-            service, version, self._clock.now_ms(), longest_ms
+            service,
+            version,
+            self._clock.now_ms(),
+            self._get_stream_time_ms(),
         )
 
+    def _get_stream_time_ms(self) -> int:
+        """Return how long ago a stream can have begun that is taken up.
+
+        The timeout under which it began may have been shortened since.
+        """
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
+        if self._clock.now_ms() >= self._past_timeout_end_ms:
+            return longest_ms
+        return max(longest_ms, self._past_timeout_ms)
+
     def apply_listing(
         self,
         items: Iterable[PublishedItem],
@@ -385,6 +398,12 @@
                 for rule in rules.customers_by_name.values()
             ],
         )
+        if self.rules is not None:
+            self._past_timeout_ms = self._get_stream_time_ms()
+            self._past_timeout_end_ms = max(
+                self._past_timeout_end_ms,
+                self._clock.now_ms() + self.rules.longest_timeout_ms,
+            )
         self.rules = rules
         self._rules_value = value
 
--- a/tests/unit/test_versions_in_the_facts.py
+++ b/tests/unit/test_versions_in_the_facts.py
@@ -15,6 +15,7 @@
 
 TIMEOUT_MS = 15_000
 FIRST_REVISION = 10
+RULES_KEY = 'op/config'
 GAP_MS = 3_000
 """Time in which a version could come and go."""
 
@@ -25,6 +26,8 @@
     :raises DocumentError: for the value ``odd``.
     """
     version = (item.value or b'').decode()
+    if item.key == RULES_KEY:
+        return None
     if version == 'odd':
         raise DocumentError("entry can't be read")
     return ListedTarget(
@@ -43,11 +46,12 @@
     def setUp(self) -> None:
         """Read a list with one target of v1, and follow it."""
         self.clock = PausedClock()
+        self.decode_rules = mock.Mock()
         self.facts = FactsCache(
             self.clock,
-            mock.Mock(),
+            self.decode_rules,
             decode_target,
-            'op/config',
+            RULES_KEY,
         )
         self.facts.rules = mock.Mock(longest_timeout_ms=TIMEOUT_MS, version=1)
         self.list(FIRST_REVISION, build_item('a', 'v1', 5))
@@ -68,6 +72,51 @@
         self.watch(self.facts.item_cache.complete_revision)
 
 
+class ShorterTimeoutTest(FactsCase):
+    """A configuration shortens the longest timeout while streams run."""
+
+    def setUp(self) -> None:
+        """Let v2 come and go, and halve the timeout 6 s later."""
+        super().setUp()
+        self.watch(11, build_item('b', 'v2', 11))
+        self.follow(1_000)
+        self.watch(12, build_item('b', '', 12))
+        self.follow(6_000)
+        self.decode_rules.return_value = mock.Mock(
+            longest_timeout_ms=TIMEOUT_MS // 3,
+            version=2,
+            customers_by_name={},
+        )
+        self.watch(13, PublishedItem(RULES_KEY, 13, b'shorter'))
+
+    # Guards against versions, and ends of targets, that are forgotten while
+    # streams run that began under the longer timeout.
+    def test_timeout_of_before_counts_for_its_own_time(self) -> None:
+        """A stream of v2 may still run; it has ended by then."""
+        self.assert_unknown()
+        self.follow(TIMEOUT_MS - 6_001)
+        self.assert_unknown()
+        self.follow(6_001)
+        self.assertEqual('v1', self.facts.find_only_version('chat'))
+        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+
+    def assert_unknown(self) -> None:
+        """Check that v2 may have begun a stream."""
+        self.assertEqual('', self.facts.find_only_version('chat'))
+        self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+
+    # Guards against streams that are refused for longer than they can last.
+    def test_shorter_timeout_counts_once_the_longer_one_is_over(self) -> None:
+        """It is that of all streams by then."""
+        self.follow(TIMEOUT_MS)
+        self.watch(14, build_item('c', 'v3', 14))
+        self.watch(15, build_item('c', '', 15))
+        self.assert_unknown()
+        self.follow(TIMEOUT_MS // 3)
+        self.assertEqual('v1', self.facts.find_only_version('chat'))
+        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+
+
 class VersionsInTheFactsTest(FactsCase):
     """The list changes, or changes may have been missed."""
 
@@ -88,7 +137,7 @@
             lambda item: ListedTarget(
                 item.key, 'chat', '10.0.0.1', 80, 'd', 4, False, 'v1', 1
             ),
-            'op/config',
+            RULES_KEY,
         )
         facts.rules = self.facts.rules
         facts.apply_listing(
