Take a part of the store's history for none

Found by the review: an answer that stops before what the instance has listed, or with changes that can't be read, passed for the whole history, so that an end in the rest went unseen. Both are failures of the read now, and show nothing. test_answer_that_is_no_whole_history_shows_nothing failed before in both cases.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/history_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/history_reader.py
@@ -80,7 +80,7 @@
         self, era: int, newest: int
     ) -> tuple[int, tuple[PublishedItem, ...]]:
         """Return the oldest revision that can be watched, and the changes."""
-        oldest, items = newest, self._watch(era, newest)
+        oldest, items = newest, self._watch(era, newest, newest)
         lost = -1
         step = 1
         while oldest - lost > 1:
@@ -88,17 +88,26 @@
             if lost >= 0:
                 middle = (oldest + lost) // 2
             try:
-                oldest, items = middle, self._watch(era, middle)
+                oldest, items = middle, self._watch(era, middle, newest)
             except HistoryLostError:
                 lost = middle
             step *= STEP_FACTOR
         return oldest, items
 
-    def _watch(self, era: int, revision: int) -> tuple[PublishedItem, ...]:
+    def _watch(
+        self, era: int, revision: int, newest: int
+    ) -> tuple[PublishedItem, ...]:
+        """Return the changes after a revision, up to the newest at least."""
         self._read_count += 1
         page = self._client.watch(names.TARGETS_PREFIX, revision, 0)
         if page.era != era:
             raise PlatformError(
                 f'era {page.era} in place of {era}', context='store history'
             )
+        if page.revision < newest or page.rejected:
+            raise PlatformError(
+                f'part of the history, up to {page.revision} of {newest}, '
+                f'with {len(page.rejected)} unreadable changes',
+                context='store history',
+            )
         return page.items
--- a/tests/unit/test_ends_of_targets.py
+++ b/tests/unit/test_ends_of_targets.py
@@ -135,6 +135,20 @@
                 self.clock.advance(1)
                 self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
 
+    # Guards against an end in a part of the history that wasn't read.
+    def test_answer_that_is_no_whole_history_shows_nothing(self) -> None:
+        """It stops before what was listed, or has changes in no known form."""
+        listed = test_versions_in_the_facts.FIRST_REVISION
+        for revision, rejected in ((listed - 1, ()), (20, ('odd change',))):
+            self.client.watch.side_effect = (
+                lambda *unused, r=revision, x=(rejected): ItemsPage(
+                    (), r, False, NO_ERA, x
+                )
+            )
+            with self.subTest(revision=revision, rejected=rejected):
+                self.clock.advance(1)
+                self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+
     def test_history_that_is_too_short_shows_nothing(self) -> None:
         """The stream may have begun before."""
         self.restart(TIMEOUT_MS - 1)
