Count ends of targets for other instances' older lists, and none while a store settles

And after a store has come back from an older copy, a target that joined since the copy may not be listed again yet: readers of a prompt show nothing until its writers have written again, as for the only version. A restart alone is no such time.

test_store_that_comes_back_from_a_copy_shows_no_ends and the longer window in three tests of test_ends_of_targets failed before. Checked: 38 tests of ends, facts and streams pass.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -72,6 +72,7 @@
         self._past_timeout_ms = 0
         self._past_timeout_end_ms = 0
         self._settled_ms: int | None = None
+        self._has_changed_era = False
 
     @property
     def bounds(self) -> CallerBounds:
@@ -138,7 +139,7 @@
     def knows_ends(self) -> bool:
         """Return True if each target is known that ended under a stream."""
         return self.target_directory.knows_ends_since(
-            self._clock.now_ms(), self._get_stream_time_ms()
+            self._clock.now_ms(), self._get_end_time_ms()
         )
 
     def may_have_lost(self, service: str, version: str) -> bool:
@@ -151,13 +152,26 @@
             self.read_history()
         age_ms = self.age_ms()
         is_current = age_ms is not None and age_ms < MAX_VERSIONS_AGE_MS
-        return not is_current or self.target_directory.may_have_lost(
-            service,
-            version,
-            self._clock.now_ms(),
-            self._get_stream_time_ms(),
+        is_missing_entries = self.is_settling and self._has_changed_era
+        return (
+            not is_current
+            or is_missing_entries
+            or not self.knows_ends()
+            or self.target_directory.may_have_lost(
+                service,
+                version,
+                self._clock.now_ms(),
+                self._get_end_time_ms(),
+            )
         )
 
+    def _get_end_time_ms(self) -> int:
+        """Return how long ago a target can have ended that began a stream.
+
+        An instance whose list is older may have used it after its end.
+        """
+        return self._get_stream_time_ms() + MAX_VERSIONS_AGE_MS
+
     def _get_stream_time_ms(self) -> int:
         """Return how long ago a stream can have begun that is taken up.
 
@@ -315,6 +329,7 @@
             self._settled_ms = now_ms + REWRITE_MS
         if before == NO_ERA:
             return
+        self._has_changed_era = True
         log_event(
             Event.STORE_ERA_CHANGED,
             source=source,
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -203,8 +203,6 @@
         :param version: version whose targets don't count.
         :param window_ms: time that counts.
         """
-        if not self.knows_ends_since(now_ms, window_ms):
-            return True
         ended = self._ended_versions.get(service, {})
         ends_ms = [ended[other] for other in ended if other != version]
         if self._unknown_end_ms is not None:
--- a/tests/unit/test_ends_of_targets.py
+++ b/tests/unit/test_ends_of_targets.py
@@ -17,6 +17,9 @@
 from tests.unit import test_versions_in_the_facts
 
 TIMEOUT_MS = test_versions_in_the_facts.TIMEOUT_MS
+END_TIME_MS = TIMEOUT_MS + test_versions_in_the_facts.GAP_MS
+"""Time for which the end of a target counts. Instances whose list is older may
+begin streams there after it."""
 HISTORY_MS = 20_000
 MAX_READS = 40
 build_item = test_versions_in_the_facts.build_item
@@ -25,10 +28,15 @@
 class EndsOfTargetsTest(test_versions_in_the_facts.FactsCase):
     """An instance that has followed the list for long."""
 
+    def setUp(self) -> None:
+        """Follow the list for as long as the ends of targets count."""
+        super().setUp()
+        self.follow(test_versions_in_the_facts.GAP_MS)
+
     def assert_lost_for_window(self, version: str = 'v1') -> None:
         """Check that an end counts for as long as a stream may last."""
         self.assertTrue(self.facts.may_have_lost('chat', version))
-        self.follow(TIMEOUT_MS - 1)
+        self.follow(END_TIME_MS - 1)
         self.assertTrue(self.facts.may_have_lost('chat', version))
         self.follow(1)
         self.assertFalse(self.facts.may_have_lost('chat', version))
@@ -52,6 +60,18 @@
         self.watch(12, build_item('b', 'odd', 12))
         self.assert_lost_for_window()
 
+    # Guards against a target of the era before that is written again later.
+    def test_store_that_comes_back_from_a_copy_shows_no_ends(self) -> None:
+        """What its writers wrote since the copy may still be missing."""
+        for era in (1, 2):
+            self.facts.apply_listing(
+                [build_item('a', 'v1', 5)._replace(era=era)],
+                8,
+                self.clock.now_ms(),
+                era,
+            )
+        self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+
     def test_old_facts_tell_nothing(self) -> None:
         """A target may have ended since."""
         self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
@@ -105,7 +125,7 @@
                 self.restart()
                 self.changes = changes
                 self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
-                self.follow(TIMEOUT_MS)
+                self.follow(END_TIME_MS)
                 self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
 
     def test_all_that_the_store_still_has_is_read(self) -> None:
@@ -120,7 +140,7 @@
                 lost = self.facts.may_have_lost('chat', 'v1')
                 self.assertTrue(lost or not is_new)
                 self.assertLess(self.client.watch.call_count, MAX_READS)
-            self.follow(TIMEOUT_MS)
+            self.follow(END_TIME_MS)
 
     def test_store_that_does_not_tell_shows_nothing(self) -> None:
         """It doesn't answer, has no history at all, or is of another era."""
@@ -151,7 +171,7 @@
 
     def test_history_that_is_too_short_shows_nothing(self) -> None:
         """The stream may have begun before."""
-        self.restart(TIMEOUT_MS - 1)
+        self.restart(END_TIME_MS - 1)
         self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
         self.follow(1)
         self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
--- a/tests/unit/test_versions_in_the_facts.py
+++ b/tests/unit/test_versions_in_the_facts.py
@@ -96,7 +96,7 @@
         self.assert_unknown()
         self.follow(TIMEOUT_MS - 6_001)
         self.assert_unknown()
-        self.follow(6_001)
+        self.follow(6_001 + GAP_MS)
         self.assertEqual('v1', self.facts.find_only_version('chat'))
         self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
 
@@ -112,7 +112,7 @@
         self.watch(14, build_item('c', 'v3', 14))
         self.watch(15, build_item('c', '', 15))
         self.assert_unknown()
-        self.follow(TIMEOUT_MS // 3)
+        self.follow(TIMEOUT_MS // 3 + GAP_MS)
         self.assertEqual('v1', self.facts.find_only_version('chat'))
         self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
 
