Choose the service of a divided route by the stream that a call belongs to

Found by the review: the service was drawn for each request, also for a take-up and for the rest of a stream that is handed over, which then went on at another service.

It is chosen by weighted rendezvous hashing of the attempt that began the stream, so that all instances agree without a message. Calls without an identity are drawn as before.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admission.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admission.py
@@ -5,6 +5,7 @@
 from lagoonbend.clock import Clock
 from lagoonbend.facts import CustomerRule
 from lagoonbend.facts import Route
+from lagoonbend.rendezvous import choose_by_weight
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
@@ -26,7 +27,8 @@
     :param clock: clock of the instance.
     :param max_fact_age_ms: age of the facts from which a customer's key may
         have been revoked without this instance knowing.
-    :param random_source: chooses among the weighted services of a route.
+    :param random_source: chooses among the weighted services of a route for
+        calls without an identity.
     """
 
     def __init__(
@@ -66,7 +68,7 @@
             headers,
             route,
             customer,
-            self._choose_service(route),
+            self._choose_service(route, headers),
             rules.version,
             age_ms,
             request.received_ms + self._get_timeout_ms(route, headers),
@@ -87,12 +89,24 @@
             return route.timeout_ms
         return min(route.timeout_ms, headers.deadline_ms)
 
-    def _choose_service(self, route: Route) -> str:
+    def _choose_service(self, route: Route, headers: CallHeaders) -> str:
+        """Return the service of a call.
+
+        All instances choose the same for a stream and for what goes on with
+        it, whoever runs that.
+        """
         if len(route.services) == 1:
             return route.services[0].service
-        weights = [share.weight for share in route.services]
-        names = [share.service for share in route.services]
-        return self._random_source.choices(names, weights)[0]
+        stream = headers.attempt
+        if headers.last_event:
+            stream = headers.continued_attempt or stream
+        weights = {share.service: share.weight for share in route.services}
+        name = choose_by_weight(weights, stream) if stream else None
+        if name is not None:
+            return name
+        return self._random_source.choices(
+            list(weights), list(weights.values())
+        )[0]
 
 
 def count_cost_units(
--- a/tests/functional/test_versions_of_handed_over_streams.py
+++ b/tests/functional/test_versions_of_handed_over_streams.py
@@ -5,7 +5,9 @@
 """
 
 import re
+from typing import Any
 import unittest
+from unittest import mock
 
 import gevent
 
@@ -79,5 +81,47 @@
         self.assertEqual([], names)
 
 
+class DividedRouteTest(unittest.TestCase):
+    """Three instances; a route is divided among services of two versions."""
+
+    # Guards against an answer that a peer goes on with at another service
+    # than the one that began it, as the peer chooses the service anew.
+    def test_answer_goes_on_at_the_service_that_began_it(self) -> None:
+        """All events of an answer are of one version."""
+        fleet = gateway_fleet.GatewayFleet(
+            INSTANCE_COUNT, engine_count=0, can_cut=True
+        )
+        fleet.__enter__()
+        self.addCleanup(fleet.__exit__, None, None, None)
+        for name in list(fleet.targets):
+            fleet.remove_target(name)
+        for name, version in ENGINES.items():
+            service = 'chat' if version == 'v1' else 'desk'
+            fleet.add_target(name, service, version)
+        build_route = gateway_fleet._build_route
+        shares = [{'service': name, 'weight': 1} for name in ('chat', 'desk')]
+
+        def build(name: str, *others: Any) -> dict[str, object]:
+            route = build_route(name, *others)
+            return route | (
+                {'weighted-services': shares} if name == 'stream' else {}
+            )
+
+        with mock.patch.object(gateway_fleet, '_build_route', build):
+            fleet.publish_configuration(timeout_ms=6_000)
+        gevent.sleep(7.5)
+        calls = [
+            gevent.spawn(call, fleet, 'stream', instance=CUT, X_Fault='slow')
+            for _ in range(STREAMS)
+        ]
+        gevent.sleep(STREAM_TIME_S / 3)
+        fleet.cut_links(CUT, CutKind.REFUSE)
+        gevent.joinall(calls, raise_error=True)
+        bodies = [item.value[1].body.decode() for item in calls]
+        versions = [set(re.findall(r'of (v\d)', body)) for body in bodies]
+        mixed = [found for found in versions if len(found) > 1]
+        self.assertLessEqual(len(mixed), MAX_MIXED, versions)
+
+
 if __name__ == '__main__':
     unittest.main()
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -5,7 +5,9 @@
 """
 
 import time
+from typing import Any
 import unittest
+from unittest import mock
 
 import gevent
 import gevent.socket
@@ -316,6 +318,41 @@
         for instance in range(3):
             self.assertEqual((503, []), self.take_up(instance))
 
+    def serve_two_services(self) -> None:
+        """Start an engine of v1, and one of v2 in another service."""
+        self.fleet.add_target('desk-9', 'desk', 'v2')
+        self.add_engines('v1')
+        for name in list(self.fleet.targets):
+            if name.startswith('desk') and name != 'desk-9':
+                self.fleet.remove_target(name)
+        gevent.sleep(gateway_fleet.ROUTE_TIMEOUT_MS / 1000 + CHANGE_SPREAD_S)
+
+    def publish_route(self, change: dict[str, object]) -> None:
+        """Change the route of the streams."""
+        build_route = gateway_fleet._build_route
+
+        def build(name: str, *others: Any) -> dict[str, object]:
+            route = build_route(name, *others)
+            return route | change if name == 'stream' else route
+
+        with mock.patch.object(gateway_fleet, '_build_route', build):
+            self.fleet.publish_configuration()
+        gevent.sleep(CHANGE_SPREAD_S)
+
+    # Guards against a stream of a divided route that another service goes on
+    # with than the one that began it.
+    def test_stream_of_a_divided_route_keeps_its_version(self) -> None:
+        """The stream goes on at the service that began it, or is refused."""
+        self.serve_two_services()
+        shares = [
+            {'service': name, 'weight': 0.5} for name in ('chat', 'desk')
+        ]
+        self.publish_route({'weighted-services': shares})
+        began = self.begin_stream()
+        for _ in range(16):
+            status, runs = self.take_up(0)
+            self.assertIn((status, runs), ((503, []), (200, [began])))
+
     # Guards against the same where the engine that began it can't be asked.
     def test_silent_engine_may_have_begun_the_stream(self) -> None:
         """The call is refused at once while the engine might have."""
