Record the origin of a stream from who begins it

A stream could be taken up at a version that never began it. Shown by the new test_origins_of_handed_over_streams, which failed in 3 of 4 cases: an attempt at v1 that can't be connected leaves v1 as the origin; a peer then begins the stream at v2 and says so, and this instance still has v1; so it has if the peer is of an earlier build and names none. In a fleet of more than 16 instances the peer tells other keepers than this one, so that a take-up here would find v1 (read in the source, not played with processes).

Cause: the version to which a call is sent was taken for the one that begins the stream. A retry, a successor or a peer may begin it elsewhere.

An origin is now recorded with the first event, before the caller gets it, from the target that brings it or from the version that the peer names. No origin is recorded if the peer names none. A successor that takes over was right before, since it was recorded as it ran on; it is now recorded in the same place.

Cost: an origin is sent with the first event and no longer before it, so that a kill of the instance within some 20 ms loses it. The prompt is searched then.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
@@ -24,8 +24,7 @@
 
 BATCH_INTERVAL_S = 0.02
 """Minimum time between two batches. The first origin after a pause is sent at
-once. Later ones arrive before the first event of their stream, which takes at
-least the time to read the prompt."""
+once, beside the first event of its stream."""
 ANSWER_TIMEOUT_MS = 150
 """Time for peers to answer a question; a round trip between failure domains
 takes about 3 ms."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -48,7 +48,6 @@
 from lagoonbend_entry._internal.gateway.limit_recorder import LimitRecorder
 from lagoonbend_entry._internal.gateway.lost_call import LostCall
 from lagoonbend_entry._internal.gateway.open_attempt import OpenAttempt
-from lagoonbend_entry._internal.gateway.prompt_survey import PromptSurvey
 from lagoonbend_entry._internal.gateway.reachability import PEER_DOUBT_MS
 from lagoonbend_entry._internal.gateway.reachability import Reachability
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
@@ -74,8 +73,7 @@
 another one. A target that is full rejects a call at once; the platform allows
 400 ms in which both work."""
 MIN_ATTEMPT_MS = 50
-"""Remaining time below which no further attempt is made: an answer could
-not arrive in time."""
+"""Remaining time in which no answer to a further attempt could arrive."""
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -142,9 +140,6 @@
         self._closed_targets = closed_targets
         self._clock = clock
         self._make_retry_share = make_retry_share
-        coordinator.origins.search_prompt = PromptSurvey(
-            facts, clock
-        ).find_version
         self._resumed_streams = ResumedStreams(facts, coordinator.origins)
         self._slot_requests = SlotRequests(
             facts,
@@ -184,6 +179,7 @@
             clock,
             self._body_memory,
             facts.target_directory.find,
+            self._resumed_streams.record,
         )
         self._limit_recorder = LimitRecorder(
             coordinator.named_limits, clock, coordinator.report_limit
@@ -452,15 +448,21 @@
             search,
             self._body_memory,
             progress.sends,
-            lambda: self._crash_guard.record_begun(
-                progress.call, target, attempt.sent_ms
-            ),
+            lambda: self._record_begun(progress, target, attempt.sent_ms),
             functools.partial(
                 self._limit_recorder.record, decision.pool or request.pool
             ),
         )
         return OpenAttempt(request, decision, target, attempt)
 
+    def _record_begun(
+        self, progress: CallProgress, target: ListedTarget, sent_ms: int
+    ) -> None:
+        call = progress.call
+        self._crash_guard.record_begun(call, target, sent_ms)
+        if progress.position.last_id is None:
+            self._resumed_streams.record(call, target.software_version)
+
     def _run_attempt(
         self,
         progress: CallProgress,
@@ -473,8 +475,6 @@
             progress.successor = None
         progress.target = opened.target.target
         progress.version = opened.target.software_version
-        if not reply.has_begun:
-            self._resumed_streams.record(progress.call, progress.version)
         report: AttemptReport | None = None
         progress.attempt = opened.attempt
         try:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -32,6 +32,7 @@
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.history_reader import HistoryReader
 from lagoonbend_entry._internal.gateway.link_probe import LinkProbe
+from lagoonbend_entry._internal.gateway.prompt_survey import PromptSurvey
 from lagoonbend_entry._internal.gateway.reachability import PEER_DOUBT_MS
 from lagoonbend_entry._internal.gateway.store_watcher import StoreWatcher
 from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
@@ -150,6 +151,9 @@
         self._metrics_server = TextServer(
             METRICS_PATH, lambda: (HTTP_OK, self._render_metrics())
         )
+        self._coordinator.origins.search_prompt = PromptSurvey(
+            self._facts, self._clock
+        ).find_version
         self._call_handler = CallHandler(
             self._facts,
             Admission(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -10,6 +10,7 @@
 from lagoonbend.outcomes import RetryShare
 from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
 from lagoonbend_entry._internal.gateway import gateway_refusal
+from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.answer_relay import relay_answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
@@ -50,6 +51,7 @@
     :param clock: clock of the instance.
     :param body_memory: memory of the instance for buffered bodies.
     :param find_target: returns a target as listed now.
+    :param record_origin: records the software version that begins a stream.
     """
 
     def __init__(
@@ -60,6 +62,9 @@
         clock: Clock,
         body_memory: BodyMemory,
         find_target: Callable[[str], ListedTarget | None] = lambda name: None,
+        record_origin: Callable[[AdmittedCall, str], None] = (
+            lambda call, version: None
+        ),
     ) -> None:
         self._peers = peers
         self._connection_pool = connection_pool
@@ -67,6 +72,7 @@
         self._clock = clock
         self._body_memory = body_memory
         self._find_target = find_target
+        self._record_origin = record_origin
 
     def serve(
         self,
@@ -177,6 +183,13 @@
         ):
             self._connection_pool.close_idle((target.ip, target.port))
 
+    def _record_begun(
+        self, call: AdmittedCall, reply: ReplyWriter, attempt: PeerAttempt
+    ) -> None:
+        """Record the version that a peer names; an earlier one names none."""
+        if not reply.has_begun and attempt.software_version is not None:
+            self._record_origin(call, attempt.software_version)
+
     def _run_at(
         self, peer: Heartbeat, progress: CallProgress, reply: ReplyWriter
     ) -> AttemptReport:
@@ -184,7 +197,7 @@
         search: SuccessorSearch[OpenAttempt] = SuccessorSearch(
             lambda: None, lambda unused: None
         )
-        attempt = PeerAttempt(
+        attempt: PeerAttempt = PeerAttempt(
             progress.call,
             ListedTarget(
                 peer.address,
@@ -204,6 +217,7 @@
             search,
             self._body_memory,
             progress.sends,
+            lambda: self._record_begun(progress.call, reply, attempt),
             on_leaving=self._record_leaving,
         )
         try:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
@@ -96,7 +96,11 @@
                 yield 'prompt', origin.version
 
     def record(self, call: AdmittedCall, version: str | None) -> None:
-        """Record the version of a stream that its caller may take up."""
+        """Record the version of a stream that its caller may take up.
+
+        An attempt that was sent may begin nothing, so that is done with the
+        first event, before the caller gets it.
+        """
         key = self._compute_origin_key(call)
         is_resumable = call.route.is_streaming and call.route.is_resumable
         if key is None or not is_resumable:
