Don't take a version from what earlier builds infer from a prompt

In a fleet of more than 16 instances, one of each domain asks the targets who has read a prompt.

An answer now says that its sender weighs what targets tell. Without that, an answer to a question with a block counts for nothing, and the instance asks the targets itself. An answer to a plain question still counts, as inferred.

In test_one_peer_of_a_large_fleet_asks_the_targets the answer gets the field, as it stands for a peer of this build; nothing else is changed there.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -269,13 +269,15 @@
     for as long as a stream may last, as far as the sender knows; empty if
     there were several or it doesn't know. ``has_followed`` is True if the
     sender has read all changes in that time. Earlier versions don't send it
-    and may guess.
+    and may guess. Nor do they send ``weighs_prompts``: to a question with a
+    block, they answer with any one version that has read the prompt.
     """
 
     key: Key
     origins: list[WireOrigin]
     only_version: str
     has_followed: bool = False
+    weighs_prompts: bool = False
 
 
 class WireCrash(msgspec.Struct, array_like=True):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
@@ -56,10 +56,16 @@
     """A question whose answers have not all arrived.
 
     :param peers: peers that were asked.
+    :param is_search: True if they were to ask the targets.
+
+    ``has_weighed`` is True once a peer has answered that weighs what targets
+    tell.
     """
 
-    def __init__(self, peers: set[str]) -> None:
+    def __init__(self, peers: set[str], *, is_search: bool) -> None:
         self.peers = peers
+        self.is_search = is_search
+        self.has_weighed = False
         self.only_versions: set[str] = set()
         self.result: gevent.event.AsyncResult = gevent.event.AsyncResult()
 
@@ -150,7 +156,7 @@
         searcher = self._find_searcher(service)
         if searcher:
             question = self._ask(wanted, [searcher], SEARCH_TIMEOUT_MS)
-            if question.result.ready():
+            if question.result.ready() and question.has_weighed:
                 return self.find(key)
         self._search_targets(wanted)
         return self.find(key)
@@ -173,7 +179,7 @@
         key = wanted.key
         question = self._questions.get(key)
         if question is None:
-            question = _Question(set(peers))
+            question = _Question(set(peers), is_search=bool(wanted.block_id))
             self._questions[key] = question
             for peer in list(question.peers):
                 if not self._send(peer, wanted):
@@ -244,12 +250,18 @@
         )
 
     def handle_answer(self, peer: str, message: messages.OriginFound) -> None:
-        """Store an answer, and wake those who wait for it."""
+        """Store an answer, and wake those who wait for it.
+
+        An earlier build may infer the origin from a prompt that was only read.
+        """
         now_ms = self._clock.now_ms()
-        self._origins.add(wire_codec.decode_origin_answer(message, now_ms))
         question = self._questions.get(message.key)
+        may_be_known = question is not None and not question.is_search
+        if message.weighs_prompts or may_be_known:
+            self._origins.add(wire_codec.decode_origin_answer(message, now_ms))
         if question is None:
             return
+        question.has_weighed |= message.weighs_prompts
         if message.only_version and message.has_followed:
             question.only_versions.add(message.only_version)
         question.peers.discard(peer)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
@@ -209,7 +209,11 @@
     """Return the answer to a question for the origin of a stream."""
     found = [] if origin is None else [_encode_origin(origin, now_ms)]
     return messages.OriginFound(
-        key, found, only_version, has_followed=bool(only_version)
+        key,
+        found,
+        only_version,
+        has_followed=bool(only_version),
+        weighs_prompts=True,
     )
 
 
--- a/tests/unit/test_stream_origins.py
+++ b/tests/unit/test_stream_origins.py
@@ -170,12 +170,48 @@
         wanted = messages.OriginWanted(KEY, 'chat', *BLOCK)
         self.assertEqual([(PEERS[0], wanted)], self.sent)
         found = messages.OriginFound(
-            KEY, [messages.WireOrigin(KEY, 'v1', 9_000)], ''
+            KEY,
+            [messages.WireOrigin(KEY, 'v1', 9_000)],
+            '',
+            weighs_prompts=True,
         )
         self.exchange.handle_answer(PEERS[0], found)
         self.assertEqual('v1', searching.get(timeout=0.1))
         self.assertEqual([], self.searches)
 
+    def answer_as_earlier_build(self) -> None:
+        """Answer as e89f1ea does, after one target has read the prompt."""
+        found = ['OriginFound', KEY, [[KEY, 'v1', 9_000]], '', False]
+        message = msgspec.msgpack.decode(
+            msgspec.msgpack.encode(found), type=messages.OriginFound
+        )
+        self.exchange.handle_answer(PEERS[0], message)
+
+    # Guards against a stream that goes on at a version which has read its
+    # prompt only, since an earlier build takes that for its origin.
+    def test_inference_of_an_earlier_build_does_not_count(self) -> None:
+        """The instance asks the targets itself, without a wait."""
+        self.searcher = PEERS[0]
+        searching = gevent.spawn(self.search)
+        gevent.sleep(0)
+        self.answer_as_earlier_build()
+        self.assertEqual('v2', searching.get(timeout=0.1))
+        self.assertEqual([('chat', BLOCK)], self.searches)
+
+    # Guards against the same where the answer comes too late.
+    def test_late_inference_of_an_earlier_build_does_not_count(self) -> None:
+        """Nobody waits for it any more."""
+        self.answer_as_earlier_build()
+        self.assertIsNone(self.exchange.find(KEY))
+
+    def test_origin_that_an_earlier_build_knows_counts(self) -> None:
+        """It was not asked for the prompt."""
+        asking = gevent.spawn(self.exchange.ask, KEY, 'chat')
+        gevent.sleep(0)
+        self.answer_as_earlier_build()
+        answer = asking.get(timeout=0.1)
+        self.assertEqual('v1', answer.origin.version)
+
     # Guards against streams that are refused since the peer that asks the
     # targets has just ended.
     def test_instance_asks_the_targets_if_the_peer_is_out_of_reach(
