Don't let earlier builds search for a prompt

Instances say in their heartbeat whether they weigh what targets tell, and one that doesn't is not asked; who would have asked it asks the targets.

What remains while instances are upgraded: an earlier build still infers for itself, and for others of its kind, in fleets of more than 16; what it sends or answers then counts as inferred here, until a stated origin arrives.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -149,6 +149,7 @@
                 pong.reads_reports,
                 pong.callers_endpoint,
                 frozenset(pong.unreached),
+                pong.weighs_prompts,
             )
         )
         self._record_relayed(pong.rumours)
@@ -317,7 +318,7 @@
         searcher = choose_by_rendezvous(own_domain, service) or ''
         if searcher == self.address or not self.is_alive(searcher):
             return ''
-        return searcher
+        return searcher if self._heartbeats[searcher].weighs_prompts else ''
 
     def list_crash_receivers(self) -> list[str]:
         """Return the peers to which evidence against prompts is sent."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/heartbeat.py
@@ -20,6 +20,8 @@
     :param callers_endpoint: where it accepts calls that a peer hands over;
         empty if it accepts none, or relayed.
     :param unreached: services of which it reaches no target.
+    :param weighs_prompts: True if it may be asked to search for prompts; False
+        if relayed.
     """
 
     address: str
@@ -33,3 +35,4 @@
     reads_reports: bool = False
     callers_endpoint: str = ''
     unreached: frozenset[str] = frozenset()
+    weighs_prompts: bool = False
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -76,6 +76,7 @@
     ``LimitReport``. ``callers_endpoint`` is where the instance accepts calls
     that a peer hands over, empty in earlier versions, which accept none;
     ``unreached`` lists the services of which it reaches no target itself.
+    ``weighs_prompts`` is the same as in ``OriginFound``.
     """
 
     sent_ms: Integer
@@ -95,6 +96,7 @@
     reads_reports: bool = False
     callers_endpoint: str = ''
     unreached: list[str] = []
+    weighs_prompts: bool = False
 
 
 class ItemsWanted(Message):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -223,6 +223,7 @@
             reads_reports=True,
             callers_endpoint=self._fleet.callers_endpoint,
             unreached=self._fleet.list_unreached(),
+            weighs_prompts=True,
         )
 
     def _sum_used_units(self) -> dict[str, float]:
--- a/tests/unit/test_keepers_of_origins.py
+++ b/tests/unit/test_keepers_of_origins.py
@@ -23,11 +23,14 @@
 
     :param instance_count: number of instances.
     :param domain_count: number of failure domains.
+
+    ``earlier`` has the instances of an earlier build.
     """
 
     def __init__(self, instance_count: int, domain_count: int) -> None:
         self.clock = PausedClock(1_000_000)
         self.dead: set[str] = set()
+        self.earlier: set[str] = set()
         addresses = [
             f'10.0.{n // 200}.{n % 200}:80' for n in range(instance_count)
         ]
@@ -72,6 +75,7 @@
             {},
             keeps_origins=True,
             reads_reports=True,
+            weighs_prompts=address not in self.earlier,
         )
 
     def run_rounds(self, count: int) -> None:
--- a/tests/unit/test_prompt_survey.py
+++ b/tests/unit/test_prompt_survey.py
@@ -244,6 +244,20 @@
                 print(f'{instance_count}: {len(searchers)} ask')
                 self.assertLessEqual(len(searchers), 3 * domain_count)
 
+    # Guards against an inference of an earlier build that it remembers, and
+    # gives as a known origin to the next one who asks.
+    def test_instance_of_an_earlier_build_is_not_asked(self) -> None:
+        """Those that would ask it ask the targets themselves."""
+        world = FleetWorld(24, 3)
+        searchers = {
+            fleet.find_searcher('chat') for fleet in world.fleets.values()
+        } - {''}
+        self.assertGreater(len(searchers), 0)
+        world.earlier = searchers
+        world.run_rounds(2)
+        for fleet in world.fleets.values():
+            self.assertEqual('', fleet.find_searcher('chat'))
+
 
 if __name__ == '__main__':
     unittest.main()
