--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -4,6 +4,7 @@
 over the tries of its caller.
 """
 
+import signal
 import time
 import unittest
 
@@ -26,6 +27,8 @@
 """Engines and their versions, where there are two of each."""
 REFUSED_AT_ONCE_S = 0.5
 LONG_TIMEOUT_MS = 30_000
+LEARN_TIMEOUT_S = 10.0
+"""Time for an instance that stood still to read the list again."""
 PROMPT = 'aa01:60,bb02:1030'
 """Blocks of the prompt of a stream; the last one is its own."""
 
@@ -354,6 +357,48 @@
         for instance in range(3):
             self.assertEqual((503, []), self.take_up(instance))
 
+    # Guards against a stream that goes on at another version of its own engine,
+    # which has started again under its identity.
+    def test_engine_that_starts_again_as_another_version(self) -> None:
+        """Once its entry says so, its streams are refused."""
+        self.fleet.publish_configuration(timeout_ms=LONG_TIMEOUT_MS)
+        self.add_engines('v1')
+        self.begin_stream()
+        self.fleet.targets['chat-0'].stop()
+        self.fleet.add_target('chat-0', 'chat', 'v2')
+        gevent.sleep(CHANGE_SPREAD_S)
+        for instance in range(3):
+            self.assertEqual((503, []), self.take_up(instance))
+        self.restart_all()
+        for instance in range(3):
+            self.assertEqual((503, []), self.take_up(instance))
+
+    # Guards against an instance that stood still during a release and takes
+    # the version that it finds for the one that began a stream.
+    def test_instance_that_stood_still_does_not_guess(self) -> None:
+        """It is the only one left, and is asked as soon as it goes on.
+
+        The engine of v1 runs, and is listed there until the list is read.
+        """
+        self.fleet.publish_configuration(timeout_ms=LONG_TIMEOUT_MS)
+        self.add_engines('v1')
+        self.begin_stream()
+        self.fleet.processes[2].send(signal.SIGSTOP)
+        self.fleet.add_target('chat-1', 'chat', 'v2')
+        gevent.sleep(CHANGE_SPREAD_S)
+        self.fleet.store.delete('servers/chat-0')
+        gevent.sleep(CHANGE_SPREAD_S)
+        for instance in (0, 1):
+            self.fleet.processes[instance].kill()
+        self.fleet.processes[2].send(signal.SIGCONT)
+        answers = []
+        with gevent.Timeout(LEARN_TIMEOUT_S):
+            while not answers or answers[-1] != (503, []):
+                answers.append(self.take_up(2))
+                gevent.sleep(CHANGE_SPREAD_S / 10)
+        for status, runs in answers[:-1]:
+            self.assertEqual((200, ['chat-0']), (status, runs))
+
     # Guards against streams that are refused after a restart of all although
     # their service has had one version only.
     def test_restarted_fleet_takes_up_streams_of_one_version(self) -> None:
