--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -76,6 +76,7 @@
     ``LimitReport``. ``callers_endpoint`` is where the instance accepts calls
     that a peer hands over, empty in earlier versions, which accept none;
     ``unreached`` lists the services of which it reaches no target itself.
+    ``weighs_prompts`` is the same as in ``OriginFound``.
     """
 
     sent_ms: Integer
@@ -95,6 +96,7 @@
     reads_reports: bool = False
     callers_endpoint: str = ''
     unreached: list[str] = []
+    weighs_prompts: bool = False
 
 
 class ItemsWanted(Message):
@@ -231,12 +233,15 @@
 class WireOrigin(msgspec.Struct, array_like=True):
     """The software version that began a stream.
 
-    ``left_ms`` is the time for which the stream can still be taken up.
+    ``left_ms`` is the time for which the stream can still be taken up,
+    ``source`` the number of an ``OriginSource``, which earlier versions don't
+    send and ignore.
     """
 
     key: Key
     version: str
     left_ms: Integer
+    source: Integer = 0
 
 
 class Origins(Message):
@@ -266,13 +271,15 @@
     for as long as a stream may last, as far as the sender knows; empty if
     there were several or it doesn't know. ``has_followed`` is True if the
     sender has read all changes in that time. Earlier versions don't send it
-    and may guess.
+    and may guess. Nor do they send ``weighs_prompts``: to a question with a
+    block, they answer with any one version that has read the prompt.
     """
 
     key: Key
     origins: list[WireOrigin]
     only_version: str
     has_followed: bool = False
+    weighs_prompts: bool = False
 
 
 class WireCrash(msgspec.Struct, array_like=True):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -69,10 +69,9 @@
         self._decode_rules = decode_rules
         self._rules_key = rules_key
         self._rules_value: bytes | None = None
-        self._past_timeout_ms = 0
-        self._past_timeout_end_ms = 0
         self._settled_ms: int | None = None
         self._has_changed_era = False
+        self._former_timeouts: list[tuple[int, int]] = []
 
     @property
     def bounds(self) -> CallerBounds:
@@ -103,10 +102,11 @@
         """Return the software versions that may have begun a stream.
 
         They are those of the listed targets and of targets that have gone
-        since the longest timeout of a route.
+        since the longest timeout of a route, one of an earlier configuration
+        included under which streams may still run.
         """
         return self.target_directory.list_versions(
-            service, self._clock.now_ms(), self._get_stream_time_ms()
+            service, self._clock.now_ms(), self._get_longest_ms()
         )
 
     def find_only_version(self, service: str) -> str:
@@ -133,7 +133,7 @@
         """Return True if all versions are known that a stream may have."""
         now_ms = self._clock.now_ms()
         return self.target_directory.knows_since(
-            now_ms, self._get_stream_time_ms()
+            now_ms, self._get_longest_ms()
         )
 
     def knows_ends(self) -> bool:
@@ -170,17 +170,7 @@
 
         An instance whose list is older may have used it after its end.
         """
-        return self._get_stream_time_ms() + MAX_VERSIONS_AGE_MS
-
-    def _get_stream_time_ms(self) -> int:
-        """Return how long ago a stream can have begun that is taken up.
-
-        The timeout under which it began may have been shortened since.
-        """
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
-        if self._clock.now_ms() >= self._past_timeout_end_ms:
-            return longest_ms
-        return max(longest_ms, self._past_timeout_ms)
+        return self._get_longest_ms() + MAX_VERSIONS_AGE_MS
 
     def apply_listing(
         self,
@@ -413,15 +403,32 @@
                 for rule in rules.customers_by_name.values()
             ],
         )
-        if self.rules is not None:
-            self._past_timeout_ms = self._get_stream_time_ms()
-            self._past_timeout_end_ms = max(
-                self._past_timeout_end_ms,
-                self._clock.now_ms() + self.rules.longest_timeout_ms,
-            )
+        self._keep_timeout()
         self.rules = rules
         self._rules_value = value
 
+    def _keep_timeout(self) -> None:
+        """Record for how long streams may last under the current rules.
+
+        Instances whose facts are older may still begin some.
+        """
+        now_ms = self._clock.now_ms()
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
+        end_ms = now_ms + MAX_VERSIONS_AGE_MS + longest_ms
+        self._former_timeouts = [
+            timeout for timeout in self._former_timeouts if timeout[0] > now_ms
+        ]
+        self._former_timeouts.append((end_ms, longest_ms))
+
+    def _get_longest_ms(self) -> int:
+        """Return the time for which a stream may last that still runs."""
+        now_ms = self._clock.now_ms()
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
+        former = (
+            ms for end_ms, ms in self._former_timeouts if end_ms > now_ms
+        )
+        return max(longest_ms, *former, 0)
+
     @staticmethod
     def _log_rejected(item: PublishedItem, reason: str) -> None:
         log_event(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from lagoonbend.facts import compute_origin_key
+from lagoonbend.facts import OriginSource
 from lagoonbend.facts import StreamOrigin
 from lagoonbend.facts import VersionBinding
 from lagoonbend_entry._internal.coordination import origin_exchange
@@ -96,7 +97,12 @@
                 yield 'prompt', origin.version
 
     def record(self, call: AdmittedCall, version: str | None) -> None:
-        """Record the version of a stream that its caller may take up."""
+        """Record the version of a stream that its caller may take up.
+
+        An attempt that was sent may begin nothing, so that is done with the
+        first event, before the caller gets it. A stream that is taken up has
+        begun before, maybe at another version.
+        """
         key = self._compute_origin_key(call)
         is_resumable = call.route.is_streaming and call.route.is_resumable
         if key is None or not is_resumable:
@@ -110,6 +116,7 @@
                 key,
                 version or '',
                 call.request.received_ms + wait_ms + ORIGIN_GRACE_MS,
+                _get_source(call),
             ),
         )
 
@@ -126,3 +133,12 @@
             return None
         customer = call.customer.name if call.customer else ''
         return compute_origin_key(customer, call.service, attempt)
+
+
+def _get_source(call: AdmittedCall) -> OriginSource:
+    """Return how this instance knows the version of a call's stream."""
+    if call.headers.last_event:
+        return OriginSource.INFERRED
+    if call.is_handed_over:
+        return OriginSource.BEGUN_FOR_PEER
+    return OriginSource.BEGUN
