Let the writer of an answer refuse a promise that the call's record denies

Whether an answer may promise that a call has not run was up to each path that writes one: refusals are restricted in one place, relayed answers in another. A path that forgets it, as that of an interrupted attempt at a peer did before, promises what isn't so.

Ruled out by reading all paths: none is known that forgets it today. The parser's rejections and those of requests that aren't admitted are written before any attempt, and use a writer whose record is empty.

Change: the record of a call's attempts belongs to the writer of its answer, so that there is none to choose. A status that promises that a call has not run is written only if the record shows it, or the call may be repeated.

Test: the table of test_promises writes to a socket now, by the real writer in place of a mock. Its new rows let each path take every call for one that has not run. Four tests with mocks of the writer give them a record, and three give one to the progress that they build.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_relay.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_relay.py
@@ -39,5 +39,6 @@
         answer.reason,
         list_relayed_headers(answer),
         report.body,
+        may_repeat=progress.call.route.may_repeat,
     )
     return None
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -230,7 +230,7 @@
         if isinstance(admitted, RefusalReason):
             self._refuse_unadmitted(request, reply, admitted)
             return
-        progress = CallProgress(admitted)
+        progress = CallProgress(admitted, reply.sends)
         self._active_calls[progress] = reply
         try:
             self._serve_admitted(progress, reply)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -34,15 +34,16 @@
     waits for a slot, with ``slot_request``.
 
     :param call: admitted call.
+    :param sends: record of the call's attempts, which its answer must fit.
     """
 
-    def __init__(self, call: AdmittedCall) -> None:
+    def __init__(self, call: AdmittedCall, sends: SendRecord) -> None:
         self.call = call
         self.interrupt = Interrupt()
         self.slot_wait: Interrupt | None = None
         self.slot_request: SlotRequest | None = None
         self.position = StreamPosition()
-        self.sends = SendRecord()
+        self.sends = sends
         self.attempt_history: list[str] = []
         self.versions: list[str] = []
         self.peers: list[str] = []
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/reply_writer.py
@@ -8,6 +8,8 @@
 import gevent.socket
 
 from lagoonbend.exceptions import CallerGoneError
+from lagoonbend.outcomes import SendRecord
+from lagoonbend_entry._internal.models import promises
 
 STREAM_END = b'0\r\n\r\n'
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
@@ -19,7 +21,9 @@
 class ReplyWriter:
     """Writes one answer, either complete or as a stream of events.
 
-    ``is_ending`` is True once all that is left is being written.
+    ``is_ending`` is True once all that is left is being written. ``sends`` has
+    the attempts of the call to be answered; it stays empty for a request that
+    isn't admitted.
 
     :param sock: the caller's connection.
     :param keeps_connection: True if the connection stays open afterwards.
@@ -43,6 +47,7 @@
         self.has_begun = False
         self.is_ending = False
         self.is_complete = False
+        self.sends = SendRecord()
         self._sock = sock
         self._accepts_chunked = accepts_chunked
         self._is_head = is_head
@@ -53,13 +58,20 @@
         reason: bytes,
         headers: Iterable[tuple[str, str]],
         body: bytes,
+        *,
+        may_repeat: bool = False,
     ) -> None:
         """Write a complete answer.
 
-        :raises RuntimeError: if an answer has begun.
+        :param may_repeat: True if the call may run more than once.
+        :raises RuntimeError: if an answer has begun, or if the status promises
+            that a call has not run which may have.
         """
         if self.has_begun:
             raise RuntimeError('an answer follows one that has begun')
+        is_promise = promises.promises_not_run(status)
+        if is_promise and not may_repeat and self.sends.may_have_run:
+            raise RuntimeError(f'status {status} of a call that may have run')
         head = self._encode_head(
             status, reason, [*headers, ('Content-Length', str(len(body)))]
         )
--- a/tests/unit/test_cut_heads.py
+++ b/tests/unit/test_cut_heads.py
@@ -14,6 +14,7 @@
 import gevent.socket
 
 from lagoonbend.exceptions import NetworkError
+from lagoonbend.outcomes import SendRecord
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.answer_parser import AnswerParser
@@ -175,7 +176,7 @@
         reachability.is_unreached.return_value = False
         reachability.is_doubtful.return_value = False
         self.handler.reachability = reachability
-        reply = mock.Mock(has_begun=False)
+        reply = mock.Mock(has_begun=False, sends=SendRecord())
         headers = {'attempt-id': 'a1'}
         now_ms = self.clock.now_ms()
         request = IncomingRequest(
--- a/tests/unit/test_handover_answers.py
+++ b/tests/unit/test_handover_answers.py
@@ -11,6 +11,7 @@
 
 from lagoonbend.clock import PausedClock
 from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend.outcomes import SendRecord
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
@@ -108,7 +109,7 @@
         call.headers = call_headers.decode_call_headers({'attempt-id': 'a'})
         call.request.body = b''
         call.route.may_repeat = False
-        progress = CallProgress(call)
+        progress = CallProgress(call, SendRecord())
         self.assertFalse(progress.may_have_run)
         with self.assertRaises(gevent.Timeout):
             handover.serve(progress, mock.Mock(), mock.Mock())
--- a/tests/unit/test_promises.py
+++ b/tests/unit/test_promises.py
@@ -19,6 +19,9 @@
 from lagoonbend_entry._internal.gateway import target_error
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.answer import Answer
+from lagoonbend_entry._internal.gateway.call_progress import CallProgress
+from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
+from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry.testing import IncomingRequest
 from tests.unit import test_errors_amid_a_call
 
@@ -143,12 +146,8 @@
         """Return the status that a caller gets; 0 if none."""
         self.ends = iter(ends)
         self.sent_count = 0
-        reply = mock.Mock(has_begun=False)
-
-        def record(*unused: object) -> None:
-            reply.has_begun = True
-
-        reply.send_answer.side_effect = record
+        sock = mock.Mock()
+        reply = ReplyWriter(sock, keeps_connection=True, accepts_chunked=True)
         request = IncomingRequest(
             'POST',
             '/x',
@@ -160,9 +159,9 @@
             self.clock.now_ms(),
         )
         gevent.spawn(self.handler.serve, request, reply).get(timeout=10)
-        calls = reply.send_answer.call_args_list
+        calls = sock.sendall.call_args_list
         self.assertLessEqual(len(calls), 1)
-        return int(calls[0].args[0]) if calls else 0
+        return int(calls[0].args[0].split(b' ')[1]) if calls else 0
 
     def use_peers(self) -> None:
         """Let the instance reach no target, but two peers."""
@@ -292,4 +291,43 @@
         self.assert_promise(end, end)
 
 
+class UnrestrictedPromisesTest(PromiseCase):
+    """Each path takes every call for one that has not run."""
+
+    def setUp(self) -> None:
+        """Let no path look at the record of the call's attempts."""
+        super().setUp()
+        for patch in (
+            mock.patch.object(CallProgress, 'may_have_run', False),
+            mock.patch.object(
+                GatewayRefusal, 'restrict_to', lambda refusal, sends: refusal
+            ),
+        ):
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    # Guards against a promise by a path that doesn't look at the record.
+    def test_writer_makes_no_promise_for_a_call_at_a_target(self) -> None:
+        """The caller gets an error that promises nothing."""
+        self.assert_no_promise(INTERRUPTIONS + LOSSES + RAN)
+
+    # Guards against the same while a peer has the call.
+    def test_writer_makes_no_promise_for_a_call_at_a_peer(self) -> None:
+        """The first peer has it, or the second."""
+        self.use_peers()
+        rows = INTERRUPTIONS + LOSSES + RAN
+        self.assert_no_promise(rows)
+        self.assert_no_promise(rows, answer_with(503, HANDED_BACK))
+
+    # Guards against calls that can't be refused with a promise at all.
+    def test_writer_promises_what_the_record_shows(self) -> None:
+        """The call has not been sent, or was rejected."""
+        self.coordinator.acquire.side_effect = [
+            self.coordinator.acquire.return_value,
+            call_handler.DeadlineExceededError(),
+        ] * 2
+        self.assert_promise(answer_with(503, NOT_RUN))
+        self.assert_promise(NOT_CONNECTED)
+
+
 del PromiseCase
--- a/tests/unit/test_sent_successor.py
+++ b/tests/unit/test_sent_successor.py
@@ -9,6 +9,7 @@
 
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.outcomes import NextStep
+from lagoonbend.outcomes import SendRecord
 from lagoonbend_entry._internal.gateway import call_handler
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
@@ -28,7 +29,7 @@
         call.route = ROUTE._replace(
             is_idempotent=True, attempt_limit=attempt_limit
         )
-        progress = CallProgress(call)
+        progress = CallProgress(call, SendRecord())
         progress.successor = mock.Mock()
         progress.successor.attempt.is_sent = is_sent
         if outcome is AttemptOutcome.RESET:
--- a/tests/unit/test_target_pauses.py
+++ b/tests/unit/test_target_pauses.py
@@ -255,7 +255,7 @@
 
     def serve(self, *, has_begun: bool = False) -> gevent.Greenlet:
         """Serve a stream that the first version has begun."""
-        self.reply = mock.Mock(has_begun=has_begun)
+        self.reply = mock.Mock(has_begun=has_begun, sends=SendRecord())
         greenlet = gevent.spawn(self.handler.serve, REQUEST, self.reply)
         gevent.sleep(0.01)
         return greenlet
--- a/tests/unit/test_unsent_attempts.py
+++ b/tests/unit/test_unsent_attempts.py
@@ -9,6 +9,7 @@
 from lagoonbend.facts import CustomerRule
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.outcomes import RetryShare
+from lagoonbend.outcomes import SendRecord
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend_entry._internal.gateway.answer import Answer
@@ -54,7 +55,8 @@
             ),
             mock.patch.object(Attempt, 'run', run),
         ):
-            self.handler.serve(request, mock.Mock(has_begun=False))
+            reply = mock.Mock(has_begun=False, sends=SendRecord())
+            self.handler.serve(request, reply)
         self.assertEqual(0, left)
         return share
 
@@ -99,7 +101,8 @@
             ),
             mock.patch.object(Attempt, 'run', run),
         ):
-            self.handler.serve(request, mock.Mock(has_begun=False))
+            reply = mock.Mock(has_begun=False, sends=SendRecord())
+            self.handler.serve(request, reply)
 
     # Guards against a customer that is refused before its limit is reached.
     def test_call_is_charged_once(self) -> None:
--- a/tests/unit/test_versions_named_by_peers.py
+++ b/tests/unit/test_versions_named_by_peers.py
@@ -13,6 +13,7 @@
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import VersionBinding
 from lagoonbend.outcomes import AttemptOutcome
+from lagoonbend.outcomes import SendRecord
 from lagoonbend_entry._internal.gateway import call_handler
 from lagoonbend_entry._internal.gateway import handover as handover_module
 from lagoonbend_entry._internal.gateway.answer import Answer
@@ -68,7 +69,7 @@
             reply.has_begun = True
 
         reply.begin_stream.side_effect = begin
-        progress = CallProgress(call)
+        progress = CallProgress(call, SendRecord())
         report = handover._run_at(
             mock.Mock(callers_endpoint='10.0.1.1:80', address='peer:1'),
             progress,
