Take a peer's status for its own refusal only if the body is one, too

A peer's 408, 429 or 503 without the stamp of a target counted as its own refusal, so that the attempt there counted as not run, and the promise was passed on. A peer of a build before passes on whatever status a target has answered with, and a target that fails need not sign that. The caller was told that a booking has not run which has.

Ruled out: a false refusal by such a peer itself. It hands a call that was handed to it no further, and counts its own attempts in any case: with the table of test_promises on, for calls that were handed over, all rows hold but those of answers that are passed on.

Change: the refusal of a peer is known by its body, which names one of the reasons with the status of that reason, or by the mark of a call that is handed back. All builds write both. Anything else without a signature is an answer that may be a target's: its promise is replaced by 502 if the call must not run twice. A mark that only later builds send would turn each refusal of the others into a 502.

What it costs: a peer's refusal of HEAD has no body, so that 502 takes its place on routes that must not run twice; so does that of a later build for a reason that this one doesn't know.

Tests in which a peer refuses give its answer the body that instances write, and now go through all reasons.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -10,6 +10,7 @@
 from lagoonbend.outcomes import RetryShare
 from lagoonbend_entry._internal.coordination.heartbeat import Heartbeat
 from lagoonbend_entry._internal.gateway import gateway_refusal
+from lagoonbend_entry._internal.gateway import refusal_body
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.answer_relay import relay_answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
@@ -110,7 +111,7 @@
         answer = report.answer
         if answer is None:
             return HandoverResult(is_final=True)
-        is_refusal = _is_unrun_refusal(answer)
+        is_refusal = _is_unrun_refusal(report)
         if reply.has_begun or (is_refusal and progress.may_have_run):
             return MAY_HAVE_RUN
         return HandoverResult(
@@ -209,8 +210,7 @@
         try:
             report = attempt.run()
             progress.sends.close(attempt, report.outcome)
-            answer = report.answer
-            if answer is not None and _is_unrun_refusal(answer):
+            if _is_unrun_refusal(report):
                 progress.sends.rule_out(attempt)
             return report
         finally:
@@ -231,11 +231,20 @@
     )
 
 
-def _is_unrun_refusal(answer: Answer) -> bool:
-    """Return True if the peer refuses a call that it has not run."""
-    return promises.is_unrun_refusal(
+def _is_unrun_refusal(report: AttemptReport) -> bool:
+    """Return True if the peer refuses a call that it has not run.
+
+    The status alone doesn't show it: peers of earlier versions pass on that of
+    a target, which need not have signed its answer.
+    """
+    answer = report.answer
+    if answer is None or not promises.is_unrun_refusal(
         answer.status, is_signed=_is_signed(answer)
-    )
+    ):
+        return False
+    reason = refusal_body.decode_refusal_body(report.body)
+    is_own = reason is not None and reason.status == answer.status
+    return is_own or _is_handed_back(report)
 
 
 def _is_signed(answer: Answer) -> bool:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_sender.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/refusal_sender.py
@@ -2,9 +2,8 @@
 
 import contextlib
 
-import msgspec
-
 from lagoonbend.exceptions import CallerGoneError
+from lagoonbend_entry._internal.gateway import refusal_body
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
@@ -25,7 +24,7 @@
     )
     if reason.concerns_instance:
         headers.extend(handover_mark.list_refusal_marks(request.header_map))
-    body = msgspec.json.encode({'reason': reason.label})
+    body = refusal_body.encode_refusal_body(reason)
     reply.send_answer(reason.status, b'', headers, body)
 
 
--- a/tests/unit/test_handover_answers.py
+++ b/tests/unit/test_handover_answers.py
@@ -12,6 +12,7 @@
 from lagoonbend.clock import PausedClock
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.outcomes import SendRecord
+from lagoonbend_entry._internal.gateway import refusal_body
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
@@ -20,6 +21,12 @@
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.platform import call_headers
 
+REFUSALS = (
+    RefusalReason.OVER_LIMIT,
+    RefusalReason.OVERLOADED,
+    RefusalReason.NO_CUSTOMER,
+)
+
 
 class HandoverAnswersTest(unittest.TestCase):
     """A peer answers with a status, signed by a target or not."""
@@ -28,6 +35,7 @@
         self,
         status: int,
         *,
+        body: bytes = b'',
         is_signed: bool = False,
         may_have_run: bool = False,
         has_begun: bool = False,
@@ -47,36 +55,42 @@
         outcome = AttemptOutcome.WHOLE_ANSWER
         if status >= 500:
             outcome = AttemptOutcome.ERROR_ANSWER
-        report = AttemptReport(outcome, answer=answer)
+        report = AttemptReport(outcome, answer=answer, body=body)
         reply = mock.Mock(has_begun=has_begun)
         progress = mock.Mock(may_have_run=may_have_run, run_count=0)
         with mock.patch.object(handover, '_run', return_value=report):
             result = handover.serve(progress, reply, mock.Mock())
         return result, reply
 
-    def assert_relayed(self, status: int, **state: bool) -> None:
+    def assert_relayed(
+        self, status: int, body: bytes = b'', **state: bool
+    ) -> None:
         """Check that an answer reaches the caller."""
-        result, reply = self.serve(status, **state)
+        result, reply = self.serve(status, body=body, **state)
         self.assertIsNone(result.refusal)
         self.assertEqual(status, reply.send_answer.call_args.args[0])
 
-    def assert_replaced(self, status: int, **state: bool) -> None:
+    def assert_replaced(
+        self, status: int, body: bytes = b'', **state: bool
+    ) -> None:
         """Check that the caller is told that the call may have run."""
-        result, reply = self.serve(status, **state)
+        result, reply = self.serve(status, body=body, **state)
         assert result.refusal is not None
         self.assertIs(RefusalReason.MAY_HAVE_RUN, result.refusal.reason)
         reply.send_answer.assert_not_called()
 
     def test_refusal_of_a_call_that_has_not_run_is_relayed(self) -> None:
         """It says so, and when to come back."""
-        for status in (429, 503, 401):
-            self.assert_relayed(status)
+        for reason in REFUSALS:
+            body = refusal_body.encode_refusal_body(reason)
+            self.assert_relayed(reason.status, body)
 
     # Guards against a promise that a call which may have run hasn't.
     def test_refusal_of_a_call_that_may_have_run_is_replaced(self) -> None:
         """An answer of a target says nothing of that, and is relayed."""
-        for status in (429, 503):
-            self.assert_replaced(status, may_have_run=True)
+        for reason in REFUSALS:
+            body = refusal_body.encode_refusal_body(reason)
+            self.assert_replaced(reason.status, body, may_have_run=True)
         for status in (200, 404, 500):
             self.assert_relayed(status, may_have_run=True, is_signed=True)
 
--- a/tests/unit/test_promises.py
+++ b/tests/unit/test_promises.py
@@ -21,6 +21,7 @@
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.call_progress import CallProgress
 from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
+from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry.testing import IncomingRequest
 from tests.unit import test_errors_amid_a_call
@@ -46,7 +47,9 @@
 End = Callable[[], Answer]
 
 
-def answer_with(status: int, headers: dict[str, str]) -> End:
+def answer_with(
+    status: int, headers: dict[str, str], body: bytes = b''
+) -> End:
     """Return an end of an exchange by a whole answer."""
 
     def build() -> Answer:
@@ -54,12 +57,21 @@
         answer.status = status
         answer.header_map = dict(headers)
         answer.headers = list(headers.items())
+        answer.chunks.append(body)
         answer.is_head_complete = True
         return answer
 
     return build
 
 
+def refuse_with(
+    reason: RefusalReason, headers: dict[str, str] = UNSIGNED
+) -> End:
+    """Return an end of an exchange by a refusal of an instance."""
+    body = b'{"reason":"%b"}' % reason.label.encode()
+    return answer_with(reason.status, headers, body)
+
+
 def fail_with(error: BaseException) -> End:
     """Return an end of an exchange by an error."""
 
@@ -92,8 +104,16 @@
     Row('unsigned', answer_with(200, UNSIGNED)),
 )
 RAN = tuple(
-    Row(f'ran, status {status}', answer_with(status, SIGNED))
+    Row(f'ran, status {status}, {body!r}', answer_with(status, headers, body))
     for status in (408, 429, 503)
+    for headers, body in (
+        (SIGNED, b''),
+        (UNSIGNED, b''),
+        (UNSIGNED, b'busy'),
+        (UNSIGNED, b'{"reason":"busy"}'),
+        (UNSIGNED, b'{"reason":"not_sent","after":1}'),
+        (UNSIGNED, b'{"reason":"no_route"}'),
+    )
 )
 """Answers of targets that don't say that they have not run the call. Status
 421 always says so."""
@@ -135,7 +155,9 @@
         connection = mock.Mock(received_bytes=0, request_count=0)
         connection.send.side_effect = self.record_sent
         connection.read_head.side_effect = lambda wait_ms: end()
-        connection.read_body.return_value = iter([])
+        connection.read_body.side_effect = lambda answer, gap_ms: iter(
+            answer.chunks
+        )
         return connection
 
     def record_sent(self, *unused: object) -> None:
@@ -260,9 +282,11 @@
     # Guards against callers that may not repeat a call which has not run.
     def test_refusals_of_peers_are_passed_on(self) -> None:
         """They are true, and say when to come back."""
-        for status in (429, 503):
-            end = answer_with(status, UNSIGNED)
-            self.assertEqual(status, self.serve(*self.before, end))
+        for reason in RefusalReason:
+            if reason.status < 500 or reason.promises_not_run:
+                with self.subTest(reason):
+                    status = self.serve(*self.before, refuse_with(reason))
+                    self.assertEqual(reason.status, status)
 
     # Guards against a promise that only the last of two peers makes.
     def test_refusal_after_a_loss_promises_nothing(self) -> None:
@@ -271,7 +295,7 @@
         status = self.serve(
             *self.before,
             fail_with(target_error.ConnectionLostError('closed')),
-            answer_with(503, UNSIGNED),
+            refuse_with(RefusalReason.OVERLOADED),
         )
         self.assertEqual(502, status)
 
@@ -279,12 +303,12 @@
 class PromisesAfterAHandBackTest(PromisesOfPeersTest):
     """The first peer hands each call back, and the second one runs it."""
 
-    before = (answer_with(503, HANDED_BACK),)
+    before = (refuse_with(RefusalReason.NOT_SENT, HANDED_BACK),)
 
     # Guards against calls that no peer runs and that may not be repeated.
     def test_call_that_both_hand_back_has_not_run(self) -> None:
         """The instance goes on itself, and has no target."""
-        end = answer_with(503, HANDED_BACK)
+        end = refuse_with(RefusalReason.NOT_SENT, HANDED_BACK)
         self.coordinator.acquire.side_effect = (
             call_handler.DeadlineExceededError()
         )
@@ -317,7 +341,8 @@
         self.use_peers()
         rows = INTERRUPTIONS + LOSSES + RAN
         self.assert_no_promise(rows)
-        self.assert_no_promise(rows, answer_with(503, HANDED_BACK))
+        handed_back = refuse_with(RefusalReason.NOT_SENT, HANDED_BACK)
+        self.assert_no_promise(rows, handed_back)
 
     # Guards against calls that can't be refused with a promise at all.
     def test_writer_promises_what_the_record_shows(self) -> None:
