--- a/tests/unit/test_promises.py
+++ b/tests/unit/test_promises.py
@@ -19,6 +19,10 @@
 from lagoonbend_entry._internal.gateway import target_error
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.answer import Answer
+from lagoonbend_entry._internal.gateway.call_progress import CallProgress
+from lagoonbend_entry._internal.gateway.gateway_refusal import GatewayRefusal
+from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
+from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry.testing import IncomingRequest
 from tests.unit import test_errors_amid_a_call
 
@@ -43,7 +47,9 @@
 End = Callable[[], Answer]
 
 
-def answer_with(status: int, headers: dict[str, str]) -> End:
+def answer_with(
+    status: int, headers: dict[str, str], body: bytes = b''
+) -> End:
     """Return an end of an exchange by a whole answer."""
 
     def build() -> Answer:
@@ -51,12 +57,21 @@
         answer.status = status
         answer.header_map = dict(headers)
         answer.headers = list(headers.items())
+        answer.chunks.append(body)
         answer.is_head_complete = True
         return answer
 
     return build
 
 
+def refuse_with(
+    reason: RefusalReason, headers: dict[str, str] = UNSIGNED
+) -> End:
+    """Return an end of an exchange by a refusal of an instance."""
+    body = b'{"reason":"%b"}' % reason.label.encode()
+    return answer_with(reason.status, headers, body)
+
+
 def fail_with(error: BaseException) -> End:
     """Return an end of an exchange by an error."""
 
@@ -89,8 +104,16 @@
     Row('unsigned', answer_with(200, UNSIGNED)),
 )
 RAN = tuple(
-    Row(f'ran, status {status}', answer_with(status, SIGNED))
+    Row(f'ran, status {status}, {body!r}', answer_with(status, headers, body))
     for status in (408, 429, 503)
+    for headers, body in (
+        (SIGNED, b''),
+        (UNSIGNED, b''),
+        (UNSIGNED, b'busy'),
+        (UNSIGNED, b'{"reason":"busy"}'),
+        (UNSIGNED, b'{"reason":"not_sent","after":1}'),
+        (UNSIGNED, b'{"reason":"no_route"}'),
+    )
 )
 """Answers of targets that don't say that they have not run the call. Status
 421 always says so."""
@@ -132,7 +155,9 @@
         connection = mock.Mock(received_bytes=0, request_count=0)
         connection.send.side_effect = self.record_sent
         connection.read_head.side_effect = lambda wait_ms: end()
-        connection.read_body.return_value = iter([])
+        connection.read_body.side_effect = lambda answer, gap_ms: iter(
+            answer.chunks
+        )
         return connection
 
     def record_sent(self, *unused: object) -> None:
@@ -143,12 +168,8 @@
         """Return the status that a caller gets; 0 if none."""
         self.ends = iter(ends)
         self.sent_count = 0
-        reply = mock.Mock(has_begun=False)
-
-        def record(*unused: object) -> None:
-            reply.has_begun = True
-
-        reply.send_answer.side_effect = record
+        sock = mock.Mock()
+        reply = ReplyWriter(sock, keeps_connection=True, accepts_chunked=True)
         request = IncomingRequest(
             'POST',
             '/x',
@@ -160,9 +181,9 @@
             self.clock.now_ms(),
         )
         gevent.spawn(self.handler.serve, request, reply).get(timeout=10)
-        calls = reply.send_answer.call_args_list
+        calls = sock.sendall.call_args_list
         self.assertLessEqual(len(calls), 1)
-        return int(calls[0].args[0]) if calls else 0
+        return int(calls[0].args[0].split(b' ')[1]) if calls else 0
 
     def use_peers(self) -> None:
         """Let the instance reach no target, but two peers."""
@@ -261,9 +282,11 @@
     # Guards against callers that may not repeat a call which has not run.
     def test_refusals_of_peers_are_passed_on(self) -> None:
         """They are true, and say when to come back."""
-        for status in (429, 503):
-            end = answer_with(status, UNSIGNED)
-            self.assertEqual(status, self.serve(*self.before, end))
+        for reason in RefusalReason:
+            if reason.status < 500 or reason.promises_not_run:
+                with self.subTest(reason):
+                    status = self.serve(*self.before, refuse_with(reason))
+                    self.assertEqual(reason.status, status)
 
     # Guards against a promise that only the last of two peers makes.
     def test_refusal_after_a_loss_promises_nothing(self) -> None:
@@ -272,7 +295,7 @@
         status = self.serve(
             *self.before,
             fail_with(target_error.ConnectionLostError('closed')),
-            answer_with(503, UNSIGNED),
+            refuse_with(RefusalReason.OVERLOADED),
         )
         self.assertEqual(502, status)
 
@@ -280,16 +303,56 @@
 class PromisesAfterAHandBackTest(PromisesOfPeersTest):
     """The first peer hands each call back, and the second one runs it."""
 
-    before = (answer_with(503, HANDED_BACK),)
+    before = (refuse_with(RefusalReason.NOT_SENT, HANDED_BACK),)
 
     # Guards against calls that no peer runs and that may not be repeated.
     def test_call_that_both_hand_back_has_not_run(self) -> None:
         """The instance goes on itself, and has no target."""
-        end = answer_with(503, HANDED_BACK)
+        end = refuse_with(RefusalReason.NOT_SENT, HANDED_BACK)
         self.coordinator.acquire.side_effect = (
             call_handler.DeadlineExceededError()
         )
         self.assert_promise(end, end)
 
 
+class UnrestrictedPromisesTest(PromiseCase):
+    """Each path takes every call for one that has not run."""
+
+    def setUp(self) -> None:
+        """Let no path look at the record of the call's attempts."""
+        super().setUp()
+        for patch in (
+            mock.patch.object(CallProgress, 'may_have_run', False),
+            mock.patch.object(
+                GatewayRefusal, 'restrict_to', lambda refusal, sends: refusal
+            ),
+        ):
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    # Guards against a promise by a path that doesn't look at the record.
+    def test_writer_makes_no_promise_for_a_call_at_a_target(self) -> None:
+        """The caller gets an error that promises nothing."""
+        self.assert_no_promise(INTERRUPTIONS + LOSSES + RAN)
+
+    # Guards against the same while a peer has the call.
+    def test_writer_makes_no_promise_for_a_call_at_a_peer(self) -> None:
+        """The first peer has it, or the second."""
+        self.use_peers()
+        rows = INTERRUPTIONS + LOSSES + RAN
+        self.assert_no_promise(rows)
+        handed_back = refuse_with(RefusalReason.NOT_SENT, HANDED_BACK)
+        self.assert_no_promise(rows, handed_back)
+
+    # Guards against calls that can't be refused with a promise at all.
+    def test_writer_promises_what_the_record_shows(self) -> None:
+        """The call has not been sent, or was rejected."""
+        self.coordinator.acquire.side_effect = [
+            self.coordinator.acquire.return_value,
+            call_handler.DeadlineExceededError(),
+        ] * 2
+        self.assert_promise(answer_with(503, NOT_RUN))
+        self.assert_promise(NOT_CONNECTED)
+
+
 del PromiseCase
