--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -374,7 +374,7 @@
         for instance in range(3):
             self.assertEqual((503, []), self.take_up(instance))
 
-    # Guards against a stream that goes on at another version of its own engine,
+    # Guards against a stream that goes on at another version of its engine,
     # which has started again under its identity.
     def test_engine_that_starts_again_as_another_version(self) -> None:
         """Once its entry says so, its streams are refused."""
