--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -408,7 +408,7 @@
         for instance in (0, 1):
             self.fleet.processes[instance].kill()
         self.fleet.processes[2].send(signal.SIGCONT)
-        answers = []
+        answers: list[tuple[int, list[str]]] = []
         with gevent.Timeout(LEARN_TIMEOUT_S):
             while not answers or answers[-1] != (503, []):
                 answers.append(self.take_up(2))
