--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -70,6 +70,7 @@
         self._rules_key = rules_key
         self._rules_value: bytes | None = None
         self._settled_ms: int | None = None
+        self._former_timeouts: list[tuple[int, int]] = []
 
     @property
     def bounds(self) -> CallerBounds:
@@ -100,11 +101,11 @@
         """Return the software versions that may have begun a stream.
 
         They are those of the listed targets and of targets that have gone
-        since the longest timeout of a route.
+        since the longest timeout of a route, one of an earlier configuration
+        included under which streams may still run.
         """
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         return self.target_directory.list_versions(
-            service, self._clock.now_ms(), longest_ms
+            service, self._clock.now_ms(), self._get_longest_ms()
         )
 
     def find_only_version(self, service: str) -> str:
@@ -129,15 +130,15 @@
 
     def knows_versions(self) -> bool:
         """Return True if all versions are known that a stream may have."""
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         now_ms = self._clock.now_ms()
-        return self.target_directory.knows_since(now_ms, longest_ms)
+        return self.target_directory.knows_since(
+            now_ms, self._get_longest_ms()
+        )
 
     def knows_ends(self) -> bool:
         """Return True if each target is known that ended under a stream."""
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         return self.target_directory.knows_ends_since(
-            self._clock.now_ms(), longest_ms
+            self._clock.now_ms(), self._get_longest_ms()
         )
 
     def may_have_lost(self, service: str, version: str) -> bool:
@@ -148,11 +149,10 @@
         """
         if not self.knows_ends():
             self.read_history()
-        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
         age_ms = self.age_ms()
         is_current = age_ms is not None and age_ms < MAX_VERSIONS_AGE_MS
         return not is_current or self.target_directory.may_have_lost(
-            service, version, self._clock.now_ms(), longest_ms
+            service, version, self._clock.now_ms(), self._get_longest_ms()
         )
 
     def apply_listing(
@@ -385,9 +385,32 @@
                 for rule in rules.customers_by_name.values()
             ],
         )
+        self._keep_timeout()
         self.rules = rules
         self._rules_value = value
 
+    def _keep_timeout(self) -> None:
+        """Record for how long streams may last under the current rules.
+
+        Instances whose facts are older may still begin some.
+        """
+        now_ms = self._clock.now_ms()
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
+        end_ms = now_ms + MAX_VERSIONS_AGE_MS + longest_ms
+        self._former_timeouts = [
+            timeout for timeout in self._former_timeouts if timeout[0] > now_ms
+        ]
+        self._former_timeouts.append((end_ms, longest_ms))
+
+    def _get_longest_ms(self) -> int:
+        """Return the time for which a stream may last that still runs."""
+        now_ms = self._clock.now_ms()
+        longest_ms = self.rules.longest_timeout_ms if self.rules else 0
+        former = (
+            ms for end_ms, ms in self._former_timeouts if end_ms > now_ms
+        )
+        return max(longest_ms, *former, 0)
+
     @staticmethod
     def _log_rejected(item: PublishedItem, reason: str) -> None:
         log_event(
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -310,6 +310,21 @@
         for instance in range(3):
             self.assertEqual((503, []), self.take_up(instance))
 
+    # Guards against the same where the silent engine has written an answer
+    # over a link that was cut, of which no event has reached the caller.
+    def test_answer_that_reached_nobody_tells_nothing(self) -> None:
+        """All instances are killed, and the engines of v2 leave."""
+        self.begin_after_silence()
+        self.fleet.targets['chat-0'].kept_blocks['bb02'] = WRITTEN_TOKENS
+        for process in self.fleet.processes:
+            process.kill()
+        for name in ('chat-1', 'chat-2'):
+            self.fleet.store.delete(f'servers/{name}')
+            self.fleet.targets[name].stop()
+        self.restart_all()
+        for instance in range(3):
+            self.assertEqual((503, []), self.take_up(instance))
+
     # Guards against a refusal of the same stream while its version serves.
     def test_version_that_has_written_goes_on_after_a_silent_one(self) -> None:
         """Both versions have read the prompt, and one has written events."""
@@ -359,21 +374,6 @@
         for instance in range(3):
             self.assertEqual((503, []), self.take_up(instance))
 
-    # Guards against a stream that goes on at a version which was silent, and
-    # has written an answer of which no event has reached the caller.
-    def test_answer_that_reached_nobody_tells_nothing(self) -> None:
-        """All instances are killed, and the engines of v2 leave."""
-        self.begin_after_silence()
-        self.fleet.targets['chat-0'].kept_blocks['bb02'] = WRITTEN_TOKENS
-        for process in self.fleet.processes:
-            process.kill()
-        for name in ('chat-1', 'chat-2'):
-            self.fleet.store.delete(f'servers/{name}')
-            self.fleet.targets[name].stop()
-        self.restart_all()
-        for instance in range(3):
-            self.assertEqual((503, []), self.take_up(instance))
-
     # Guards against a stream that goes on at another version of its engine,
     # which has started again under its identity.
     def test_engine_that_starts_again_as_another_version(self) -> None:
--- a/tests/unit/test_versions_in_the_facts.py
+++ b/tests/unit/test_versions_in_the_facts.py
@@ -14,6 +14,8 @@
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 
 TIMEOUT_MS = 15_000
+SHORT_TIMEOUT_MS = 3_000
+RULES_KEY = 'op/config'
 FIRST_REVISION = 10
 GAP_MS = 3_000
 """Time in which a version could come and go."""
@@ -22,8 +24,12 @@
 def decode_target(item: PublishedItem) -> ListedTarget | None:
     """Return a target whose version is the value of an item.
 
+    The configuration is none.
+
     :raises DocumentError: for the value ``odd``.
     """
+    if item.key == RULES_KEY:
+        return None
     version = (item.value or b'').decode()
     if version == 'odd':
         raise DocumentError("entry can't be read")
@@ -47,7 +53,7 @@
             self.clock,
             mock.Mock(),
             decode_target,
-            'op/config',
+            RULES_KEY,
         )
         self.facts.rules = mock.Mock(longest_timeout_ms=TIMEOUT_MS, version=1)
         self.list(FIRST_REVISION, build_item('a', 'v1', 5))
@@ -88,7 +94,7 @@
             lambda item: ListedTarget(
                 item.key, 'chat', '10.0.0.1', 80, 'd', 4, False, 'v1', 1
             ),
-            'op/config',
+            RULES_KEY,
         )
         facts.rules = self.facts.rules
         facts.apply_listing(
@@ -127,6 +133,54 @@
         )
         self.assert_unknown_until_window()
 
+    def shorten_timeouts(self, version: int, revision: int) -> None:
+        """Let the operators write a version of the configuration."""
+        rules = mock.Mock(
+            longest_timeout_ms=SHORT_TIMEOUT_MS,
+            version=version,
+            customers_by_name={},
+        )
+        self.facts._decode_rules = mock.Mock(return_value=rules)
+        value = str(version).encode()
+        self.watch(revision, PublishedItem(RULES_KEY, revision, value))
+
+    # Guards against a version that is forgotten while its streams run, since
+    # the operators have just made the timeouts shorter.
+    def test_streams_keep_the_timeout_that_they_began_with(self) -> None:
+        """An instance may begin one before it learns of the new one."""
+        self.watch(11, build_item('b', 'v2', 11))
+        self.watch(12, build_item('a', '', 12))
+        for version in (2, 3):
+            self.shorten_timeouts(version, 11 + version)
+            self.follow(SHORT_TIMEOUT_MS)
+        self.assertEqual({'v1', 'v2'}, self.facts.list_versions('chat'))
+        self.assertEqual('', self.facts.find_only_version('chat'))
+        self.follow(TIMEOUT_MS - 2 * SHORT_TIMEOUT_MS)
+        self.assertEqual('v2', self.facts.find_only_version('chat'))
+
+    # Guards against a window that never ends while operators write often.
+    def test_earlier_timeout_is_forgotten_once_its_streams_have_ended(
+        self,
+    ) -> None:
+        """Later changes of the configuration don't make it last."""
+        revision = 11
+        for version in range(2, 9):
+            self.shorten_timeouts(version, revision + version)
+            self.follow(SHORT_TIMEOUT_MS)
+        self.watch(41, build_item('b', 'v2', 41))
+        self.watch(42, build_item('a', '', 42))
+        self.follow(SHORT_TIMEOUT_MS)
+        self.assertEqual('v2', self.facts.find_only_version('chat'))
+
+    # Guards against the same where the instance began to follow the list
+    # after the streams had begun.
+    def test_shorter_timeouts_end_no_window(self) -> None:
+        """It is known for how long the list must be followed."""
+        self.list(20, build_item('a', 'v1', 5))
+        self.facts.target_directory.forget_history(self.clock.now_ms())
+        self.shorten_timeouts(2, 21)
+        self.assert_unknown_until_window()
+
     # Guards against a version that came and went between two answers.
     def test_version_within_one_answer_counts(self) -> None:
         """The target was listed, and instances may have used it."""
