Let a reader count if what has ended is older than it

Callers lost streams in an ordinary pair of troubles: after a release and a kill of all instances, streams that began at the new version were refused, since targets of the old one had ended (LOST).

A target that started before all readers of the prompt is being replaced by them, and gets no calls that were sent to them first. So its end doesn't count. Starts that aren't known count as before.

test_target_that_started_before_the_readers_does_not_count is new. What remains: a call that was silent at a new target and went on to an old one, in the seconds in which both get calls.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -1,6 +1,7 @@
 """Configuration and target list as last read from the platform."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from lagoonbend.clock import Clock
@@ -142,11 +143,13 @@
             self._clock.now_ms(), self._get_end_time_ms()
         )
 
-    def may_have_lost(self, service: str, version: str) -> bool:
+    def may_have_lost(
+        self, service: str, readers: Collection[ListedTarget]
+    ) -> bool:
         """Return True if a target may have ended that began a stream.
 
         :param service: service of the target.
-        :param version: version whose targets don't count.
+        :param readers: targets of one version that have read the prompt.
         """
         if not self.knows_ends():
             self.read_history()
@@ -159,7 +162,7 @@
             or not self.knows_ends()
             or self.target_directory.may_have_lost(
                 service,
-                version,
+                readers,
                 self._clock.now_ms(),
                 self._get_end_time_ms(),
             )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
@@ -106,11 +106,14 @@
             all_kept,
             block.block_id,
             block.tokens,
-            lambda version: self._may_have_lost(service, version, all_kept),
+            lambda readers: self._may_have_lost(service, readers, all_kept),
         )
 
     def _may_have_lost(
-        self, service: str, version: str, all_kept: list[KeptPrompts]
+        self,
+        service: str,
+        readers: list[ListedTarget],
+        all_kept: list[KeptPrompts],
     ) -> bool:
         """Return True if a target of another version may have ended lately.
 
@@ -120,7 +123,7 @@
         return (
             not self._facts.confirm()
             or self._facts.target_directory.list_registered(service) != asked
-            or self._facts.may_have_lost(service, version)
+            or self._facts.may_have_lost(service, readers)
         )
 
     def _wait_for_turn(self, service: str, since_ms: int) -> None:
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
@@ -57,7 +57,7 @@
     kept_prompts: Iterable[KeptPrompts],
     block_id: str,
     tokens: int,
-    may_have_left: Callable[[str], bool],
+    may_have_left: Callable[[list[ListedTarget]], bool],
 ) -> PromptEvidence:
     """Return the software version that began a stream, by its prompt.
 
@@ -72,18 +72,17 @@
     :param block_id: last block of the prompt.
     :param tokens: length of the block.
     :param may_have_left: returns True if a target of another version than the
-        given one, or such a life of it, may have ended since a stream that can
-        be taken up began.
+        given ones, or such a life of it, may have ended since a stream that
+        can be taken up began.
     :returns: no version if several fit, or if a target of another one has not
         told.
     """
     all_kept = tuple(kept_prompts)
-    readers = {
-        kept.target.software_version
-        for kept in all_kept
-        if kept.has_read(block_id, tokens)
-    }
-    version = next(iter(readers)) if len(readers) == 1 else None
+    readers = [
+        kept.target for kept in all_kept if kept.has_read(block_id, tokens)
+    ]
+    versions = {reader.software_version for reader in readers}
+    version = next(iter(versions)) if len(versions) == 1 else None
     if version is None or not all(
         kept.tokens_by_block is not None
         or kept.target.software_version == version
@@ -91,10 +90,12 @@
     ):
         return UNCERTAIN
     has_lost = any(
-        kept.has_ended and kept.target.software_version != version
+        kept.has_ended
+        and kept.target.software_version != version
+        and not kept.target.started_before(readers)
         for kept in all_kept
     )
     has_written = any(kept.has_written(block_id, tokens) for kept in all_kept)
-    if not has_written and (has_lost or may_have_left(version)):
+    if not has_written and (has_lost or may_have_left(readers)):
         return UNCERTAIN
     return PromptEvidence(version, has_written=has_written)
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
@@ -1,5 +1,6 @@
 """A target as the platform lists it."""
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 
@@ -38,6 +39,17 @@
             return self.born_ms <= known.born_ms
         return (self.ip, self.port) == (known.ip, known.port)
 
+    def started_before(self, others: Iterable['ListedTarget']) -> bool:
+        """Return True if this life began before each of some others.
+
+        That isn't so if a start isn't known.
+        """
+        born_ms = self.born_ms
+        return born_ms is not None and all(
+            other.born_ms is not None and born_ms < other.born_ms
+            for other in others
+        )
+
     def is_followed_by(self, later: 'ListedTarget') -> bool:
         """Return True if a registration is of a later life."""
         if self.born_ms is None or later.born_ms is None:
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -1,6 +1,7 @@
 """The targets that may receive calls."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from lagoonbend._internal.exceptions import DocumentError
@@ -50,7 +51,7 @@
         self._outage_ended_ms: int | None = None
         self._versions: dict[str, set[str | None]] = {}
         self._gone_versions: dict[str, dict[str | None, int]] = {}
-        self._ended_versions: dict[str, dict[str | None, int]] = {}
+        self._ended: dict[str, dict[ListedTarget, int]] = {}
         self._unknown_end_ms: int | None = None
         self._past_since_ms: int | None = None
         self._listed_since_ms: int | None = None
@@ -194,20 +195,30 @@
         )
 
     def may_have_lost(
-        self, service: str, version: str, now_ms: int, window_ms: int
+        self,
+        service: str,
+        readers: Collection[ListedTarget],
+        now_ms: int,
+        window_ms: int,
     ) -> bool:
-        """Return True if a target of another version may have ended lately.
+        """Return True if a target may have ended that began a stream.
 
-        Another life of a target counts, as it knows nothing of before.
+        Another life of a target counts, as it knows nothing of before. Targets
+        of another version that started before all readers don't: they are
+        replaced by those, and get no more calls then.
 
-        :param version: version whose targets don't count.
+        :param readers: targets of one version that have read the prompt.
         :param window_ms: time that counts.
         """
-        ended = self._ended_versions.get(service, {})
-        ends_ms = [ended[other] for other in ended if other != version]
-        if self._unknown_end_ms is not None:
-            ends_ms.append(self._unknown_end_ms)
-        return any(now_ms - end_ms < window_ms for end_ms in ends_ms)
+        if _is_within(self._unknown_end_ms, now_ms, window_ms):
+            return True
+        versions = {reader.software_version for reader in readers}
+        return any(
+            _is_within(ended_ms, now_ms, window_ms)
+            and target.software_version not in versions
+            and not target.started_before(readers)
+            for target, ended_ms in self._ended.get(service, {}).items()
+        )
 
     def list_mixed_services(self) -> list[str]:
         """Return the services whose listed targets have several versions."""
@@ -235,8 +246,11 @@
         gone[target.software_version] = now_ms
 
     def _record_end(self, target: ListedTarget, now_ms: int) -> None:
-        ended = self._ended_versions.setdefault(target.service, {})
-        ended[target.software_version] = now_ms
+        ended = self._ended.setdefault(target.service, {})
+        ended.pop(target, None)
+        ended[target] = now_ms
+        if len(ended) > MAX_KNOWN_NAMES:
+            del ended[next(iter(ended))]
 
     def _apply_item(self, item: PublishedItem, now_ms: int) -> None:
         name = item.key
@@ -340,6 +354,10 @@
         }
 
 
+def _is_within(at_ms: int | None, now_ms: int, window_ms: int) -> bool:
+    return at_ms is not None and now_ms - at_ms < window_ms
+
+
 def _is_continued(known: ListedTarget, target: ListedTarget | None) -> bool:
     """Return True if a registration is of the life that is known."""
     return (
--- a/tests/unit/test_ends_of_targets.py
+++ b/tests/unit/test_ends_of_targets.py
@@ -25,7 +25,24 @@
 build_item = test_versions_in_the_facts.build_item
 
 
-class EndsOfTargetsTest(test_versions_in_the_facts.FactsCase):
+class EndsCase(test_versions_in_the_facts.FactsCase):
+    """An instance that asks for the ends of targets."""
+
+    def may_have_lost(self, version: str = 'v1', born_ms: int = 0) -> bool:
+        """Return True if a reader of a version shows nothing.
+
+        :param born_ms: start of the reader; 0 if it isn't known.
+        """
+        reader = test_versions_in_the_facts.decode_target(
+            build_item('r', version, 1)
+        )
+        assert reader is not None
+        return self.facts.may_have_lost(
+            'chat', [reader._replace(born_ms=born_ms or None)]
+        )
+
+
+class EndsOfTargetsTest(EndsCase):
     """An instance that has followed the list for long."""
 
     def setUp(self) -> None:
@@ -35,20 +52,36 @@
 
     def assert_lost_for_window(self, version: str = 'v1') -> None:
         """Check that an end counts for as long as a stream may last."""
-        self.assertTrue(self.facts.may_have_lost('chat', version))
+        self.assertTrue(self.may_have_lost(version))
         self.follow(END_TIME_MS - 1)
-        self.assertTrue(self.facts.may_have_lost('chat', version))
+        self.assertTrue(self.may_have_lost(version))
         self.follow(1)
-        self.assertFalse(self.facts.may_have_lost('chat', version))
+        self.assertFalse(self.may_have_lost(version))
 
     def test_removal_counts_for_other_versions(self) -> None:
         """Whether another target of the version stays or not."""
         self.watch(11, build_item('b', 'v2', 11), build_item('c', 'v2', 11))
-        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.assertFalse(self.may_have_lost())
         self.watch(12, build_item('b', '', 12))
-        self.assertFalse(self.facts.may_have_lost('chat', 'v2'))
+        self.assertFalse(self.may_have_lost('v2'))
         self.assert_lost_for_window()
 
+    # Guards against streams of a release that are refused after a restart of
+    # all, since the targets that were replaced have ended.
+    def test_target_that_started_before_the_readers_does_not_count(
+        self,
+    ) -> None:
+        """It gets no more calls once they have replaced it."""
+        decode = self.facts.target_directory._decode
+        self.facts.target_directory._decode = lambda item: (
+            (target := decode(item)) and target._replace(born_ms=100)
+        )
+        self.watch(11, build_item('b', 'v2', 11))
+        self.watch(12, build_item('b', '', 12))
+        self.assertFalse(self.may_have_lost(born_ms=101))
+        for born_ms in (100, 99, 0):
+            self.assertTrue(self.may_have_lost(born_ms=born_ms))
+
     def test_new_version_under_an_identity_ends_the_old_one(self) -> None:
         """The target has started again, without its memory."""
         self.watch(11, build_item('a', 'v2', 11))
@@ -70,16 +103,16 @@
                 self.clock.now_ms(),
                 era,
             )
-        self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+        self.assertTrue(self.may_have_lost())
 
     def test_old_facts_tell_nothing(self) -> None:
         """A target may have ended since."""
-        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.assertFalse(self.may_have_lost())
         self.clock.advance(test_versions_in_the_facts.GAP_MS)
-        self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+        self.assertTrue(self.may_have_lost())
 
 
-class HistoryReaderTest(test_versions_in_the_facts.FactsCase):
+class HistoryReaderTest(EndsCase):
     """An instance that has just started, and the store's history."""
 
     def setUp(self) -> None:
@@ -106,9 +139,9 @@
 
     def test_history_without_an_end_shows_that_nothing_was_lost(self) -> None:
         """It is read once."""
-        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.assertFalse(self.may_have_lost())
         reads = self.client.watch.call_count
-        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.assertFalse(self.may_have_lost())
         self.assertEqual(reads, self.client.watch.call_count)
 
     def test_end_in_the_history_counts(self) -> None:
@@ -124,9 +157,9 @@
             with self.subTest(changes=changes):
                 self.restart()
                 self.changes = changes
-                self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+                self.assertTrue(self.may_have_lost())
                 self.follow(END_TIME_MS)
-                self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+                self.assertFalse(self.may_have_lost())
 
     def test_all_that_the_store_still_has_is_read(self) -> None:
         """Whatever the oldest revision is, in few reads."""
@@ -137,7 +170,7 @@
             self.client.watch.reset_mock()
             with self.subTest(oldest=oldest):
                 is_new = oldest < test_versions_in_the_facts.FIRST_REVISION
-                lost = self.facts.may_have_lost('chat', 'v1')
+                lost = self.may_have_lost()
                 self.assertTrue(lost or not is_new)
                 self.assertLess(self.client.watch.call_count, MAX_READS)
             self.follow(END_TIME_MS)
@@ -153,7 +186,7 @@
             self.client.watch.side_effect = answer
             with self.subTest(answer=answer):
                 self.clock.advance(1)
-                self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+                self.assertTrue(self.may_have_lost())
 
     # Guards against an end in a part of the history that wasn't read.
     def test_answer_that_is_no_whole_history_shows_nothing(self) -> None:
@@ -167,14 +200,17 @@
             )
             with self.subTest(revision=revision, rejected=rejected):
                 self.clock.advance(1)
-                self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+                self.assertTrue(self.may_have_lost())
 
     def test_history_that_is_too_short_shows_nothing(self) -> None:
         """The stream may have begun before."""
         self.restart(END_TIME_MS - 1)
-        self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+        self.assertTrue(self.may_have_lost())
         self.follow(1)
-        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.assertFalse(self.may_have_lost())
+
+
+del EndsCase
 
 
 if __name__ == '__main__':
--- a/tests/unit/test_prompt_survey.py
+++ b/tests/unit/test_prompt_survey.py
@@ -52,7 +52,7 @@
             build_kept(f't{number}', *told) for number, told in enumerate(kept)
         ]
         return weigh_kept_prompts(
-            all_kept, *BLOCK, lambda version: may_have_left
+            all_kept, *BLOCK, lambda readers: may_have_left
         ).version
 
     def test_version_whose_target_has_read_the_prompt(self) -> None:
@@ -70,7 +70,7 @@
         for version, expected in (('v1', 'v1'), ('v2', None)):
             ended = build_kept('t2', version, {})._replace(has_ended=True)
             evidence = weigh_kept_prompts(
-                [*all_kept, ended], *BLOCK, lambda version: False
+                [*all_kept, ended], *BLOCK, lambda readers: False
             )
             self.assertEqual(expected, evidence.version)
 
@@ -156,7 +156,7 @@
         self.facts = types.SimpleNamespace(
             target_directory=self.directory,
             confirm=lambda: True,
-            may_have_lost=lambda service, version: False,
+            may_have_lost=lambda service, readers: False,
         )
         self.told = WRITTEN
         facts: Any = self.facts
@@ -228,7 +228,7 @@
         with mock.patch.object(self.facts, 'confirm', lambda: False):
             self.assertIsNone(self.find())
         with mock.patch.object(
-            self.facts, 'may_have_lost', lambda service, version: True
+            self.facts, 'may_have_lost', lambda service, readers: True
         ):
             self.assertIsNone(self.find())
         targets = self.directory.list_registered.return_value
--- a/tests/unit/test_versions_in_the_facts.py
+++ b/tests/unit/test_versions_in_the_facts.py
@@ -43,6 +43,9 @@
     return PublishedItem(name, revision, version.encode() or None)
 
 
+READER = ListedTarget('r', 'chat', '10.0.0.1', 80, 'd', 4, False, 'v1')
+
+
 class FactsCase(unittest.TestCase):
     """An instance that has read the list for as long as a stream may last."""
 
@@ -101,12 +104,12 @@
         self.assert_unknown()
         self.follow(6_001 + GAP_MS)
         self.assertEqual('v1', self.facts.find_only_version('chat'))
-        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.assertFalse(self.facts.may_have_lost('chat', [READER]))
 
     def assert_unknown(self) -> None:
         """Check that v2 may have begun a stream."""
         self.assertEqual('', self.facts.find_only_version('chat'))
-        self.assertTrue(self.facts.may_have_lost('chat', 'v1'))
+        self.assertTrue(self.facts.may_have_lost('chat', [READER]))
 
     # Guards against streams that are refused for longer than they can last.
     def test_shorter_timeout_counts_once_the_longer_one_is_over(self) -> None:
@@ -117,7 +120,7 @@
         self.assert_unknown()
         self.follow(TIMEOUT_MS // 3 + GAP_MS)
         self.assertEqual('v1', self.facts.find_only_version('chat'))
-        self.assertFalse(self.facts.may_have_lost('chat', 'v1'))
+        self.assertFalse(self.facts.may_have_lost('chat', [READER]))
 
 
 class VersionsInTheFactsTest(FactsCase):
