Send evidence of ended targets over links for gossip alone

Cause: evidence went over all links of an instance and on from there. All instances have links to the deciders, so that each of these got every report from all others, and sent it to all others. That the bytes fill the links is suspected, as no log has them.

Change: in a fleet that is no full mesh, evidence goes over links for gossip and to the store readers alone. A ping says whether its link is one of them; the last one counts. Earlier builds are sent evidence as before, and send it over all links.

Tests, with all links in use as before: test_deciders_have_room_for_calls (14,040 and 30,240 reports at a decider of 195 and 420 instances, of 2,666 allowed, and six and fifteen times the bytes), test_pings_want_evidence_over_links_for_gossip_alone and test_evidence_goes_to_those_whose_last_ping_wants_it failed. That a third killed, or one domain by itself, is reached held before and after; the latter failed on a variant without the readers' links.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -203,10 +203,7 @@
         """
         if self.is_full_mesh:
             return set(self._last_known_ms)
-        selected = set(deciders)
-        domain_members = self._list_domain_members()
-        selected.update(domain_members[:STORE_READERS_PER_DOMAIN])
-        selected.update(self._sort_by_score(self.address)[:GOSSIP_PEERS])
+        selected = self.select_gossip_peers().union(deciders)
         for pool in own_pools:
             selected.update(self._sort_candidates(pool)[:CANDIDATES_PER_POOL])
         if shares_origins:
@@ -217,6 +214,16 @@
         selected.discard(self.address)
         return selected
 
+    def select_gossip_peers(self) -> set[str]:
+        """Return the addresses to keep links to whatever pools are in use."""
+        if self.is_full_mesh:
+            return set(self._last_known_ms)
+        domain_members = self._list_domain_members()
+        selected = set(domain_members[:STORE_READERS_PER_DOMAIN])
+        selected.update(self._sort_by_score(self.address)[:GOSSIP_PEERS])
+        selected.discard(self.address)
+        return selected
+
     def _list_handover_links(self) -> list[str]:
         """Return peers of other domains that may run calls for this one.
 
@@ -319,13 +326,20 @@
             return ''
         return searcher
 
-    def list_crash_receivers(self) -> list[str]:
-        """Return the peers to which evidence against prompts is sent."""
-        return [
+    def list_crash_receivers(self) -> set[str]:
+        """Return the pinged peers to which evidence against prompts is sent.
+
+        In a large fleet they are those for gossip. All instances have links
+        to the deciders, which would get and send each report over all those.
+        """
+        selected = self.select_gossip_peers()
+        return {
             heartbeat.address
             for heartbeat in self.list_alive()
-            if heartbeat.is_direct and heartbeat.reads_reports
-        ]
+            if heartbeat.is_direct
+            and heartbeat.reads_reports
+            and heartbeat.address in selected
+        }
 
     def find_handover_candidates(
         self, service: str
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -55,7 +55,9 @@
     """Asks for a heartbeat; ``sent_ms`` is by the sender's own clock.
 
     With ``wants_news``, the pong also carries gossip: other instances, and the
-    use of customers' limits. ``reads_reports`` is the same as in ``Pong``.
+    use of customers' limits. ``reads_reports`` is True if the sender wants
+    ``CrashReports`` over this link; earlier versions that understand them want
+    them over each one.
     """
 
     sent_ms: Integer
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_links.py
@@ -48,6 +48,7 @@
         self._on_open = on_open
         self._on_lost = on_lost
         self._links: dict[str, PeerLink] = {}
+        self._gossip_peers: set[str] = set()
 
     def find(self, address: str) -> PeerLink | None:
         """Return the link to an instance, if there is one."""
@@ -89,6 +90,7 @@
         wanted = self._fleet.select_peers(
             deciders, own_pools, shares_origins=shares_origins
         )
+        self._gossip_peers = self._fleet.select_gossip_peers()
         for address in wanted - set(self._links):
             self._open_link(address)
         for address in set(self._links) - wanted:
@@ -125,7 +127,9 @@
         link.close_if_silent(interval_ms)
         link.last_ping_ms = now_ms
         link.send(
-            self._make_ping(is_full_mesh or not is_decider or wants_gossip)
+            self._make_ping(
+                link.address, is_full_mesh or not is_decider or wants_gossip
+            )
         )
 
     def _open_link(self, address: str) -> None:
@@ -147,7 +151,7 @@
         gevent.spawn(link.run)
 
     def _on_link_open(self, link: PeerLink) -> None:
-        link.send(self._make_ping(True))
+        link.send(self._make_ping(link.address, True))
         self._on_open(link)
 
     def _on_link_lost(self, link: PeerLink) -> None:
@@ -157,10 +161,10 @@
         self._fleet.record_unreachable(link.address)
         self._on_lost(link.address)
 
-    def _make_ping(self, wants_gossip: bool) -> messages.Ping:
+    def _make_ping(self, address: str, wants_gossip: bool) -> messages.Ping:
         return messages.Ping(
             self._clock.now_ms(),
             self._fleet.uptime_ms,
             wants_gossip,
-            reads_reports=True,
+            reads_reports=address in self._gossip_peers,
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -103,6 +103,8 @@
                     if isinstance(message, messages.Ping):
                         if message.reads_reports:
                             self._crash_receivers.add(peer)
+                        else:
+                            self._crash_receivers.discard(peer)
                         self._fleet.record_ping(
                             peer, failure_domain, message.uptime_ms
                         )
