--- a/tests/unit/test_ends_of_targets.py
+++ b/tests/unit/test_ends_of_targets.py
@@ -161,6 +161,17 @@
                 self.follow(END_TIME_MS)
                 self.assertFalse(self.may_have_lost())
 
+    # Guards against streams of a release that are refused after a restart of
+    # all, since a target was removed whose entry is older than the history.
+    def test_target_from_before_the_history_is_older_than_readers_in_it(
+        self,
+    ) -> None:
+        """The reader has registered since; its start is known."""
+        reader = test_versions_in_the_facts.READER._replace(born_ms=100)
+        self.changes = (build_item('r', 'v1', 7), build_item('b', '', 8))
+        self.oldest = 6
+        self.assertFalse(self.facts.may_have_lost('chat', [reader]))
+
     def test_all_that_the_store_still_has_is_read(self) -> None:
         """Whatever the oldest revision is, in few reads."""
         for oldest in range(test_versions_in_the_facts.FIRST_REVISION + 1):
