Send no calls to targets of evacuated failure domains

Nothing read the items by which operators ask to evacuate a domain.

The items arrive with all others, from the store and from peers. Targets of an evacuated domain stay listed, but aren't usable, so that pools and deciders change with the list. A slot that a decider grants there before it has heard is returned as unsuited: the target is sound. Calls that wait in a pool whose list becomes empty are denied at once, so that they ask another pool; they waited until they were out of time. An evacuation that a store loses, as it comes back from an older copy, stays in force until it can have been written again.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -7,6 +7,7 @@
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import DocumentError
 from lagoonbend.facts import CallerBounds
+from lagoonbend.facts import Evacuations
 from lagoonbend.facts import ItemCache
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import NO_ERA
@@ -27,6 +28,8 @@
 is at most 2.8 s old."""
 MAX_REASON_CHARACTERS = 400
 """Length of an error about an entry that is logged."""
+NO_EVACUATIONS = '\0'
+"""Begins no key."""
 REWRITE_MS = 2_000
 """Time after the return of a store from an older copy within which what its
 writers wrote is written again. Reads in this time don't prove that the facts
@@ -50,6 +53,8 @@
     :param decode_rules: decodes the operators' configuration.
     :param decode_target: decodes a target's registration.
     :param rules_key: key of the item that holds the configuration.
+    :param evacuations: evacuated failure domains; None if operators can't
+        evacuate any.
     """
 
     def __init__(
@@ -58,8 +63,11 @@
         decode_rules: Callable[[bytes], RuleSet],
         decode_target: Callable[[PublishedItem], ListedTarget | None],
         rules_key: str,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self.item_cache = ItemCache()
+        self.evacuations = evacuations or Evacuations(NO_EVACUATIONS)
+        self.evacuations.on_unreadable = _log_unreadable
         self.target_directory = TargetDirectory(decode_target)
         self.target_directory.on_unreadable = _log_unreadable
         self.rules: RuleSet | None = None
@@ -239,9 +247,15 @@
         self.item_cache.mark_verified(revision, at_ms, era)
 
     def expire(self) -> None:
-        """Remove targets whose registration lapsed in an outage for good."""
+        """Apply what follows from the time since an outage of the store.
+
+        Registrations that lapsed in it, and evacuations that a copy lacks,
+        are removed for good.
+        """
         before = self.target_directory.change_count
         self.target_directory.expire(self._clock.now_ms())
+        if not self.is_settling:
+            self._evacuate(self.evacuations.expire)
         if self.target_directory.change_count != before:
             self._notify()
 
@@ -371,6 +385,7 @@
                 self._log_rejected(item, 'removed')
         now_ms = self._clock.now_ms()
         self.target_directory.apply(updates, now_ms)
+        self._evacuate(lambda: self.evacuations.apply(updates))
         log_event(
             Event.FACTS_CHANGED,
             source=source,
@@ -384,6 +399,23 @@
         )
         self._notify()
 
+    def _evacuate(self, update: Callable[[], None]) -> None:
+        """Update the evacuations, and log which of them have changed."""
+        before = self.evacuations.domains
+        update()
+        domains = self.evacuations.domains
+        if domains == before:
+            return
+        self.target_directory.evacuate(domains, self._clock.now_ms())
+        log_event(
+            Event.EVACUATIONS_CHANGED,
+            evacuated=sorted(domains - before),
+            returned=sorted(before - domains),
+            domains=sorted(domains),
+            era=self.item_cache.era,
+            age_ms=self.age_ms(),
+        )
+
     def _apply_rules(
         self, item: PublishedItem, value: bytes, source: str
     ) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -15,6 +15,7 @@
 
 from lagoonbend.clock import RuntimeClock
 from lagoonbend.exceptions import SettingsError
+from lagoonbend.facts import Evacuations
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.outcomes import RetryShare
@@ -100,7 +101,11 @@
             settings.bounds.revoke_ms * MAX_FACT_AGE_SHARE
         )
         self._facts = FactsCache(
-            self._clock, decode_rules, decode_target, names.RULES_KEY
+            self._clock,
+            decode_rules,
+            decode_target,
+            names.RULES_KEY,
+            Evacuations(names.EVACUATIONS_PREFIX),
         )
         self._fleet = Fleet(
             settings.listen.peers_endpoint,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/grant_check.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/grant_check.py
@@ -50,6 +50,16 @@
         """
         directory = self._facts.target_directory
         target = directory.find(name)
+        if target is None and directory.is_evacuated(name):
+            # The instance that granted the slot has not heard of it yet.
+            return UnusableGrant(
+                SlotOutcome.UNSUITED,
+                AttemptReport(
+                    AttemptOutcome.WRONG_TARGET,
+                    target=name,
+                    detail='failure domain of the target is evacuated',
+                ),
+            )
         if target is None or target.service != progress.call.service:
             # Of two instances, either can have the newer list.
             is_gone = directory.has_listed(name)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
@@ -16,6 +16,9 @@
 
 CALLER_PATIENCE_MS = 2_000
 """Shortest pause in a stream after which a caller gives it up."""
+EVACUATION_CHECK_MS = 1_000
+"""Time after which a call asks again while all targets of its service are
+evacuated; the end of an evacuation is known within about that time."""
 
 
 class SlotRequests:
@@ -124,14 +127,20 @@
     def find_pause_ms(self, progress: CallProgress) -> int | None:
         """Return the time to the end of the first pause.
 
+        A service of which all targets are evacuated counts as paused, for a
+        time that isn't known.
+
         :returns: None unless all targets that may still run the call pause.
         """
+        service = progress.call.service
+        directory = self._facts.target_directory
+        if directory.is_service_evacuated(service):
+            return EVACUATION_CHECK_MS
         pauses = self._closed_targets.pauses
         if not pauses:
             return None
-        service = progress.call.service
         first_ms: int | None = None
-        for target in self._facts.target_directory.list_service(service):
+        for target in directory.list_service(service):
             if self._closed_targets.is_leaving(target) or (
                 progress.binding and not progress.binding.allows(target)
             ):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -49,6 +49,7 @@
 
 AUTHORIZATION_SCHEME = 'bearer '
 RULES_KEY = 'op/config'
+EVACUATIONS_PREFIX = 'op/evacuate/'
 TARGETS_PREFIX = 'servers/'
 READINESS_PATH = b'/lagoonbend/readyz'
 RANGE_PATH = '/lagoonbend/kv-range'
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -190,6 +190,11 @@
         'info',
         'The store does not tell which targets have ended.',
     )
+    EVACUATIONS_CHANGED = (
+        'LB0515',
+        'info',
+        'The targets of a failure domain get no calls, or get calls again.',
+    )
     FACTS_NOT_CONFIRMED = (
         'LB0512',
         'info',
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Set as AbstractSet
 
 from lagoonbend._internal.exceptions import DocumentError
 from lagoonbend._internal.facts.departures import Departures
@@ -28,8 +29,9 @@
     An entry that is removed while the platform is available is dropped at
     once. One that is missing just after an outage may belong to a live target
     whose registration lapsed, and stays usable for ``LAPSE_GRACE_MS``. A later
-    era of the store doesn't undo that a target leaves or is gone. An
-    unreadable entry is no target; ``on_unreadable`` is called with the error.
+    era of the store doesn't undo that a target leaves or is gone. Targets of
+    evacuated failure domains stay listed, but get no calls. An unreadable
+    entry is no target; ``on_unreadable`` is called with the error.
 
     :param decode: decodes an item; returns None if it describes no target, and
         raises DocumentError if it can't be read.
@@ -57,6 +59,7 @@
         self._listed_since_ms: int | None = None
         self._known_names: dict[str, None] = {}
         self._other_names: set[str] = set()
+        self._evacuated_domains: AbstractSet[str] = frozenset()
         self.change_count = 0
 
     def __len__(self) -> int:
@@ -136,10 +139,32 @@
         if expired or returned:
             self._rebuild(now_ms)
 
+    def evacuate(self, domains: AbstractSet[str], now_ms: int) -> None:
+        """Use no targets of some failure domains, and those of all others."""
+        if domains != self._evacuated_domains:
+            self._evacuated_domains = domains
+            self._rebuild(now_ms)
+
     def find(self, name: str) -> ListedTarget | None:
         """Return a target that may receive calls."""
         return self._usable.get(name)
 
+    def is_evacuated(self, name: str) -> bool:
+        """Return True if a listed target is in an evacuated domain."""
+        target = self._targets.get(name)
+        return (
+            target is not None
+            and not target.is_leaving
+            and target.failure_domain in self._evacuated_domains
+        )
+
+    def is_service_evacuated(self, service: str) -> bool:
+        """Return True if evacuations leave a service no usable target."""
+        return not self._by_service.get(service) and any(
+            self.is_evacuated(target.target)
+            for target in self.list_registered(service)
+        )
+
     def has_listed(self, name: str) -> bool:
         """Return True if a target is listed in any state, or has been.
 
@@ -345,6 +370,7 @@
             target.target: target
             for target in self._targets.values()
             if not target.is_leaving
+            and target.failure_domain not in self._evacuated_domains
         }
         by_service: dict[str, list[ListedTarget]] = {}
         for target in self._usable.values():
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -108,9 +108,15 @@
     def set_targets(
         self, profile: ServiceProfile, targets: Iterable[ListedTarget]
     ) -> Iterator[SlotDecision]:
-        """Apply a new target list; yield the decisions that follow."""
+        """Apply a new target list; yield the decisions that follow.
+
+        If it is empty, the waiting calls are denied: other pools of the
+        service may have targets.
+        """
         self.service = profile
         self.targets.update(profile, targets)
+        if not self.targets.has_listed:
+            yield from self._deny_waiting(Denial.NO_TARGET)
         yield from self.grant_free_slots()
 
     def submit(
@@ -251,6 +257,13 @@
         for waiter in list(self._queue):
             yield waiter.item.request
 
+    def _deny_waiting(self, denial: Denial) -> Iterator[SlotDecision]:
+        for request in list(self.list_waiting()):
+            waiting = self._dequeue(request.instance, request.call)
+            if waiting is not None:
+                self._refund(waiting)
+                yield self._deny(request, denial, NO_TARGET_RETRY_AFTER_MS)
+
     def _dequeue(self, instance: str, call: str) -> _WaitingCall | None:
         """Remove a call from the queue; return it if it was there."""
         waiter = self._remove_waiter(instance, call)
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -54,6 +54,11 @@
         """Number of slots in use."""
         return sum(len(load.held) for load in self._loads.values())
 
+    @property
+    def has_listed(self) -> bool:
+        """True if the target list isn't empty."""
+        return bool(self._listed)
+
     @property
     def slot_count(self) -> int:
         """Number of slots of all targets."""
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -2,6 +2,7 @@
 
 from lagoonbend._internal.facts.caller_bounds import CallerBounds
 from lagoonbend._internal.facts.customer_rule import CustomerRule
+from lagoonbend._internal.facts.evacuations import Evacuations
 from lagoonbend._internal.facts.item_cache import ItemCache
 from lagoonbend._internal.facts.kept_prompts import KeptPrompts
 from lagoonbend._internal.facts.kept_prompts import PromptEvidence
@@ -25,6 +26,7 @@
 __all__ = [
     'CallerBounds',
     'CustomerRule',
+    'Evacuations',
     'ItemCache',
     'KeptPrompts',
     'ListedTarget',
--- a/tests/unit/test_target_pauses.py
+++ b/tests/unit/test_target_pauses.py
@@ -223,6 +223,7 @@
         facts.list_versions.return_value = {'v1', 'v2'}
         facts.target_directory.find.return_value = self.open_target
         facts.target_directory.list_service.return_value = self.targets
+        facts.target_directory.is_service_evacuated.return_value = False
         self.coordinator = build_mock_coordinator()
         self.coordinator.origins.find.return_value.version = 'v1'
         self.coordinator.acquire.side_effect = lambda *unused: (
