Pace calls to cold targets

Nothing read for how long a target is cold, or how many calls a second a cold one bears: up to 22 requests in a second reached one that bears 21.5 with all tolerances.

The decider paces its grants, as it does for limits that targets name; the lower rate holds. In a partition it uses its share. A target is cold for the time that it registers, counted from when the instance hears of it, or for the configured time if a new life says nothing or its failure domain is used again after an evacuation. Times of cold targets change neither learned speeds nor fault rates. While targets are cold, callers are asked back for when they are warm. Services without a rate for cold targets are served as before.

The parsers of numbers have moved out of the platform folder.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
@@ -99,7 +99,9 @@
                 self.limits,
                 self._invariants,
                 self._named_limits,
+                self._facts.cold_targets,
             )
+            scheduler.targets.is_fallback = bool(self._spread_key)
             self._schedulers[pool] = scheduler
             self._apply_facts_to(pool, scheduler)
             self._apply_share_to(scheduler)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -7,6 +7,8 @@
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import DocumentError
 from lagoonbend.facts import CallerBounds
+from lagoonbend.facts import ColdTargets
+from lagoonbend.facts import ColdTolerance
 from lagoonbend.facts import Evacuations
 from lagoonbend.facts import ItemCache
 from lagoonbend.facts import ListedTarget
@@ -55,6 +57,7 @@
     :param rules_key: key of the item that holds the configuration.
     :param evacuations: evacuated failure domains; None if operators can't
         evacuate any.
+    :param cold_tolerance: how exactly the rates of cold targets must be kept.
     """
 
     def __init__(
@@ -64,11 +67,17 @@
         decode_target: Callable[[PublishedItem], ListedTarget | None],
         rules_key: str,
         evacuations: Evacuations | None = None,
+        cold_tolerance: ColdTolerance | None = None,
     ) -> None:
         self.item_cache = ItemCache()
         self.evacuations = evacuations or Evacuations(NO_EVACUATIONS)
         self.evacuations.on_unreadable = _log_unreadable
-        self.target_directory = TargetDirectory(decode_target)
+        self.cold_targets = ColdTargets(
+            clock, cold_tolerance or ColdTolerance()
+        )
+        self.target_directory = TargetDirectory(
+            decode_target, self.cold_targets
+        )
         self.target_directory.on_unreadable = _log_unreadable
         self.rules: RuleSet | None = None
         self.on_change: list[Callable[[], None]] = []
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -15,6 +15,7 @@
 
 from lagoonbend.clock import RuntimeClock
 from lagoonbend.exceptions import SettingsError
+from lagoonbend.facts import ColdTolerance
 from lagoonbend.facts import Evacuations
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
@@ -106,6 +107,10 @@
             decode_target,
             names.RULES_KEY,
             Evacuations(names.EVACUATIONS_PREFIX),
+            ColdTolerance(
+                settings.bounds.cold_overshoot_ratio,
+                settings.bounds.cold_slack,
+            ),
         )
         self._fleet = Fleet(
             settings.listen.peers_endpoint,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Mapping
 import math
-import re
 from typing import NamedTuple
 
 from lagoonbend_entry._internal.platform import names
@@ -11,7 +10,6 @@
 STATUS_WRONG_TARGET = 421
 STATUS_UNAVAILABLE = 503
 LEAVING_VALUE = '1'
-DECIMAL_PATTERN = re.compile(r'\d+\.?\d*|\.\d+', re.ASCII)
 MAX_PAUSE_MS = 60_000
 """Longest pause that a target is granted, four times the longest time that
 callers wait. A value beyond that is rather an error, such as milliseconds, and
@@ -67,9 +65,7 @@
     is_wrong_target = status == STATUS_WRONG_TARGET
     pause_ms, unused_retry_after = _decode_pause(status, headers)
     limit = headers.get(names.HEADER_REQUEST_LIMIT, '').strip()
-    is_limit_valid = DECIMAL_PATTERN.fullmatch(limit) is not None
-    rejections = headers.get(names.HEADER_REJECTION_LIMIT, '').strip()
-    is_brittle = DECIMAL_PATTERN.fullmatch(rejections) is not None
+    limit_per_s = bounded.read_decimal(limit)
     return AnswerHeaders(
         attempt=headers.get(names.HEADER_ATTEMPT, ''),
         is_signed=names.HEADER_STAMP in headers,
@@ -80,11 +76,13 @@
         == LEAVING_VALUE,
         pause_ms=pause_ms,
         unused_retry_after=unused_retry_after,
-        request_limit_per_s=bounded.cap(limit) if is_limit_valid else None,
-        unused_request_limit=''
-        if is_limit_valid or not limit
-        else repr(limit[:MAX_SHOWN_CHARS]),
-        rejection_limit_per_s=bounded.cap(rejections) if is_brittle else None,
+        request_limit_per_s=limit_per_s,
+        unused_request_limit=repr(limit[:MAX_SHOWN_CHARS])
+        if limit and limit_per_s is None
+        else '',
+        rejection_limit_per_s=bounded.read_decimal(
+            headers.get(names.HEADER_REJECTION_LIMIT, '')
+        ),
     )
 
 
@@ -94,9 +92,10 @@
     if status != STATUS_UNAVAILABLE or value is None:
         return 0, ''
     shown = repr(value[:MAX_SHOWN_CHARS])
-    if not DECIMAL_PATTERN.fullmatch(value.strip()):
+    pause_s = bounded.read_decimal(value)
+    if pause_s is None:
         return 0, shown
-    pause_ms = float(value) * MILLISECONDS_PER_SECOND
+    pause_ms = pause_s * MILLISECONDS_PER_SECOND
     if pause_ms > MAX_PAUSE_MS:
         return MAX_PAUSE_MS, shown
     return math.ceil(pause_ms), ''
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/call_headers.py
@@ -79,11 +79,13 @@
     return CallHeaders(
         attempt=headers.get(names.HEADER_ATTEMPT, ''),
         key=_read_key(headers.get(names.HEADER_AUTHORIZATION, '')),
-        deadline_ms=_read_int(headers.get(names.HEADER_DEADLINE, '')),
+        deadline_ms=bounded.read_digits(
+            headers.get(names.HEADER_DEADLINE, '')
+        ),
         prompt=tuple(_read_prompt(headers.get(names.HEADER_PROMPT, ''))),
         prompt_tokens=prompt_tokens,
         output_tokens=output_tokens,
-        estimated_output_tokens=_read_int(
+        estimated_output_tokens=bounded.read_digits(
             headers.get(names.HEADER_LENGTH_HINT, '')
         )
         or 0,
@@ -171,23 +173,15 @@
     return value[len(names.AUTHORIZATION_SCHEME) :].strip()
 
 
-def _read_int(value: str) -> int | None:
-    text = value.strip()
-    is_number = text.isascii() and text.isdecimal()
-    if not is_number or len(text) > bounded.MAX_DIGITS:
-        return None
-    return int(text)
-
-
 def _read_token_counts(value: str) -> tuple[int | None, int]:
     prompt, _, output = value.partition(',')
-    return _read_int(prompt), _read_int(output) or 0
+    return bounded.read_digits(prompt), bounded.read_digits(output) or 0
 
 
 def _read_prompt(value: str) -> Iterator[PromptBlock]:
     for entry in value.split(','):
         block_id, _, tokens = entry.strip().partition(':')
-        token_count = _read_int(tokens)
+        token_count = bounded.read_digits(tokens)
         if not block_id or token_count is None:
             return
         yield PromptBlock(block_id, token_count)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/rules_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/rules_codec.py
@@ -12,6 +12,7 @@
 from lagoonbend_entry._internal.platform import names
 from lagoonbend_entry._internal.utils import bounded
 
+MILLISECONDS_PER_SECOND = 1000
 LOWEST_RANK = -bounded.MAX_INTEGER
 UNUSABLE = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
 """What is raised by a value of another type or out of range."""
@@ -100,6 +101,11 @@
         is_engine=engine is not None,
         memory_tokens=bounded.read_integer((engine or {}).get('kv-capacity')),
         health_path=bounded.read_text(entry.get('health-path') or ''),
+        cold_start_ms=int(
+            bounded.read_fraction(entry.get('cold-start-s'))
+            * MILLISECONDS_PER_SECOND
+        ),
+        cold_rate_per_s=bounded.read_fraction(entry.get('cold-per-s')),
     )
 
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_codec.py
@@ -48,14 +48,12 @@
     text = header_map.get(names.HEADER_STORE_ERA)
     if text is None:
         return NO_ERA
-    if (
-        not (text.isascii() and text.isdigit())
-        or len(text) > bounded.MAX_DIGITS
-    ):
+    era = bounded.read_digits(text)
+    if era is None:
         raise PlatformError(
             f'era {text[:40]!r} is no number', context=names.HEADER_STORE_ERA
         )
-    return int(text)
+    return era
 
 
 def decode_listing(content: bytes, era: int) -> ItemsPage:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
@@ -15,6 +15,9 @@
 MAX_SLOTS = 4_096
 """Hundreds of times the slots of the users' servers. The slots of a service
 decide into how many pools it is divided."""
+MAX_COLD_MS = 600_000
+"""Longest time for which a target may say that it is cold; a longer one is
+taken for an error."""
 NAME_PATTERN = re.compile(r'[!-~]{1,256}', re.ASCII)
 """A target's identity is sent to it in a header."""
 PORT_PATTERN = re.compile(r'\d{1,5}', re.ASCII)
@@ -30,6 +33,7 @@
     state: str
     version: object = None
     born: object = None
+    cold: object = msgspec.field(default=None, name='cold-remaining-ms')
 
 
 def decode_target(item: PublishedItem) -> ListedTarget | None:
@@ -66,15 +70,14 @@
         failure_domain=entry.zone,
         slots=bounded.check_integer(entry.slots, 1, MAX_SLOTS, 'the slots'),
         is_leaving=entry.state != 'ready',
-        software_version=_read_version(entry.version),
+        software_version=entry.version
+        if isinstance(entry.version, str) and entry.version
+        else None,
         born_ms=_read_born(entry.born),
+        cold_ms=bounded.read_optional(entry.cold, 0, MAX_COLD_MS),
     )
 
 
-def _read_version(value: object) -> str | None:
-    return value if isinstance(value, str) and value else None
-
-
 def _read_born(value: object) -> int | None:
     if isinstance(value, int) and not isinstance(value, bool):
         return bounded.check_integer(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/bounds_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/bounds_settings.py
@@ -16,6 +16,9 @@
         a window, as a fraction of the limit.
     :param limit_slack: additional tolerated units in a window.
     :param limit_window_s: length of that window.
+    :param cold_overshoot_ratio: tolerated multiple of the rate of a cold
+        target in a second.
+    :param cold_slack: additional tolerated calls to it in a second.
     :param grace_s: time from the stop signal until the process is killed.
     """
 
@@ -26,4 +29,6 @@
     limit_overshoot_ratio: float = 0.0
     limit_slack: float = 0.0
     limit_window_s: float = 1.0
+    cold_overshoot_ratio: float = 1.0
+    cold_slack: float = 0.0
     grace_s: float = 8.0
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/bounded.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/bounded.py
@@ -1,5 +1,6 @@
 """Decodes JSON that any writer may have written."""
 
+import re
 from typing import Any
 from typing import TypeVar
 
@@ -15,6 +16,8 @@
 MAX_RATE = 1e30
 """Largest rate that is passed on to peers; a larger one means the same."""
 
+DECIMAL_PATTERN = re.compile(r'\d+\.?\d*|\.\d+', re.ASCII)
+
 Decoded = TypeVar('Decoded')
 
 
@@ -74,6 +77,25 @@
     return number
 
 
-def cap(text: str) -> float:
-    """Return a decimal number, or the largest rate if it is larger."""
-    return min(float(text), MAX_RATE)
+def read_optional(value: Any, minimum: int, maximum: int) -> int | None:
+    """Return an integer, or None if the value is none within the range."""
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    return value if is_integer and minimum <= value <= maximum else None
+
+
+def read_digits(text: str) -> int | None:
+    """Return a whole number; None if the text is none, or has many digits."""
+    digits = text.strip()
+    is_number = digits.isascii() and digits.isdecimal()
+    return int(digits) if is_number and len(digits) <= MAX_DIGITS else None
+
+
+def read_decimal(text: str) -> float | None:
+    """Return a number without sign and exponent; None if the text is none.
+
+    One above the largest rate counts as that.
+    """
+    digits = text.strip()
+    if not DECIMAL_PATTERN.fullmatch(digits):
+        return None
+    return min(float(digits), MAX_RATE)
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/listed_target.py
@@ -18,6 +18,8 @@
         which is the same as that of no other target.
     :param born_ms: start of this life of the server, in Unix milliseconds of
         its own clock; None if it isn't known.
+    :param cold_ms: time for which it is still cold, as it registered; None if
+        it isn't known.
     """
 
     target: str
@@ -29,6 +31,7 @@
     is_leaving: bool
     software_version: str | None = None
     born_ms: int | None = None
+    cold_ms: int | None = None
 
     def is_same_life(self, known: 'ListedTarget') -> bool:
         """Return True if this registers a known life of the target.
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -6,6 +6,7 @@
 from collections.abc import Set as AbstractSet
 
 from lagoonbend._internal.exceptions import DocumentError
+from lagoonbend._internal.facts.cold_targets import ColdTargets
 from lagoonbend._internal.facts.departures import Departures
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.published_item import NO_ERA
@@ -35,13 +36,18 @@
 
     :param decode: decodes an item; returns None if it describes no target, and
         raises DocumentError if it can't be read.
+    :param cold_targets: is told of each registration; None if no target is
+        ever cold.
     """
 
     def __init__(
-        self, decode: Callable[[PublishedItem], ListedTarget | None]
+        self,
+        decode: Callable[[PublishedItem], ListedTarget | None],
+        cold_targets: ColdTargets | None = None,
     ) -> None:
         self.on_unreadable: Callable[[DocumentError], None] = _ignore
         self._decode = decode
+        self._cold_targets = cold_targets
         self._targets: dict[str, ListedTarget] = {}
         self._by_service: dict[str, tuple[ListedTarget, ...]] = {}
         self._usable: dict[str, ListedTarget] = {}
@@ -112,10 +118,11 @@
 
     def apply(self, items: Iterable[PublishedItem], now_ms: int) -> None:
         """Apply changed items."""
-        if self._listed_since_ms is None:
+        is_first = self._listed_since_ms is None
+        if is_first:
             self._listed_since_ms = now_ms
         for item in items:
-            self._apply_item(item, now_ms)
+            self._apply_item(item, now_ms, is_first=is_first)
         self._rebuild(now_ms)
 
     def expire(self, now_ms: int) -> None:
@@ -141,9 +148,17 @@
 
     def evacuate(self, domains: AbstractSet[str], now_ms: int) -> None:
         """Use no targets of some failure domains, and those of all others."""
-        if domains != self._evacuated_domains:
-            self._evacuated_domains = domains
-            self._rebuild(now_ms)
+        if domains == self._evacuated_domains:
+            return
+        returned_domains = self._evacuated_domains - domains
+        self._evacuated_domains = domains
+        self._rebuild(now_ms)
+        if self._cold_targets is not None:
+            self._cold_targets.record_returned(
+                target
+                for target in self._usable.values()
+                if target.failure_domain in returned_domains
+            )
 
     def find(self, name: str) -> ListedTarget | None:
         """Return a target that may receive calls."""
@@ -277,7 +292,9 @@
         if len(ended) > MAX_KNOWN_NAMES:
             del ended[next(iter(ended))]
 
-    def _apply_item(self, item: PublishedItem, now_ms: int) -> None:
+    def _apply_item(
+        self, item: PublishedItem, now_ms: int, *, is_first: bool
+    ) -> None:
         name = item.key
         known = self._targets.get(name)
         if item.value is not None:
@@ -294,6 +311,13 @@
                 self._targets[name] = self._restrict(target, item, now_ms)
                 self._record_name(name)
                 self._record_version(target, now_ms)
+                if self._cold_targets is not None:
+                    self._cold_targets.record(
+                        target,
+                        is_known=known is not None
+                        and _is_continued(known, target),
+                        is_first=is_first,
+                    )
             return
         self._returned_until_ms.pop(name, None)
         if known is None:
@@ -318,6 +342,8 @@
             self._departures.record(name, known, item.era)
         del self._targets[name]
         self._record_end(known, now_ms)
+        if self._cold_targets is not None:
+            self._cold_targets.forget(name)
 
     def _read(self, item: PublishedItem) -> ListedTarget | None:
         try:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
+from lagoonbend._internal.facts.cold_targets import ColdTargets
 from lagoonbend._internal.facts.customer_rule import CustomerRule
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.named_limits import NamedLimits
@@ -80,6 +81,7 @@
     :param limits: limits of the customers.
     :param invariants: checker of invariants.
     :param named_limits: limits that targets have named; None for none.
+    :param cold_targets: targets that are cold; None for none.
     """
 
     def __init__(
@@ -89,9 +91,10 @@
         limits: SharedLimits,
         invariants: Invariants,
         named_limits: NamedLimits | None = None,
+        cold_targets: ColdTargets | None = None,
     ) -> None:
         self.service = service
-        self.targets = TargetSet(clock, named_limits)
+        self.targets = TargetSet(clock, named_limits, cold_targets)
         self._clock = clock
         self._limits = limits
         self._queue: TierQueue[_WaitingCall] = TierQueue(
@@ -195,7 +198,11 @@
         if load is not None:
             slot = load.release(instance, call)
             self.targets.record_outcome(load, outcome, failure_domain)
-            if slot is not None and not outcome.is_not_run:
+            if (
+                slot is not None
+                and not outcome.is_not_run
+                and slot.started_ms >= load.cold_until_ms
+            ):
                 self._update_estimates(load, slot, outcome, first_byte_ms)
             self.targets.remove_unlisted(target)
         yield from self.grant_free_slots()
@@ -382,14 +389,23 @@
         for other_rank, count in self._late_counts.items():
             if other_rank < rank:
                 ahead_ms += count * self._demand.get_hold_ms(other_rank)
-        slots = self.targets.count_healthy_slots(
-            request, now_ms, self._demand.get_hold_ms(rank)
-        )
+        hold_ms = self._demand.get_hold_ms(rank)
+        slots = self.targets.count_healthy_slots(request, now_ms, hold_ms)
         available_slots = self._demand.estimate_available_slots(
             rank, slots, now_ms
         )
         rate_wait_ms = self.targets.find_rate_wait_ms(request, now_ms)
-        return int(ahead_ms / available_slots) + rate_wait_ms
+        wait_ms = int(ahead_ms / available_slots) + rate_wait_ms
+        warm_ms = self.targets.find_warm_ms(request, now_ms)
+        if warm_ms is None:
+            return wait_ms
+        warm_slots = self.targets.count_healthy_slots(
+            request, now_ms, hold_ms, is_warm=True
+        )
+        available_slots = self._demand.estimate_available_slots(
+            rank, warm_slots, now_ms
+        )
+        return min(wait_ms, warm_ms + int(ahead_ms / available_slots))
 
     @staticmethod
     def _find_max_wait_ms(waiting: _WaitingCall, now_ms: int) -> float:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
@@ -43,7 +43,8 @@
     ``full_until_ms`` the time until which no call is sent to a target that
     rejected one as full. ``request_rate`` paces the calls while the target
     names a limit. ``is_brittle`` is True while it falls over under too many
-    rejections.
+    rejections. ``cold_until_ms`` is the last time until which it is, or was,
+    cold.
 
     :param listed: the target's entry in the target list.
     :param is_engine: True for a model engine.
@@ -64,6 +65,7 @@
         self.full_until_ms = 0
         self.request_rate: RequestRate | None = None
         self.is_brittle = False
+        self.cold_until_ms = 0
         self._room = 0
         self._rejected_ms = 0
         self._prefill_until_ms = 0.0
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 
+from lagoonbend._internal.facts.cold_targets import ColdTargets
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.named_limits import NamedLimits
 from lagoonbend._internal.facts.service_profile import ServiceProfile
+from lagoonbend._internal.scheduling.request_rate import BURST_S
 from lagoonbend._internal.scheduling.request_rate import RequestRate
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
@@ -19,6 +21,9 @@
 """Cost of each kilobyte of the body that is sent to another failure domain,
 because traffic between domains is charged for."""
 MILLISECONDS_PER_SECOND = 1000
+MIN_COLD_RATE_PER_S = 0.01
+"""Rate of a cold target to which no calls are allowed: less than one call in
+the time for which any target is cold."""
 FULL_LOAD_COST_MS = 40.0
 """Cost of a fully used target compared with an idle one, because each
 running call slows down the others."""
@@ -29,20 +34,28 @@
 
     ``share`` is the share of each target's slots that may be granted here,
     ``slot_limit`` the maximum number of slots in use over all targets (None
-    for no limit), ``rate_share`` the share of the limits that targets name,
-    and ``unreachable_domains`` the failure domains without a reachable
-    instance.
+    for no limit), ``rate_share`` the share of the limits that targets name
+    and of the rates of cold ones, ``is_fallback`` True if it serves calls for
+    which no decider is reached, and ``unreachable_domains`` the failure
+    domains without a reachable instance.
 
     :param clock: clock of the instance.
     :param named_limits: limits that targets have named; None for none.
+    :param cold_targets: targets that are cold; None for none.
     """
 
     def __init__(
-        self, clock: Clock, named_limits: NamedLimits | None = None
+        self,
+        clock: Clock,
+        named_limits: NamedLimits | None = None,
+        cold_targets: ColdTargets | None = None,
     ) -> None:
         self.share = 1.0
         self.rate_share = 1.0
+        self.is_fallback = False
         self._named_limits = named_limits
+        self._cold_targets = cold_targets
+        self._profile = ServiceProfile('')
         self.slot_limit: int | None = None
         self.unreachable_domains: frozenset[str] = frozenset()
         self._clock = clock
@@ -71,6 +84,7 @@
 
         A target that is no longer listed stays while a call runs at it.
         """
+        self._profile = profile
         listed = {target.target: target for target in targets}
         for name in [name for name in self._loads if name not in listed]:
             if not self._loads[name].held:
@@ -148,7 +162,12 @@
         )
 
     def count_healthy_slots(
-        self, request: SlotRequest, now_ms: int, hold_ms: float
+        self,
+        request: SlotRequest,
+        now_ms: int,
+        hold_ms: float,
+        *,
+        is_warm: bool = False,
     ) -> float:
         """Return the number of slots of the targets that may serve a call.
 
@@ -156,12 +175,17 @@
         allows; at least one in all if there is no such target.
 
         :param hold_ms: time for which a call holds its slot.
+        :param is_warm: True to count cold targets as if they were warm.
         """
         slot_count = 0.0
         is_limited = False
         for load in self._list_healthy(request, now_ms, with_limited=True):
             slots = load.listed.slots * self.share
-            rate_per_s = self._find_rate_per_s(load)
+            rate_per_s = (
+                self._find_named_rate_per_s(load)
+                if is_warm
+                else self._find_rate_per_s(load)
+            )
             if rate_per_s is not None:
                 is_limited = True
                 used_slots = rate_per_s * hold_ms / MILLISECONDS_PER_SECOND
@@ -184,6 +208,18 @@
             default=0,
         )
 
+    def find_warm_ms(self, request: SlotRequest, now_ms: int) -> int | None:
+        """Return the time until the first cold target is warm.
+
+        :returns: None if no target is cold that may serve the call.
+        """
+        left_ms = [
+            cold_ms
+            for load in self._list_healthy(request, now_ms, with_limited=True)
+            if (cold_ms := self._find_cold_ms(load))
+        ]
+        return min(left_ms, default=None)
+
     def count_sent(self, load: TargetLoad, now_ms: int) -> None:
         """Count a call that is sent to a target against its limit."""
         rate_per_s = self._find_rate_per_s(load)
@@ -206,8 +242,8 @@
 
         ``name held/slots slowness`` and marks: ``-`` no longer listed, ``g``
         absent (no longer at its address), ``e`` ejected because of faults,
-        ``f`` rejected a call as full, ``l`` names a limit, ``u`` unreachable
-        from some failure domain.
+        ``f`` rejected a call as full, ``c`` cold, ``l`` names a limit or is
+        cold, ``u`` unreachable from some failure domain.
         """
         now_ms = self._clock.now_ms()
         return [
@@ -240,7 +276,9 @@
                 pass
             case _:
                 load.faults.record_reachable(failure_domain)
-                load.faults.record_answer(outcome.is_fault, now_ms)
+                is_slow = outcome is SlotOutcome.SILENT
+                if not (is_slow and self._find_cold_ms(load)):
+                    load.faults.record_answer(outcome.is_fault, now_ms)
 
     def _format_marks(self, name: str, load: TargetLoad, now_ms: int) -> str:
         marks = {
@@ -248,18 +286,52 @@
             'g': load.faults.is_absent(now_ms),
             'e': load.faults.is_ejected(now_ms),
             'f': now_ms < load.full_until_ms,
+            'c': self._find_cold_ms(load) > 0,
             'l': self._find_rate_per_s(load) is not None,
             'u': load.faults.is_unreachable_from_any(now_ms),
         }
         return ''.join(mark for mark, is_set in marks.items() if is_set)
 
     def _find_rate_per_s(self, load: TargetLoad) -> float | None:
-        """Return the calls a second to a target; None for no limit."""
+        """Return the calls a second to a target; None for no limit.
+
+        The lower one holds of the limit that it names and of its rate while
+        it is cold.
+        """
+        named_per_s = self._find_named_rate_per_s(load)
+        cold_per_s = self._find_cold_rate_per_s(load)
+        if named_per_s is None:
+            return cold_per_s
+        return min(named_per_s, cold_per_s or named_per_s)
+
+    def _find_named_rate_per_s(self, load: TargetLoad) -> float | None:
         if not self._named_limits:
             return None
         rate_per_s = self._named_limits.find_rate_per_s(load.listed)
         return None if rate_per_s is None else rate_per_s * self.rate_share
 
+    def _find_cold_rate_per_s(self, load: TargetLoad) -> float | None:
+        """Return the calls a second to a cold target; None if it isn't."""
+        if self._find_cold_ms(load) <= 0 or self._cold_targets is None:
+            return None
+        tolerance = self._cold_targets.tolerance
+        if self.is_fallback:
+            rate_per_s = tolerance.fallback_rate_per_s
+        else:
+            rate_per_s = tolerance.find_decider_rate_per_s(
+                self._profile.cold_rate_per_s, BURST_S
+            )
+        return max(rate_per_s * self.rate_share, MIN_COLD_RATE_PER_S)
+
+    def _find_cold_ms(self, load: TargetLoad) -> int:
+        """Return for how long a target is still cold; 0 if it isn't."""
+        if self._cold_targets is None or not self._profile.cold_rate_per_s:
+            return 0
+        left_ms = self._cold_targets.find_left_ms(load.listed, self._profile)
+        if left_ms:
+            load.cold_until_ms = self._clock.now_ms() + left_ms
+        return left_ms
+
     def _find_rate_wait_ms(self, load: TargetLoad, now_ms: int) -> int:
         """Return the time for which the limit of a target allows no call."""
         rate_per_s = self._find_rate_per_s(load)
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -1,6 +1,8 @@
 """Configuration and target list as last read, with their revision and age."""
 
 from lagoonbend._internal.facts.caller_bounds import CallerBounds
+from lagoonbend._internal.facts.cold_targets import ColdTargets
+from lagoonbend._internal.facts.cold_tolerance import ColdTolerance
 from lagoonbend._internal.facts.customer_rule import CustomerRule
 from lagoonbend._internal.facts.evacuations import Evacuations
 from lagoonbend._internal.facts.item_cache import ItemCache
@@ -25,6 +27,8 @@
 
 __all__ = [
     'CallerBounds',
+    'ColdTargets',
+    'ColdTolerance',
     'CustomerRule',
     'Evacuations',
     'ItemCache',
--- a/tests/lib/coordinator_facts.py
+++ b/tests/lib/coordinator_facts.py
@@ -25,6 +25,7 @@
         target_directory=mock.Mock(),
         find_only_version=mock.Mock(),
         list_versions=lambda service: set(),
+        cold_targets=None,
         on_change=[],
     )
     facts.target_directory.list_service.side_effect = list_service
--- a/tests/unit/test_end_of_a_drain.py
+++ b/tests/unit/test_end_of_a_drain.py
@@ -43,6 +43,7 @@
         self.clock = RuntimeClock()
         self.is_answered = gevent.event.Event()
         facts = mock.Mock()
+        facts.target_directory.is_service_evacuated.return_value = False
         facts.target_directory.find.return_value = TARGET
         admission = mock.Mock()
         admission.admit.return_value = AdmittedCall(
--- a/tests/unit/test_errors_amid_a_call.py
+++ b/tests/unit/test_errors_amid_a_call.py
@@ -70,6 +70,8 @@
         )
         self.coordinator.count_known.return_value = 1
         self.facts = mock.Mock()
+        directory = self.facts.target_directory
+        directory.is_service_evacuated.return_value = False
         self.facts.target_directory.find.return_value = TARGET
         self.connection_pool = mock.Mock()
         self.metrics = mock.Mock()
--- a/tests/unit/test_waiting_calls.py
+++ b/tests/unit/test_waiting_calls.py
@@ -23,6 +23,7 @@
 ]
 FACTS = types.SimpleNamespace(
     rules=None,
+    cold_targets=None,
     target_directory=types.SimpleNamespace(list_service=lambda name: TARGETS),
 )
 
