--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -147,6 +147,16 @@
             return ''
         return version if self.knows_versions() else ''
 
+    def count_cold(self) -> int:
+        """Return the number of targets that may receive calls and are cold."""
+        services = self.rules.services.values() if self.rules else ()
+        return sum(
+            self.cold_targets.count(
+                self.target_directory.list_service(profile.name), profile
+            )
+            for profile in services
+        )
+
     def knows_versions(self) -> bool:
         """Return True if all versions are known that a stream may have."""
         now_ms = self._clock.now_ms()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -302,6 +302,8 @@
             opened_connections=self._connection_pool.opened_count,
             store_calls=self._store_client.call_count,
             reached_instances=self._fleet.count_alive(),
+            evacuated_domains=len(self._facts.evacuations.domains),
+            cold_targets=self._facts.count_cold(),
             waiting_by_service=self._coordinator.count_waiting(),
         )
         return self._metrics.render()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
@@ -87,6 +87,8 @@
         opened_connections: int,
         store_calls: int,
         reached_instances: int,
+        evacuated_domains: int,
+        cold_targets: int,
         waiting_by_service: dict[str, int],
     ) -> None:
         """Set the gauges."""
@@ -100,6 +102,8 @@
             'opened_connections': opened_connections,
             'store_calls': store_calls,
             'reached_instances': reached_instances,
+            'evacuated_domains': evacuated_domains,
+            'cold_targets': cold_targets,
         }
         for name, value in values.items():
             self._state_gauge.set({'name': name}, value)
--- a/tests/unit/test_waiting_calls.py
+++ b/tests/unit/test_waiting_calls.py
@@ -90,6 +90,8 @@
                 opened_connections=0,
                 store_calls=0,
                 reached_instances=1,
+                evacuated_domains=0,
+                cold_targets=0,
                 waiting_by_service=waiting,
             )
         self.assertIn(
