Count calls that are sent again from their first send

In an overload half of all calls are repeats of refused ones. Each counted as new, and competed with calls that could still be on time: slots went to answers that were late for their callers.

A caller's deadline tells what is left of its time. An instance learns the usual deadlines of each route, and takes a lower one for what is left. The difference counts as time waited, so that a repeat that is late stands behind calls of its rank that can be on time, and its expected wait counts them. It waits for one more objective at least, as a late answer is still of value.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admission.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admission.py
@@ -6,6 +6,8 @@
 from lagoonbend.facts import CustomerRule
 from lagoonbend.facts import Route
 from lagoonbend.rendezvous import choose_by_weight
+from lagoonbend.scheduling import CALL_AGES
+from lagoonbend.scheduling import CallAge
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
@@ -29,6 +31,8 @@
         have been revoked without this instance knowing.
     :param random_source: chooses among the weighted services of a route for
         calls without an identity.
+    :param call_age: tells for how long callers have waited; None to count
+        each call from its receipt.
     """
 
     def __init__(
@@ -37,11 +41,13 @@
         clock: Clock,
         max_fact_age_ms: int,
         random_source: random.Random,
+        call_age: CallAge | None = None,
     ) -> None:
         self._facts = facts
         self._clock = clock
         self._max_fact_age_ms = max_fact_age_ms
         self._random_source = random_source
+        self._call_age = call_age or CALL_AGES['receipt']()
 
     def admit(self, request: IncomingRequest) -> AdmittedCall | RefusalReason:
         """Return the admitted call, or the reason to refuse the request."""
@@ -72,6 +78,18 @@
             rules.version,
             age_ms,
             request.received_ms + self._get_timeout_ms(route, headers),
+            self._estimate_waited_ms(route, headers),
+        )
+
+    def _estimate_waited_ms(self, route: Route, headers: CallHeaders) -> int:
+        """Return for how long the caller had waited before this request.
+
+        One that takes up a stream has had its first events in time.
+        """
+        if headers.last_event:
+            return 0
+        return self._call_age.estimate_waited_ms(
+            route.name, headers.deadline_ms
         )
 
     @staticmethod
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admitted_call.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admitted_call.py
@@ -24,6 +24,8 @@
     :param fact_age_ms: time since the rules were last confirmed as current.
     :param expires_at_ms: time on the instance's clock at which the caller's
         deadline or the route's timeout passes.
+    :param waited_before_ms: time for which the caller had waited when it sent
+        the request, if it has been refused before.
     """
 
     request: IncomingRequest
@@ -34,6 +36,7 @@
     version: int
     fact_age_ms: int | None
     expires_at_ms: int
+    waited_before_ms: int = 0
 
     @property
     def is_handed_over(self) -> bool:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
@@ -123,6 +123,7 @@
             bound_to=progress.binding.version if progress.binding else None,
             last_event=progress.position.last_id or '',
             waited_ms=progress.waited_ms,
+            waited_before_ms=call.waited_before_ms,
             first_ms=progress.first_byte_ms,
             total_ms=total_ms,
             objective_ms=call.route.objective_ms,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -20,6 +20,7 @@
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.outcomes import RetryShare
+from lagoonbend.scheduling import CALL_AGES
 from lagoonbend.scheduling import RANK_ORDERS
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.coordination.fleet import Fleet
@@ -171,6 +172,7 @@
                 self._clock,
                 self._max_fact_age_ms,
                 random.Random(),
+                CALL_AGES[settings.scheduling.call_age](),
             ),
             self._coordinator,
             self._connection_pool,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
@@ -70,7 +70,9 @@
         all_excluded = (*self._list_excluded(progress), *excluded)
         self._count += 1
         now_ms = self._clock.now_ms()
-        arrived_ms = now_ms if reply.has_begun else call.request.received_ms
+        arrived_ms = call.request.received_ms - call.waited_before_ms
+        if reply.has_begun:
+            arrived_ms = now_ms
         customer = call.customer
         rank = self._rank_order(
             customer.rank if customer else None, call.route.rank
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
@@ -58,9 +58,12 @@
     """Section ``[scheduling]``: order of waiting requests.
 
     :param rank_order: ``route_first`` or ``customer_first``.
+    :param call_age: ``receipt`` to count each call from its receipt, or
+        ``first_send`` to count one that is sent again from its first send.
     """
 
     rank_order: str = 'route_first'
+    call_age: str = 'receipt'
 
 
 class GatewaySettings(NamedTuple):
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -142,9 +142,13 @@
             rule,
             arrived_ms,
             arrived_ms + request.objective_ms - int(first_byte_ms),
-            arrived_ms + self._find_give_up_ms(request),
+            self._find_give_up_ms(request, now_ms),
+        )
+        # Calls of its own rank that can still be on time come before it.
+        is_late = waiting.start_by_ms < now_ms
+        wait_ms = self._estimate_wait_ms(
+            request, request.rank + is_late, now_ms
         )
-        wait_ms = self._estimate_wait_ms(request, request.rank, now_ms)
         if wait_ms and wait_ms >= self._find_max_wait_ms(waiting, now_ms):
             yield self._deny(request, Denial.OVERLOADED, wait_ms)
             return
@@ -420,16 +424,20 @@
         return MAX_WAIT_SHARE * min(left_ms, waiting.give_up_ms - now_ms)
 
     @staticmethod
-    def _find_give_up_ms(request: SlotRequest) -> int:
-        """Return the time from arrival after which a waiting call is denied.
+    def _find_give_up_ms(request: SlotRequest, now_ms: int) -> int:
+        """Return the time at which a waiting call is denied.
 
         A late answer is still of some value, so the call waits on while a slot
-        may soon be free. After that, the caller does better to retry later.
+        may soon be free, for one objective at least. After that, the caller
+        does better to retry later.
         """
         give_up_after_ms = max(
-            GIVE_UP_OBJECTIVES * request.objective_ms, MIN_GIVE_UP_MS
+            GIVE_UP_OBJECTIVES * request.objective_ms,
+            MIN_GIVE_UP_MS,
+            request.waited_ms + request.objective_ms,
         )
-        return min(give_up_after_ms, request.deadline_ms)
+        arrived_ms = now_ms - request.waited_ms
+        return arrived_ms + min(give_up_after_ms, request.deadline_ms)
 
     def _update_estimates(
         self,
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -4,6 +4,9 @@
 granted by one instance on behalf of all instances that can reach it.
 """
 
+from lagoonbend._internal.scheduling.call_ages import CALL_AGES
+from lagoonbend._internal.scheduling.call_ages import CallAge
+from lagoonbend._internal.scheduling.caller_patience import CallerPatience
 from lagoonbend._internal.scheduling.denial import Denial
 from lagoonbend._internal.scheduling.held_slot import HeldSlot
 from lagoonbend._internal.scheduling.pool_plan import CallOrigin
@@ -22,7 +25,10 @@
 from lagoonbend._internal.scheduling.target_set import TargetSet
 
 __all__ = [
+    'CALL_AGES',
+    'CallAge',
     'CallOrigin',
+    'CallerPatience',
     'PoolPlan',
     'RANK_ORDERS',
     'Denial',
--- a/tests/lib/pool_world.py
+++ b/tests/lib/pool_world.py
@@ -119,8 +119,12 @@
         cost_units: float = 0.0,
         session: str = '',
         excluded: tuple[str, ...] = (),
+        waited_ms: int = 0,
     ) -> CallRecord:
-        """Submit a call that arrives now and return its record."""
+        """Submit a call that arrives now and return its record.
+
+        :param waited_ms: time since its first send, as far as it is known.
+        """
         number = next(self._sequence)
         request = SlotRequest(
             call=f'c{number}',
@@ -131,7 +135,7 @@
             route_rank=kind.rank,
             customer=rule.name if rule else '',
             cost_units=cost_units,
-            waited_ms=0,
+            waited_ms=waited_ms,
             objective_ms=kind.objective_ms,
             deadline_ms=kind.deadline_ms,
             prompt=(PromptBlock(session or f'p{number}', kind.prompt_tokens),),
