Ask callers back when a late call would find a slot

A denied call can't be on time when it is sent again, and stands behind those of its rank that can. Its Retry-After was the wait of a new call: in an overload callers came back after a quarter of a second and were refused again. Instances that remember a denial gave the shorter wait, too.

Retry-After is now the expected wait of a late call, also where an instance answers from a recent denial.

Tests: the modules on overload, repeats, limits and cold targets pass.

--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -144,13 +144,18 @@
             arrived_ms + request.objective_ms - int(first_byte_ms),
             self._find_give_up_ms(request, now_ms),
         )
-        # Calls of its own rank that can still be on time come before it.
         is_late = waiting.start_by_ms < now_ms
-        wait_ms = self._estimate_wait_ms(
-            request, request.rank + is_late, now_ms
+        wait_ms = (
+            self._estimate_late_wait_ms(request, now_ms)
+            if is_late
+            else self._estimate_wait_ms(request, request.rank, now_ms)
         )
         if wait_ms and wait_ms >= self._find_max_wait_ms(waiting, now_ms):
-            yield self._deny(request, Denial.OVERLOADED, wait_ms)
+            yield self._deny(
+                request,
+                Denial.OVERLOADED,
+                self._estimate_late_wait_ms(request, now_ms),
+            )
             return
         if rule is not None and request.cost_units:
             wait_ms = self._limits.take(
@@ -362,13 +367,11 @@
             if now_ms >= waiting.give_up_ms:
                 self._dequeue(request.instance, request.call)
                 self._refund(waiting)
-                wait_ms = self._estimate_wait_ms(request, request.rank, now_ms)
+                wait_ms = self._estimate_late_wait_ms(request, now_ms)
                 yield self._deny(request, Denial.NO_TIME_LEFT, wait_ms)
             elif waiter.deadline_ms < now_ms:
                 self._dequeue(request.instance, request.call)
-                wait_ms = self._estimate_wait_ms(
-                    request, request.rank + 1, now_ms
-                )
+                wait_ms = self._estimate_late_wait_ms(request, now_ms)
                 if now_ms + wait_ms >= waiting.give_up_ms:
                     self._refund(waiting)
                     yield self._deny(request, Denial.NO_TIME_LEFT, wait_ms)
@@ -411,6 +414,14 @@
         )
         return min(wait_ms, warm_ms + int(ahead_ms / available_slots))
 
+    def _estimate_late_wait_ms(self, request: SlotRequest, now_ms: int) -> int:
+        """Return the expected wait of a call that can't be on time.
+
+        Those of its rank that can be on time come before it. A denied call
+        can't be when it is sent again.
+        """
+        return self._estimate_wait_ms(request, request.rank + 1, now_ms)
+
     @staticmethod
     def _find_max_wait_ms(waiting: _WaitingCall, now_ms: int) -> float:
         """Return the expected wait from which on a new call is denied.
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/recent_denials.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/recent_denials.py
@@ -19,10 +19,12 @@
     """A denial for want of slots.
 
     :param wait_ms: wait that the decider expected.
+    :param retry_after_ms: time after which it asked the caller to retry.
     :param denied_ms: when it arrived.
     """
 
     wait_ms: int
+    retry_after_ms: int
     denied_ms: int
 
 
@@ -48,7 +50,9 @@
             return
         if decision.denial is Denial.OVERLOADED:
             self._denials.setdefault(request.pool, {})[request.rank] = _Denial(
-                decision.pool_wait_ms, self._clock.now_ms()
+                decision.pool_wait_ms,
+                decision.retry_after_ms,
+                self._clock.now_ms(),
             )
         elif decision.denial is None:
             known = self._denials.get(request.pool, {})
@@ -61,10 +65,14 @@
             return None
         now_ms = self._clock.now_ms()
         wait_ms = 0
+        retry_after_ms = 0
         for rank, denial in self._denials.get(request.pool, {}).items():
             age_ms = now_ms - denial.denied_ms
             if rank <= request.rank and age_ms < DENIAL_LIFETIME_MS:
                 wait_ms = max(wait_ms, denial.wait_ms - age_ms)
+                retry_after_ms = max(
+                    retry_after_ms, denial.retry_after_ms - age_ms
+                )
         left_ms = request.objective_ms - request.waited_ms
         if left_ms <= 0:
             left_ms = request.objective_ms
@@ -74,6 +82,6 @@
             request.call,
             request.instance,
             denial=Denial.OVERLOADED,
-            retry_after_ms=bound_retry_after(wait_ms),
+            retry_after_ms=bound_retry_after(max(wait_ms, retry_after_ms)),
             pool_wait_ms=wait_ms,
         )
