--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -56,6 +56,7 @@
         self._named_limits = named_limits
         self._cold_targets = cold_targets
         self._profile = ServiceProfile('')
+        self._has_cold_rate = False
         self.slot_limit: int | None = None
         self.unreachable_domains: frozenset[str] = frozenset()
         self._clock = clock
@@ -85,6 +86,9 @@
         A target that is no longer listed stays while a call runs at it.
         """
         self._profile = profile
+        self._has_cold_rate = (
+            self._cold_targets is not None and profile.cold_rate_per_s > 0
+        )
         listed = {target.target: target for target in targets}
         for name in [name for name in self._loads if name not in listed]:
             if not self._loads[name].held:
@@ -213,6 +217,8 @@
 
         :returns: None if no target is cold that may serve the call.
         """
+        if not self._has_cold_rate:
+            return None
         left_ms = [
             cold_ms
             for load in self._list_healthy(request, now_ms, with_limited=True)
@@ -298,6 +304,8 @@
         The lower one holds of the limit that it names and of its rate while
         it is cold.
         """
+        if not self._named_limits and not self._has_cold_rate:
+            return None
         named_per_s = self._find_named_rate_per_s(load)
         cold_per_s = self._find_cold_rate_per_s(load)
         if named_per_s is None:
@@ -325,7 +333,7 @@
 
     def _find_cold_ms(self, load: TargetLoad) -> int:
         """Return for how long a target is still cold; 0 if it isn't."""
-        if self._cold_targets is None or not self._profile.cold_rate_per_s:
+        if self._cold_targets is None or not self._has_cold_rate:
             return 0
         left_ms = self._cold_targets.find_left_ms(load.listed, self._profile)
         if left_ms:
