Share the slot time of a rank among its customers

Within a rank, calls ran by latest start alone, so that a customer with many calls within its limit took the slots of the others.

With customer_order = fair_share, the decider of a pool records the slot time of each customer of a rank: the expected hold time of a call at its grant, corrected at its release. Of the customers with calls that can be on time, the one that has used least is next. Earlier use counts for half a second of the pool at most, so that a customer that had all slots alone isn't held up. The expected wait of a call, and the denials that instances remember, go by customer too. LB0605 lists the customers with the most slot time.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -13,8 +13,10 @@
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
+from lagoonbend.scheduling import CustomerOrderClass
 from lagoonbend.scheduling import Denial
 from lagoonbend.scheduling import HeldSlot
+from lagoonbend.scheduling import LatestStartOrder
 from lagoonbend.scheduling import Pool
 from lagoonbend.scheduling import RecentDenials
 from lagoonbend.scheduling import SlotDecision
@@ -87,6 +89,7 @@
     :param invariants: checks that must always hold.
     :param incarnation: identity of this start of the process.
     :param tolerance: how exactly customers' limits must be kept.
+    :param customer_order: builds the order among a pool's customers.
     """
 
     def __init__(
@@ -97,6 +100,7 @@
         invariants: Invariants,
         incarnation: str,
         tolerance: LimitTolerance,
+        customer_order: CustomerOrderClass = LatestStartOrder,
     ) -> None:
         self._load_logged_ms = 0
         self._fleet = fleet
@@ -106,7 +110,7 @@
         self._held_slots: dict[str, tuple[SlotRequest, HeldSlot, str]] = {}
         self.pools = PoolChooser(fleet, facts, clock)
         self.named_limits = NamedLimits(clock)
-        self._recent_denials = RecentDenials(clock)
+        self._recent_denials = RecentDenials(clock, customer_order)
         self._unanswered_counts: dict[str, int] = {}
         self._waiting_signal = gevent.event.Event()
         self._links = PeerLinks(
@@ -122,24 +126,19 @@
             lambda pool: self.pool_schedulers.find(pool) is not None,
             self._on_decider_changed,
         )
-        self.pool_schedulers = PoolSchedulers(
-            facts,
-            clock,
-            SharedLimits(tolerance),
-            invariants,
-            self._deliver,
-            self._waiting_signal.set,
-            self.named_limits,
-        )
-        self._fallback_schedulers = PoolSchedulers(
-            facts,
-            clock,
-            SharedLimits(tolerance),
-            invariants,
-            self._deliver,
-            self._waiting_signal.set,
-            self.named_limits,
-            spread_key=fleet.address,
+        self.pool_schedulers, self._fallback_schedulers = (
+            PoolSchedulers(
+                facts,
+                clock,
+                SharedLimits(tolerance),
+                invariants,
+                self._deliver,
+                self._waiting_signal.set,
+                self.named_limits,
+                spread_key,
+                customer_order,
+            )
+            for spread_key in ('', fleet.address)
         )
         self.origins = origin_exchange.OriginExchange(
             clock,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
@@ -12,6 +12,8 @@
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import SharedLimits
 from lagoonbend.rendezvous import score_candidate
+from lagoonbend.scheduling import CustomerOrderClass
+from lagoonbend.scheduling import LatestStartOrder
 from lagoonbend.scheduling import Pool
 from lagoonbend.scheduling import PoolScheduler
 from lagoonbend.scheduling import SlotDecision
@@ -33,6 +35,7 @@
     :param named_limits: limits that targets have named.
     :param spread_key: identity of the instance if others schedule the same
         targets without knowing of its calls: each prefers other ones.
+    :param customer_order: builds the order among the customers of a pool.
     """
 
     def __init__(
@@ -45,6 +48,7 @@
         on_waiting: Callable[[], None],
         named_limits: NamedLimits,
         spread_key: str = '',
+        customer_order: CustomerOrderClass = LatestStartOrder,
     ) -> None:
         self.limits = limits
         self._facts = facts
@@ -54,6 +58,7 @@
         self._on_waiting = on_waiting
         self._named_limits = named_limits
         self._spread_key = spread_key
+        self._customer_order = customer_order
         self._rate_share = 1.0
         self._schedulers: dict[str, PoolScheduler] = {}
         self._share = 1.0
@@ -100,6 +105,7 @@
                 self._invariants,
                 self._named_limits,
                 self._facts.cold_targets,
+                self._customer_order(),
             )
             scheduler.targets.is_fallback = bool(self._spread_key)
             self._schedulers[pool] = scheduler
@@ -164,6 +170,9 @@
                 waiting=len(scheduler),
                 held=scheduler.targets.held_count,
                 targets=scheduler.targets.describe(),
+                customers=scheduler.customer_order.describe(
+                    self._clock.now_ms()
+                ),
                 reached=reached,
                 known=known,
             )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -21,6 +21,7 @@
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.outcomes import RetryShare
 from lagoonbend.scheduling import CALL_AGES
+from lagoonbend.scheduling import CUSTOMER_ORDERS
 from lagoonbend.scheduling import RANK_ORDERS
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.coordination.fleet import Fleet
@@ -131,6 +132,7 @@
                 settings.bounds.limit_slack,
                 settings.bounds.limit_window_s,
             ),
+            CUSTOMER_ORDERS[settings.scheduling.customer_order],
         )
         self._connection_pool = ConnectionPool(self._clock)
         self._store_client = StoreClient(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
@@ -60,10 +60,14 @@
     :param rank_order: ``route_first`` or ``customer_first``.
     :param call_age: ``receipt`` to count each call from its receipt, or
         ``first_send`` to count one that is sent again from its first send.
+    :param customer_order: ``latest_start`` to order the calls of a rank by
+        latest start alone, or ``fair_share`` to give its customers equal
+        shares of the slot time.
     """
 
     rank_order: str = 'route_first'
     call_age: str = 'receipt'
+    customer_order: str = 'latest_start'
 
 
 class GatewaySettings(NamedTuple):
--- a/packages/lagoonbend/src/lagoonbend/_internal/queueing/tier_queue.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/queueing/tier_queue.py
@@ -1,6 +1,7 @@
 """Waiting requests in order of tier and deadline."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Iterator
 from typing import Generic
 from typing import NamedTuple
@@ -66,9 +67,17 @@
         self._check_shed(last)
         return Offer(waiter, last)
 
-    def take(self, is_runnable: Callable[[Item], bool]) -> Waiter[Item] | None:
-        """Remove and return the most urgent waiter that can run now."""
-        for waiter in self._waiters:
+    def take(
+        self,
+        is_runnable: Callable[[Item], bool],
+        waiters: Iterable[Waiter[Item]] | None = None,
+    ) -> Waiter[Item] | None:
+        """Remove and return the most urgent waiter that can run now.
+
+        :param waiters: all waiters, the most urgent first; None for the order
+            of the queue.
+        """
+        for waiter in self._waiters if waiters is None else waiters:
             if is_runnable(waiter.item):
                 self._waiters.remove(waiter)
                 return waiter
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -12,6 +12,8 @@
 from lagoonbend._internal.limits.shared_limits import SharedLimits
 from lagoonbend._internal.queueing.tier_queue import TierQueue
 from lagoonbend._internal.queueing.waiter import Waiter
+from lagoonbend._internal.scheduling.customer_orders import CustomerOrder
+from lagoonbend._internal.scheduling.customer_orders import LatestStartOrder
 from lagoonbend._internal.scheduling.demand import Demand
 from lagoonbend._internal.scheduling.denial import Denial
 from lagoonbend._internal.scheduling.held_slot import HeldSlot
@@ -82,6 +84,8 @@
     :param invariants: checker of invariants.
     :param named_limits: limits that targets have named; None for none.
     :param cold_targets: targets that are cold; None for none.
+    :param customer_order: order among the customers of a rank; None to order
+        by latest start alone.
     """
 
     def __init__(
@@ -92,8 +96,12 @@
         invariants: Invariants,
         named_limits: NamedLimits | None = None,
         cold_targets: ColdTargets | None = None,
+        customer_order: CustomerOrder[_WaitingCall] | None = None,
     ) -> None:
         self.service = service
+        self.customer_order: CustomerOrder[_WaitingCall] = (
+            customer_order or LatestStartOrder()
+        )
         self.targets = TargetSet(clock, named_limits, cold_targets)
         self._clock = clock
         self._limits = limits
@@ -174,6 +182,9 @@
             self._refund(waiting)
             return
         self.targets.release_call(instance, call)
+        self.customer_order.record_release(
+            instance, call, self._clock.now_ms()
+        )
         yield from self.grant_free_slots()
 
     def register(self, slot: HeldSlot) -> None:
@@ -201,6 +212,9 @@
         load = self.targets.find(target)
         if load is not None:
             slot = load.release(instance, call)
+            self.customer_order.record_release(
+                instance, call, self._clock.now_ms()
+            )
             self.targets.record_outcome(load, outcome, failure_domain)
             if (
                 slot is not None
@@ -214,6 +228,7 @@
     def drop_instance(self, instance: str) -> Iterator[SlotDecision]:
         """Release the slots and remove the requests of a lost instance."""
         self.targets.release_instance(instance)
+        self.customer_order.drop_instance(instance, self._clock.now_ms())
         for key in [key for key in self._waiters if key[0] == instance]:
             waiting = self._dequeue(*key)
             if waiting is not None:
@@ -254,7 +269,9 @@
                     full_keys.add(key)
                 return load is not None
 
-            waiter = self._queue.take(is_runnable)
+            waiter = self._queue.take(
+                is_runnable, self.customer_order.iterate(self._queue)
+            )
             if waiter is None:
                 return
             yield from self._grant(waiter.item, chosen[0], now_ms)
@@ -294,6 +311,11 @@
         waiter = self._waiters.pop((instance, call), None)
         if waiter is not None:
             self._select_counts(waiter)[waiter.rank] -= 1
+            self.customer_order.remove(
+                waiter.item.request.customer,
+                waiter,
+                is_late=waiter.deadline_ms >= LATE_ORDER_OFFSET_MS,
+            )
         return waiter
 
     def _add_waiter(self, waiter: Waiter[_WaitingCall]) -> None:
@@ -301,6 +323,11 @@
         self._waiters[request.instance, request.call] = waiter
         counts = self._select_counts(waiter)
         counts[waiter.rank] = counts.get(waiter.rank, 0) + 1
+        self.customer_order.add(
+            request.customer,
+            waiter,
+            is_late=waiter.deadline_ms >= LATE_ORDER_OFFSET_MS,
+        )
 
     def _select_counts(self, waiter: Waiter[_WaitingCall]) -> dict[int, int]:
         """Return the counts by rank (on time or late) for a waiter."""
@@ -315,6 +342,9 @@
         expected_ms = int(load.estimate_first_byte_ms(request, now_ms))
         load.record_prefill(request, now_ms)
         self.targets.count_sent(load, now_ms)
+        self.customer_order.record_grant(
+            request, self._demand.get_hold_ms(request.rank), now_ms
+        )
         load.add_held(
             HeldSlot(
                 request.call,
@@ -381,13 +411,18 @@
         """Return the expected wait of a new call of a rank.
 
         The calls ahead of it are those of more urgent ranks and those of its
-        own rank that can still be on time. They share the slots that future
-        arrivals of more urgent ranks leave free.
+        own rank that can still be on time, as far as the order among customers
+        has them run before. They share the slots that future arrivals of more
+        urgent ranks leave free.
         """
         if self.targets.has_free_slot(request, now_ms):
             return 0
         ahead_ms = 0.0
         for other_rank, count in self._on_time_counts.items():
+            if other_rank == rank == request.rank:
+                count = self.customer_order.count_ahead(
+                    rank, request.customer, count
+                )
             if other_rank <= rank:
                 ahead_ms += count * self._demand.get_hold_ms(other_rank)
         for other_rank, count in self._late_counts.items():
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/recent_denials.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/recent_denials.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from lagoonbend._internal.scheduling.customer_orders import CustomerOrderClass
+from lagoonbend._internal.scheduling.customer_orders import LatestStartOrder
 from lagoonbend._internal.scheduling.denial import Denial
 from lagoonbend._internal.scheduling.pool_scheduler import bound_retry_after
 from lagoonbend._internal.scheduling.pool_scheduler import MAX_WAIT_SHARE
@@ -35,11 +37,17 @@
     instances for slots that there aren't would take up its processor.
 
     :param clock: clock of the instance.
+    :param customer_order: order among the customers of a rank.
     """
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        customer_order: CustomerOrderClass = LatestStartOrder,
+    ) -> None:
         self._clock = clock
-        self._denials: dict[str, dict[int, _Denial]] = {}
+        self._is_by_customer = customer_order.is_by_customer
+        self._denials: dict[str, dict[tuple[int, str], _Denial]] = {}
 
     def record(self, request: SlotRequest, decision: SlotDecision) -> None:
         """Record what the decider of a pool has decided on a call."""
@@ -47,13 +55,14 @@
             # The wait for the other targets of the pool may be shorter.
             return
         if decision.denial is Denial.OVERLOADED:
-            self._denials.setdefault(request.pool, {})[request.rank] = _Denial(
+            known = self._denials.setdefault(request.pool, {})
+            known[self._build_key(request)] = _Denial(
                 decision.pool_wait_ms, self._clock.now_ms()
             )
         elif decision.denial is None:
             known = self._denials.get(request.pool, {})
-            for rank in [rank for rank in known if rank <= request.rank]:
-                del known[rank]
+            for key in [key for key in known if self._covers(key, request)]:
+                del known[key]
 
     def find(self, request: SlotRequest) -> SlotDecision | None:
         """Return the denial of a call that its decider would deny."""
@@ -61,9 +70,9 @@
             return None
         now_ms = self._clock.now_ms()
         wait_ms = 0
-        for rank, denial in self._denials.get(request.pool, {}).items():
+        for key, denial in self._denials.get(request.pool, {}).items():
             age_ms = now_ms - denial.denied_ms
-            if rank <= request.rank and age_ms < DENIAL_LIFETIME_MS:
+            if age_ms < DENIAL_LIFETIME_MS and self._covers(key, request):
                 wait_ms = max(wait_ms, denial.wait_ms - age_ms)
         left_ms = request.objective_ms - request.waited_ms
         if left_ms <= 0:
@@ -77,3 +86,11 @@
             retry_after_ms=bound_retry_after(wait_ms),
             pool_wait_ms=wait_ms,
         )
+
+    def _build_key(self, request: SlotRequest) -> tuple[int, str]:
+        """Return the rank, and the customer if the wait depends on it."""
+        return (request.rank, request.customer if self._is_by_customer else '')
+
+    def _covers(self, key: tuple[int, str], request: SlotRequest) -> bool:
+        """Return True if a call waits at least as long as a denied one."""
+        return key[0] < request.rank or key == self._build_key(request)
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -7,6 +7,11 @@
 from lagoonbend._internal.scheduling.call_ages import CALL_AGES
 from lagoonbend._internal.scheduling.call_ages import CallAge
 from lagoonbend._internal.scheduling.caller_patience import CallerPatience
+from lagoonbend._internal.scheduling.customer_orders import CUSTOMER_ORDERS
+from lagoonbend._internal.scheduling.customer_orders import CustomerOrder
+from lagoonbend._internal.scheduling.customer_orders import CustomerOrderClass
+from lagoonbend._internal.scheduling.customer_orders import LatestStartOrder
+from lagoonbend._internal.scheduling.customer_shares import CustomerShares
 from lagoonbend._internal.scheduling.denial import Denial
 from lagoonbend._internal.scheduling.held_slot import HeldSlot
 from lagoonbend._internal.scheduling.pool_plan import CallOrigin
@@ -26,13 +31,18 @@
 
 __all__ = [
     'CALL_AGES',
+    'CUSTOMER_ORDERS',
     'CallAge',
     'CallOrigin',
     'CallerPatience',
+    'CustomerOrder',
+    'CustomerOrderClass',
+    'CustomerShares',
     'PoolPlan',
     'RANK_ORDERS',
     'Denial',
     'HeldSlot',
+    'LatestStartOrder',
     'SlotDecision',
     'SlotOutcome',
     'SlotRequest',
--- a/tests/lib/pool_world.py
+++ b/tests/lib/pool_world.py
@@ -15,6 +15,7 @@
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
+from lagoonbend.scheduling import CUSTOMER_ORDERS
 from lagoonbend.scheduling import PoolScheduler
 from lagoonbend.scheduling import PromptBlock
 from lagoonbend.scheduling import SlotDecision
@@ -78,24 +79,35 @@
     :param targets: number of targets.
     :param slots: number of slots of each target.
     :param is_engine: True for model engines, False for a plain service.
+    :param customer_order: name of the order among the customers of a rank.
+    :param memory_tokens: tokens that the memory of a target holds; 0 if
+        unknown.
     """
 
     def __init__(
-        self, targets: int = 4, slots: int = 5, is_engine: bool = True
+        self,
+        targets: int = 4,
+        slots: int = 5,
+        is_engine: bool = True,
+        customer_order: str = 'latest_start',
+        memory_tokens: int = 0,
     ) -> None:
         self.clock = PausedClock(1_000_000)
         self.limits = SharedLimits(LimitTolerance(0.25, 0.0, 8.0))
+        self._profile = ServiceProfile(
+            SERVICE, is_engine=is_engine, memory_tokens=memory_tokens
+        )
         self.scheduler = PoolScheduler(
-            ServiceProfile(SERVICE, is_engine=is_engine),
+            self._profile,
             self.clock,
             self.limits,
             Invariants(strict=True),
+            customer_order=CUSTOMER_ORDERS[customer_order](),
         )
         self.records: dict[str, CallRecord] = {}
         self.max_held_count = 0
         self._sequence = itertools.count()
         self._scheduled_ends: list[tuple[int, int, str]] = []
-        self._is_engine = is_engine
         self.listed = [
             ListedTarget(
                 f't{n}', SERVICE, '10.0.0.1', 80 + n, f'd{n % 2}', slots, False
@@ -106,8 +118,9 @@
 
     def set_target_list(self, targets: list[ListedTarget]) -> None:
         """Replace the target list of the scheduler."""
-        profile = ServiceProfile(SERVICE, is_engine=self._is_engine)
-        self._record_decisions(self.scheduler.set_targets(profile, targets))
+        self._record_decisions(
+            self.scheduler.set_targets(self._profile, targets)
+        )
 
     def arrive(
         self,
@@ -188,6 +201,13 @@
             )
         )
 
+    def lose_instance(self, instance: str) -> None:
+        """End an instance with all its calls."""
+        for record in self.records.values():
+            if record.request.instance == instance:
+                record.has_ended = True
+        self._record_decisions(self.scheduler.drop_instance(instance))
+
     def measure_on_time_share(self, kind: CallKind) -> float:
         """Return the share of the calls of a kind that met their objective."""
         records = [r for r in self.records.values() if r.kind == kind]
