Refuse all customers of a rank at an instance once two were denied

With shares, denials are remembered by customer, so that instances asked the decider for more of the calls that it would deny. The denials of two customers of a rank show that the pool is short, not one customer's share: others are denied after the lesser of the two waits.

Tests: tests.unit.test_customer_shares, tests.unit.test_requests_for_slots_in_overload, tests.unit.test_reports_between_deciders, tests.unit.test_first_calls_without_a_link (17 passed).

--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/recent_denials.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/recent_denials.py
@@ -17,6 +17,12 @@
 fleet has a call every 30 ms, most of them to be denied."""
 
 
+MIN_CUSTOMERS = 2
+"""Customers of a rank whose calls were denied, from which on those of others
+are denied too, after the least of their waits. One alone may be above its
+share; with several, what is short is the pool."""
+
+
 class _Denial(NamedTuple):
     """A denial for want of slots.
 
@@ -70,10 +76,17 @@
             return None
         now_ms = self._clock.now_ms()
         wait_ms = 0
+        other_waits_ms: list[int] = []
         for key, denial in self._denials.get(request.pool, {}).items():
             age_ms = now_ms - denial.denied_ms
-            if age_ms < DENIAL_LIFETIME_MS and self._covers(key, request):
+            if age_ms >= DENIAL_LIFETIME_MS or key[0] > request.rank:
+                continue
+            if self._covers(key, request):
                 wait_ms = max(wait_ms, denial.wait_ms - age_ms)
+            else:
+                other_waits_ms.append(denial.wait_ms - age_ms)
+        if len(other_waits_ms) >= MIN_CUSTOMERS:
+            wait_ms = max(wait_ms, min(other_waits_ms))
         left_ms = request.objective_ms - request.waited_ms
         if left_ms <= 0:
             left_ms = request.objective_ms
--- a/tests/unit/test_customer_shares.py
+++ b/tests/unit/test_customer_shares.py
@@ -193,6 +193,11 @@
             self.assertIsNotNone(same)
             self.assertIsNotNone(less_urgent)
             self.assertEqual(order is CustomerShares, others is None)
+            # With two customers denied, it is the pool that is short.
+            second = refused.request._replace(customer='c2')
+            denials.record(second, refused.decision)
+            third = other.request._replace(objective_ms=400)
+            self.assertIsNotNone(denials.find(third))
 
     def test_log_names_the_customers_with_the_most_slot_time(self) -> None:
         """In a line of bounded size."""
