Let the soak evacuate domains and cool targets

Faults of real processes never touched evacuated failure domains or cold targets, so that only tests without a network covered them.

Two groups of faults are new. One evacuates a failure domain of the targets by an item in the stand-in store and removes the item again; for that, the targets of the soak are in two domains. The other registers a plain server as cold. Both outlast the other faults by 6 s, since those hardly leave an instance in touch with the store for 3 s. Two checks judge the requests of instances that were in touch since the write: none later than 5 s reaches an evacuated target, and a cold target gets no more than 1.5 x its rate + 5 in a second. The kept seeds leave both groups out and so use the same fleet and the same faults as before.

Not judged: requests during a restoration of the store and up to 3 s later, and evacuations of all domains at once.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import os
 import pathlib
+import re
 import tempfile
 import time
 from types import TracebackType
@@ -43,6 +44,9 @@
 """Time from the end of a target until it has started again."""
 ENGINE_SERVICE = 'chat'
 DOMAINS = ('domain-a', 'domain-b')
+COLD_START_S = 2.0
+"""Time for which a target is cold that starts during traffic."""
+COLD_BOUNDS = 'cold_overshoot_ratio = 1.5\ncold_slack = 5\n'
 
 SETTINGS_TEMPLATE = """\
 [instance]
@@ -78,6 +82,10 @@
     :param can_cut: True if the links of an instance to targets can be cut, for
         which instances run as another program.
     :param grace_s: time that instances have to stop; None for their default.
+    :param target_domains: failure domains of the targets, alternately by the
+        number in their names.
+    :param cold_per_s: requests a second that a cold target takes; 0 for no
+        bound. Targets become cold as ``cold_until_s`` says.
     """
 
     def __init__(
@@ -89,6 +97,8 @@
         *,
         can_cut: bool = False,
         grace_s: int | None = None,
+        target_domains: tuple[str, ...] = DOMAINS[:1],
+        cold_per_s: float = 0.0,
     ) -> None:
         self._module = CUT_GATEWAY_MODULE if can_cut else GATEWAY_MODULE
         self._temporary_directory = tempfile.TemporaryDirectory()
@@ -105,6 +115,9 @@
         self.target_proxies: dict[str, FaultProxy] = {}
         self._create_proxy = create_proxy
         self._grace_s = grace_s
+        self._target_domains = target_domains
+        self.cold_per_s = cold_per_s
+        self.cold_until_s: dict[str, float] = {}
         self.store_proxy = (
             create_proxy(self.store.endpoint) if create_proxy else None
         )
@@ -274,6 +287,12 @@
         self.add_target(new_name, service, crashed.version)
         self.on_restart(crashed.name, new_name)
 
+    def find_domain(self, name: str) -> str:
+        """Return the failure domain of a target."""
+        number = re.search(r'\d+', name)
+        index = int(number[0]) if number else 0
+        return self._target_domains[index % len(self._target_domains)]
+
     def register_target(
         self,
         name: str,
@@ -306,17 +325,18 @@
         born_ms: int = FIRST_BORN_MS,
     ) -> None:
         """Write the registration of a server at ``ip:port`` to the store."""
+        cold_s = self.cold_until_s.get(name, 0.0) - time.monotonic()
         self.store.put(
             f'servers/{name}',
             {
                 'service': service,
                 'address': endpoint,
-                'zone': DOMAINS[0],
+                'zone': self.find_domain(name),
                 'version': version,
                 'born': born_ms,
                 'slots': 4,
                 'state': state,
-                'cold-remaining-ms': 0,
+                'cold-remaining-ms': int(1000 * max(0.0, cold_s)),
                 'sequence': 1,
             },
         )
@@ -348,6 +368,12 @@
         if is_varied:
             routes.append(_build_route('report', 'desk', 'safe', False))
             keys = (*keys, 'k-second')
+        cold_fields = {}
+        if self.cold_per_s:
+            cold_fields = {
+                'cold-start-s': COLD_START_S,
+                'cold-per-s': self.cold_per_s,
+            }
         self.store.put(
             'op/config',
             {
@@ -365,11 +391,13 @@
                         'name': 'chat',
                         'engine': {'kv-capacity': 100_000},
                         'health-path': standin_target.HEALTH_PATH,
+                        **cold_fields,
                     },
                     {
                         'name': 'desk',
                         'max-connections': 50,
                         'health-path': standin_target.HEALTH_PATH,
+                        **cold_fields,
                     },
                 ],
                 'limits': {
@@ -400,13 +428,14 @@
             metrics=metrics,
             seeds=f'127.0.0.1:{self._ports[0][2]}',
             store=(self.store_proxy or self.store).endpoint,
-            bounds=(
-                ''
-                if self._grace_s is None
-                else f'[bounds]\ngrace_s = {self._grace_s}\n'
-            ),
+            bounds=self._build_bounds(),
         )
 
+    def _build_bounds(self) -> str:
+        lines = '' if self._grace_s is None else f'grace_s = {self._grace_s}\n'
+        lines += COLD_BOUNDS if self.cold_per_s else ''
+        return f'[bounds]\n{lines}' if lines else ''
+
 
 def _ignore_names(*names: str) -> None:
     """Do nothing when a target ends or starts again."""
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak.py
@@ -16,6 +16,8 @@
 from lagoonbend_devkit._internal.soak import limit_checks
 from lagoonbend_devkit._internal.soak import limit_faults
 from lagoonbend_devkit._internal.soak import stream_checks
+from lagoonbend_devkit._internal.soak import target_state_checks
+from lagoonbend_devkit._internal.soak import target_state_faults
 from lagoonbend_devkit._internal.soak.caller_habit import BRIEF
 from lagoonbend_devkit._internal.soak.caller_habit import EAGER
 from lagoonbend_devkit._internal.soak.caller_habit import LOYAL
@@ -29,8 +31,10 @@
 from lagoonbend_devkit._internal.soak.soak_caller import SoakCaller
 from lagoonbend_devkit._internal.soak.soak_checks import find_violations
 from lagoonbend_devkit._internal.soak.soak_checks import GuaranteeViolation
+from lagoonbend_devkit._internal.soak.soak_faults import COLD
 from lagoonbend_devkit._internal.soak.soak_faults import CRASHING
 from lagoonbend_devkit._internal.soak.soak_faults import CRASHING_REQUESTS
+from lagoonbend_devkit._internal.soak.soak_faults import EVACUATIONS
 from lagoonbend_devkit._internal.soak.soak_faults import FaultContext
 from lagoonbend_devkit._internal.soak.soak_faults import LIMITS
 from lagoonbend_devkit._internal.soak.soak_faults import LINKS
@@ -55,6 +59,8 @@
     cut_faults,
     limit_checks,
     limit_faults,
+    target_state_checks,
+    target_state_faults,
 )
 """Modules that register checks and faults."""
 CALLER_HABITS = (*[BRIEF] * 8, LOYAL, EAGER, PIPELINING, PIPELINING)
@@ -68,12 +74,16 @@
 """Mean time between the starts of two faults of a group. A single fault lasts
 up to 2.5 s, so that several overlap. A group without one plays one fault."""
 SKIPPED_SHARES = {
+    COLD: 0.5,
     CRASHING: 0.5,
     CRASHING_REQUESTS: 0.5,
+    EVACUATIONS: 0.5,
     LIMITS: 0.5,
     LINKS: 0.5,
 }
 """Shares of the seeds that play no fault of a group."""
+COLD_PER_S = 1.0
+"""Requests a second to a cold target; the callers send it far more."""
 POLL_INTERVAL_S = 0.05
 MAX_RECOVERY_S = 12.0
 """Time after the last fault within which all instances must serve again; the
@@ -104,7 +114,13 @@
     def run(self) -> SoakReport:
         """Run the soak; return its result."""
         with gateway_fleet.GatewayFleet(
-            4, create_proxy=FaultProxy, can_cut=LINKS not in self._left_out
+            4,
+            create_proxy=FaultProxy,
+            can_cut=LINKS not in self._left_out,
+            target_domains=gateway_fleet.DOMAINS[
+                : 1 if EVACUATIONS in self._left_out else None
+            ],
+            cold_per_s=0.0 if COLD in self._left_out else COLD_PER_S,
         ) as fleet:
             caller_greenlets = [
                 gevent.spawn(
@@ -210,6 +226,9 @@
                 for target, proxy in context.target_proxies.items()
             },
             context.cut_periods,
+            context.evacuated_periods,
+            context.cold_periods,
+            context.restorations,
         )
 
     @staticmethod
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_faults.py
@@ -11,8 +11,10 @@
 import gevent.lock
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit._internal.soak.cold_period import ColdPeriod
 from lagoonbend_devkit._internal.soak.cut_period import CutPeriod
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
+from lagoonbend_devkit._internal.soak.evacuated_period import EvacuatedPeriod
 from lagoonbend_devkit._internal.soak.fault_proxy import FaultProxy
 from lagoonbend_devkit._internal.soak.fault_proxy import ProxyMode
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
@@ -103,6 +105,9 @@
         self.request_crash_lock = gevent.lock.BoundedSemaphore()
         self.limited_periods: list[LimitedPeriod] = []
         self.cut_periods: list[CutPeriod] = []
+        self.evacuated_periods: list[EvacuatedPeriod] = []
+        self.cold_periods: list[ColdPeriod] = []
+        self.restorations: list[LinkFault] = []
         fleet.on_crash = self.record_end
         fleet.on_restart = self._record_restart
 
@@ -167,6 +172,8 @@
 CRASHING_REQUESTS = 'crashing_requests'
 LINKS = 'links'
 LIMITS = 'limits'
+EVACUATIONS = 'evacuations'
+COLD = 'cold'
 SOAK_FAULTS: dict[str, dict[str, FaultFunction]] = {
     SINGLE: {},
     SERIES: {},
@@ -177,6 +184,8 @@
     CRASHING_REQUESTS: {},
     LINKS: {},
     LIMITS: {},
+    EVACUATIONS: {},
+    COLD: {},
 }
 
 
@@ -414,6 +423,7 @@
         store.write_again()
         end_s = time.monotonic()
         context.store_faults.append(LinkFault(start_s, end_s))
+        context.restorations.append(LinkFault(start_s, end_s))
         # The store had lost these registrations.
         context.drained_periods.extend(
             DrainedPeriod(name, start_s, end_s)
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/soak/soak_history.py
@@ -9,8 +9,10 @@
 from lagoonbend_devkit._internal.gateway.standin_target import TargetArrival
 from lagoonbend_devkit._internal.gateway.standin_target import TargetRun
 from lagoonbend_devkit._internal.gateway.target_crash import TargetCrash
+from lagoonbend_devkit._internal.soak.cold_period import ColdPeriod
 from lagoonbend_devkit._internal.soak.cut_period import CutPeriod
 from lagoonbend_devkit._internal.soak.drained_period import DrainedPeriod
+from lagoonbend_devkit._internal.soak.evacuated_period import EvacuatedPeriod
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEvent
 from lagoonbend_devkit._internal.soak.instance_event import InstanceEventKind
 from lagoonbend_devkit._internal.soak.limited_period import LimitedPeriod
@@ -20,6 +22,10 @@
 from lagoonbend_devkit._internal.soak.soak_record import SoakCall
 from lagoonbend_devkit._internal.soak.target_period import TargetPeriod
 
+IN_TOUCH_S = 3.0
+"""Time with a sound store after which an instance must know what the store
+has. While the store answers, its last confirmation is at most 2.8 s old."""
+
 
 class SoakHistory(NamedTuple):
     """Runs, faults and signals of a soak.
@@ -43,6 +49,10 @@
     :param sent: requests that instances sent to each target, by its name,
         whether they arrived or not.
     :param cut_periods: periods in which instances reached no target.
+    :param evacuated_periods: failure domains that were evacuated.
+    :param cold_periods: targets that were cold.
+    :param restorations: times from a store's return from an older copy until
+        all was written again.
     """
 
     runs: Sequence[TargetRun] = ()
@@ -60,6 +70,9 @@
     calls: Sequence[SoakCall] = ()
     sent: Mapping[str, Sequence[SentRequest]] = {}
     cut_periods: Sequence[CutPeriod] = ()
+    evacuated_periods: Sequence[EvacuatedPeriod] = ()
+    cold_periods: Sequence[ColdPeriod] = ()
+    restorations: Sequence[LinkFault] = ()
 
     def list_runs(self, attempt: str) -> list[TargetRun]:
         """Return the runs of an attempt."""
@@ -139,6 +152,36 @@
             for period in self.paused_periods
         )
 
+    def has_been_in_touch(
+        self, instance: int, since_s: float, at_s: float
+    ) -> bool:
+        """Return whether an instance must know what was written at a time.
+
+        It must once the store was sound for a while and the instance was up.
+        A new start, or a restoration of the store, requires that again.
+
+        :param since_s: time of the write.
+        :param at_s: time at which it must know, perhaps while it stops.
+        """
+        down_periods = list(self.list_down_periods(instance))
+        ends_s = [end_s for _, end_s in down_periods if end_s <= at_s]
+        ends_s += [r.end_s for r in self.restorations if r.start_s <= at_s]
+        since_s = max([since_s, *ends_s])
+        harmful_periods = [
+            *down_periods,
+            *((fault.start_s, fault.end_s) for fault in self.store_faults),
+            *(
+                (period.start_s, period.end_s)
+                for period in self.paused_periods
+                if period.instance == instance
+            ),
+        ]
+        for start_s, end_s in sorted(harmful_periods):
+            if min(start_s, at_s) - since_s >= IN_TOUCH_S:
+                return True
+            since_s = max(since_s, end_s)
+        return at_s - since_s >= IN_TOUCH_S
+
     def list_down_periods(
         self, instance: int
     ) -> Iterator[tuple[float, float]]:
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -10,8 +10,10 @@
 import gevent
 
 from lagoonbend_devkit._internal.gateway import gateway_fleet
+from lagoonbend_devkit.soak import COLD
 from lagoonbend_devkit.soak import CRASHING
 from lagoonbend_devkit.soak import CRASHING_REQUESTS
+from lagoonbend_devkit.soak import EVACUATIONS
 from lagoonbend_devkit.soak import LINKS
 from lagoonbend_devkit.soak import Soak
 from lagoonbend_devkit.soak import Supervisor
@@ -25,6 +27,8 @@
 }
 """Seeds that CI runs: each one that ever failed, with its cause."""
 
+LATER_GROUPS = {COLD, EVACUATIONS}
+"""Groups of faults that are newer than all kept seeds."""
 CRASHING_SEED = 801
 """Seed with prompts that end engines."""
 CUT_SEED = 1100
@@ -47,14 +51,16 @@
         for seed, cause in SEEDS.items():
             with self.subTest(seed=seed, cause=cause):
                 report = Soak(
-                    seed, DURATION_S, {CRASHING, CRASHING_REQUESTS, LINKS}
+                    seed,
+                    DURATION_S,
+                    {CRASHING, CRASHING_REQUESTS, LINKS, *LATER_GROUPS},
                 ).run()
                 self.assertEqual([], report.violations)
                 self.assertGreater(report.statuses.get(200, 0), 50)
 
     def test_guarantees_hold_while_prompts_end_engines(self) -> None:
         """Beside the faults of the kept seeds."""
-        left_out = {CRASHING_REQUESTS, LINKS}
+        left_out = {CRASHING_REQUESTS, LINKS, *LATER_GROUPS}
         report = Soak(CRASHING_SEED, DURATION_S, left_out).run()
         self.assertEqual([], report.violations)
         self.assertGreater(report.statuses.get(200, 0), 50)
@@ -62,7 +68,7 @@
 
     def test_guarantees_hold_while_a_request_ends_servers(self) -> None:
         """Beside the faults of the kept seeds."""
-        left_out = {CRASHING, LINKS}
+        left_out = {CRASHING, LINKS, *LATER_GROUPS}
         report = Soak(CRASHING_REQUEST_SEED, DURATION_S, left_out).run()
         self.assertEqual([], report.violations)
         self.assertGreater(report.statuses.get(200, 0), 50)
@@ -71,7 +77,7 @@
     def test_guarantees_hold_while_instances_reach_no_target(self) -> None:
         """Beside the faults of the kept seeds."""
         report = Soak(
-            CUT_SEED, DURATION_S, {CRASHING, CRASHING_REQUESTS}
+            CUT_SEED, DURATION_S, {CRASHING, CRASHING_REQUESTS, *LATER_GROUPS}
         ).run()
         self.assertEqual([], report.violations)
         self.assertGreater(report.statuses.get(200, 0), 50)
