Use the load that targets state in their answers

A call holds its slot from the grant until its release has arrived, but is at a plain target for half of that time: calls were refused while targets were half idle. A neighbour on a target's machine changed its learned slowness.

The instance passes the figures of Server-Load on with the message that releases the slot. The decider keeps the newest ones, which count less with their age and not at all after a second. A plain target that states that no call waits there gets further calls under way, by the measured part of the time that calls are not at the target, at most two for each slot, and none for a while after it rejects one as full. With the fourth figure, expected times follow the momentary speed, silence of a slowed target is no fault, and slowness isn't learned from answers of such a time. Slowness is now learned against the one in force, not that at the grant: with ten or more calls under way it swung between 0.2 and 1.1 where 0.6 was true.

Earlier builds send and read no load; releases of either build are read by the other.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -20,6 +20,7 @@
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend.scheduling import SlotRequest
+from lagoonbend.scheduling import StatedLoad
 from lagoonbend_entry._internal.coordination import crash_exchange
 from lagoonbend_entry._internal.coordination import facts_exchange
 from lagoonbend_entry._internal.coordination import handover_candidates
@@ -295,29 +296,22 @@
         target: str,
         outcome: SlotOutcome,
         first_byte_ms: int,
+        stated: StatedLoad | None = None,
     ) -> None:
         """Release a slot, and report how its use ended."""
+        end = (target, outcome, first_byte_ms)
         entry = self._held_slots.pop(request.call, None)
         if entry is None:
             return
         request, _, granted_by = entry
         current_decider = self._deciders.get_last(request.pool)
         if granted_by == FALLBACK:
-            self._release_in(
-                self._fallback_schedulers,
-                request,
-                target,
-                outcome,
-                first_byte_ms,
-            )
+            self._release_in(self._fallback_schedulers, request, end, stated)
         if current_decider == self._fleet.address:
-            self._release_in(
-                self.pool_schedulers, request, target, outcome, first_byte_ms
-            )
+            self._release_in(self.pool_schedulers, request, end, stated)
             return
         self._links.send(
-            current_decider,
-            wire_codec.encode_release(request, target, outcome, first_byte_ms),
+            current_decider, wire_codec.encode_release(request, *end, stated)
         )
 
     def count_waiting(self) -> dict[str, int]:
@@ -485,9 +479,8 @@
         self,
         schedulers: PoolSchedulers,
         request: SlotRequest,
-        target: str,
-        outcome: SlotOutcome,
-        first_byte_ms: int,
+        end: tuple[str, SlotOutcome, int],
+        stated: StatedLoad | None,
     ) -> None:
         scheduler = schedulers.find(request.pool)
         if scheduler is not None:
@@ -495,10 +488,9 @@
                 scheduler.release(
                     request.instance,
                     request.call,
-                    target,
-                    outcome,
-                    first_byte_ms,
+                    *end,
                     request.failure_domain,
+                    stated,
                 )
             )
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -203,7 +203,13 @@
 
 
 class Done(Message):
-    """Releases the slot of a call that has ended at a target."""
+    """Releases the slot of a call that has ended at a target.
+
+    ``running``, ``waiting`` and ``work_percent`` are the load that the target
+    stated in its answer; None and 0 if it stated none. ``load_age_ms`` is the
+    time since that answer arrived. Earlier versions neither send nor read
+    these fields.
+    """
 
     call: str
     pool: str
@@ -211,6 +217,10 @@
     failure_domain: str
     end: str
     first_ms: Integer
+    running: Integer | None = None
+    waiting: Integer | None = None
+    work_percent: Integer = 0
+    load_age_ms: Integer = 0
 
 
 class WirePlace(msgspec.Struct, array_like=True):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -150,6 +150,7 @@
                             wire_codec.decode_outcome(message.end),
                             message.first_ms,
                             message.failure_domain,
+                            wire_codec.decode_stated_load(message),
                         )
                     )
             case messages.Holding():
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
@@ -12,6 +12,7 @@
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotOutcome
 from lagoonbend.scheduling import SlotRequest
+from lagoonbend.scheduling import StatedLoad
 from lagoonbend_entry._internal.coordination import messages
 
 
@@ -105,7 +106,11 @@
 
 
 def encode_release(
-    request: SlotRequest, target: str, outcome: SlotOutcome, first_byte_ms: int
+    request: SlotRequest,
+    target: str,
+    outcome: SlotOutcome,
+    first_byte_ms: int,
+    stated: StatedLoad | None = None,
 ) -> messages.Done:
     """Return the message that releases a slot."""
     return messages.Done(
@@ -115,6 +120,22 @@
         failure_domain=request.failure_domain,
         end=outcome.value,
         first_ms=first_byte_ms,
+        running=stated.running if stated else None,
+        waiting=stated.waiting if stated else None,
+        work_percent=stated.work_percent if stated else 0,
+        load_age_ms=stated.age_ms if stated else 0,
+    )
+
+
+def decode_stated_load(message: messages.Done) -> StatedLoad | None:
+    """Return the load that the target of a released slot has stated."""
+    if message.running is None or message.waiting is None:
+        return None
+    return StatedLoad(
+        message.running,
+        message.waiting,
+        message.work_percent,
+        message.load_age_ms,
     )
 
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
-import functools
 import random
 
 import gevent
@@ -28,6 +27,7 @@
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway.admission import Admission
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
+from lagoonbend_entry._internal.gateway.answer_heads import AnswerHeads
 from lagoonbend_entry._internal.gateway.answer_relay import relay_answer
 from lagoonbend_entry._internal.gateway.attempt import Attempt
 from lagoonbend_entry._internal.gateway.attempt_report import AttemptReport
@@ -436,6 +436,8 @@
             outcome = target.slot_outcome
             self._coordinator.release(request, decision.target, outcome, 0)
             return target.report
+        pool = decision.pool or request.pool
+        heads = AnswerHeads(pool, self._limit_recorder, self._clock)
         attempt = Attempt(
             progress.call,
             target,
@@ -449,11 +451,9 @@
             self._body_memory,
             progress.sends,
             lambda: self._record_begun(progress, target, attempt.sent_ms),
-            functools.partial(
-                self._limit_recorder.record, decision.pool or request.pool
-            ),
+            heads.record,
         )
-        return OpenAttempt(request, decision, target, attempt)
+        return OpenAttempt(request, decision, target, attempt, heads)
 
     def _record_begun(
         self, progress: CallProgress, target: ListedTarget, sent_ms: int
@@ -569,8 +569,9 @@
         if is_own_concern or (report is not None and report.asks_for_pause):
             # The other instances go on using the target as before.
             slot_outcome = SlotOutcome.UNSUITED
+        load = opened.heads.find_load()
         self._coordinator.release(
-            opened.request, target.target, slot_outcome, first_byte_ms
+            opened.request, target.target, slot_outcome, first_byte_ms, load
         )
 
     def _open_successor(
@@ -837,12 +838,10 @@
         reply: ReplyWriter,
         reason: RefusalReason,
     ) -> None:
-        retry_after_ms = (
-            gateway_refusal.DEFAULT_RETRY_AFTER_MS
-            if reason.status == 503
-            else None
-        )
+        retry_after_ms = None
         if reason is RefusalReason.STOPPING:
             retry_after_ms = gateway_refusal.STOPPING_RETRY_AFTER_MS
+        elif reason.status == 503:
+            retry_after_ms = gateway_refusal.DEFAULT_RETRY_AFTER_MS
         self._call_log.record_not_admitted(request, reason)
         send_refusal(request, reply, GatewayRefusal(reason, retry_after_ms))
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/open_attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/open_attempt.py
@@ -5,6 +5,7 @@
 from lagoonbend.facts import ListedTarget
 from lagoonbend.scheduling import SlotDecision
 from lagoonbend.scheduling import SlotRequest
+from lagoonbend_entry._internal.gateway.answer_heads import AnswerHeads
 from lagoonbend_entry._internal.gateway.attempt import Attempt
 
 
@@ -15,9 +16,11 @@
     :param decision: the granted slot.
     :param target: target of the slot.
     :param attempt: the attempt.
+    :param heads: what the heads of its answers say.
     """
 
     request: SlotRequest
     decision: SlotDecision
     target: ListedTarget
     attempt: Attempt
+    heads: AnswerHeads
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/answer_headers.py
@@ -35,6 +35,8 @@
         all instances together; None if it names no limit.
     :param rejection_limit_per_s: rejections a second beyond which the target
         falls over; None if it isn't brittle, or the value can't be read.
+    :param load: calls running, calls waiting, slots, and perhaps the time of
+        work in percent of the usual; empty if missing or unreadable.
     :param unused_request_limit: start of a limit that can't be read; empty if
         there is none.
     :param unused_retry_after: start of a value of ``Retry-After`` that is
@@ -52,6 +54,7 @@
     request_limit_per_s: float | None = None
     unused_request_limit: str = ''
     rejection_limit_per_s: float | None = None
+    load: tuple[int, ...] = ()
 
 
 def decode_answer_headers(
@@ -83,6 +86,7 @@
         rejection_limit_per_s=bounded.read_decimal(
             headers.get(names.HEADER_REJECTION_LIMIT, '')
         ),
+        load=bounded.read_counts(headers.get(names.HEADER_LOAD, ''), 3, 4),
     )
 
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/names.py
@@ -29,6 +29,7 @@
 HEADER_REJECTION_LIMIT = 'server-brittle'
 """The value is the number of rejections a second beyond which a target falls
 over."""
+HEADER_LOAD = 'server-load'
 HEADER_STORE_ERA = 'store-era'
 
 HEADERS_SET_BY_INSTANCES = frozenset(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/target_codec.py
@@ -73,14 +73,6 @@
         software_version=entry.version
         if isinstance(entry.version, str) and entry.version
         else None,
-        born_ms=_read_born(entry.born),
+        born_ms=bounded.check_optional(entry.born, 'the start'),
         cold_ms=bounded.read_optional(entry.cold, 0, MAX_COLD_MS),
     )
-
-
-def _read_born(value: object) -> int | None:
-    if isinstance(value, int) and not isinstance(value, bool):
-        return bounded.check_integer(
-            value, 0, bounded.MAX_INTEGER, 'the start'
-        )
-    return None
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/bounded.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/bounded.py
@@ -83,6 +83,28 @@
     return value if is_integer and minimum <= value <= maximum else None
 
 
+def check_optional(value: Any, name: str) -> int | None:
+    """Return an integer that is not negative; None if the value is none.
+
+    :raises ValueError: if it is an integer that is out of range.
+    """
+    if not isinstance(value, int) or isinstance(value, bool):
+        return None
+    return check_integer(value, 0, MAX_INTEGER, name)
+
+
+def read_counts(text: str, least: int, most: int) -> tuple[int, ...]:
+    """Return whole numbers that are separated by commas.
+
+    :returns: empty if one can't be read, or they are fewer than ``least`` or
+        more than ``most``.
+    """
+    counts = [read_digits(part) for part in text.split(',', most)]
+    known = tuple(count for count in counts if count is not None)
+    is_whole = len(known) == len(counts) and least <= len(known) <= most
+    return known if is_whole else ()
+
+
 def read_digits(text: str) -> int | None:
     """Return a whole number; None if the text is none, or has many digits."""
     digits = text.strip()
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/held_slot.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/held_slot.py
@@ -16,6 +16,8 @@
     :param tokens: memory that the call may need, in tokens.
     :param started_ms: when the slot was granted, on the scheduler's clock.
     :param expected_ms: expected time to the first byte.
+    :param usual_ms: the same at a target of slowness 1 that states nothing; 0
+        if it isn't known.
     """
 
     call: str
@@ -26,3 +28,4 @@
     tokens: int
     started_ms: int
     expected_ms: int
+    usual_ms: float = 0.0
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -18,6 +18,7 @@
 from lagoonbend._internal.scheduling.slot_decision import SlotDecision
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
+from lagoonbend._internal.scheduling.stated_load import StatedLoad
 from lagoonbend._internal.scheduling.target_load import TargetLoad
 from lagoonbend._internal.scheduling.target_set import TargetSet
 from lagoonbend._internal.utils.clock import Clock
@@ -191,15 +192,19 @@
         outcome: SlotOutcome,
         first_byte_ms: int,
         failure_domain: str,
+        stated: StatedLoad | None = None,
     ) -> Iterator[SlotDecision]:
         """Release the slot of a call that has ended; yield what follows.
 
         :param first_byte_ms: time to the first byte; 0 if there was none.
         :param failure_domain: failure domain of the instance that handled the
             call.
+        :param stated: load that the target states in its answer, if it does.
         """
         load = self.targets.find(target)
         if load is not None:
+            if stated is not None:
+                load.record_statement(stated, self._clock.now_ms())
             slot = load.release(instance, call)
             self.targets.record_outcome(load, outcome, failure_domain)
             if (
@@ -207,7 +212,9 @@
                 and not outcome.is_not_run
                 and slot.started_ms >= load.cold_until_ms
             ):
-                self._update_estimates(load, slot, outcome, first_byte_ms)
+                self._update_estimates(
+                    load, slot, outcome, first_byte_ms, stated
+                )
             self.targets.remove_unlisted(target)
         yield from self.grant_free_slots()
 
@@ -312,7 +319,8 @@
     ) -> Iterator[SlotDecision]:
         request = waiting.request
         self._remove_waiter(request.instance, request.call)
-        expected_ms = int(load.estimate_first_byte_ms(request, now_ms))
+        usual_ms = load.estimate_usual_ms(request, now_ms)
+        expected_ms = load.scale_ms(usual_ms)
         load.record_prefill(request, now_ms)
         self.targets.count_sent(load, now_ms)
         load.add_held(
@@ -325,6 +333,7 @@
                 request.prompt_tokens + request.output_tokens,
                 now_ms,
                 expected_ms,
+                usual_ms,
             )
         )
         yield SlotDecision(
@@ -445,12 +454,14 @@
         slot: HeldSlot,
         outcome: SlotOutcome,
         first_byte_ms: int,
+        stated: StatedLoad | None,
     ) -> None:
+        now_ms = self._clock.now_ms()
         if outcome is SlotOutcome.ANSWERED:
-            held_ms = self._clock.now_ms() - slot.started_ms
+            held_ms = now_ms - slot.started_ms
             self._demand.record_hold_time(slot.rank, held_ms)
         if first_byte_ms:
-            load.update_slowness(slot.expected_ms, first_byte_ms)
+            load.learn_times(slot, first_byte_ms, stated, now_ms)
             self._demand.record_first_byte(slot.rank, first_byte_ms)
 
     def _deny(
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/prompt_cache.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/prompt_cache.py
@@ -27,13 +27,10 @@
 
         A block counts as cached only if all blocks before it are cached.
         """
-        new_tokens = 0
-        is_cached = True
-        for block in prompt:
-            is_cached = is_cached and block.block_id in self._block_tokens
-            if not is_cached:
-                new_tokens += block.tokens
-        return new_tokens
+        for index, block in enumerate(prompt):
+            if block.block_id not in self._block_tokens:
+                return sum(new_block.tokens for new_block in prompt[index:])
+        return 0
 
     def record_prompt(
         self, prompt: Sequence[PromptBlock], running_tokens: int
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
@@ -6,6 +6,10 @@
 from lagoonbend._internal.scheduling.prompt_cache import PromptCache
 from lagoonbend._internal.scheduling.request_rate import RequestRate
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
+from lagoonbend._internal.scheduling.stated_load import StatedLoad
+from lagoonbend._internal.scheduling.target_statement import bound_work_factor
+from lagoonbend._internal.scheduling.target_statement import MIN_FACTOR_CHANGE
+from lagoonbend._internal.scheduling.target_statement import TargetStatement
 
 ENGINE_BASE_MS = 110.0
 """Time to the first event of an idle engine for an empty prompt, taken from
@@ -34,6 +38,12 @@
 MAX_MEMORY_SHARE = 0.9
 """Share of an engine's memory that all running calls together may need;
 beyond it, an engine preempts the newest call."""
+WEIGH_INTERVAL_MS = 20
+"""Interval at which the weight of a statement is adjusted to its age, a
+fiftieth of the time for which it counts."""
+MAX_DISTURBED_MS = 10_000
+"""Time without an answer at the usual speed after which a stated factor is
+taken for permanent, many times as long as a neighbour disturbs a target."""
 
 
 class TargetLoad:
@@ -44,7 +54,7 @@
     rejected one as full. ``request_rate`` paces the calls while the target
     names a limit. ``is_brittle`` is True while it falls over under too many
     rejections. ``cold_until_ms`` is the last time until which it is, or was,
-    cold.
+    cold. ``statement`` is the load that the target states itself.
 
     :param listed: the target's entry in the target list.
     :param is_engine: True for a model engine.
@@ -66,6 +76,12 @@
         self.request_rate: RequestRate | None = None
         self.is_brittle = False
         self.cold_until_ms = 0
+        self.statement = TargetStatement()
+        self._further_calls = 0
+        self._work_multiple = 1.0
+        self._weigh_next_ms: int | None = None
+        self._usual_answer_ms = 0
+        self._disturbed_ms = -1
         self._room = 0
         self._rejected_ms = 0
         self._prefill_until_ms = 0.0
@@ -90,8 +106,35 @@
         """
         if self.faults.is_on_probation:
             return 1
-        slots = max(1, int(self.listed.slots * share))
-        return min(slots, self._room) if self._room else slots
+        if self._room:
+            return min(max(1, int(self.listed.slots * share)), self._room)
+        if share >= 1.0:
+            return self.listed.slots + self._further_calls
+        return max(1, int(self.listed.slots * share))
+
+    def count_expected_slots(self, share: float) -> float:
+        """Return the slots to expect, as many as at the usual speed."""
+        slots = self.listed.slots * share
+        if share >= 1.0:
+            slots += self._further_calls
+        return slots / self._work_multiple
+
+    def record_statement(self, stated: StatedLoad, now_ms: int) -> None:
+        """Record the load that the target states in an answer.
+
+        Only plain services get further calls: the calls of an engine spend
+        nearly all their time there, and its memory limits them.
+        """
+        slots = self.listed.slots
+        self.statement.record(stated, slots, len(self.held), now_ms)
+        self._weigh_statement(now_ms)
+
+    def describe_statement(self, now_ms: int) -> str:
+        """Return the statement and what it allows, for logs."""
+        text = self.statement.describe(now_ms)
+        if text and self._further_calls:
+            text += f' further {self._further_calls}'
+        return text
 
     def record_rejection(self, now_ms: int) -> None:
         """Record that the target rejected a call as full.
@@ -99,6 +142,8 @@
         The room of a brittle one is taken for what it has left in use.
         """
         self.full_until_ms = now_ms + FULL_PAUSE_MS
+        self.statement.record_rejection(now_ms)
+        self._further_calls = 0
         if not self.is_brittle:
             return
         if not self.held:
@@ -107,8 +152,13 @@
         self._rejected_ms = now_ms
 
     def update_room(self, now_ms: int, *, is_brittle: bool) -> None:
-        """Let the room of a brittle target grow; forget that of others."""
+        """Let the room of a brittle target grow; forget that of others.
+
+        A statement counts less as it grows old.
+        """
         self.is_brittle = is_brittle
+        if self._weigh_next_ms is not None and now_ms >= self._weigh_next_ms:
+            self._weigh_statement(now_ms)
         if not is_brittle:
             self._room = 0
         elif self._room and now_ms - self._rejected_ms >= ROOM_GROWTH_MS:
@@ -119,10 +169,22 @@
         self, request: SlotRequest, now_ms: int
     ) -> float:
         """Return the expected time to the first byte of an answer."""
+        multiple = self.slowness * self._work_multiple
         if not self.is_engine:
-            return self.slowness * SERVICE_BASE_MS
-        wait_ms = max(0.0, self._prefill_until_ms - now_ms)
-        return wait_ms + self.estimate_idle_first_byte_ms(request)
+            return multiple * SERVICE_BASE_MS
+        return multiple * self.estimate_usual_ms(request, now_ms)
+
+    def estimate_usual_ms(self, request: SlotRequest, now_ms: int) -> float:
+        """Return the same at a slowness of 1 without a statement."""
+        if not self.is_engine:
+            return SERVICE_BASE_MS
+        usual_ms = ENGINE_BASE_MS + self._estimate_prefill_ms(request)
+        wait_ms = self._prefill_until_ms - now_ms
+        return usual_ms + wait_ms / self.slowness if wait_ms > 0 else usual_ms
+
+    def scale_ms(self, usual_ms: float) -> int:
+        """Return the time expected at this target for a usual one."""
+        return int(usual_ms * self.slowness * self._work_multiple)
 
     def estimate_idle_first_byte_ms(self, request: SlotRequest) -> float:
         """Return the time to the first byte without other prompts ahead."""
@@ -151,16 +213,54 @@
             self.held_tokens -= slot.tokens
         return slot
 
-    def update_slowness(
-        self, expected_ms: float, first_byte_ms: float
+    def learn_times(
+        self,
+        slot: HeldSlot,
+        first_byte_ms: int,
+        stated: StatedLoad | None,
+        now_ms: int,
     ) -> None:
-        """Adjust the slowness to the time that an answer took."""
-        if expected_ms <= 0 or first_byte_ms <= 0:
+        """Learn from the time that an answer took.
+
+        Answers of a time in which a neighbour has disturbed the target tell
+        how much of their time the stated factor changes, not the speed of the
+        target. One that began in such a time, or its own time later, may
+        state the usual factor.
+
+        :param stated: the load that this answer states.
+        """
+        if slot.expected_ms <= 0 or first_byte_ms <= 0:
+            return
+        # The slowness may have changed since the slot was granted. A ratio to
+        # the time expected then would count the change once for each call
+        # under way, and overshoot.
+        usual_ms = slot.usual_ms * self.slowness or slot.expected_ms
+        ratio = first_byte_ms / usual_ms
+        factor = bound_work_factor(stated.work_percent) if stated else 1.0
+        if abs(factor - 1.0) >= MIN_FACTOR_CHANGE:
+            self._disturbed_ms = now_ms
+            self.statement.learn_work_share(ratio, factor)
+        is_disturbed = slot.started_ms - first_byte_ms <= self._disturbed_ms
+        if not is_disturbed or not self._usual_answer_ms:
+            self._usual_answer_ms = now_ms
+        if is_disturbed and now_ms - self._usual_answer_ms < MAX_DISTURBED_MS:
             return
-        ratio = min(max(first_byte_ms / expected_ms, 0.1), 10.0)
+        ratio /= self.statement.find_answer_multiple(factor)
+        ratio = min(max(ratio, 0.1), 10.0)
         self.slowness *= ratio**LEARNING_RATE
         self.slowness = min(max(self.slowness, MIN_SLOWNESS), MAX_SLOWNESS)
 
+    def _weigh_statement(self, now_ms: int) -> None:
+        """Apply what the statement allows and expects by its age."""
+        self._weigh_next_ms = now_ms + WEIGH_INTERVAL_MS
+        self._work_multiple = self.statement.find_work_multiple(now_ms)
+        slots = self.listed.slots
+        self._further_calls = (
+            0
+            if self.is_engine or self.is_brittle or now_ms < self.cold_until_ms
+            else self.statement.count_further_calls(slots, now_ms)
+        )
+
     def _estimate_prefill_ms(self, request: SlotRequest) -> float:
         new_tokens = self.cache.count_new_tokens(request.prompt)
         return new_tokens * PREFILL_MS_PER_TOKEN
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -180,7 +180,7 @@
         slot_count = 0.0
         is_limited = False
         for load in self._list_healthy(request, now_ms, with_limited=True):
-            slots = load.listed.slots * self.share
+            slots = load.count_expected_slots(self.share)
             rate_per_s = (
                 self._find_named_rate_per_s(load)
                 if is_warm
@@ -243,12 +243,16 @@
         ``name held/slots slowness`` and marks: ``-`` no longer listed, ``g``
         absent (no longer at its address), ``e`` ejected because of faults,
         ``f`` rejected a call as full, ``c`` cold, ``l`` names a limit or is
-        cold, ``u`` unreachable from some failure domain.
+        cold, ``u`` unreachable from some failure domain. ``states R+W`` are
+        the calls that run and wait there by the target's own newest statement,
+        with the time that work takes if it isn't the usual one, and the
+        ``further`` calls that it allows.
         """
         now_ms = self._clock.now_ms()
         return [
             f'{name} {len(load.held)}/{load.listed.slots}'
             f' {load.slowness:.2f}{self._format_marks(name, load, now_ms)}'
+            f'{load.describe_statement(now_ms)}'
             for name, load in self._loads.items()
         ]
 
@@ -277,7 +281,10 @@
             case _:
                 load.faults.record_reachable(failure_domain)
                 is_slow = outcome is SlotOutcome.SILENT
-                if not (is_slow and self._find_cold_ms(load)):
+                if not is_slow or not (
+                    self._find_cold_ms(load)
+                    or load.statement.is_slowed(now_ms)
+                ):
                     load.faults.record_answer(outcome.is_fault, now_ms)
 
     def _format_marks(self, name: str, load: TargetLoad, now_ms: int) -> str:
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -22,6 +22,7 @@
 from lagoonbend._internal.scheduling.slot_decision import SlotDecision
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
+from lagoonbend._internal.scheduling.stated_load import StatedLoad
 from lagoonbend._internal.scheduling.target_set import TargetSet
 
 __all__ = [
@@ -36,6 +37,7 @@
     'SlotDecision',
     'SlotOutcome',
     'SlotRequest',
+    'StatedLoad',
     'Pool',
     'PoolWaitTimes',
     'PromptBlock',
