Clear the cached prompts of a restarted target

A target that restarts under the same identity has lost its cached prompts. TargetSet.update replaced its registration and kept the estimate of its cache, so that calls were sent there for prompts that it had to process again.

A registration of a later life now clears the estimate. An older copy of the registration doesn't.

--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -96,6 +96,8 @@
                     target, profile.is_engine, profile.memory_tokens
                 )
             else:
+                if not target.is_same_life(load.listed):
+                    load.cache.clear()
                 load.listed = target
         self._listed = listed
 
