Let calls wait for targets that have their prompt cached

The decider chose only among targets with a free slot. If the target that had a prompt cached was full for a moment, another one processed the prompt again; prompts that many calls asked for at once were processed at many targets.

With the setting kept_prompts = on, the decider weighs the expected wait for a full target against what its cache saves, with the cost of another domain, the memory that the call needs, and the cost to calls behind it. A call waits once, for one target, at most until its latest start. It gives up when the target leaves, is ejected, becomes slow or cold, fills further or evicts the prompt; free slots go to other calls meanwhile. A prompt that many calls ask for at once is processed at one target first, and at a second one before the first is full. The default is off, which chooses as before.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
@@ -12,6 +12,7 @@
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import SharedLimits
 from lagoonbend.rendezvous import score_candidate
+from lagoonbend.scheduling import KeptPromptTotals
 from lagoonbend.scheduling import Pool
 from lagoonbend.scheduling import PoolScheduler
 from lagoonbend.scheduling import SlotDecision
@@ -24,6 +25,9 @@
 class PoolSchedulers:
     """Keeps a scheduler per pool, and updates them when the facts change.
 
+    ``kept_prompts`` names how new schedulers weigh cached prompts against the
+    wait for their targets, and ``kept_prompt_totals`` counts such waits.
+
     :param facts: rules and targets.
     :param clock: clock of the instance.
     :param limits: customers' limits.
@@ -47,6 +51,8 @@
         spread_key: str = '',
     ) -> None:
         self.limits = limits
+        self.kept_prompts = 'off'
+        self.kept_prompt_totals = KeptPromptTotals()
         self._facts = facts
         self._clock = clock
         self._invariants = invariants
@@ -100,6 +106,8 @@
                 self._invariants,
                 self._named_limits,
                 self._facts.cold_targets,
+                self.kept_prompts,
+                self.kept_prompt_totals,
             )
             scheduler.targets.is_fallback = bool(self._spread_key)
             self._schedulers[pool] = scheduler
@@ -162,6 +170,7 @@
                 service=scheduler.service.name,
                 pool=pool,
                 waiting=len(scheduler),
+                waiting_for_prompt=scheduler.kept_prompts.waiting_count,
                 held=scheduler.targets.held_count,
                 targets=scheduler.targets.describe(),
                 reached=reached,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -132,6 +132,10 @@
                 settings.bounds.limit_window_s,
             ),
         )
+        # Fallback schedulers don't know what other instances have sent, and
+        # so don't let calls wait for a target.
+        schedulers = self._coordinator.pool_schedulers
+        schedulers.kept_prompts = settings.scheduling.kept_prompts
         self._connection_pool = ConnectionPool(self._clock)
         self._store_client = StoreClient(
             parse_endpoint(settings.platform.endpoint),
@@ -307,6 +311,9 @@
             evacuated_domains=len(self._facts.evacuations.domains),
             cold_targets=self._facts.count_cold(),
             waiting_by_service=self._coordinator.count_waiting(),
+            kept_prompt_totals=(
+                self._coordinator.pool_schedulers.kept_prompt_totals
+            ),
         )
         return self._metrics.render()
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
@@ -6,6 +6,8 @@
 from aioprometheus.collectors import Registry
 from aioprometheus.formats import text
 
+from lagoonbend.scheduling import KeptPromptTotals
+
 LATENCY_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.6, 1.2, 2.5, 5.0, 15.0]
 """Cover the latency objectives of the users' deployments, 0.16 to 1.5 s."""
 MILLISECONDS_PER_SECOND = 1000
@@ -90,6 +92,7 @@
         evacuated_domains: int,
         cold_targets: int,
         waiting_by_service: dict[str, int],
+        kept_prompt_totals: KeptPromptTotals | None = None,
     ) -> None:
         """Set the gauges."""
         age_s = UNKNOWN_AGE_S
@@ -105,6 +108,16 @@
             'evacuated_domains': evacuated_domains,
             'cold_targets': cold_targets,
         }
+        if kept_prompt_totals is not None:
+            totals = kept_prompt_totals
+            values |= {
+                'kept_prompt_waits': totals.waits,
+                'kept_prompt_waits_abandoned': totals.abandoned,
+                'kept_prompt_saved_seconds': totals.saved_ms
+                / MILLISECONDS_PER_SECOND,
+                'kept_prompt_lost_seconds': totals.lost_ms
+                / MILLISECONDS_PER_SECOND,
+            }
         for name, value in values.items():
             self._state_gauge.set({'name': name}, value)
         for labels, _ in self._waiting_gauge.get_all():
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
@@ -60,10 +60,14 @@
     :param rank_order: ``route_first`` or ``customer_first``.
     :param call_age: ``receipt`` to count each call from its receipt, or
         ``first_send`` to count one that is sent again from its first send.
+    :param kept_prompts: ``off`` to choose only among targets with a free
+        slot, or ``on`` to let a call wait for a target that has its prompt
+        cached if that is expected to be sooner.
     """
 
     rank_order: str = 'route_first'
     call_age: str = 'receipt'
+    kept_prompts: str = 'off'
 
 
 class GatewaySettings(NamedTuple):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/settings_reader.py
@@ -9,6 +9,7 @@
 from lagoonbend.exceptions import SettingsError
 from lagoonbend.routing import POLICIES
 from lagoonbend.scheduling import CALL_AGES
+from lagoonbend.scheduling import KEPT_PROMPTS
 from lagoonbend.scheduling import RANK_ORDERS
 from lagoonbend_entry._internal.settings import gateway_settings
 from lagoonbend_entry._internal.settings.field_kind import find_kind
@@ -17,6 +18,7 @@
 Sections = TypeVar('Sections')
 REGISTRIES: dict[str, typing.Mapping[str, object]] = {
     'call_age': CALL_AGES,
+    'kept_prompts': KEPT_PROMPTS,
     'policy': POLICIES,
     'rank_order': RANK_ORDERS,
 }
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/demand.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/demand.py
@@ -53,6 +53,10 @@
         """Return the mean time for which a call of a rank holds its slot."""
         return self._hold_ms.get(rank, INITIAL_HOLD_MS)
 
+    def find_hold_ms(self, rank: int) -> float | None:
+        """Return the same; None if no call of the rank has ended yet."""
+        return self._hold_ms.get(rank)
+
     def estimate_available_slots(
         self, rank: int, slots: float, now_ms: int
     ) -> float:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -15,6 +15,8 @@
 from lagoonbend._internal.scheduling.demand import Demand
 from lagoonbend._internal.scheduling.denial import Denial
 from lagoonbend._internal.scheduling.held_slot import HeldSlot
+from lagoonbend._internal.scheduling.kept_prompt_totals import KeptPromptTotals
+from lagoonbend._internal.scheduling.kept_prompts import KEPT_PROMPTS
 from lagoonbend._internal.scheduling.slot_decision import SlotDecision
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
@@ -82,6 +84,9 @@
     :param invariants: checker of invariants.
     :param named_limits: limits that targets have named; None for none.
     :param cold_targets: targets that are cold; None for none.
+    :param kept_prompts: name in ``KEPT_PROMPTS``: how cached prompts are
+        weighed against the wait for their targets.
+    :param kept_prompt_totals: counts of such waits; None to count apart.
     """
 
     def __init__(
@@ -92,6 +97,8 @@
         invariants: Invariants,
         named_limits: NamedLimits | None = None,
         cold_targets: ColdTargets | None = None,
+        kept_prompts: str = 'off',
+        kept_prompt_totals: KeptPromptTotals | None = None,
     ) -> None:
         self.service = service
         self.targets = TargetSet(clock, named_limits, cold_targets)
@@ -102,6 +109,11 @@
         )
         self._waiters: dict[tuple[str, str], Waiter[_WaitingCall]] = {}
         self._demand = Demand()
+        self.kept_prompts = KEPT_PROMPTS[kept_prompts](
+            self.targets,
+            self._demand,
+            kept_prompt_totals or KeptPromptTotals(),
+        )
         self._on_time_counts: dict[int, int] = {}
         self._late_counts: dict[int, int] = {}
 
@@ -247,9 +259,13 @@
                 key = (request.failure_domain, request.excluded)
                 if key in full_keys:
                     return False
-                load = self.targets.choose(request, now_ms)
+                load = self.kept_prompts.choose(
+                    request, waiting.start_by_ms, len(self._queue), now_ms
+                )
                 if load is not None:
                     chosen.append(load)
+                elif self.kept_prompts.is_waiting(request):
+                    return False
                 elif not self.targets.has_free_slot(request, now_ms):
                     full_keys.add(key)
                 return load is not None
@@ -294,6 +310,7 @@
         waiter = self._waiters.pop((instance, call), None)
         if waiter is not None:
             self._select_counts(waiter)[waiter.rank] -= 1
+            self.kept_prompts.forget(waiter.item.request)
         return waiter
 
     def _add_waiter(self, waiter: Waiter[_WaitingCall]) -> None:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/prompt_cache.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/prompt_cache.py
@@ -22,6 +22,10 @@
         self._block_tokens = collections.OrderedDict()
         self._total_tokens = 0
 
+    def has_block(self, block: PromptBlock) -> bool:
+        """Return True if a block is cached."""
+        return block.block_id in self._block_tokens
+
     def count_new_tokens(self, prompt: Sequence[PromptBlock]) -> int:
         """Return the tokens of a prompt that the engine must process again.
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_load.py
@@ -131,6 +131,10 @@
         prefill_ms = self._estimate_prefill_ms(request)
         return self.slowness * (ENGINE_BASE_MS + prefill_ms)
 
+    def estimate_tokens_ms(self, tokens: int) -> float:
+        """Return the time to process tokens of a prompt."""
+        return self.slowness * tokens * PREFILL_MS_PER_TOKEN
+
     def add_held(self, slot: HeldSlot) -> None:
         """Add a call that obtained a slot."""
         self.held[slot.instance, slot.call] = slot
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -7,6 +7,7 @@
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.named_limits import NamedLimits
 from lagoonbend._internal.facts.service_profile import ServiceProfile
+from lagoonbend._internal.scheduling.prompt_block import PromptBlock
 from lagoonbend._internal.scheduling.request_rate import BURST_S
 from lagoonbend._internal.scheduling.request_rate import RequestRate
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
@@ -137,11 +138,45 @@
         for load in self._list_healthy(request, now_ms):
             if not load.has_room(request, self.share):
                 continue
-            cost = self._estimate_cost(load, request, now_ms)
+            first_byte_ms = load.estimate_first_byte_ms(request, now_ms)
+            cost = self.estimate_cost(load, request, first_byte_ms)
             if best is None or cost < best_cost:
                 best, best_cost = load, cost
         return best
 
+    def has_cached(self, block: PromptBlock) -> bool:
+        """Return True if a target has a block of a prompt cached."""
+        return any(
+            load.cache.has_block(block) for load in self._loads.values()
+        )
+
+    def list_healthy(
+        self, request: SlotRequest, now_ms: int
+    ) -> list[TargetLoad]:
+        """Return the targets that may serve a call now, also full ones."""
+        return self._list_healthy(request, now_ms)
+
+    def may_be_waited_for(
+        self, load: TargetLoad, request: SlotRequest, now_ms: int
+    ) -> bool:
+        """Return True if a target will take a call once a slot is free.
+
+        That isn't sure while it is faulty, has rejected a call, is out of
+        reach, or has a limit on its calls, as cold ones have.
+        """
+        faults = load.faults
+        domain = request.failure_domain
+        return (
+            load.listed.target in self._listed
+            and load.listed.target not in request.excluded
+            and now_ms >= load.full_until_ms
+            and not faults.is_on_probation
+            and not faults.is_absent(now_ms)
+            and not faults.is_ejected(now_ms)
+            and not faults.is_unreachable_from(domain, now_ms)
+            and self._find_rate_per_s(load) is None
+        )
+
     def may_have_free_slot(self) -> bool:
         """Return False if no target has a free slot for any call."""
         limit = self.slot_limit
@@ -396,10 +431,11 @@
         ] or listed
 
     @staticmethod
-    def _estimate_cost(
-        load: TargetLoad, request: SlotRequest, now_ms: int
+    def estimate_cost(
+        load: TargetLoad, request: SlotRequest, first_byte_ms: float
     ) -> float:
-        cost_ms = load.estimate_first_byte_ms(request, now_ms)
+        """Return the cost in ms of a call from its start at a target on."""
+        cost_ms = first_byte_ms
         cost_ms += FULL_LOAD_COST_MS * len(load.held) / load.listed.slots
         if load.listed.failure_domain != request.failure_domain:
             cost_ms += CROSS_DOMAIN_COST_MS
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -9,6 +9,10 @@
 from lagoonbend._internal.scheduling.caller_patience import CallerPatience
 from lagoonbend._internal.scheduling.denial import Denial
 from lagoonbend._internal.scheduling.held_slot import HeldSlot
+from lagoonbend._internal.scheduling.kept_prompt_choice import choose_option
+from lagoonbend._internal.scheduling.kept_prompt_totals import KeptPromptTotals
+from lagoonbend._internal.scheduling.kept_prompt_waits import KeptPromptWaits
+from lagoonbend._internal.scheduling.kept_prompts import KEPT_PROMPTS
 from lagoonbend._internal.scheduling.pool_plan import CallOrigin
 from lagoonbend._internal.scheduling.pool_plan import PoolPlan
 from lagoonbend._internal.scheduling.pool_scheduler import PoolScheduler
@@ -22,6 +26,8 @@
 from lagoonbend._internal.scheduling.slot_decision import SlotDecision
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
+from lagoonbend._internal.scheduling.target_load import TargetLoad
+from lagoonbend._internal.scheduling.target_option import TargetOption
 from lagoonbend._internal.scheduling.target_set import TargetSet
 
 __all__ = [
@@ -29,6 +35,9 @@
     'CallAge',
     'CallOrigin',
     'CallerPatience',
+    'KEPT_PROMPTS',
+    'KeptPromptTotals',
+    'KeptPromptWaits',
     'PoolPlan',
     'RANK_ORDERS',
     'Denial',
@@ -42,6 +51,9 @@
     'RankOrder',
     'RecentDenials',
     'PoolScheduler',
+    'TargetLoad',
+    'TargetOption',
     'TargetSet',
+    'choose_option',
     'rank_continued_stream',
 ]
--- a/tests/lib/pool_world.py
+++ b/tests/lib/pool_world.py
@@ -9,12 +9,15 @@
 from typing import NamedTuple
 
 from lagoonbend.clock import PausedClock
+from lagoonbend.facts import ColdTargets
+from lagoonbend.facts import ColdTolerance
 from lagoonbend.facts import CustomerRule
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import ServiceProfile
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
+from lagoonbend.scheduling import KeptPromptTotals
 from lagoonbend.scheduling import PoolScheduler
 from lagoonbend.scheduling import PromptBlock
 from lagoonbend.scheduling import SlotDecision
@@ -75,27 +78,52 @@
 class PoolWorld:
     """Submits calls to one scheduler and ends them after their hold time.
 
+    ``answers_as_expected`` is True if first bytes take as long as the
+    scheduler expects.
+
     :param targets: number of targets.
     :param slots: number of slots of each target.
     :param is_engine: True for model engines, False for a plain service.
+    :param memory_tokens: tokens that an engine's memory holds; 0 if unknown.
+    :param cold_rate_per_s: calls a second that a cold target bears.
+    :param kept_prompts: how cached prompts are weighed against waits.
     """
 
+    answers_as_expected = False
+
     def __init__(
-        self, targets: int = 4, slots: int = 5, is_engine: bool = True
+        self,
+        targets: int = 4,
+        slots: int = 5,
+        is_engine: bool = True,
+        memory_tokens: int = 0,
+        cold_rate_per_s: float = 0.0,
+        kept_prompts: str = 'off',
     ) -> None:
         self.clock = PausedClock(1_000_000)
+        self.cold = ColdTargets(self.clock, ColdTolerance(1.5, 5.0))
+        self.totals = KeptPromptTotals()
+        self._profile = ServiceProfile(
+            SERVICE,
+            is_engine=is_engine,
+            memory_tokens=memory_tokens,
+            cold_rate_per_s=cold_rate_per_s,
+        )
         self.limits = SharedLimits(LimitTolerance(0.25, 0.0, 8.0))
         self.scheduler = PoolScheduler(
-            ServiceProfile(SERVICE, is_engine=is_engine),
+            self._profile,
             self.clock,
             self.limits,
             Invariants(strict=True),
+            None,
+            self.cold,
+            kept_prompts,
+            self.totals,
         )
         self.records: dict[str, CallRecord] = {}
         self.max_held_count = 0
         self._sequence = itertools.count()
         self._scheduled_ends: list[tuple[int, int, str]] = []
-        self._is_engine = is_engine
         self.listed = [
             ListedTarget(
                 f't{n}', SERVICE, '10.0.0.1', 80 + n, f'd{n % 2}', slots, False
@@ -106,8 +134,9 @@
 
     def set_target_list(self, targets: list[ListedTarget]) -> None:
         """Replace the target list of the scheduler."""
-        profile = ServiceProfile(SERVICE, is_engine=self._is_engine)
-        self._record_decisions(self.scheduler.set_targets(profile, targets))
+        self._record_decisions(
+            self.scheduler.set_targets(self._profile, targets)
+        )
 
     def arrive(
         self,
@@ -177,13 +206,16 @@
             return
         record.has_ended = True
         request = record.request
+        first_byte_ms = FIRST_BYTE_MS
+        if self.answers_as_expected:
+            first_byte_ms = record.decision.expected_ms
         self._record_decisions(
             self.scheduler.release(
                 request.instance,
                 call,
                 record.decision.target,
                 outcome,
-                FIRST_BYTE_MS if outcome is SlotOutcome.ANSWERED else 0,
+                first_byte_ms if outcome is SlotOutcome.ANSWERED else 0,
                 request.failure_domain,
             )
         )
--- a/tests/unit/test_gateway_settings.py
+++ b/tests/unit/test_gateway_settings.py
@@ -25,6 +25,7 @@
 FAULTY_LINES = {
     'rank_order = route_first': ('rank_order = any', 'customer_first'),
     'call_age = first_send': ('call_age = any', 'first_send'),
+    'kept_prompts = off': ('kept_prompts = yes', 'expected one of off, on'),
     'revoke_ms = 5000': ('revoke_ms = soon', 'whole milliseconds'),
     'retry_ratio = 0.2': ('retry_ratio = -1', 'a number'),
     'callers_endpoint = 127.0.0.1:8221': ('callers_endpoint = x', 'ip:port'),
--- a/tests/unit/test_waiting_calls.py
+++ b/tests/unit/test_waiting_calls.py
@@ -1,5 +1,6 @@
 """Calls that wait for slots at an instance."""
 
+import pathlib
 import types
 from typing import cast
 import unittest
@@ -10,11 +11,14 @@
 from lagoonbend.invariants import Invariants
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
+from lagoonbend.scheduling import KEPT_PROMPTS
 from lagoonbend.scheduling import Pool
 from lagoonbend.scheduling import SlotRequest
 from lagoonbend_entry._internal.coordination.schedulers import PoolSchedulers
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+from lagoonbend_entry._internal.gateway.gateway import Gateway
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
+from lagoonbend_entry.settings import read_gateway_settings
 
 DOMAINS = ('d0', 'd1')
 TARGETS = [
@@ -98,6 +102,19 @@
             b'lagoonbend_waiting_calls{service="s"} 0', metrics.render()
         )
 
+    def test_setting_for_cached_prompts_reaches_new_pools(self) -> None:
+        """Guards against a setting or counts that stay unused."""
+        path = pathlib.Path(__file__).parents[2] / 'samples' / 'platform.ini'
+        settings = read_gateway_settings(path)
+        for name in ('off', 'on'):
+            scheduling = settings.scheduling._replace(kept_prompts=name)
+            gateway = Gateway(settings._replace(scheduling=scheduling), path)
+            schedulers = gateway._coordinator.pool_schedulers
+            schedulers.kept_prompt_totals.waits = 3
+            scheduler = schedulers.get_or_create('s')
+            self.assertIs(KEPT_PROMPTS[name], type(scheduler.kept_prompts))
+            self.assertIn(b'kept_prompt_waits"} 3', gateway._render_metrics())
+
 
 if __name__ == '__main__':
     unittest.main()
