--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
@@ -13,6 +13,7 @@
 from lagoonbend.limits import SharedLimits
 from lagoonbend.rendezvous import score_candidate
 from lagoonbend.scheduling import CustomerOrderClass
+from lagoonbend.scheduling import KeptPromptTotals
 from lagoonbend.scheduling import LatestStartOrder
 from lagoonbend.scheduling import Pool
 from lagoonbend.scheduling import PoolScheduler
@@ -26,6 +27,9 @@
 class PoolSchedulers:
     """Keeps a scheduler per pool, and updates them when the facts change.
 
+    ``kept_prompts`` names how new schedulers weigh cached prompts against the
+    wait for their targets, and ``kept_prompt_totals`` counts such waits.
+
     :param facts: rules and targets.
     :param clock: clock of the instance.
     :param limits: customers' limits.
@@ -51,6 +55,8 @@
         customer_order: CustomerOrderClass = LatestStartOrder,
     ) -> None:
         self.limits = limits
+        self.kept_prompts = 'off'
+        self.kept_prompt_totals = KeptPromptTotals()
         self._facts = facts
         self._clock = clock
         self._invariants = invariants
@@ -106,6 +112,8 @@
                 self._named_limits,
                 self._facts.cold_targets,
                 self._customer_order(),
+                self.kept_prompts,
+                self.kept_prompt_totals,
             )
             scheduler.targets.is_fallback = bool(self._spread_key)
             self._schedulers[pool] = scheduler
@@ -168,6 +176,7 @@
                 service=scheduler.service.name,
                 pool=pool,
                 waiting=len(scheduler),
+                waiting_for_prompt=scheduler.kept_prompts.waiting_count,
                 held=scheduler.targets.held_count,
                 targets=scheduler.targets.describe(),
                 customers=scheduler.customer_order.describe(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -134,6 +134,10 @@
             ),
             CUSTOMER_ORDERS[settings.scheduling.customer_order],
         )
+        # Fallback schedulers don't know what other instances have sent, and
+        # so don't let calls wait for a target.
+        schedulers = self._coordinator.pool_schedulers
+        schedulers.kept_prompts = settings.scheduling.kept_prompts
         self._connection_pool = ConnectionPool(self._clock)
         self._store_client = StoreClient(
             parse_endpoint(settings.platform.endpoint),
@@ -309,6 +313,9 @@
             evacuated_domains=len(self._facts.evacuations.domains),
             cold_targets=self._facts.count_cold(),
             waiting_by_service=self._coordinator.count_waiting(),
+            kept_prompt_totals=(
+                self._coordinator.pool_schedulers.kept_prompt_totals
+            ),
         )
         return self._metrics.render()
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/gateway_settings.py
@@ -63,11 +63,15 @@
     :param customer_order: ``latest_start`` to order the calls of a rank by
         latest start alone, or ``fair_share`` to give its customers equal
         shares of the slot time.
+    :param kept_prompts: ``off`` to choose only among targets with a free
+        slot, or ``on`` to let a call wait for a target that has its prompt
+        cached if that is expected to be sooner.
     """
 
     rank_order: str = 'route_first'
     call_age: str = 'receipt'
     customer_order: str = 'latest_start'
+    kept_prompts: str = 'off'
 
 
 class GatewaySettings(NamedTuple):
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -17,6 +17,8 @@
 from lagoonbend._internal.scheduling.demand import Demand
 from lagoonbend._internal.scheduling.denial import Denial
 from lagoonbend._internal.scheduling.held_slot import HeldSlot
+from lagoonbend._internal.scheduling.kept_prompt_totals import KeptPromptTotals
+from lagoonbend._internal.scheduling.kept_prompts import KEPT_PROMPTS
 from lagoonbend._internal.scheduling.slot_decision import SlotDecision
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
@@ -87,6 +89,9 @@
     :param cold_targets: targets that are cold; None for none.
     :param customer_order: order among the customers of a rank; None to order
         by latest start alone.
+    :param kept_prompts: name in ``KEPT_PROMPTS``: how cached prompts are
+        weighed against the wait for their targets.
+    :param kept_prompt_totals: counts of such waits; None to count apart.
     """
 
     def __init__(
@@ -98,6 +103,8 @@
         named_limits: NamedLimits | None = None,
         cold_targets: ColdTargets | None = None,
         customer_order: CustomerOrder[_WaitingCall] | None = None,
+        kept_prompts: str = 'off',
+        kept_prompt_totals: KeptPromptTotals | None = None,
     ) -> None:
         self.service = service
         self.customer_order: CustomerOrder[_WaitingCall] = (
@@ -111,6 +118,11 @@
         )
         self._waiters: dict[tuple[str, str], Waiter[_WaitingCall]] = {}
         self._demand = Demand()
+        self.kept_prompts = KEPT_PROMPTS[kept_prompts](
+            self.targets,
+            self._demand,
+            kept_prompt_totals or KeptPromptTotals(),
+        )
         self._on_time_counts: dict[int, int] = {}
         self._late_counts: dict[int, int] = {}
 
@@ -274,9 +286,13 @@
                 key = (request.failure_domain, request.excluded)
                 if key in full_keys:
                     return False
-                load = self.targets.choose(request, now_ms)
+                load = self.kept_prompts.choose(
+                    request, waiting.start_by_ms, len(self._queue), now_ms
+                )
                 if load is not None:
                     chosen.append(load)
+                elif self.kept_prompts.is_waiting(request):
+                    return False
                 elif not self.targets.has_free_slot(request, now_ms):
                     full_keys.add(key)
                 return load is not None
@@ -339,6 +355,7 @@
                 waiter,
                 is_late=waiter.deadline_ms >= LATE_ORDER_OFFSET_MS,
             )
+            self.kept_prompts.forget(waiter.item.request)
         return waiter
 
     def _add_waiter(self, waiter: Waiter[_WaitingCall]) -> None:
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -14,6 +14,10 @@
 from lagoonbend._internal.scheduling.customer_shares import CustomerShares
 from lagoonbend._internal.scheduling.denial import Denial
 from lagoonbend._internal.scheduling.held_slot import HeldSlot
+from lagoonbend._internal.scheduling.kept_prompt_choice import choose_option
+from lagoonbend._internal.scheduling.kept_prompt_totals import KeptPromptTotals
+from lagoonbend._internal.scheduling.kept_prompt_waits import KeptPromptWaits
+from lagoonbend._internal.scheduling.kept_prompts import KEPT_PROMPTS
 from lagoonbend._internal.scheduling.pool_plan import CallOrigin
 from lagoonbend._internal.scheduling.pool_plan import PoolPlan
 from lagoonbend._internal.scheduling.pool_scheduler import PoolScheduler
@@ -28,6 +32,8 @@
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
 from lagoonbend._internal.scheduling.stated_load import StatedLoad
+from lagoonbend._internal.scheduling.target_load import TargetLoad
+from lagoonbend._internal.scheduling.target_option import TargetOption
 from lagoonbend._internal.scheduling.target_set import TargetSet
 
 __all__ = [
@@ -39,6 +45,9 @@
     'CustomerOrder',
     'CustomerOrderClass',
     'CustomerShares',
+    'KEPT_PROMPTS',
+    'KeptPromptTotals',
+    'KeptPromptWaits',
     'PoolPlan',
     'RANK_ORDERS',
     'Denial',
@@ -54,6 +63,9 @@
     'RankOrder',
     'RecentDenials',
     'PoolScheduler',
+    'TargetLoad',
+    'TargetOption',
     'TargetSet',
+    'choose_option',
     'rank_continued_stream',
 ]
--- a/tests/lib/pool_world.py
+++ b/tests/lib/pool_world.py
@@ -9,6 +9,8 @@
 from typing import NamedTuple
 
 from lagoonbend.clock import PausedClock
+from lagoonbend.facts import ColdTargets
+from lagoonbend.facts import ColdTolerance
 from lagoonbend.facts import CustomerRule
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import ServiceProfile
@@ -16,6 +18,7 @@
 from lagoonbend.limits import LimitTolerance
 from lagoonbend.limits import SharedLimits
 from lagoonbend.scheduling import CUSTOMER_ORDERS
+from lagoonbend.scheduling import KeptPromptTotals
 from lagoonbend.scheduling import PoolScheduler
 from lagoonbend.scheduling import PromptBlock
 from lagoonbend.scheduling import SlotDecision
@@ -76,14 +79,20 @@
 class PoolWorld:
     """Submits calls to one scheduler and ends them after their hold time.
 
+    ``answers_as_expected`` is True if first bytes take as long as the
+    scheduler expects.
+
     :param targets: number of targets.
     :param slots: number of slots of each target.
     :param is_engine: True for model engines, False for a plain service.
     :param customer_order: name of the order among the customers of a rank.
-    :param memory_tokens: tokens that the memory of a target holds; 0 if
-        unknown.
+    :param memory_tokens: tokens that an engine's memory holds; 0 if unknown.
+    :param cold_rate_per_s: calls a second that a cold target bears.
+    :param kept_prompts: how cached prompts are weighed against waits.
     """
 
+    answers_as_expected = False
+
     def __init__(
         self,
         targets: int = 4,
@@ -91,18 +100,29 @@
         is_engine: bool = True,
         customer_order: str = 'latest_start',
         memory_tokens: int = 0,
+        cold_rate_per_s: float = 0.0,
+        kept_prompts: str = 'off',
     ) -> None:
         self.clock = PausedClock(1_000_000)
-        self.limits = SharedLimits(LimitTolerance(0.25, 0.0, 8.0))
+        self.cold = ColdTargets(self.clock, ColdTolerance(1.5, 5.0))
+        self.totals = KeptPromptTotals()
         self._profile = ServiceProfile(
-            SERVICE, is_engine=is_engine, memory_tokens=memory_tokens
+            SERVICE,
+            is_engine=is_engine,
+            memory_tokens=memory_tokens,
+            cold_rate_per_s=cold_rate_per_s,
         )
+        self.limits = SharedLimits(LimitTolerance(0.25, 0.0, 8.0))
         self.scheduler = PoolScheduler(
             self._profile,
             self.clock,
             self.limits,
             Invariants(strict=True),
-            customer_order=CUSTOMER_ORDERS[customer_order](),
+            None,
+            self.cold,
+            CUSTOMER_ORDERS[customer_order](),
+            kept_prompts,
+            self.totals,
         )
         self.records: dict[str, CallRecord] = {}
         self.max_held_count = 0
@@ -190,13 +210,16 @@
             return
         record.has_ended = True
         request = record.request
+        first_byte_ms = FIRST_BYTE_MS
+        if self.answers_as_expected:
+            first_byte_ms = record.decision.expected_ms
         self._record_decisions(
             self.scheduler.release(
                 request.instance,
                 call,
                 record.decision.target,
                 outcome,
-                FIRST_BYTE_MS if outcome is SlotOutcome.ANSWERED else 0,
+                first_byte_ms if outcome is SlotOutcome.ANSWERED else 0,
                 request.failure_domain,
             )
         )
