Forget cold times of targets by their identity

The directory passed the key of the registration, which has a prefix, so that nothing was forgotten. The test's items have the prefix now.

Tests: tests.unit.test_cold_targets, which fails without the change.

--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -138,7 +138,7 @@
             if target is not None:
                 self._departures.record(name, target, era)
                 self._record_end(target, now_ms)
-                self._forget_cold(name)
+                self._forget_cold(target)
         returned = _pop_expired(self._returned_until_ms, now_ms)
         for name in returned:
             self._departures.forget(name)
@@ -304,7 +304,7 @@
                 self._returned_until_ms.pop(name, None)
                 self._targets.pop(name, None)
                 self._other_names.add(name)
-                self._forget_cold(name)
+                self._forget_cold(known)
             else:
                 self._targets[name] = self._restrict(target, item, now_ms)
                 self._record_name(name)
@@ -340,11 +340,11 @@
             self._departures.record(name, known, item.era)
         del self._targets[name]
         self._record_end(known, now_ms)
-        self._forget_cold(name)
+        self._forget_cold(known)
 
-    def _forget_cold(self, name: str) -> None:
-        if self._cold_targets is not None:
-            self._cold_targets.forget(name)
+    def _forget_cold(self, target: ListedTarget | None) -> None:
+        if self._cold_targets is not None and target is not None:
+            self._cold_targets.forget(target.target)
 
     def _read(self, item: PublishedItem) -> ListedTarget | None:
         try:
--- a/tests/unit/test_cold_targets.py
+++ b/tests/unit/test_cold_targets.py
@@ -239,8 +239,9 @@
     def apply(self, target: ListedTarget) -> None:
         """Apply the registration of a target."""
         self.revision += 1
-        self.states[target.target] = target
-        item = PublishedItem(target.target, self.revision, b'')
+        key = f'servers/{target.target}'
+        self.states[key] = target
+        item = PublishedItem(key, self.revision, b'')
         self.directory.apply([item], self.clock.now_ms())
 
     def find_left_ms(self, name: str) -> int:
@@ -281,6 +282,16 @@
         self.directory.evacuate(set(), self.clock.now_ms())
         self.assertEqual(4 * COLD_MS, self.find_left_ms('old'))
 
+    def test_target_that_is_gone_is_forgotten(self) -> None:
+        """Its key in the store isn't its identity."""
+        self.apply(list_target('new', cold_ms=COLD_MS))
+        target = self.directory.find('new')
+        assert target is not None
+        removal = PublishedItem('servers/new', self.revision + 1, None)
+        self.states['servers/new'] = None
+        self.directory.apply([removal], self.clock.now_ms())
+        self.assertEqual(0, self.cold.find_left_ms(target, PROFILE))
+
     def test_service_without_a_rate_has_no_cold_targets(self) -> None:
         """Other deployments are served as before."""
         self.apply(list_target('old', cold_ms=2_000))
