Recognize targets of evacuated domains by identity

TargetDirectory keeps targets by the key of their registration, which has a prefix, but is_evacuated looked for the identity of a target among these keys. It was therefore always false for registrations of the platform: a service of which all targets are evacuated got no_target in place of targets_paused, and a slot of a decider that had not heard of an evacuation counted as one at an absent target. The test's items had keys without a prefix.

The directory now keeps the identities of evacuated targets. The items of the test have the prefix; two of its tests fail without the change (test_caller_is_told_when_all_domains_are_evacuated, test_slot_of_a_decider_that_has_not_heard_is_returned) and pass with it.

--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -66,6 +66,7 @@
         self._known_names: dict[str, None] = {}
         self._other_names: set[str] = set()
         self._evacuated_domains: AbstractSet[str] = frozenset()
+        self._evacuated_names: set[str] = set()
         self.change_count = 0
 
     def __len__(self) -> int:
@@ -167,12 +168,7 @@
 
     def is_evacuated(self, name: str) -> bool:
         """Return True if a listed target is in an evacuated domain."""
-        target = self._targets.get(name)
-        return (
-            target is not None
-            and not target.is_leaving
-            and target.failure_domain in self._evacuated_domains
-        )
+        return name in self._evacuated_names
 
     def is_service_evacuated(self, service: str) -> bool:
         """Return True if evacuations leave a service no usable target."""
@@ -397,12 +393,17 @@
     def _rebuild(self, now_ms: int) -> None:
         self.change_count += 1
         self._record_versions(now_ms)
-        self._usable = {
-            target.target: target
-            for target in self._targets.values()
-            if not target.is_leaving
-            and target.failure_domain not in self._evacuated_domains
-        }
+        # Targets are kept by the keys of their items, which are not their
+        # identities.
+        self._usable = {}
+        self._evacuated_names = set()
+        for target in self._targets.values():
+            if target.is_leaving:
+                continue
+            if target.failure_domain in self._evacuated_domains:
+                self._evacuated_names.add(target.target)
+            else:
+                self._usable[target.target] = target
         by_service: dict[str, list[ListedTarget]] = {}
         for target in self._usable.values():
             by_service.setdefault(target.service, []).append(target)
--- a/tests/unit/test_evacuated_domains.py
+++ b/tests/unit/test_evacuated_domains.py
@@ -26,6 +26,8 @@
 from tests.lib.pool_world import PoolWorld
 
 KEY = 'op/evacuate/'
+TARGETS = 'servers/'
+"""Begin of the keys of registrations, which isn't part of an identity."""
 DOMAINS = ('a', 'b', 'c')
 KIND = CallKind(rank=0, hold_ms=400)
 
@@ -35,7 +37,8 @@
     if item.value is None or item.key.startswith(KEY):
         return None
     domain = item.value.decode()
-    return ListedTarget(item.key, 'chat', '10.0.0.1', 80, domain, 40, False)
+    name = item.key.removeprefix(TARGETS)
+    return ListedTarget(name, 'chat', '10.0.0.1', 80, domain, 40, False)
 
 
 class EvacuatedDomainsTest(unittest.TestCase):
@@ -45,7 +48,7 @@
         """Start an instance while no domain is evacuated."""
         self.clock = PausedClock(100_000)
         self.targets = [
-            PublishedItem(f't{n}', n + 1, DOMAINS[n % 3].encode(), 1)
+            PublishedItem(f'{TARGETS}t{n}', n + 1, DOMAINS[n % 3].encode(), 1)
             for n in range(6)
         ]
         self.revision = 10
