Explain where a call would go without sending it

Operators could learn where a call went only from the logs, after it was sent.

`lagoonbend explain-route` asks an instance, on its listener for metrics, for the route, customer, limit, pools and decider of a described call. If the instance has the scheduler of the pool, the answer has the terms of the cost of each target, why others are out, and the refusal or target that the call would get. The question is put to a copy of what estimates and limits change.

The cost of a target is split into named terms in route_explanation.py, which TargetSet.choose and the explanation share. PoolScheduler.submit is divided so that the explanation runs the same checks. Coordinator.deciders and Coordinator.recent_denials are public for the same purpose; the mock in test_decider_with_an_older_list follows the name.

--- a/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/cli/main.py
+++ b/packages/lagoonbend-cli/src/lagoonbend_cli/_internal/cli/main.py
@@ -13,6 +13,7 @@
 from lagoonbend_cli._internal.commands.document_diff import DocumentDiffCommand
 from lagoonbend_cli._internal.commands.dump_command import DumpCommand
 from lagoonbend_cli._internal.commands.explain_command import ExplainCommand
+from lagoonbend_cli._internal.commands.explain_route import ExplainRouteCommand
 from lagoonbend_cli._internal.commands.load_command import LoadCommand
 from lagoonbend_cli._internal.commands.status_command import StatusCommand
 
@@ -25,6 +26,7 @@
     document_split.DocumentSplitCommand,
     DumpCommand,
     ExplainCommand,
+    ExplainRouteCommand,
     LoadCommand,
     StatusCommand,
 )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -110,7 +110,7 @@
         self._held_slots: dict[str, tuple[SlotRequest, HeldSlot, str]] = {}
         self.pools = PoolChooser(fleet, facts, clock)
         self.named_limits = NamedLimits(clock)
-        self._recent_denials = RecentDenials(clock, customer_order)
+        self.recent_denials = RecentDenials(clock, customer_order)
         self._unanswered_counts: dict[str, int] = {}
         self._waiting_signal = gevent.event.Event()
         self._links = PeerLinks(
@@ -120,7 +120,7 @@
             on_open=self._report_held_slots,
             on_lost=self._on_peer_lost,
         )
-        self._deciders = Deciders(
+        self.deciders = Deciders(
             fleet,
             clock,
             lambda pool: self.pool_schedulers.find(pool) is not None,
@@ -161,7 +161,7 @@
             fleet,
             facts,
             clock,
-            self._deciders,
+            self.deciders,
             (self.pool_schedulers, self._fallback_schedulers),
             incarnation,
             self.origins,
@@ -237,7 +237,7 @@
         """
         if decision.denial is not Denial.NO_TARGET:
             return False
-        decider = self._deciders.find(request.pool)
+        decider = self.deciders.find(request.pool)
         if decider == self._fleet.address:
             return False
         pool = Pool.parse(request.pool)
@@ -268,17 +268,17 @@
             current_request = request._replace(
                 waited_ms=request.waited_ms + waited_ms
             )
-            denial = self._recent_denials.find(current_request)
+            denial = self.recent_denials.find(current_request)
             if denial is not None:
                 return denial
-            decider = self._deciders.find(request.pool)
+            decider = self.deciders.find(request.pool)
             if redirect_count == MAX_REDIRECTS:
                 decider = FALLBACK
             decision = self._request_slot(
                 current_request, rule, decider, remaining_ms
             )
             if decision is not None:
-                self._recent_denials.record(request, decision)
+                self.recent_denials.record(request, decision)
                 self.pools.record_wait(request.pool, decision.pool_wait_ms)
                 return decision
         return SlotDecision(
@@ -300,7 +300,7 @@
         if entry is None:
             return
         request, _, granted_by = entry
-        current_decider = self._deciders.get_last(request.pool)
+        current_decider = self.deciders.get_last(request.pool)
         if granted_by == FALLBACK:
             self._release_in(
                 self._fallback_schedulers,
@@ -342,7 +342,7 @@
 
     def report_limit(self, pool: str, limit: NamedLimit) -> None:
         """Tell the decider of a pool what a target has said of its limit."""
-        decider = self._deciders.get_last(pool)
+        decider = self.deciders.get_last(pool)
         if decider != self._fleet.address:
             self._limit_reports.report(pool, decider, limit)
 
@@ -362,8 +362,8 @@
 
     def leave(self) -> None:
         """Give up all pools, because the instance is about to stop."""
-        self._deciders.is_leaving = True
-        self._deciders.invalidate()
+        self.deciders.is_leaving = True
+        self.deciders.invalidate()
         for pool in self.pool_schedulers.pools:
             self._step_down(pool)
 
@@ -540,7 +540,7 @@
 
     def _register_slots(self, slots: list[HeldSlot], pool: str) -> None:
         """Report slots that are in use to the decider of their pool."""
-        decider = self._deciders.get_last(pool)
+        decider = self.deciders.get_last(pool)
         if decider != self._fleet.address:
             if slots:
                 now_ms = self._clock.now_ms()
@@ -580,7 +580,7 @@
                 if pending is not None:
                     pending.is_queued = True
             case messages.Moved():
-                self._deciders.record_hint(message.pool, message.decider)
+                self.deciders.record_hint(message.pool, message.decider)
                 pending = self._pending.get(message.call)
                 if pending is not None:
                     pending.request_again()
@@ -607,7 +607,7 @@
         self, link: PeerLink, message: messages.Decision
     ) -> None:
         """Release a slot that was granted after the request was given up."""
-        for pool in self._deciders.list_pools(link.address):
+        for pool in self.deciders.list_pools(link.address):
             link.send(
                 messages.Done(
                     call=message.call,
@@ -648,12 +648,12 @@
 
     def _report_held_slots(self, link: PeerLink) -> None:
         """Report the slots in use to a decider whose link has opened."""
-        for pool in self._deciders.list_pools(link.address):
+        for pool in self.deciders.list_pools(link.address):
             self._register_slots(self._list_held_slots(pool), pool)
             self._limit_reports.report_all(pool, link.address)
 
     def _on_peer_lost(self, address: str) -> None:
-        self._deciders.invalidate()
+        self.deciders.invalidate()
         for pending in list(self._pending.values()):
             if pending.decider == address:
                 pending.request_again()
@@ -678,14 +678,14 @@
     def _send_pings(self) -> None:
         self._update_links()
         self._links.send_due_pings(
-            self._deciders.list_pinged(self.pools.list_all()),
+            self.deciders.list_pinged(self.pools.list_all()),
             wants_gossip=bool(self.pool_schedulers.pools),
         )
         gevent.sleep(HEARTBEAT_CHECK_MS / MILLISECONDS_PER_SECOND)
 
     def _update_links(self) -> None:
         self._links.update_links(
-            self._deciders.list_pinged(self.pools.list_all()),
+            self.deciders.list_pinged(self.pools.list_all()),
             self.pool_schedulers.pools,
             shares_origins=self.origins.has_mixed_services,
         )
@@ -701,13 +701,13 @@
             self._waiting_signal.wait(
                 IDLE_SCHEDULING_INTERVAL_MS / MILLISECONDS_PER_SECOND
             )
-        self._deciders.invalidate()
+        self.deciders.invalidate()
         known = max(1, self._fleet.count_known())
         alive = self._fleet.count_alive()
         self.pool_schedulers.limits.reachable_share = alive / known
         self._fallback_schedulers.limits.reachable_share = 1 / known
         for pool in self.pool_schedulers.pools:
-            self._deciders.find(pool)
+            self.deciders.find(pool)
         unreachable_domains = self._fleet.list_unreachable_domains()
         self.pool_schedulers.run_cycle(1.0, alive / known, unreachable_domains)
         self._fallback_schedulers.run_cycle(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/deciders.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/deciders.py
@@ -53,6 +53,15 @@
         """
         return self._look_up(pool, '')
 
+    def peek(self, pool: str) -> str:
+        """Return what ``find`` would, without recording or reporting it."""
+        return self._fleet.find_decider(
+            pool,
+            decides=self._decides(pool),
+            is_leaving=self.is_leaving,
+            hint=self._find_hint(pool),
+        )
+
     def get_last(self, pool: str) -> str:
         """Return the decider found at the last lookup; '' before the first."""
         return self._last_deciders.get(pool, '')
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admission.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admission.py
@@ -60,11 +60,11 @@
         path = request.path.partition('?')[0]
         route = rules.find_route(host, path)
         if route is None:
-            return self._reject_if_current(RefusalReason.NO_ROUTE, age_ms)
+            return self.reject_if_current(RefusalReason.NO_ROUTE, age_ms)
         customer = rules.customers_by_key.get(headers.key)
         if rules.requires_keys and not route.is_public:
             if customer is None:
-                return self._reject_if_current(
+                return self.reject_if_current(
                     RefusalReason.NO_CUSTOMER, age_ms
                 )
             if age_ms is None or age_ms >= self._max_fact_age_ms:
@@ -93,14 +93,19 @@
         )
 
     @staticmethod
-    def _reject_if_current(
+    def reject_if_current(
         reason: RefusalReason, age_ms: int | None
     ) -> RefusalReason:
         """Return the reason, or that the facts are too old to be sure."""
-        if age_ms is None or age_ms >= MAX_REJECTION_FACT_AGE_MS:
+        if not Admission.is_current(age_ms):
             return RefusalReason.FACTS_TOO_OLD
         return reason
 
+    @staticmethod
+    def is_current(age_ms: int | None) -> bool:
+        """Return True if the facts are new enough for a final rejection."""
+        return age_ms is not None and age_ms < MAX_REJECTION_FACT_AGE_MS
+
     @staticmethod
     def _get_timeout_ms(route: Route, headers: CallHeaders) -> int:
         if headers.deadline_ms is None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -38,11 +38,13 @@
 from lagoonbend_entry._internal.gateway.link_probe import LinkProbe
 from lagoonbend_entry._internal.gateway.prompt_survey import PromptSurvey
 from lagoonbend_entry._internal.gateway.reachability import PEER_DOUBT_MS
+from lagoonbend_entry._internal.gateway.route_explainer import RouteExplainer
 from lagoonbend_entry._internal.gateway.store_watcher import StoreWatcher
 from lagoonbend_entry._internal.gateway.target_pauses import TargetPauses
 from lagoonbend_entry._internal.gateway.tcp_socket import set_tcp_options
 from lagoonbend_entry._internal.gateway.text_server import HTTP_OK
 from lagoonbend_entry._internal.gateway.text_server import TextServer
+from lagoonbend_entry._internal.models.route_question import EXPLAIN_PATH
 from lagoonbend_entry._internal.platform import names
 from lagoonbend_entry._internal.platform.rules_codec import decode_rules
 from lagoonbend_entry._internal.platform.store_client import StoreClient
@@ -167,6 +169,24 @@
         self._coordinator.origins.search_prompt = PromptSurvey(
             self._facts, self._clock
         ).find_version
+        closed_targets = ClosedTargets(
+            TargetPauses(self._clock, random.Random())
+        )
+        instance = (
+            settings.listen.peers_endpoint,
+            settings.instance.failure_domain,
+        )
+        self._metrics_server.answers_by_path[EXPLAIN_PATH.encode()] = (
+            RouteExplainer(
+                self._facts,
+                self._coordinator,
+                closed_targets,
+                self._clock,
+                self._max_fact_age_ms,
+                instance,
+                RANK_ORDERS[settings.scheduling.rank_order],
+            ).answer
+        )
         self._call_handler = CallHandler(
             self._facts,
             Admission(
@@ -178,10 +198,10 @@
             ),
             self._coordinator,
             self._connection_pool,
-            ClosedTargets(TargetPauses(self._clock, random.Random())),
+            closed_targets,
             self._clock,
             self._make_retry_share,
-            (settings.listen.peers_endpoint, settings.instance.failure_domain),
+            instance,
             RANK_ORDERS[settings.scheduling.rank_order],
             self._metrics,
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/slot_requests.py
@@ -1,9 +1,11 @@
 """Requests for the slots of calls."""
 
+from collections.abc import Container
 from collections.abc import Iterator
 
 from lagoonbend.clock import Clock
 from lagoonbend.facts import ListedTarget
+from lagoonbend.facts import VersionBinding
 from lagoonbend.scheduling import rank_continued_stream
 from lagoonbend.scheduling import RankOrder
 from lagoonbend.scheduling import SlotRequest
@@ -134,7 +136,21 @@
 
         :returns: None unless all targets that may still run the call pause.
         """
-        service = progress.call.service
+        return self.find_service_pause_ms(
+            progress.call.service, progress.excluded, progress.binding
+        )
+
+    def find_service_pause_ms(
+        self,
+        service: str,
+        excluded: Container[str] = (),
+        binding: VersionBinding | None = None,
+    ) -> int | None:
+        """Return the time to the end of the first pause, as above.
+
+        :param excluded: targets that must not run the call.
+        :param binding: version that it is bound to; None for any.
+        """
         directory = self._facts.target_directory
         if directory.is_service_evacuated(service):
             return EVACUATION_CHECK_MS
@@ -144,13 +160,13 @@
         first_ms: int | None = None
         for target in directory.list_service(service):
             if self._closed_targets.is_leaving(target) or (
-                progress.binding and not progress.binding.allows(target)
+                binding and not binding.allows(target)
             ):
                 continue
             left_ms = pauses.find_left_ms(target)
             if left_ms:
                 first_ms = min(left_ms, first_ms or left_ms)
-            elif target.target not in progress.excluded:
+            elif target.target not in excluded:
                 return None
         return first_ms
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_pauses.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_pauses.py
@@ -101,7 +101,7 @@
 
         :param left_ms: time to the end of the pause.
         """
-        spread_ms = max(MIN_SPREAD_MS, SPREAD_SHARE * left_ms)
+        spread_ms = find_spread_ms(left_ms)
         return left_ms + int(self._random_source.uniform(0, spread_ms))
 
     def drop_ended(self) -> None:
@@ -114,5 +114,10 @@
         }
 
 
+def find_spread_ms(left_ms: int) -> int:
+    """Return the time over which callers return after a pause."""
+    return int(max(MIN_SPREAD_MS, SPREAD_SHARE * left_ms))
+
+
 def _compute_left_ms(closure: TargetClosure, now_ms: int) -> int:
     return max(0, (closure.end_ms or 0) - now_ms)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/text_server.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/text_server.py
@@ -4,17 +4,22 @@
 import http
 
 import gevent.socket
+import httptools
 
-MAX_HEAD_BYTES = 4_096
+MAX_HEAD_BYTES = 16_384
+"""A question on a route names the blocks of a prompt in its URL."""
 TIMEOUT_S = 2.0
 """Time limit of each read and write on a connection."""
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
+HTTP_URI_TOO_LONG = 414
 
 
 class TextServer:
     """Serves GET requests for one path: readiness or metrics.
 
+    ``answers_by_path`` has further paths, whose answers depend on the query.
+
     :param path: path to serve; other requests get status 404.
     :param answer: returns status and body.
     """
@@ -24,6 +29,9 @@
     ) -> None:
         self._request_prefix = b'GET ' + path + b' '
         self._answer = answer
+        self.answers_by_path: dict[
+            bytes, Callable[[str], tuple[int, bytes]]
+        ] = {}
 
     def serve(
         self, sock: gevent.socket.socket, address: tuple[str, int]
@@ -40,6 +48,8 @@
             status, body = HTTP_NOT_FOUND, b''
             if head.startswith(self._request_prefix):
                 status, body = self._answer()
+            else:
+                status, body = self._answer_query(head)
             phrase = http.HTTPStatus(status).phrase
             sock.sendall(
                 f'HTTP/1.1 {status} {phrase}\r\n'
@@ -52,3 +62,18 @@
             return
         finally:
             sock.close()
+
+    def _answer_query(self, head: bytes) -> tuple[int, bytes]:
+        """Answer a request whose query is of interest."""
+        line, end, _ = head.partition(b'\r\n')
+        method, _, rest = line.partition(b' ')
+        if not end:
+            return HTTP_URI_TOO_LONG, b''
+        try:
+            url = httptools.parse_url(rest.partition(b' ')[0])
+        except httptools.HttpParserInvalidURLError:
+            return HTTP_NOT_FOUND, b''
+        answer = self.answers_by_path.get(url.path)
+        if method != b'GET' or answer is None:
+            return HTTP_NOT_FOUND, b''
+        return answer((url.query or b'').decode('latin-1'))
--- a/packages/lagoonbend/src/lagoonbend/_internal/limits/debt_bucket.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/limits/debt_bucket.py
@@ -17,6 +17,11 @@
         self._level = level
         self._refilled_ms = now_ms
 
+    @property
+    def level(self) -> float:
+        """Units in the bucket; below zero while there is a debt."""
+        return self._level
+
     def refill(self, now_ms: int, rate_per_s: float, burst: float) -> None:
         """Add the units since the last call, up to the burst."""
         span_s = (now_ms - self._refilled_ms) / MILLISECONDS_PER_SECOND
--- a/packages/lagoonbend/src/lagoonbend/_internal/limits/shared_limits.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/limits/shared_limits.py
@@ -1,6 +1,7 @@
 """Customers' limits, counted in units over all instances."""
 
 from collections.abc import Mapping
+import copy
 
 from lagoonbend._internal.facts.customer_rule import CustomerRule
 from lagoonbend._internal.limits.debt_bucket import DebtBucket
@@ -104,6 +105,25 @@
                 self._used_units.get(rule.name, 0.0) - units
             )
 
+    def make_copy(self) -> 'SharedLimits':
+        """Return a copy from which calls can be taken without effect here."""
+        copied = copy.copy(self)
+        copied._buckets = {
+            name: copy.copy(bucket) for name, bucket in self._buckets.items()
+        }
+        copied._retry_at_ms = dict(self._retry_at_ms)
+        copied._used_units = dict(self._used_units)
+        return copied
+
+    def find_level(self, rule: CustomerRule, now_ms: int) -> float | None:
+        """Return the units that a customer may use at once.
+
+        :returns: None if no call of it has been charged here.
+        """
+        if rule.name not in self._buckets:
+            return None
+        return self.make_copy()._refill(rule, now_ms).level
+
     def get_used_units(self) -> Mapping[str, float]:
         """Return the units admitted here since the start, by customer."""
         return self._used_units
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_plan.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_plan.py
@@ -75,15 +75,7 @@
         call leaves its home pool if the expected wait there exceeds that in
         another pool by more than ``OTHER_POOL_PENALTY_MS``.
         """
-        untried = [
-            pool for pool in self.pools if pool.name not in origin.tried
-        ]
-        reachable = [
-            pool
-            for pool in untried
-            if pool.domain not in origin.unreachable_domains
-        ]
-        usable = reachable or untried
+        usable = self._list_usable(origin)
         if not usable:
             return None
         home_pool = self._find_home_pool(usable, origin)
@@ -96,6 +88,26 @@
 
         return min(usable, key=estimate_cost_ms)
 
+    def find_home(self, origin: CallOrigin) -> Pool | None:
+        """Return the pool that a call leaves only for a shorter wait."""
+        usable = self._list_usable(origin)
+        return self._find_home_pool(usable, origin) if usable else None
+
+    def _list_usable(self, origin: CallOrigin) -> list[Pool]:
+        """Return the pools that have not denied a call.
+
+        Of these, unreachable ones count only if all are.
+        """
+        untried = [
+            pool for pool in self.pools if pool.name not in origin.tried
+        ]
+        reachable = [
+            pool
+            for pool in untried
+            if pool.domain not in origin.unreachable_domains
+        ]
+        return reachable or untried
+
     def _divide(self, targets: Sequence[ListedTarget]) -> None:
         for domain in sorted({target.failure_domain for target in targets}):
             local = [t for t in targets if t.failure_domain == domain]
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/pool_scheduler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import copy
 from typing import NamedTuple
 
 from lagoonbend._internal.facts.cold_targets import ColdTargets
@@ -17,6 +18,7 @@
 from lagoonbend._internal.scheduling.demand import Demand
 from lagoonbend._internal.scheduling.denial import Denial
 from lagoonbend._internal.scheduling.held_slot import HeldSlot
+from lagoonbend._internal.scheduling.route_explanation import PoolExplanation
 from lagoonbend._internal.scheduling.slot_decision import SlotDecision
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
@@ -135,47 +137,40 @@
     ) -> Iterator[SlotDecision]:
         """Accept the request of a call; yield the decisions that follow."""
         now_ms = self._clock.now_ms()
-        if self.targets.has_no_target(request.excluded):
-            yield self._deny(
-                request, Denial.NO_TARGET, NO_TARGET_RETRY_AFTER_MS
-            )
-            return
-        arrived_ms = now_ms - request.waited_ms
-        first_byte_ms = max(
-            self.targets.estimate_min_first_byte_ms(request),
-            FIRST_BYTE_MARGIN * self._demand.get_first_byte_ms(request.rank),
-        )
-        waiting = _WaitingCall(
-            request,
-            rule,
-            arrived_ms,
-            arrived_ms + request.objective_ms - int(first_byte_ms),
-            self._find_give_up_ms(request, now_ms),
-        )
-        is_late = waiting.start_by_ms < now_ms
-        wait_ms = (
-            self._estimate_late_wait_ms(request, now_ms)
-            if is_late
-            else self._estimate_wait_ms(request, request.rank, now_ms)
-        )
-        if wait_ms and wait_ms >= self._find_max_wait_ms(waiting, now_ms):
-            yield self._deny(
-                request,
-                Denial.OVERLOADED,
-                self._estimate_late_wait_ms(request, now_ms),
-            )
+        waiting = self._build_waiting(request, rule, now_ms)
+        denied = self._find_denial(waiting, now_ms)
+        if denied is not None:
+            yield denied
             return
-        if rule is not None and request.cost_units:
-            wait_ms = self._limits.take(
-                rule, request.cost_units, request.route_rank, now_ms
-            )
-            if wait_ms:
-                yield self._deny(request, Denial.OVER_LIMIT, wait_ms)
-                return
         self._demand.record_arrival(request.rank, now_ms)
         yield from self._enqueue(waiting, now_ms)
         yield from self.grant_free_slots()
 
+    def explain(
+        self, request: SlotRequest, rule: CustomerRule | None
+    ) -> PoolExplanation:
+        """Return what would become of a call now, without any effect.
+
+        The question is put to a copy of what estimates and limits change.
+        """
+        now_ms = self._clock.now_ms()
+        copied = copy.copy(self)
+        copied.targets = self.targets.make_copy()
+        copied._limits = self._limits.make_copy()
+        waiting = copied._build_waiting(request, rule, now_ms)
+        denied = copied._find_denial(waiting, now_ms)
+        chosen: TargetLoad | None = None
+        if denied is None and copied.targets.may_have_free_slot():
+            chosen = copied.targets.choose(request, now_ms)
+        return PoolExplanation(
+            copied.targets.explain(request, now_ms),
+            chosen.listed.target if chosen else '',
+            copied._estimate_wait_ms(request, request.rank, now_ms),
+            len(self),
+            denied.denial if denied else None,
+            denied.retry_after_ms if denied else 0,
+        )
+
     def withdraw(self, instance: str, call: str) -> Iterator[SlotDecision]:
         """Remove a call that is no longer waited for; yield what follows.
 
@@ -290,6 +285,52 @@
         for waiter in list(self._queue):
             yield waiter.item.request
 
+    def _build_waiting(
+        self, request: SlotRequest, rule: CustomerRule | None, now_ms: int
+    ) -> _WaitingCall:
+        """Return a call that arrives, with its latest start."""
+        arrived_ms = now_ms - request.waited_ms
+        first_byte_ms = max(
+            self.targets.estimate_min_first_byte_ms(request),
+            FIRST_BYTE_MARGIN * self._demand.get_first_byte_ms(request.rank),
+        )
+        return _WaitingCall(
+            request,
+            rule,
+            arrived_ms,
+            arrived_ms + request.objective_ms - int(first_byte_ms),
+            self._find_give_up_ms(request, now_ms),
+        )
+
+    def _find_denial(
+        self, waiting: _WaitingCall, now_ms: int
+    ) -> SlotDecision | None:
+        """Charge a new call; return None, or why it gets no slot."""
+        request, rule = waiting.request, waiting.rule
+        if self.targets.has_no_target(request.excluded):
+            return self._deny(
+                request, Denial.NO_TARGET, NO_TARGET_RETRY_AFTER_MS
+            )
+        is_late = waiting.start_by_ms < now_ms
+        wait_ms = (
+            self._estimate_late_wait_ms(request, now_ms)
+            if is_late
+            else self._estimate_wait_ms(request, request.rank, now_ms)
+        )
+        if wait_ms and wait_ms >= self._find_max_wait_ms(waiting, now_ms):
+            return self._deny(
+                request,
+                Denial.OVERLOADED,
+                self._estimate_late_wait_ms(request, now_ms),
+            )
+        if rule is not None and request.cost_units:
+            wait_ms = self._limits.take(
+                rule, request.cost_units, request.route_rank, now_ms
+            )
+            if wait_ms:
+                return self._deny(request, Denial.OVER_LIMIT, wait_ms)
+        return None
+
     def _deny_waiting(self) -> Iterator[SlotDecision]:
         """Deny all waiting calls, as no target is left.
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import copy
 
 from lagoonbend._internal.facts.cold_targets import ColdTargets
 from lagoonbend._internal.facts.listed_target import ListedTarget
@@ -9,24 +10,19 @@
 from lagoonbend._internal.facts.service_profile import ServiceProfile
 from lagoonbend._internal.scheduling.request_rate import BURST_S
 from lagoonbend._internal.scheduling.request_rate import RequestRate
+from lagoonbend._internal.scheduling.route_explanation import explain_target
+from lagoonbend._internal.scheduling.route_explanation import split_cost
+from lagoonbend._internal.scheduling.route_explanation import TargetExplanation
+from lagoonbend._internal.scheduling.route_explanation import TargetState
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
 from lagoonbend._internal.scheduling.target_load import TargetLoad
 from lagoonbend._internal.utils.clock import Clock
 
-CROSS_DOMAIN_COST_MS = 10.0
-"""Cost of choosing a target in another failure domain, for the round trip
-and the head of the request."""
-CROSS_DOMAIN_COST_MS_PER_KB = 2.0
-"""Cost of each kilobyte of the body that is sent to another failure domain,
-because traffic between domains is charged for."""
 MILLISECONDS_PER_SECOND = 1000
 MIN_COLD_RATE_PER_S = 0.001
 """Rate of a cold target to which no calls are allowed: less than one call in
 the time for which any target is cold."""
-FULL_LOAD_COST_MS = 40.0
-"""Cost of a fully used target compared with an idle one, because each
-running call slows down the others."""
 
 
 class TargetSet:
@@ -136,14 +132,58 @@
         """Return the target with the lowest cost that can run a call."""
         best: TargetLoad | None = None
         best_cost = 0.0
+        share = self.share
         for load in self._list_healthy(request, now_ms):
-            if not load.has_room(request, self.share):
+            if not load.has_room(request, share):
                 continue
-            cost = self._estimate_cost(load, request, now_ms)
+            first_byte_ms, load_ms, other_domain_ms, fault_factor = split_cost(
+                load, request, load.estimate_first_byte_ms(request, now_ms)
+            )
+            cost = (first_byte_ms + load_ms + other_domain_ms) * fault_factor
             if best is None or cost < best_cost:
                 best, best_cost = load, cost
         return best
 
+    def make_copy(self) -> 'TargetSet':
+        """Return a copy to which questions can be put without any effect here.
+
+        Estimates update rates and rooms. Slots in use, faults and caches are
+        shared, so that nothing may be recorded in the copy.
+        """
+        copied = copy.copy(self)
+        copied._loads = {}
+        for name, load in self._loads.items():
+            copied._loads[name] = copied_load = copy.copy(load)
+            copied_load.request_rate = copy.copy(load.request_rate)
+        return copied
+
+    def explain(
+        self, request: SlotRequest, now_ms: int
+    ) -> tuple[TargetExplanation, ...]:
+        """Return the cost of a call at each target, and why one is out."""
+        candidates = {
+            load.listed.target for load in self._list_healthy(request, now_ms)
+        }
+        limit = self.slot_limit
+        has_set_room = limit is None or self.held_count < limit
+        return tuple(
+            explain_target(
+                load,
+                request,
+                TargetState(
+                    name in self._listed,
+                    name in candidates,
+                    self.share,
+                    has_set_room,
+                    self._find_cold_ms(load),
+                    self._find_rate_per_s(load),
+                    self._find_rate_wait_ms(load, now_ms),
+                ),
+                now_ms,
+            )
+            for name, load in self._loads.items()
+        )
+
     def may_have_free_slot(self) -> bool:
         """Return False if no target has a free slot for any call."""
         limit = self.slot_limit
@@ -401,17 +441,6 @@
             )
         ] or listed
 
-    @staticmethod
-    def _estimate_cost(
-        load: TargetLoad, request: SlotRequest, now_ms: int
-    ) -> float:
-        cost_ms = load.estimate_first_byte_ms(request, now_ms)
-        cost_ms += FULL_LOAD_COST_MS * len(load.held) / load.listed.slots
-        if load.listed.failure_domain != request.failure_domain:
-            cost_ms += CROSS_DOMAIN_COST_MS
-            cost_ms += CROSS_DOMAIN_COST_MS_PER_KB * request.body_bytes / 1024
-        return cost_ms * (1.0 + 2.0 * load.faults.fault_rate)
-
     def _list_present(self) -> Iterator[TargetLoad]:
         """Yield the targets that are listed and still at their address."""
         now_ms = self._clock.now_ms()
--- a/packages/lagoonbend/src/lagoonbend/scheduling.py
+++ b/packages/lagoonbend/src/lagoonbend/scheduling.py
@@ -24,6 +24,10 @@
 from lagoonbend._internal.scheduling.ranks import RANK_ORDERS
 from lagoonbend._internal.scheduling.ranks import RankOrder
 from lagoonbend._internal.scheduling.recent_denials import RecentDenials
+from lagoonbend._internal.scheduling.route_explanation import CostTerms
+from lagoonbend._internal.scheduling.route_explanation import OutReason
+from lagoonbend._internal.scheduling.route_explanation import PoolExplanation
+from lagoonbend._internal.scheduling.route_explanation import TargetExplanation
 from lagoonbend._internal.scheduling.slot_decision import SlotDecision
 from lagoonbend._internal.scheduling.slot_outcome import SlotOutcome
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
@@ -35,6 +39,7 @@
     'CallAge',
     'CallOrigin',
     'CallerPatience',
+    'CostTerms',
     'CustomerOrder',
     'CustomerOrderClass',
     'CustomerShares',
@@ -43,6 +48,9 @@
     'Denial',
     'HeldSlot',
     'LatestStartOrder',
+    'OutReason',
+    'PoolExplanation',
+    'TargetExplanation',
     'SlotDecision',
     'SlotOutcome',
     'SlotRequest',
--- a/tests/unit/test_decider_with_an_older_list.py
+++ b/tests/unit/test_decider_with_an_older_list.py
@@ -64,8 +64,8 @@
             gevent.spawn(coordinator._deliver, denied)
             return True
 
-        coordinator._deciders = mock.Mock()
-        coordinator._deciders.find.return_value = '10.0.0.2:1'
+        coordinator.deciders = mock.Mock()
+        coordinator.deciders.find.return_value = '10.0.0.2:1'
         coordinator._links = mock.Mock()
         coordinator._links.send_when_open.side_effect = answer
         return coordinator.acquire(request, None, WAIT_MS)
