--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/kept_prompt_waits.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/kept_prompt_waits.py
@@ -4,6 +4,7 @@
 import math
 from typing import NamedTuple
 
+from lagoonbend._internal.scheduling import route_explanation
 from lagoonbend._internal.scheduling.demand import Demand
 from lagoonbend._internal.scheduling.kept_prompt_choice import choose_option
 from lagoonbend._internal.scheduling.kept_prompt_totals import KeptPromptTotals
@@ -14,13 +15,12 @@
 from lagoonbend._internal.scheduling.target_load import PREFILL_MS_PER_TOKEN
 from lagoonbend._internal.scheduling.target_load import TargetLoad
 from lagoonbend._internal.scheduling.target_option import TargetOption
-from lagoonbend._internal.scheduling.target_set import CROSS_DOMAIN_COST_MS
 from lagoonbend._internal.scheduling.target_set import TargetSet
 
 CHECK_INTERVAL_MS = 50
 """Interval at which a wait for a target that is still full is weighed again,
 and time before its latest start at which a call stops to wait."""
-MIN_KEPT_MS = CROSS_DOMAIN_COST_MS
+MIN_KEPT_MS = route_explanation.CROSS_DOMAIN_COST_MS
 """Time that a cached beginning must save to be weighed; less than that isn't
 worth the way to another failure domain either."""
 
