--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/schedulers.py
@@ -187,6 +187,9 @@
                 customers=scheduler.customer_order.describe(
                     self._clock.now_ms()
                 ),
+                prefill=scheduler.targets.prefill_times.describe()
+                if scheduler.service.is_engine
+                else None,
                 reached=reached,
                 known=known,
             )
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/kept_prompt_waits.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/kept_prompt_waits.py
@@ -9,10 +9,10 @@
 from lagoonbend._internal.scheduling.kept_prompt_choice import choose_option
 from lagoonbend._internal.scheduling.kept_prompt_totals import KeptPromptTotals
 from lagoonbend._internal.scheduling.kept_prompts import register_kept_prompts
+from lagoonbend._internal.scheduling.prefill_times import PRIOR_MS_PER_TOKEN
 from lagoonbend._internal.scheduling.prompt_block import PromptBlock
 from lagoonbend._internal.scheduling.slot_request import SlotRequest
 from lagoonbend._internal.scheduling.target_load import MAX_MEMORY_SHARE
-from lagoonbend._internal.scheduling.target_load import PREFILL_MS_PER_TOKEN
 from lagoonbend._internal.scheduling.target_load import TargetLoad
 from lagoonbend._internal.scheduling.target_option import TargetOption
 from lagoonbend._internal.scheduling.target_set import TargetSet
@@ -325,7 +325,7 @@
 
     :returns: None if the whole prompt is too short.
     """
-    left_tokens = MIN_KEPT_MS / PREFILL_MS_PER_TOKEN
+    left_tokens = MIN_KEPT_MS / PRIOR_MS_PER_TOKEN
     for index, block in enumerate(prompt):
         left_tokens -= block.tokens
         if left_tokens <= 0:
--- a/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/scheduling/target_set.py
@@ -8,6 +8,7 @@
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.named_limits import NamedLimits
 from lagoonbend._internal.facts.service_profile import ServiceProfile
+from lagoonbend._internal.scheduling.prefill_times import PrefillTimes
 from lagoonbend._internal.scheduling.prompt_block import PromptBlock
 from lagoonbend._internal.scheduling.request_rate import BURST_S
 from lagoonbend._internal.scheduling.request_rate import RequestRate
@@ -33,8 +34,9 @@
     ``slot_limit`` the maximum number of slots in use over all targets (None
     for no limit), ``rate_share`` the share of the limits that targets name
     and of the rates of cold ones, ``is_fallback`` True if it serves calls for
-    which no decider is reached, and ``unreachable_domains`` the failure
-    domains without a reachable instance.
+    which no decider is reached, ``unreachable_domains`` the failure domains
+    without a reachable instance, and ``prefill_times`` the learned times of
+    engines.
 
     :param clock: clock of the instance.
     :param named_limits: limits that targets have named; None for none.
@@ -56,6 +58,7 @@
         self._has_cold_rate = False
         self.slot_limit: int | None = None
         self.unreachable_domains: frozenset[str] = frozenset()
+        self.prefill_times = PrefillTimes()
         self._clock = clock
         self._loads: dict[str, TargetLoad] = {}
         self._listed: dict[str, ListedTarget] = {}
@@ -94,7 +97,10 @@
             load = self._loads.get(name)
             if load is None:
                 self._loads[name] = TargetLoad(
-                    target, profile.is_engine, profile.memory_tokens
+                    target,
+                    profile.is_engine,
+                    profile.memory_tokens,
+                    self.prefill_times,
                 )
             else:
                 if not target.is_same_life(load.listed):
