Log what peers send of published items

Cause: no log told how large an answer with items is, how long it took, how often a version arrives and what waits before it on a link, so that the hypotheses on late changes could not be told apart.

Change: LB0516 at the sender and LB0517 at the receiver, two gauges, and in LB0203 and LB0205 the version, the age and the revision of the facts at the end of a call, beside those that admitted it.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -157,7 +157,7 @@
         self._limit_reports = limit_reports.LimitReports(
             clock, fleet.reads_reports, self._links.send
         )
-        self._facts_exchange = facts_exchange.FactsExchange(facts, clock)
+        self.facts_exchange = facts_exchange.FactsExchange(facts, clock)
         self.peers = PeerService(
             fleet,
             facts,
@@ -166,7 +166,7 @@
             (self.pool_schedulers, self._fallback_schedulers),
             incarnation,
             self.origins,
-            self._facts_exchange,
+            self.facts_exchange,
             self.crashes,
             self.named_limits,
         )
@@ -566,7 +566,7 @@
             case messages.Pong():
                 self._handle_pong(link, message)
             case messages.Items():
-                self._facts_exchange.handle_items(message)
+                self.facts_exchange.handle_items(message, link.address)
             case messages.Queued():
                 pending = self._pending.get(message.call)
                 if pending is not None:
@@ -634,7 +634,7 @@
                 failure_domain=pong.failure_domain,
                 uptime_ms=pong.uptime_ms,
             )
-        wanted = self._facts_exchange.handle_pong(pong)
+        wanted = self.facts_exchange.handle_pong(pong)
         if wanted is not None:
             link.send(wanted)
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/facts_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/facts_exchange.py
@@ -4,6 +4,8 @@
 from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import wire_codec
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
 
 REQUEST_INTERVAL_MS = 200
 """Time within which the items up to a position are requested only once,
@@ -25,6 +27,8 @@
         self._facts = facts
         self._clock = clock
         self._requested_ms: dict[tuple[int, int, int], int] = {}
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     def handle_pong(self, pong: messages.Pong) -> messages.ItemsWanted | None:
         """Use the proof of a heartbeat, or return a request for its items."""
@@ -61,8 +65,17 @@
         self._requested_ms[position] = now_ms
         return True
 
-    def build_answer(self, wanted: messages.ItemsWanted) -> messages.Items:
-        """Return the items that a peer has requested."""
+    def build_answer(
+        self,
+        wanted: messages.ItemsWanted,
+        peer: str = '',
+        queued_bytes: int = 0,
+    ) -> messages.Items:
+        """Return the items that a peer has requested.
+
+        :param peer: address of the peer.
+        :param queued_bytes: bytes that wait to be sent to it before these.
+        """
         item_cache = self._facts.item_cache
         # Removals before the start of the history are not known here.
         lacks_removals = (
@@ -90,10 +103,45 @@
             message.live_keys = [
                 item.key for item in item_cache if item.value is not None
             ]
+        item_bytes = _count_bytes(message)
+        self.sent_bytes += item_bytes
+        log_event(
+            Event.ITEMS_SENT,
+            peer=peer,
+            items=len(message.items),
+            item_bytes=item_bytes,
+            queued_bytes=queued_bytes,
+            since=wanted.since,
+            revision=message.revision,
+            version=self._facts.version,
+            known_version=wanted.rules_version,
+        )
         return message
 
-    def handle_items(self, message: messages.Items) -> None:
-        """Apply the items that a peer has sent."""
+    def handle_items(self, message: messages.Items, peer: str = '') -> None:
+        """Apply the items that a peer has sent.
+
+        :param peer: address of the peer.
+        """
+        item_bytes = _count_bytes(message)
+        self.received_bytes += item_bytes
+        version = self._facts.version
+        position = self._facts.item_cache.position
+        self._apply_items(message)
+        log_event(
+            Event.ITEMS_RECEIVED,
+            peer=peer,
+            items=len(message.items),
+            item_bytes=item_bytes,
+            transfer_ms=self._clock.now_ms() - message.sent_ms,
+            revision=message.revision,
+            proof_age_ms=message.proof_age_ms,
+            version=self._facts.version,
+            is_new=(message.era, message.revision) > position
+            or self._facts.version > version,
+        )
+
+    def _apply_items(self, message: messages.Items) -> None:
         if message.proof_age_ms is None:
             return
         self._facts.apply_peer_items(
@@ -104,3 +152,7 @@
             is_listing=message.is_listing,
             live_keys=message.live_keys,
         )
+
+
+def _count_bytes(message: messages.Items) -> int:
+    return sum(len(item.value or b'') for item in message.items)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/message_channel.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/message_channel.py
@@ -40,6 +40,11 @@
         self._writer = gevent.spawn(self._write_messages)
         self.is_closed = False
 
+    @property
+    def queued_bytes(self) -> int:
+        """Bytes that have not been handed to the system yet."""
+        return len(self._send_buffer)
+
     def send(self, message: Message) -> None:
         """Queue a message to be sent; never blocks."""
         if self.is_closed:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -134,7 +134,11 @@
             case messages.Ping():
                 channel.send(self._make_pong(message))
             case messages.ItemsWanted():
-                channel.send(self._facts_exchange.build_answer(message))
+                channel.send(
+                    self._facts_exchange.build_answer(
+                        message, peer, channel.queued_bytes
+                    )
+                )
             case messages.Ask():
                 self._handle_ask(peer, channel, message)
             case messages.Withdraw():
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_log.py
@@ -72,6 +72,9 @@
             left_ms=call.expires_at_ms - self._clock.now_ms(),
             has_budget=has_budget,
             next=next_step,
+            version=call.version,
+            fact_age_ms=self._facts.age_ms(),
+            revision=self._facts.item_cache.complete_revision,
         )
 
     def record_unanswered(self, progress: CallProgress, cause: str) -> None:
@@ -130,6 +133,9 @@
             retry_after_ms=refusal.retry_after_ms if refusal else None,
             version=call.version,
             fact_age_ms=call.fact_age_ms,
+            end_version=self._facts.version,
+            end_fact_age_ms=self._facts.age_ms(),
+            revision=self._facts.item_cache.complete_revision,
         )
 
     def _find_version(self, name: str) -> str:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -332,6 +332,10 @@
             reached_instances=self._fleet.count_alive(),
             evacuated_domains=len(self._facts.evacuations.domains),
             cold_targets=self._facts.count_cold(),
+            sent_item_bytes=self._coordinator.facts_exchange.sent_bytes,
+            received_item_bytes=(
+                self._coordinator.facts_exchange.received_bytes
+            ),
             waiting_by_service=self._coordinator.count_waiting(),
             kept_prompt_totals=(
                 self._coordinator.pool_schedulers.kept_prompt_totals
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
@@ -91,6 +91,8 @@
         reached_instances: int,
         evacuated_domains: int,
         cold_targets: int,
+        sent_item_bytes: int,
+        received_item_bytes: int,
         waiting_by_service: dict[str, int],
         kept_prompt_totals: KeptPromptTotals | None = None,
     ) -> None:
@@ -107,6 +109,8 @@
             'reached_instances': reached_instances,
             'evacuated_domains': evacuated_domains,
             'cold_targets': cold_targets,
+            'sent_item_bytes': sent_item_bytes,
+            'received_item_bytes': received_item_bytes,
         }
         if kept_prompt_totals is not None:
             totals = kept_prompt_totals
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -200,6 +200,12 @@
         'info',
         'The store does not confirm that the facts are current.',
     )
+    ITEMS_SENT = ('LB0516', 'info', 'Published items were sent to a peer.')
+    ITEMS_RECEIVED = (
+        'LB0517',
+        'info',
+        'Published items have arrived from a peer.',
+    )
     PEER_REACHED = ('LB0600', 'info', 'A peer answers.')
     PEER_LOST = ('LB0601', 'warning', 'The link to a peer is lost.')
     PEER_REJECTED = (
--- a/tests/unit/test_waiting_calls.py
+++ b/tests/unit/test_waiting_calls.py
@@ -96,6 +96,8 @@
                 reached_instances=1,
                 evacuated_domains=0,
                 cold_targets=0,
+                sent_item_bytes=0,
+                received_item_bytes=0,
                 waiting_by_service=waiting,
             )
         self.assertIn(
