Let long pages of the store take the time of their bytes

Cause: a page had to be complete within 2.8 s, whatever its size. A watch that returns a configuration with 2,850 routes has some 720 KB of text, which takes over a second alone on a link of 5 Mbit/s and more beside calls. It was given up near its end and begun anew, for as long as the link was busy.

Change: the time for a page grows with the bytes that have arrived, at 1 Mbit/s. A page of a few bytes now and then ends as before.

Measured: test_long_page_over_a_narrow_link failed before (PlatformError after 0.4 s) and passes; the three tests of pages without end pass.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
@@ -24,8 +24,11 @@
 value at most 1 MB, a third more as text; the changes of a few seconds have
 several values."""
 MAX_PAGE_TIMEOUTS = 4
-"""Multiple of the timeout in which a page must be complete; the store may be
-slow."""
+"""Multiple of the timeout in which a page must be complete, beyond the time
+for its bytes; the store may be slow."""
+MIN_PAGE_BYTES_PER_S = 128 * 1024
+"""Rate at which the bytes of a page must arrive: a fifth of the narrowest
+link of 5 Mbit/s, which the page shares with calls and peers."""
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -150,6 +153,8 @@
             body += chunk
             if len(body) > MAX_PAGE_BYTES:
                 raise PageTooLargeError('answer too large', context=path)
-            if time.monotonic() > end_s and not answer.is_complete:
+            transfer_s = len(body) / MIN_PAGE_BYTES_PER_S
+            is_late = time.monotonic() > end_s + transfer_s
+            if is_late and not answer.is_complete:
                 raise PlatformError('answer takes too long', context=path)
         return bytes(body)
--- a/tests/unit/test_endless_store.py
+++ b/tests/unit/test_endless_store.py
@@ -43,6 +43,25 @@
                 gevent.sleep(self._pause_s)
 
 
+class NarrowStore(RawServer):
+    """Answers a request at 250 KB a second.
+
+    :param answer: the whole answer.
+    """
+
+    def __init__(self, answer: bytes) -> None:
+        self._answer = answer
+        super().__init__()
+
+    def serve(self, sock: gevent.socket.socket) -> None:
+        """Send a part every 20 ms."""
+        with contextlib.suppress(OSError):
+            sock.recv(65_536)
+            for start in range(0, len(self._answer), 5_000):
+                sock.sendall(self._answer[start : start + 5_000])
+                gevent.sleep(0.02)
+
+
 class EndlessStoreTest(unittest.TestCase):
     """One client and one store."""
 
@@ -89,6 +108,26 @@
             client.list_items('', '')
         self.assertLess(time.monotonic() - start_s, 1.0)
 
+    # Guards against a page that is given up over a narrow link, and begun
+    # anew each time.
+    def test_long_page_over_a_narrow_link(self) -> None:
+        """It is read to its end, in several times the timeout."""
+        page = b'{"entries":[],"as-of":7%b}' % (b' ' * 200_000)
+        head = b'Content-Length: %d\r\n\r\n' % len(page)
+        store = NarrowStore(b'HTTP/1.1 200 OK\r\n' + head + page)
+        self.addCleanup(store.close)
+        client = store_client.StoreClient(
+            ('127.0.0.1', store.port), 'instance', TIMEOUT_MS
+        )
+        self.addCleanup(client.close)
+        start_s = time.monotonic()
+        with gevent.Timeout(5):
+            self.assertEqual(7, client.list_items('', '').revision)
+        self.assertGreater(
+            time.monotonic() - start_s,
+            store_client.MAX_PAGE_TIMEOUTS * TIMEOUT_MS / 1_000,
+        )
+
 
 if __name__ == '__main__':
     unittest.main()
