Take a page that was given up for no outage of the store

What callers saw: a request at a target more than 3 s after it had left. That this is the reported case isn't shown; it is one way to it.

Cause: the watcher took a page that it gave up itself, as it came slowly over a full link, for an outage. After an outage, a removed registration may have lapsed in it: the target stays usable for two more seconds, and each further one moves that on.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
@@ -10,6 +10,7 @@
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.models.items_page import ItemsPage
 from lagoonbend_entry._internal.models.store_error import HistoryLostError
+from lagoonbend_entry._internal.models.store_error import PageTooSlowError
 from lagoonbend_entry._internal.platform.store_client import StoreClient
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
@@ -80,10 +81,17 @@
             self._read_store()
         except HistoryLostError:
             self._needs_listing = True
+        except PageTooSlowError as error:
+            # The store is up, so that no registration lapses.
+            self._log_failure(Event.FACTS_NOT_CONFIRMED, error)
+            self._wait_to_retry()
         except PlatformError as error:
             self._record_failure(error)
-            _sleep(self._retry_ms)
-            self._retry_ms = min(2 * self._retry_ms, MAX_RETRY_MS)
+            self._wait_to_retry()
+
+    def _wait_to_retry(self) -> None:
+        _sleep(self._retry_ms)
+        self._retry_ms = min(2 * self._retry_ms, MAX_RETRY_MS)
 
     def _read_store(self) -> None:
         sent_ms = self._clock.now_ms()
@@ -158,13 +166,16 @@
         self._watch_wait_ms = SHORT_WATCH_WAIT_MS
         if self.is_store_reachable:
             self.is_store_reachable = False
-            log_event(
-                Event.PLATFORM_LOST,
-                reason=str(error),
-                era=self._facts.item_cache.era,
-                revision=self._facts.item_cache.complete_revision,
-                age_ms=self._facts.age_ms(),
-            )
+            self._log_failure(Event.PLATFORM_LOST, error)
+
+    def _log_failure(self, event: Event, error: PlatformError) -> None:
+        log_event(
+            event,
+            reason=str(error),
+            era=self._facts.item_cache.era,
+            revision=self._facts.item_cache.complete_revision,
+            age_ms=self._facts.age_ms(),
+        )
 
 
 def _check_era(page: ItemsPage, known_era: int) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
@@ -12,6 +12,7 @@
 from lagoonbend_entry._internal.models.items_page import ItemsPage
 from lagoonbend_entry._internal.models.store_error import HistoryLostError
 from lagoonbend_entry._internal.models.store_error import PageTooLargeError
+from lagoonbend_entry._internal.models.store_error import PageTooSlowError
 from lagoonbend_entry._internal.platform import names
 from lagoonbend_entry._internal.platform.store_codec import decode_changes
 from lagoonbend_entry._internal.platform.store_codec import decode_era
@@ -156,5 +157,5 @@
             transfer_s = len(body) / MIN_PAGE_BYTES_PER_S
             is_late = time.monotonic() > end_s + transfer_s
             if is_late and not answer.is_complete:
-                raise PlatformError('answer takes too long', context=path)
+                raise PageTooSlowError('answer takes too long', context=path)
         return bytes(body)
