Keep that a target leaves which isn't listed or in use

What callers saw: a request at a target more than 3 s after the instance had passed on an answer in which the target said that it leaves.

Cause: of a call that a peer had run, the instance recorded a leaving target only if its own list had that life of it in use at that moment. Not if the list was late, older (another life) or the target's domain evacuated: the answer went to the caller, and the target was used once it was listed.

Change: the life that the peer names is closed whether it is listed or not.

Class: what one source says of a target is looked up in another one. Gone through: Attempt closes the target that it was given, listed or not; limits and pauses of answers are kept by identity; crash evidence by life.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import functools
 
 from lagoonbend.clock import Clock
 from lagoonbend.facts import ListedTarget
@@ -174,14 +175,24 @@
             peer_age_ms=self._clock.now_ms() - peer.last_seen_ms,
         )
 
-    def _record_leaving(self, header_map: Mapping[str, str]) -> None:
-        """Send nothing more to a target whose answer says that it leaves."""
-        target = self._find_target(handover_mark.find_target_name(header_map))
-        if (
-            target is not None
-            and handover_mark.names_target(header_map, target)
-            and self._closed_targets.record_leaving(target)
-        ):
+    def _record_leaving(
+        self, service: str, header_map: Mapping[str, str]
+    ) -> None:
+        """Send nothing more to a target whose answer says that it leaves.
+
+        The target may be listed here later, or used again after an
+        evacuation.
+        """
+        life = handover_mark.find_life(header_map)
+        if life is None:
+            return
+        name, born_ms = life
+        target = self._find_target(name)
+        if target is None or target.born_ms != born_ms:
+            target = ListedTarget(
+                name, service, '', 0, '', 0, True, born_ms=born_ms
+            )
+        if self._closed_targets.record_leaving(target):
             self._connection_pool.close_idle((target.ip, target.port))
 
     def _record_begun(
@@ -219,7 +230,9 @@
             self._body_memory,
             progress.sends,
             lambda: self._record_begun(progress.call, reply, attempt),
-            on_leaving=self._record_leaving,
+            on_leaving=functools.partial(
+                self._record_leaving, progress.call.service
+            ),
         )
         try:
             report = attempt.run()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
@@ -8,6 +8,7 @@
 import urllib.parse
 
 from lagoonbend.facts import ListedTarget
+from lagoonbend_entry._internal.utils import bounded
 
 HEADER_HANDED_OVER = 'lagoonbend-handed-over'
 """Marks a call that must not be handed over again. It is 2 if the sender
@@ -80,15 +81,16 @@
     return None if value is None else urllib.parse.unquote(value)
 
 
-def names_target(header_map: Mapping[str, str], target: ListedTarget) -> bool:
-    """Return True if an answer names a target in its present life."""
-    return header_map.get(HEADER_TARGET) == _encode_life(target)
+def find_life(header_map: Mapping[str, str]) -> tuple[str, int | None] | None:
+    """Return the target that an answer names, and the start of its life.
 
-
-def find_target_name(header_map: Mapping[str, str]) -> str:
-    """Return the identity of the target that an answer names, or none."""
-    name, _, _ = header_map.get(HEADER_TARGET, '').partition(';')
-    return urllib.parse.unquote(name)
+    :returns: its identity and its start in Unix milliseconds, None if that
+        isn't known; None if the answer names no target.
+    """
+    name, _, born = header_map.get(HEADER_TARGET, '').partition(';')
+    if not name:
+        return None
+    return urllib.parse.unquote(name), bounded.read_digits(born)
 
 
 def _encode_life(target: ListedTarget) -> str:
