Find a route at a cost that doesn't grow with the routes

Cause: each call went through the routes of its host, and the question for the versions of a service through all routes.

Change: a route is looked up once for each length that prefixes have, and the longest timeout is computed once a configuration.

--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/ruleset.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/ruleset.py
@@ -1,17 +1,31 @@
 """A version of the operators' configuration."""
 
 from collections.abc import Mapping
+import functools
 from typing import NamedTuple
 
 from lagoonbend._internal.facts.caller_bounds import CallerBounds
 from lagoonbend._internal.facts.customer_rule import CustomerRule
+from lagoonbend._internal.facts.host_routes import HostRoutes
 from lagoonbend._internal.facts.route import Route
 from lagoonbend._internal.facts.service_profile import ServiceProfile
 
 
-class RuleSet(NamedTuple):
+class _RuleSetFields(NamedTuple):
+    version: int
+    routes_by_host: Mapping[str, tuple[Route, ...]]
+    services: Mapping[str, ServiceProfile]
+    customers_by_key: Mapping[str, CustomerRule]
+    customers_by_name: Mapping[str, CustomerRule]
+    requires_keys: bool
+    bounds: CallerBounds
+
+
+class RuleSet(_RuleSetFields):
     """One complete, immutable version of the configuration.
 
+    The cost of what each call asks doesn't grow with the configuration.
+
     :param version: a greater version is newer.
     :param routes_by_host: routes of each host, longest path prefix first.
     :param services: services by name.
@@ -22,15 +36,7 @@
     :param bounds: limits on what callers may send.
     """
 
-    version: int
-    routes_by_host: Mapping[str, tuple[Route, ...]]
-    services: Mapping[str, ServiceProfile]
-    customers_by_key: Mapping[str, CustomerRule]
-    customers_by_name: Mapping[str, CustomerRule]
-    requires_keys: bool
-    bounds: CallerBounds
-
-    @property
+    @functools.cached_property
     def longest_timeout_ms(self) -> int:
         """Longest timeout of all routes."""
         return max(
@@ -44,7 +50,12 @@
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route whose prefix is the longest match of the path."""
-        for route in self.routes_by_host.get(host, ()):
-            if path.startswith(route.path_prefix):
-                return route
-        return None
+        routes = self._routes.get(host)
+        return routes.find(path) if routes is not None else None
+
+    @functools.cached_property
+    def _routes(self) -> dict[str, HostRoutes]:
+        return {
+            host: HostRoutes(routes)
+            for host, routes in self.routes_by_host.items()
+        }
