Derive the ages of facts from the bounds of a deployment

What callers saw: changes in force after the bound.

Cause: three fixed times of 3 s stood beside bounds of 2 to 4 s.

Change: config_apply_ms and drain_ms are settings. Two fifths of the tighter one are left to read the store; the watches of the store readers are as long as lets proofs arrive before that (0.70 s under a bound of 3 s, 0.85 s in a full mesh under 2 s, 1.30 s under 4 s, 1.80 s before). A rejection is final only while the facts are younger than config_apply_ms. MAX_VERSIONS_AGE_MS stays at 3 s: it bounds what is refused, not what is served.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admission.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admission.py
@@ -9,6 +9,8 @@
 from lagoonbend.scheduling import CALL_AGES
 from lagoonbend.scheduling import CallAge
 from lagoonbend_entry._internal.gateway.admitted_call import AdmittedCall
+from lagoonbend_entry._internal.gateway.fact_ages import DEFAULT_AGES
+from lagoonbend_entry._internal.gateway.fact_ages import FactAges
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
@@ -16,12 +18,6 @@
 from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry._internal.platform.call_headers import CallHeaders
 
-MAX_REJECTION_FACT_AGE_MS = 3_000
-"""Age of the facts from which an unknown route or key gets a 503 instead of a
-final rejection. While the platform's store answers, the last confirmation of
-the facts is up to 1.8 s old, the duration of a watch request, and up to a
-second older if it came from a peer."""
-
 
 class Admission:
     """Finds the route, customer and service of a request.
@@ -34,6 +30,8 @@
         calls without an identity.
     :param call_age: tells for how long callers have waited; None to count
         each call from its receipt.
+    :param ages: age of the facts from which an unknown route or key gets a 503
+        in place of a final rejection.
     """
 
     def __init__(
@@ -43,10 +41,12 @@
         max_fact_age_ms: int,
         random_source: random.Random,
         call_age: CallAge | None = None,
+        ages: FactAges = DEFAULT_AGES,
     ) -> None:
         self._facts = facts
         self._clock = clock
         self._max_fact_age_ms = max_fact_age_ms
+        self._ages = ages
         self._random_source = random_source
         self._call_age = call_age or CALL_AGES['receipt']()
 
@@ -65,12 +65,14 @@
         path = request.path.partition('?')[0]
         route = rules.find_route(host, path)
         if route is None:
-            return self.reject_if_current(RefusalReason.NO_ROUTE, age_ms)
+            return self.reject_if_current(
+                RefusalReason.NO_ROUTE, age_ms, self._ages
+            )
         customer = rules.customers_by_key.get(headers.key)
         if rules.requires_keys and not route.is_public:
             if customer is None:
                 return self.reject_if_current(
-                    RefusalReason.NO_CUSTOMER, age_ms
+                    RefusalReason.NO_CUSTOMER, age_ms, self._ages
                 )
             if age_ms is None or age_ms >= self._max_fact_age_ms:
                 return RefusalReason.FACTS_TOO_OLD
@@ -99,17 +101,12 @@
 
     @staticmethod
     def reject_if_current(
-        reason: RefusalReason, age_ms: int | None
+        reason: RefusalReason, age_ms: int | None, ages: FactAges
     ) -> RefusalReason:
         """Return the reason, or that the facts are too old to be sure."""
-        if not Admission.is_current(age_ms):
-            return RefusalReason.FACTS_TOO_OLD
-        return reason
-
-    @staticmethod
-    def is_current(age_ms: int | None) -> bool:
-        """Return True if the facts are new enough for a final rejection."""
-        return age_ms is not None and age_ms < MAX_REJECTION_FACT_AGE_MS
+        return (
+            reason if ages.is_current(age_ms) else RefusalReason.FACTS_TOO_OLD
+        )
 
     @staticmethod
     def _get_timeout_ms(route: Route, headers: CallHeaders) -> int:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -23,6 +23,7 @@
 from lagoonbend.scheduling import CALL_AGES
 from lagoonbend.scheduling import CUSTOMER_ORDERS
 from lagoonbend.scheduling import RANK_ORDERS
+from lagoonbend_entry._internal.coordination import peer_links
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.coordination.fleet import Fleet
 from lagoonbend_entry._internal.gateway import caller_connection
@@ -32,6 +33,7 @@
 from lagoonbend_entry._internal.gateway.call_handler import CallHandler
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
 from lagoonbend_entry._internal.gateway.connection_pool import ConnectionPool
+from lagoonbend_entry._internal.gateway.fact_ages import FactAges
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.gateway_metrics import GatewayMetrics
 from lagoonbend_entry._internal.gateway.history_reader import HistoryReader
@@ -146,8 +148,14 @@
             settings.instance.name,
             settings.platform.timeout_ms,
         )
+        ages = FactAges.from_config(settings.bounds)
         self._store_watcher = StoreWatcher(
-            self._facts, self._store_client, self._clock, self._is_store_reader
+            self._facts,
+            self._store_client,
+            self._clock,
+            self._is_store_reader,
+            ages,
+            self._get_heartbeat_ms,
         )
         confirming_client, history_client = (
             StoreClient(
@@ -189,6 +197,7 @@
                 self._max_fact_age_ms,
                 instance,
                 RANK_ORDERS[settings.scheduling.rank_order],
+                ages,
             ).answer
         )
         self._call_handler = CallHandler(
@@ -199,6 +208,7 @@
                 self._max_fact_age_ms,
                 random.Random(),
                 CALL_AGES[settings.scheduling.call_age](),
+                ages,
             ),
             self._coordinator,
             self._connection_pool,
@@ -346,6 +356,12 @@
     def _is_store_reader(self) -> bool:
         return self._fleet.is_store_reader()
 
+    def _get_heartbeat_ms(self) -> int:
+        """Return the interval of heartbeats that carry news."""
+        if self._fleet.is_full_mesh:
+            return peer_links.PING_INTERVAL_MS
+        return peer_links.GOSSIP_PING_INTERVAL_MS
+
     def _make_retry_share(self) -> RetryShare:
         bounds = self._settings.bounds
         return RetryShare(
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/route_explainer.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/route_explainer.py
@@ -21,6 +21,8 @@
 from lagoonbend_entry._internal.gateway.admission import Admission
 from lagoonbend_entry._internal.gateway.admission import count_cost_units
 from lagoonbend_entry._internal.gateway.closed_targets import ClosedTargets
+from lagoonbend_entry._internal.gateway.fact_ages import DEFAULT_AGES
+from lagoonbend_entry._internal.gateway.fact_ages import FactAges
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.gateway.refusal_reason import RefusalReason
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
@@ -48,6 +50,7 @@
     :param instance: this instance's address for peers and its failure
         domain.
     :param rank_order: combines the rank of a customer and of a route.
+    :param ages: ages of the facts at which the instance acts.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         max_fact_age_ms: int,
         instance: tuple[str, str],
         rank_order: RankOrder,
+        ages: FactAges = DEFAULT_AGES,
     ) -> None:
         self._facts = facts
         self._coordinator = coordinator
@@ -67,6 +71,7 @@
         self._max_fact_age_ms = max_fact_age_ms
         self._address, self._failure_domain = instance
         self._rank_order = rank_order
+        self._ages = ages
         self._slot_requests = SlotRequests(
             facts,
             coordinator.pools,
@@ -94,7 +99,7 @@
             instance=self._address,
             failure_domain=self._failure_domain,
             fact_age_ms=age_ms,
-            is_current=Admission.is_current(age_ms),
+            is_current=self._ages.is_current(age_ms),
             version=rules.version if rules else None,
             evacuated_domains=sorted(self._facts.evacuations.domains),
             route=None,
@@ -109,7 +114,7 @@
         route = rules.find_route(question.host, question.path)
         if route is None:
             reason = Admission.reject_if_current(
-                RefusalReason.NO_ROUTE, age_ms
+                RefusalReason.NO_ROUTE, age_ms, self._ages
             )
             answer['refusal'] = _build_refusal(reason)
             return answer
@@ -153,7 +158,7 @@
             return None
         if customer is None:
             return Admission.reject_if_current(
-                RefusalReason.NO_CUSTOMER, age_ms
+                RefusalReason.NO_CUSTOMER, age_ms, self._ages
             )
         if age_ms is None or age_ms >= self._max_fact_age_ms:
             return RefusalReason.FACTS_TOO_OLD
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/store_watcher.py
@@ -6,7 +6,10 @@
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import PlatformError
+from lagoonbend_entry._internal.coordination.peer_links import PING_INTERVAL_MS
 from lagoonbend_entry._internal.gateway import facts_cache
+from lagoonbend_entry._internal.gateway.fact_ages import DEFAULT_AGES
+from lagoonbend_entry._internal.gateway.fact_ages import FactAges
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
 from lagoonbend_entry._internal.models.items_page import ItemsPage
 from lagoonbend_entry._internal.models.store_error import HistoryLostError
@@ -16,22 +19,16 @@
 from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
 
-WATCH_WAIT_MS = 1_800
-"""Time for which the store holds a watch request open. Its answer confirms
-that the facts are current, and calls of customers need a confirmation from
-the last seconds."""
 SHORT_WATCH_WAIT_MS = 300
-"""The same for the watch after an answer with changes: such an answer confirms
-the facts only for the time at which its watch began."""
+"""Time for which the store holds the watch open that follows an answer with
+changes: such an answer confirms the facts only for the time at which its watch
+began."""
 MIN_RETRY_MS = 100
 MAX_RETRY_MS = 800
 """Range of the pause after a failed request, which doubles each time; a
 rejected request isn't free either."""
 PAUSE_AFTER_CHANGES_MS = 100
 """Pause after changes, so that a series of changes takes few requests."""
-MAX_PEER_FACTS_AGE_MS = 3_000
-"""Age of the facts from peers at which an instance that isn't a store reader
-reads the store itself."""
 READER_CHECK_INTERVAL_MS = 250
 """Interval at which an instance that isn't reading checks whether it must."""
 MAX_LOGGED_REJECTIONS = 5
@@ -48,6 +45,8 @@
     :param is_store_reader: returns True if the instance is one of those that
         always read the store; the others read it only when the facts they
         receive from peers are too old.
+    :param ages: ages of the facts at which that is done.
+    :param get_heartbeat_ms: returns the interval of heartbeats.
     """
 
     def __init__(
@@ -56,6 +55,8 @@
         client: StoreClient,
         clock: Clock,
         is_store_reader: Callable[[], bool],
+        ages: FactAges = DEFAULT_AGES,
+        get_heartbeat_ms: Callable[[], int] = lambda: PING_INTERVAL_MS,
     ) -> None:
         self.is_store_reachable = False
         self._facts = facts
@@ -63,7 +64,9 @@
         self._clock = clock
         self._is_store_reader = is_store_reader
         self._needs_listing = True
-        self._watch_wait_ms = WATCH_WAIT_MS
+        self._ages = ages
+        self._get_heartbeat_ms = get_heartbeat_ms
+        self._needs_short_watch = False
         self._has_reached_store = False
         self._retry_ms = MIN_RETRY_MS
 
@@ -73,7 +76,7 @@
 
     def _run_once(self) -> None:
         age_ms = self._facts.age_ms()
-        is_stale = age_ms is None or age_ms >= MAX_PEER_FACTS_AGE_MS
+        is_stale = age_ms is None or age_ms >= self._ages.max_peer_ms
         if not is_stale and not self._is_store_reader():
             _sleep(READER_CHECK_INTERVAL_MS)
             return
@@ -100,14 +103,14 @@
             self._list_all(sent_ms, era)
             self._needs_listing = False
             return
-        wait_ms = self._watch_wait_ms
+        wait_ms = self._get_watch_wait_ms()
         page = self._client.watch('', revision, wait_ms)
         _check_era(page, era)
         log_rejected(page)
         self._record_success()
         if page.era > era:
             # The revision has another meaning there; all is listed next.
-            self._watch_wait_ms = SHORT_WATCH_WAIT_MS
+            self._needs_short_watch = True
             return
         verified_ms = sent_ms
         if not page.items and self._clock.now_ms() - sent_ms >= wait_ms:
@@ -117,14 +120,15 @@
         self._facts.apply_changes(
             page.items, page.revision, verified_ms, page.era
         )
-        self._watch_wait_ms = (
-            SHORT_WATCH_WAIT_MS
-            if page.items or self._facts.is_settling
-            else WATCH_WAIT_MS
-        )
+        self._needs_short_watch = bool(page.items) or self._facts.is_settling
         if page.items:
             _sleep(PAUSE_AFTER_CHANGES_MS)
 
+    def _get_watch_wait_ms(self) -> int:
+        if self._needs_short_watch:
+            return SHORT_WATCH_WAIT_MS
+        return self._ages.get_watch_wait_ms(self._get_heartbeat_ms())
+
     def _list_all(self, sent_ms: int, known_era: int) -> None:
         page = self._client.list_items('', '')
         log_rejected(page)
@@ -142,7 +146,7 @@
         _check_era(page, max(known_era, self._client.newest_era))
         self._record_success()
         if era > known_era:
-            self._watch_wait_ms = SHORT_WATCH_WAIT_MS
+            self._needs_short_watch = True
         self._facts.apply_listing(items, revision, sent_ms, era)
 
     def _record_success(self) -> None:
@@ -163,7 +167,7 @@
 
     def _record_failure(self, error: PlatformError) -> None:
         # A store that has come back is recognised by its answer.
-        self._watch_wait_ms = SHORT_WATCH_WAIT_MS
+        self._needs_short_watch = True
         if self.is_store_reachable:
             self.is_store_reachable = False
             self._log_failure(Event.PLATFORM_LOST, error)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/bounds_settings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/settings/bounds_settings.py
@@ -8,6 +8,10 @@
 
     :param revoke_ms: maximum time from the publication of a configuration
         until keys that it no longer contains are rejected.
+    :param config_apply_ms: maximum time from the publication of a
+        configuration until it is in force.
+    :param drain_ms: maximum time from the publication that a target leaves
+        until it gets no more requests.
     :param retry_ratio: allowed retries per request to a service.
     :param retry_slack: additional retries allowed in a window, over all
         instances.
@@ -23,6 +27,8 @@
     """
 
     revoke_ms: int = 5_000
+    config_apply_ms: int = 3_000
+    drain_ms: int = 3_000
     retry_ratio: float = 0.2
     retry_slack: float = 50.0
     retry_window_s: float = 10.0
--- a/tests/unit/test_watch_over_eras.py
+++ b/tests/unit/test_watch_over_eras.py
@@ -45,12 +45,12 @@
         self.watcher._needs_listing = False
         self.client.watch.return_value = ItemsPage((), 3, False, 2)
         self.watcher._run_once()
-        self.assertEqual(300, self.watcher._watch_wait_ms)
-        self.watcher._watch_wait_ms = store_watcher.WATCH_WAIT_MS
+        self.assertEqual(300, self.watcher._get_watch_wait_ms())
+        self.watcher._needs_short_watch = False
         self.client.newest_era = 2
         self.client.list_items.return_value = ItemsPage((), 3, False, 2)
         self.watcher._run_once()
-        self.assertEqual(300, self.watcher._watch_wait_ms)
+        self.assertEqual(300, self.watcher._get_watch_wait_ms())
 
 
 if __name__ == '__main__':
