Bound the lines of a target's head, and stop at the first one beyond

Memory was bounded before.

Cause: a head was given up after 32 KB, which are thousands of short lines, and the parser went on through the rest of what it had read.

Change: 256 lines of a head with its interim ones, or of trailers; the parser is stopped at the next one.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
@@ -10,6 +10,10 @@
 """Limit on a head with the interim ones before it, and on framing and trailers
 without body. The platform's pages set none; many heads at once must fit into
 the 128 MB of an instance."""
+MAX_HEAD_LINES = 256
+"""Limit on the lines of a head with the interim ones before it, and on those
+of trailers; answers have some tens. Short lines cost more time than their
+bytes suggest."""
 STATUSES_WITHOUT_BODY = (204, 304)
 HEADER_LINE_OVERHEAD_BYTES = 4
 """Bytes of a header line besides its name and value: colon, space and CRLF."""
@@ -18,6 +22,10 @@
 and a few interim ones."""
 
 
+class TooManyLinesError(Exception):
+    """A head or trailer has more lines than any answer."""
+
+
 class AnswerParser:
     """Parses the answers on one connection, and detects malformed bytes.
 
@@ -33,6 +41,7 @@
         self._has_framing = False
         self._body_bytes = 0
         self._head_bytes = 0
+        self._line_count = 0
         self._idle_bytes = 0
         self._has_progressed = False
 
@@ -79,7 +88,13 @@
             self._current.reason = status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store a header; trailers are ignored."""
+        """Store a header; trailers are ignored.
+
+        :raises TooManyLinesError: to end the parsing of bytes without end.
+        """
+        self._line_count += 1
+        if self._line_count > MAX_HEAD_LINES:
+            raise TooManyLinesError
         answer = self._current
         if answer is None or answer.is_head_complete:
             return
@@ -103,6 +118,8 @@
             return
         answer.status = self._parser.get_status_code()
         answer.is_head_complete = True
+        if not answer.is_interim:
+            self._line_count = 0
         self._has_progressed |= not answer.is_interim
         answer.ends_at_close = has_body(answer) and not self._has_framing
         answer.keeps_connection = (
--- a/tests/unit/test_bytes_without_end.py
+++ b/tests/unit/test_bytes_without_end.py
@@ -6,8 +6,10 @@
 
 from collections.abc import Iterator
 import unittest
+from unittest import mock
 
 import gevent
+import httptools
 
 from lagoonbend_entry._internal.gateway import answer_parser
 from lagoonbend_entry._internal.gateway import event_splitter
@@ -39,6 +41,36 @@
         read = self.feed(b'HTTP/1.1 200 OK\r\n', b'X-A: b\r\n' * 1_000)
         self.assertLess(read, 2 * answer_parser.MAX_HEAD_BYTES)
 
+    # Guards against short lines that take up the processor, up to the limit
+    # of a head at each of many targets.
+    def test_lines_of_a_head_are_bounded(self) -> None:
+        """No line beyond the limit is looked at, also in trailers."""
+        ok = b'HTTP/1.1 200 OK\r\n'
+        body = ok + b'Transfer-Encoding: chunked\r\n\r\n0\r\n'
+        for first in (ok, body, b'HTTP/1.1 100 Continue\r\n'):
+            parser = answer_parser.AnswerParser()
+            with mock.patch.object(
+                parser, 'on_header', wraps=parser.on_header
+            ) as on_header:
+                # The methods are looked up when the parser is created.
+                parser._parser = httptools.HttpResponseParser(parser)
+                parser.feed(first)
+                parser.feed(b'a:b\r\n' * 6_000)
+            self.assertTrue(parser.is_malformed)
+            self.assertLess(
+                on_header.call_count, 2 * answer_parser.MAX_HEAD_LINES
+            )
+
+    # Guards against a limit that counts the lines of several answers.
+    def test_lines_of_sound_answers(self) -> None:
+        """Each head may have as many."""
+        parser = answer_parser.AnswerParser()
+        lines = b'a:b\r\n' * (answer_parser.MAX_HEAD_LINES - 2)
+        for _ in range(3):
+            parser.feed(HEAD[:-2] + lines + b'\r\nfirst')
+        self.assertFalse(parser.is_malformed)
+        self.assertEqual(3, len(parser.answers))
+
     # Guards against a header value that never ends.
     def test_head_of_one_line(self) -> None:
         """The head is given up at its limit."""
