Compare a target with the list again once its connection is open

What callers saw: a request at a target after the bound on leaving. Shown as a way that adds up to 0.4 s to late news, not as the reported case.

Cause: a granted target was compared with the list before a connection was opened (up to 400 ms, and the wait for a successor); after that, only with what targets had said in answers themselves.

Change: the list is asked again before the request is sent, in the same place.

Measured: test_request_is_not_sent_to_a_target_off_the_list passes; without the second look the request is sent, as the two tests beside it show for targets that close meanwhile.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/coordinator.py
@@ -567,7 +567,9 @@
             case messages.Pong():
                 self._handle_pong(link, message)
             case messages.Items():
-                self._handle_items(link, message)
+                self.facts_exchange.receive(
+                    message, link.address, self._links.send
+                )
             case messages.Queued():
                 pending = self._pending.get(message.call)
                 if pending is not None:
@@ -635,18 +637,7 @@
                 failure_domain=pong.failure_domain,
                 uptime_ms=pong.uptime_ms,
             )
-        wanted = self.facts_exchange.handle_pong(pong, link.address)
-        if wanted is not None:
-            link.send(wanted)
-
-    def _handle_items(self, link: PeerLink, message: messages.Items) -> None:
-        """Apply published items, and request what is newer still."""
-        followup = self.facts_exchange.handle_items(message, link.address)
-        if followup is None:
-            return
-        peer, wanted = followup
-        if not self._links.send(peer, wanted):
-            self.facts_exchange.forget_request(peer)
+        self.facts_exchange.receive(pong, link.address, self._links.send)
 
     def _report_held_slots(self, link: PeerLink) -> None:
         """Report the slots in use to a decider whose link has opened."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/facts_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/facts_exchange.py
@@ -1,5 +1,6 @@
 """Passes published items on between instances."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from lagoonbend.clock import Clock
@@ -66,6 +67,25 @@
         self.received_bytes = 0
         facts.on_change.append(self._keep_rules)
 
+    def receive(
+        self,
+        message: messages.Pong | messages.Items,
+        peer: str,
+        send: Callable[[str, messages.Message], bool],
+    ) -> None:
+        """Use a message of a peer, and send the request that follows from it.
+
+        :param send: sends a message to a peer; returns False if it isn't
+            linked.
+        """
+        if isinstance(message, messages.Items):
+            request = self.handle_items(message, peer)
+        else:
+            wanted = self.handle_pong(message, peer)
+            request = None if wanted is None else (peer, wanted)
+        if request is not None and not send(*request):
+            self.forget_request(request[0])
+
     def handle_pong(
         self, pong: messages.Pong, peer: str = ''
     ) -> messages.ItemsWanted | None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -33,6 +33,11 @@
 HeadCallback = Callable[[ListedTarget, AnswerHeaders, int, bool], None]
 Report = TypeVar('Report', AttemptReport, AttemptReport | None)
 
+ERROR_OUTCOMES: dict[type[NetworkError], AttemptOutcome] = {
+    target_error.TargetTimeoutError: AttemptOutcome.SILENT,
+    target_error.ConnectionLostError: AttemptOutcome.RESET,
+    target_error.BadAnswerError: AttemptOutcome.BAD_ANSWER,
+}
 EVENT_STREAM = 'text/event-stream'
 BODY_IDLE_TIMEOUT_MS = 2_000
 """Pause between two reads of a buffered answer after which another target is
@@ -85,6 +90,7 @@
         arrived.
     :param on_head: called with the target, the values of each head, the time
         of the request, and True if the head is that of this call.
+    :param is_listed: returns True if a target may still receive calls.
     """
 
     def __init__(
@@ -102,6 +108,7 @@
         sends: SendRecord,
         on_answer: Callable[[], None] = lambda: None,
         on_head: HeadCallback = lambda *unused: None,
+        is_listed: Callable[[ListedTarget], bool] = lambda target: True,
     ) -> None:
         self.is_sent = False
         self.has_answered = False
@@ -118,6 +125,7 @@
         self._body_memory = body_memory
         self._on_answer = on_answer
         self._on_head = on_head
+        self._is_listed = is_listed
         self._connection: target_connection.TargetConnection | None = None
         self.sent_ms = 0
         self.connected_ms = 0
@@ -175,7 +183,9 @@
         if not self._connection.request_count:
             self.connected_ms = self._clock.now_ms()
         # The request is sent at once if this returns None.
-        if self._closed_targets.is_closed(self._target):
+        if self._closed_targets.is_closed(self._target) or not self._is_listed(
+            self._target
+        ):
             self.close()
             return AttemptReport(
                 AttemptOutcome.WRONG_TARGET,
@@ -193,18 +203,9 @@
         try:
             report = exchange()
             is_exchange_complete = True
-        except target_error.TargetTimeoutError as error:
-            report = self._build_error_report(
-                AttemptOutcome.SILENT, error.message
-            )
-        except target_error.ConnectionLostError as error:
-            report = self._build_error_report(
-                AttemptOutcome.RESET, error.message
-            )
-        except target_error.BadAnswerError as error:
-            report = self._build_error_report(
-                AttemptOutcome.BAD_ANSWER, error.message
-            )
+        except tuple(ERROR_OUTCOMES) as error:
+            outcome = ERROR_OUTCOMES[type(error)]
+            return self._build_error_report(outcome, error.message)
         finally:
             if not is_exchange_complete:
                 self.close()
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -452,6 +452,7 @@
             progress.sends,
             lambda: self._record_begun(progress, target, attempt.sent_ms),
             heads.record,
+            self._grant_check.is_listed,
         )
         return OpenAttempt(request, decision, target, attempt, heads)
 
@@ -812,10 +813,9 @@
         return step
 
     def _get_retry_share(self, service: str) -> RetryShare:
-        retry_share = self._retry_shares.get(service)
-        if retry_share is None:
-            retry_share = self._make_retry_share()
-            self._retry_shares[service] = retry_share
+        if service not in self._retry_shares:
+            self._retry_shares[service] = self._make_retry_share()
+        retry_share = self._retry_shares[service]
         retry_share.instance_count = self._coordinator.count_known()
         return retry_share
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/grant_check.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/grant_check.py
@@ -41,6 +41,14 @@
         self._closed_targets = closed_targets
         self._crash_guard = guard
 
+    def is_listed(self, target: ListedTarget) -> bool:
+        """Return True if a target may still receive calls at its address."""
+        listed = self._facts.target_directory.find(target.target)
+        return listed is not None and (listed.ip, listed.port) == (
+            target.ip,
+            target.port,
+        )
+
     def check(
         self, progress: CallProgress, name: str
     ) -> ListedTarget | UnusableGrant:
--- a/tests/unit/test_closed_targets.py
+++ b/tests/unit/test_closed_targets.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Container
 import random
 import unittest
 from unittest import mock
@@ -147,10 +148,21 @@
         """The pause becomes known while the connection is opened."""
         self.check_not_sent(lambda t: t.record_pause(build_target(), 500))
 
+    # Guards against the same for a target whose leaving the list tells.
+    def test_request_is_not_sent_to_a_target_off_the_list(self) -> None:
+        """The list changes while the connection is opened."""
+        listed = {build_target()}
+        self.check_not_sent(lambda unused: listed.clear(), listed)
+
     def check_not_sent(
-        self, close: Callable[[closed_targets.ClosedTargets], object]
+        self,
+        close: Callable[[closed_targets.ClosedTargets], object],
+        listed: Container[ListedTarget] = (build_target(),),
     ) -> None:
-        """Check that no request is sent to a target that closes late."""
+        """Check that no request is sent to a target that closes late.
+
+        :param listed: targets that may receive calls.
+        """
         targets = closed_targets.ClosedTargets(build_pauses())
         connection = mock.Mock(spec=target_connection.TargetConnection)
         connection.request_count = 0
@@ -175,6 +187,7 @@
                     mock.MagicMock(),
                     mock.MagicMock(),
                     SendRecord(),
+                    is_listed=lambda target: target in listed,
                 )
                 report = tried.run() if run == 'run' else tried.begin(200)
                 assert report is not None
