--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -183,9 +183,8 @@
         if not self._connection.request_count:
             self.connected_ms = self._clock.now_ms()
         # The request is sent at once if this returns None.
-        if self._closed_targets.is_closed(self._target) or not self._is_listed(
-            self._target
-        ):
+        is_listed = self._is_listed(self._target)
+        if self._closed_targets.is_closed(self._target) or not is_listed:
             self.close()
             return AttemptReport(
                 AttemptOutcome.WRONG_TARGET,
