--- a/tests/unit/test_value_packer.py
+++ b/tests/unit/test_value_packer.py
@@ -3,7 +3,10 @@
 import unittest
 
 from lagoonbend.exceptions import PeerError
+from lagoonbend.facts import PublishedItem
+from lagoonbend_entry._internal.coordination import messages
 from lagoonbend_entry._internal.coordination import value_packer
+from lagoonbend_entry._internal.coordination import wire_codec
 from lagoonbend_entry._internal.coordination.value_packer import Packing
 from lagoonbend_entry._internal.coordination.value_packer import ValuePacker
 from tests.lib.link_world import encode_document
@@ -43,6 +46,19 @@
                 NEW, ValuePacker().unpack(packing, content, 5, DIGEST)
             )
 
+    def test_peers_of_earlier_builds_get_plain_values(self) -> None:
+        """Their requests name no digest."""
+        item = PublishedItem('rules', 3, NEW, 1)
+        for base_digest, is_plain in ((None, True), (self.base_digest, False)):
+            wanted = messages.ItemsWanted(7, 2, 1, 1, base_digest)
+            message = wire_codec.encode_items(
+                wanted, [item], (1, 3), 0, self.sender
+            )
+            self.assertEqual(is_plain, message.items[0].value == NEW)
+            self.assertEqual(
+                [item], wire_codec.decode_items(message, self.receiver)
+            )
+
     def test_small_values_stay_plain(self) -> None:
         """Registrations of targets are sent as they are."""
         packing, content = self.sender.pack(b'{}', self.base_digest)
