--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -43,8 +43,15 @@
 
     def write(self, text):
         with self._lock:
-            self._file.write(f'{now_s() - self._start_s:9.3f} s  {text}\n')
-            self._file.flush()
+            if not self._file.closed:
+                self._file.write(f'{now_s() - self._start_s:9.3f} s  {text}\n')
+                self._file.flush()
+
+    def end(self, text):
+        """Write the result, which is the last line."""
+        self.write(text)
+        with self._lock:
+            self._file.close()
 
 
 class Request:
@@ -479,7 +486,7 @@
             cwd=ROOT,
             env={
                 'PATH': os.environ.get('PATH', ''),
-                'HOME': self.directory.name,
+                'HOME': os.environ.get('HOME', self.directory.name),
                 'LANG': 'C.UTF-8',
                 'PYTHONPATH': str(ROOT / 'target/deps'),
                 'LAGOONBEND_SETTINGS': str(path),
@@ -564,10 +571,3 @@
 def is_disrupted():
     return os.environ.get('TROUBLE', '1') != '0'
 
-
-def finish(record, broken, text):
-    """Write the verdict and exit as the issue asks for it."""
-    record.write(('BROKEN: ' if broken else 'held: ') + text)
-    print(('BROKEN: ' if broken else 'held: ') + text)
-    sys.stdout.flush()
-    os._exit(1 if broken else 0)
