Let the event loop turn beside data that never ends

Cause: a read of 64 kB has 32,768 blank lines, each an event that was sent by itself, and the loop over the events of a read left the event loop no turn.

Change: LoopTurns, in place of ReadTurns, gives way after four reads or 5 ms, by a sleep above 0. Events, reads, requests of one connection and messages between instances use it; chunks of one read are handled together. Blank lines are no events, and go with the event behind them, under its limit of 512 KB. LB0011 and lagoonbend_loop_held_seconds tell for how long the loop was held, and whether the process ran meanwhile.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/message_channel.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/message_channel.py
@@ -12,6 +12,7 @@
 from lagoonbend.exceptions import PeerError
 from lagoonbend_entry._internal.coordination.messages import AnyMessage
 from lagoonbend_entry._internal.coordination.messages import Message
+from lagoonbend_entry._internal.utils.loop_turns import LoopTurns
 
 LENGTH_PREFIX = struct.Struct('>I')
 MAX_FRAME_BYTES = 8 * 1024 * 1024
@@ -75,7 +76,9 @@
         :raises PeerError: if the received bytes are not a valid message.
         """
         receive_buffer = bytearray()
+        turns = LoopTurns()
         while not self.is_closed:
+            turns.begin_read()
             try:
                 data = self._sock.recv(READ_BYTES)
             except OSError:
@@ -83,7 +86,9 @@
             if not data:
                 return
             receive_buffer += data
-            yield from self._split_messages(receive_buffer)
+            for message in self._split_messages(receive_buffer):
+                turns.begin_item()
+                yield message
 
     def close(self) -> None:
         """Close the connection, and discard what is not yet sent."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -29,6 +29,7 @@
 from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry._internal.platform.answer_headers import AnswerHeaders
 from lagoonbend_entry._internal.platform.call_headers import CONNECTION_HEADERS
+from lagoonbend_entry._internal.utils.loop_turns import LoopTurns
 
 HeadCallback = Callable[[ListedTarget, AnswerHeaders, int, bool], None]
 Report = TypeVar('Report', AttemptReport, AttemptReport | None)
@@ -567,7 +568,9 @@
             connection, answer, patience_ms, counts_events=True
         )
         has_events = False
+        turns = LoopTurns()
         for event in split_events(chunks):
+            turns.begin_item()
             has_events = True
             self._record_progress()
             if not is_complete_event(event):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/caller_connection.py
@@ -12,12 +12,12 @@
 from lagoonbend.facts import CallerBounds
 from lagoonbend_entry._internal.gateway.caller_watch import CallerWatch
 from lagoonbend_entry._internal.gateway.incoming_request import IncomingRequest
-from lagoonbend_entry._internal.gateway.read_turns import ReadTurns
 from lagoonbend_entry._internal.gateway.reply_writer import ReplyWriter
 from lagoonbend_entry._internal.gateway.request_parser import RequestParser
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import log_failure
+from lagoonbend_entry._internal.utils.loop_turns import LoopTurns
 
 READ_BYTES = 65_536
 LINGERING_CLOSE_MS = 500
@@ -57,7 +57,7 @@
         self._is_closed = False
         self._unparsed_bytes = 0
         self._sock = sock
-        self._read_turns = ReadTurns()
+        self._turns = LoopTurns()
         self._clock = clock
         self._get_bounds = get_bounds
         self._serve = serve
@@ -120,6 +120,7 @@
             if not parser.requests:
                 self._reject(parser.error_status)
                 return 'malformed request'
+            self._turns.begin_item()
             end_cause = self._serve_next(parser)
             if end_cause:
                 return end_cause
@@ -150,7 +151,7 @@
                 return False
             if timeout_s <= 0 and not self._has_unread_bytes():
                 return False
-            self._read_turns.begin_read()
+            self._turns.begin_read()
             self._sock.settimeout(max(timeout_s, MIN_READ_TIMEOUT_S))
             try:
                 data = self._sock.recv(READ_BYTES)
@@ -222,7 +223,7 @@
             left_s = end_s - time.monotonic()
             if left_s <= 0:
                 return
-            self._read_turns.begin_read()
+            self._turns.begin_read()
             self._sock.settimeout(left_s)
             try:
                 data = self._sock.recv(READ_BYTES)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/event_splitter.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/event_splitter.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import re
 
 from lagoonbend_entry._internal.gateway.target_error import BadAnswerError
 
 EVENT_END = b'\n\n'
 EVENT_END_CRLF = b'\r\n\r\n'
+BLANK_LINES = re.compile(rb'[\r\n]*')
 MAX_EVENT_BYTES = 524_288
 """Limit on an event, which is kept until it is complete. The platform's pages
 set none; 50 events at once must fit into the 128 MB of an instance."""
@@ -15,32 +17,43 @@
 def split_events(chunks: Iterable[bytes]) -> Iterator[bytes]:
     """Yield complete events, each with the blank line that ends it.
 
-    An incomplete event at the end of the body is yielded last.
+    Blank lines between two events belong to the second one. What is left at
+    the end of the body is yielded last: an incomplete event, or blank lines.
 
     :raises BadAnswerError: if an event has more than ``MAX_EVENT_BYTES``.
     """
     rest = bytearray()
+    # Where the next event begins in ``rest``, behind blank lines.
+    begin = 0
     for chunk in chunks:
         # The end of an event may begin in an earlier chunk.
         searched = max(0, len(rest) - len(EVENT_END_CRLF) + 1)
         rest += chunk
         start = 0
         while True:
-            end = _find_end(rest, max(start, searched))
+            begin = _skip_blank_lines(rest, begin)
+            end = _find_end(rest, max(begin, searched))
             if end < 0:
                 break
             _check_size(end - start)
             yield bytes(rest[start:end])
-            start = end
+            start = begin = end
         del rest[:start]
+        begin -= start
         _check_size(len(rest))
     if rest:
         yield bytes(rest)
 
 
 def is_complete_event(event: bytes) -> bool:
-    """Return True if an event ends with a blank line."""
-    return event.endswith((EVENT_END, EVENT_END_CRLF))
+    """Return True if an event ends with a blank line, or is nothing else."""
+    is_blank = not event.strip(b'\r\n')
+    return is_blank or event.endswith((EVENT_END, EVENT_END_CRLF))
+
+
+def _skip_blank_lines(data: bytearray, start: int) -> int:
+    match = BLANK_LINES.match(data, start)
+    return match.end() if match else start
 
 
 def _check_size(size_bytes: int) -> None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -57,6 +57,7 @@
 from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.event_log import open_event_log
 from lagoonbend_entry._internal.utils.guarded_loop import run_guarded
+from lagoonbend_entry._internal.utils.loop_watch import LoopWatch
 
 MAX_FACT_AGE_SHARE = 0.72
 """Share of ``revoke_ms`` that the age of the facts may reach for calls of
@@ -175,6 +176,7 @@
             round(settings.platform.history_s * 1000),
         ).read
         self._metrics = GatewayMetrics()
+        self._loop_watch = LoopWatch(self._metrics.observe_loop_held)
         self._metrics_server = TextServer(
             METRICS_PATH, lambda: (HTTP_OK, self._render_metrics())
         )
@@ -271,6 +273,7 @@
         gevent.spawn(self._store_watcher.run)
         gevent.spawn(run_guarded, 'upkeep', self._run_maintenance)
         gevent.spawn(run_guarded, 'link probe', self._link_probe.run)
+        gevent.spawn(run_guarded, 'loop watch', self._loop_watch.run)
         log_event(
             Event.STARTED,
             failure_domain=self._settings.instance.failure_domain,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway_metrics.py
@@ -42,6 +42,10 @@
             'lagoonbend_call_seconds',
             'Time from receipt to the final answer, by route.',
         )
+        self._loop_histogram = self._add_histogram(
+            'lagoonbend_loop_held_seconds',
+            'Delay with which the event loop lets a greenlet run.',
+        )
         self._state_gauge = Gauge(
             'lagoonbend_state',
             'Ages, versions and counts, by name.',
@@ -76,6 +80,10 @@
         """Count a target whose process has ended."""
         self._ended_target_counter.inc({'service': service})
 
+    def observe_loop_held(self, held_s: float) -> None:
+        """Record a delay of the event loop."""
+        self._loop_histogram.observe({}, held_s)
+
     def count_attempt(self, target: str, outcome: str) -> None:
         """Count an attempt by target and outcome."""
         self._attempt_counter.inc({'target': target, 'end': outcome})
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
@@ -10,13 +10,13 @@
 
 from lagoonbend_entry._internal.gateway.answer import Answer
 from lagoonbend_entry._internal.gateway.answer_parser import AnswerParser
-from lagoonbend_entry._internal.gateway.read_turns import ReadTurns
 from lagoonbend_entry._internal.gateway.target_error import BadAnswerError
 from lagoonbend_entry._internal.gateway.target_error import ConnectionLostError
 from lagoonbend_entry._internal.gateway.target_error import NotConnectedError
 from lagoonbend_entry._internal.gateway.target_error import TargetAbsentError
 from lagoonbend_entry._internal.gateway.target_error import TargetTimeoutError
 from lagoonbend_entry._internal.gateway.tcp_socket import open_tcp_socket
+from lagoonbend_entry._internal.utils.loop_turns import LoopTurns
 
 READ_BYTES = 65_536
 MAX_UNWATCHED_SEND_BYTES = 16_384
@@ -40,7 +40,7 @@
         self.received_bytes = 0
         self._sock = sock
         self._parser = AnswerParser()
-        self._read_turns = ReadTurns()
+        self._turns = LoopTurns()
         self._is_request_sent = True
         self._is_connection_ended = False
 
@@ -126,14 +126,16 @@
             self._receive(end_s - time.monotonic())
 
     def read_body(self, answer: Answer, gap_ms: int) -> Iterator[bytes]:
-        """Yield the chunks of the body as they arrive.
+        """Yield what has arrived of the body, chunks of one read together.
 
         :param gap_ms: maximum pause between two chunks.
         :raises NetworkError: if the body is cut short.
         """
         while True:
             while answer.chunks:
-                yield answer.chunks.popleft()
+                data = b''.join(answer.chunks)
+                answer.chunks.clear()
+                yield data
             end_s = time.monotonic() + gap_ms / MILLISECONDS_PER_SECOND
             while not answer.chunks and not answer.is_complete:
                 self._receive(end_s - time.monotonic())
@@ -175,7 +177,7 @@
             raise self._make_lost_error('connection closed by the target')
         if timeout_s <= 0:
             raise self._make_timeout_error('timed out waiting for the answer')
-        self._read_turns.begin_read()
+        self._turns.begin_read()
         self._sock.settimeout(timeout_s)
         try:
             data = self._sock.recv(READ_BYTES)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -40,6 +40,11 @@
         'warning',
         'Log lines were dropped because standard output was not read in time.',
     )
+    LOOP_HELD = (
+        'LB0011',
+        'warning',
+        'The event loop let other work wait.',
+    )
     REQUEST_REFUSED = ('LB0200', 'info', 'A request got a refusal.')
     REQUEST_ANSWERED = ('LB0201', 'info', 'A request got its answer.')
     REQUEST_LEFT = (
--- a/tests/functional/test_bytes_without_end.py
+++ b/tests/functional/test_bytes_without_end.py
@@ -11,6 +11,7 @@
 import unittest
 
 import gevent
+import gevent.socket
 
 from lagoonbend_devkit._internal.fleet.http import Answer
 from lagoonbend_devkit._internal.gateway import gateway_fleet
@@ -51,6 +52,30 @@
     b'Content-Type: text/event-stream\r\n\r\nid: 1\ndata: '
 )
 
+STREAM_HEAD = (
+    b'HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nServer-Stamp: s\r\n'
+    b'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
+PLAY_S = 2.0
+MAX_STREAM_DELAY_S = OBJECTIVE_S + 0.5
+"""The users' rule: half a second after the time for an answer."""
+
+
+def encode_chunk(content: bytes) -> bytes:
+    """Return content as a chunk of a body."""
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+ENDLESS_PIECES = {
+    'blank lines': encode_chunk(b'\n' * 16_384),
+    'blank lines with CRLF': encode_chunk(b'\r\n' * 16_384),
+    'comments': encode_chunk(b':\n\n' * 16_384),
+    'events that were sent': encode_chunk(b'id: 1\ndata: x\n\n' * 4_096),
+    'events without identity': encode_chunk(b'data: x\n\n' * 6_144),
+    'chunks of one byte': b''.join(map(encode_chunk, (b':', b'\n', b'\n')))
+    * 4_096,
+}
+
 
 class BytesWithoutEndTest(unittest.TestCase):
     """One instance and two targets."""
@@ -240,6 +265,60 @@
         self.play(OWN_ANSWER, CHUNK, 'look-up')
 
 
+class StreamsWithoutEndTest(unittest.TestCase):
+    """One instance; one caller reads a stream as fast as it comes."""
+
+    def play(self, piece: bytes, head: bytes = STREAM_HEAD) -> list[float]:
+        """Return the delays of other calls while a piece comes again."""
+        targets = endless_target.EndlessTargets(
+            1, endless_target.EndlessBytes(head, piece), repeats=True
+        )
+        try:
+            with gateway_fleet.GatewayFleet(
+                1, engine_count=0, service_count=1
+            ) as fleet:
+                fleet.register_endpoint('chat-0', 'chat', targets.endpoints[0])
+                gevent.sleep(1.0)
+                reader = gevent.spawn(self.read_stream, fleet)
+                delays_s = []
+                end_s = time.monotonic() + PLAY_S
+                while time.monotonic() < end_s:
+                    start_s = time.monotonic()
+                    _, answer = call(fleet, 'look-up', method='GET')
+                    self.assertEqual(200, answer.status)
+                    delays_s.append(time.monotonic() - start_s)
+                    gevent.sleep(0.05)
+                reader.kill()
+                self.assertTrue(targets.attempts)
+        finally:
+            targets.stop()
+        return delays_s
+
+    @staticmethod
+    def read_stream(fleet: gateway_fleet.GatewayFleet) -> None:
+        """Read what the instance sends, and use none of it."""
+        with gevent.socket.create_connection(
+            ('127.0.0.1', fleet.callers_port(0))
+        ) as sock:
+            sock.sendall(
+                f'GET /stream/item HTTP/1.1\r\nHost: {gateway_fleet.HOST}\r\n'
+                f'Authorization: Bearer {gateway_fleet.API_KEY}\r\n'
+                'Attempt-Id: endless\r\nDeadline-Ms: 8000\r\n\r\n'.encode()
+            )
+            while sock.recv(65_536):
+                gevent.sleep(0.001)
+
+    # Guards against a stream of many small events in each read that keeps the
+    # instance from answering anything else.
+    def test_other_calls_are_answered(self) -> None:
+        """Half of them within their objective, and all soon after it."""
+        for name, piece in ENDLESS_PIECES.items():
+            with self.subTest(name):
+                delays_s = self.play(piece)
+                self.assertLess(statistics.median(delays_s), OBJECTIVE_S)
+                self.assertLess(max(delays_s), MAX_STREAM_DELAY_S)
+
+
 def read_processor_wait_s(pid: int) -> float:
     """Return how long a process has been ready to run and not running."""
     path = pathlib.Path(f'/proc/{pid}/schedstat')
