Tell a target from before the history from those that read a prompt

Cause: an old server had left, and the store's history had its removal alone. It counted as a target that may have begun any stream, for 18 s. `created`, by which the store tells since when an entry exists, wasn't decoded. Ruled out: prompts that aren't kept, and a history that couldn't be read.

Change: such a removal doesn't count if each reader of the prompt was created in the history, in the same era: the entry of the target is older than these. This is the rule for known targets that started before all readers. The stand-in store keeps `created` now when an entry is written again, as the users' store does.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_store.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_store.py
@@ -69,11 +69,12 @@
         if self._is_away:
             return
         self.revision += 1
+        known = self._items.get(key, {})
         item = {
             'key': key,
             'value': base64.b64encode(value).decode(),
             'revision': self.revision,
-            'created': self.revision,
+            'created': known.get('created', self.revision),
             'lease': 0,
         }
         self._items[key] = item
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/wire_codec.py
@@ -206,11 +206,12 @@
 def _encode_item(
     item: PublishedItem, base_digest: int | None, packer: ValuePacker
 ) -> messages.WireItem:
+    plain = messages.WireItem(item.key, item.revision, item.value, item.era)
     if item.value is None or base_digest is None:
-        return messages.WireItem(*item)
+        return plain
     packing, content = packer.pack(item.value, base_digest)
     if packing is Packing.PLAIN:
-        return messages.WireItem(*item)
+        return plain
     return messages.WireItem(
         item.key,
         item.revision,
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/history_reader.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/history_reader.py
@@ -64,7 +64,7 @@
                 # An answer that arrives later must not count for another read.
                 self._client.close()
         self._facts.target_directory.apply_history(
-            items, since_ms, self._clock.now_ms()
+            items, oldest, since_ms, self._clock.now_ms()
         )
         log_event(
             Event.HISTORY_READ,
@@ -73,6 +73,7 @@
             newest=newest,
             changes=len(items),
             reads=self._read_count,
+            unknown_ends=self._facts.target_directory.unknown_end_count,
         )
         return True
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_codec.py
@@ -23,6 +23,7 @@
     revision: int
     value: str | None = None
     tombstone: bool = False
+    created: object = None
 
 
 class _RangeAnswer(msgspec.Struct, rename='kebab'):
@@ -100,4 +101,5 @@
         value = binascii.a2b_base64(item.value)
     except (binascii.Error, ValueError):
         value = b''
-    return PublishedItem(item.key, item.revision, value, era)
+    created_revision = bounded.read_optional(item.created, 1, item.revision)
+    return PublishedItem(item.key, item.revision, value, era, created_revision)
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/published_item.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/published_item.py
@@ -16,12 +16,15 @@
     :param value: content in bytes; None if the item was removed.
     :param era: era of the store in which the item was read; revisions of
         different eras have no order.
+    :param created_revision: revision at which the key was written first since
+        it didn't exist; None if it isn't known. Peers don't pass it on.
     """
 
     key: str
     revision: int
     value: bytes | None
     era: int = NO_ERA
+    created_revision: int | None = None
 
     @property
     def position(self) -> tuple[int, int]:
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -11,6 +11,7 @@
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.published_item import NO_ERA
 from lagoonbend._internal.facts.published_item import PublishedItem
+from lagoonbend._internal.facts.unknown_end import UnknownEnd
 
 LAPSE_GRACE_MS = 2_000
 """Time after an outage of the platform for which a target whose registration
@@ -60,7 +61,8 @@
         self._versions: dict[str, set[str | None]] = {}
         self._gone_versions: dict[str, dict[str | None, int]] = {}
         self._ended: dict[str, dict[ListedTarget, int]] = {}
-        self._unknown_end_ms: int | None = None
+        self._unknown_ends: dict[tuple[int, int], UnknownEnd] = {}
+        self._created: dict[str, tuple[int, int]] = {}
         self._past_since_ms: int | None = None
         self._listed_since_ms: int | None = None
         self._known_names: dict[str, None] = {}
@@ -84,11 +86,16 @@
         self._past_since_ms = None
 
     def apply_history(
-        self, items: Iterable[PublishedItem], since_ms: int, now_ms: int
+        self,
+        items: Iterable[PublishedItem],
+        oldest_revision: int,
+        since_ms: int,
+        now_ms: int,
     ) -> None:
         """Record the targets that ended before the list was first read.
 
         :param items: all changes that the store still has, in their order.
+        :param oldest_revision: revision after which these changes were made.
         :param since_ms: time since which it has all changes.
         """
         lives: dict[str, ListedTarget | None] = {}
@@ -98,7 +105,8 @@
             if known is not None and not _is_continued(known, target):
                 self._record_end(known, now_ms)
             elif item.value is None and item.key not in lives:
-                self._unknown_end_ms = now_ms
+                self._record_unknown_end(item, oldest_revision, now_ms)
+            self._record_created(target, item)
             lives[item.key] = target
         for name, known in lives.items():
             listed = self._targets.get(name)
@@ -162,6 +170,11 @@
                 if target.failure_domain in returned_domains
             )
 
+    @property
+    def unknown_end_count(self) -> int:
+        """Number of removals of targets from before the store's history."""
+        return len(self._unknown_ends)
+
     def find(self, name: str) -> ListedTarget | None:
         """Return a target that may receive calls."""
         return self._usable.get(name)
@@ -242,12 +255,19 @@
 
         Another life of a target counts, as it knows nothing of before. Targets
         of another version that started before all readers don't: they are
-        replaced by those, and get no more calls then.
+        replaced by those, and get no more calls then. Of a target that was
+        listed before the store's history, only that is known: readers that
+        registered in the history are newer.
 
         :param readers: targets of one version that have read the prompt.
         :param window_ms: time that counts.
         """
-        if _is_within(self._unknown_end_ms, now_ms, window_ms):
+        created = [self._created.get(reader.target) for reader in readers]
+        if any(
+            _is_within(end.noticed_ms, now_ms, window_ms)
+            and not end.is_before(created)
+            for end in self._unknown_ends.values()
+        ):
             return True
         versions = {reader.software_version for reader in readers}
         return any(
@@ -289,6 +309,35 @@
         if len(ended) > MAX_KNOWN_NAMES:
             del ended[next(iter(ended))]
 
+    def _record_unknown_end(
+        self, item: PublishedItem, oldest_revision: int, now_ms: int
+    ) -> None:
+        """Record the removal of a target that was listed before the history.
+
+        :param oldest_revision: revision after which it wasn't written.
+        """
+        known = self._unknown_ends.setdefault(
+            item.position, UnknownEnd(item.era, oldest_revision, now_ms)
+        )
+        if oldest_revision < known.listed_revision:
+            self._unknown_ends[item.position] = known._replace(
+                listed_revision=oldest_revision
+            )
+        if len(self._unknown_ends) > MAX_KNOWN_NAMES:
+            del self._unknown_ends[next(iter(self._unknown_ends))]
+
+    def _record_created(
+        self, target: ListedTarget | None, item: PublishedItem
+    ) -> None:
+        if target is None:
+            return
+        self._created.pop(target.target, None)
+        if item.created_revision is None:
+            return
+        self._created[target.target] = (item.era, item.created_revision)
+        if len(self._created) > MAX_KNOWN_NAMES:
+            del self._created[next(iter(self._created))]
+
     def _apply_item(
         self, item: PublishedItem, now_ms: int, *, is_first: bool
     ) -> None:
--- a/tests/unit/test_ends_of_targets.py
+++ b/tests/unit/test_ends_of_targets.py
@@ -161,16 +161,61 @@
                 self.follow(END_TIME_MS)
                 self.assertFalse(self.may_have_lost())
 
+    def may_have_lost_before_history(
+        self,
+        *created: int | None,
+        era: int = NO_ERA,
+    ) -> bool:
+        """Return True if an unknown target may have begun a stream.
+
+        The history has the removal of that target, and a write of each reader.
+
+        :param created: revision at which each reader was written first.
+        :param era: era of the readers' writes.
+        """
+        self.restart()
+        self.oldest = 6
+        writes = [
+            build_item(f'r{number}', 'v1', 8 + number)._replace(
+                era=era, created_revision=revision
+            )
+            for number, revision in enumerate(created)
+        ]
+        self.changes = (*writes, build_item('b', '', 19))
+        reader = test_versions_in_the_facts.READER._replace(born_ms=100)
+        readers = [reader._replace(target=write.key) for write in writes]
+        return self.facts.may_have_lost('chat', readers)
+
     # Guards against streams of a release that are refused after a restart of
     # all, since a target was removed whose entry is older than the history.
     def test_target_from_before_the_history_is_older_than_readers_in_it(
         self,
     ) -> None:
-        """The reader has registered since; its start is known."""
-        reader = test_versions_in_the_facts.READER._replace(born_ms=100)
-        self.changes = (build_item('r', 'v1', 7), build_item('b', '', 8))
-        self.oldest = 6
-        self.assertFalse(self.facts.may_have_lost('chat', [reader]))
+        """All readers have registered since."""
+        self.assertFalse(self.may_have_lost_before_history(8))
+        self.assertFalse(self.may_have_lost_before_history(7, 9))
+
+    # Guards against a stream that goes on at another version, since a reader
+    # is taken for newer than a target that has begun it and ended.
+    def test_reader_from_before_the_history_may_be_older(self) -> None:
+        """Its entry has only been written anew, or that isn't known."""
+        for created in ((6,), (1,), (8, 6), (None,), (8, None)):
+            with self.subTest(created=created):
+                self.assertTrue(self.may_have_lost_before_history(*created))
+
+    def test_revisions_of_another_era_have_no_order(self) -> None:
+        """They are given out again."""
+        self.assertTrue(self.may_have_lost_before_history(8, era=NO_ERA + 1))
+
+    # Guards against streams that are refused for longer than they can last,
+    # since the history is read again.
+    def test_unknown_end_counts_from_when_it_was_read_first(self) -> None:
+        """Later readings of the same removal tell nothing new."""
+        self.assertTrue(self.may_have_lost_before_history(6))
+        self.follow(END_TIME_MS - 1)
+        self.assertTrue(self.may_have_lost_before_history(6))
+        self.follow(1)
+        self.assertFalse(self.may_have_lost_before_history(6))
 
     def test_all_that_the_store_still_has_is_read(self) -> None:
         """Whatever the oldest revision is, in few reads."""
