Take for an answer only what has the head of one

Callers got answers with status 000, 001 or 099 on all routes, and with 600 or 999 where a call must not run twice (MIXED). With it came versions 0.9 and 2.0, control characters in the reason phrase, and bodies under a transfer encoding other than `chunked`, passed on as if they weren't encoded.

Cause: the library checks the syntax of a head and not its meaning, and all statuses below 300 counted as success. Ruled out: names and values of fields, of which it refuses all that HTTP doesn't allow (each byte tried).

Change: utils/http_syntax says what a head may be, and AnswerParser asks it for each: targets, peers, the survey of prompts, probes of links and the store are read by it. The client of the project's own interface checks the status too. What is rejected is a bad answer: the call goes on elsewhere if it may run again, and otherwise ends with 502, which doesn't say that it hasn't run.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -66,6 +66,8 @@
 endpoint = {store}
 {bounds}"""
 
+MAX_BODY_BYTES = 100_000
+
 
 class GatewayFleet:
     """A simulated store, simulated targets and real gateway instances.
@@ -349,10 +351,12 @@
         attempt_limit: int = 2,
         is_varied: bool = False,
         timeout_ms: int = ROUTE_TIMEOUT_MS,
+        max_body_bytes: int = MAX_BODY_BYTES,
     ) -> None:
         """Write the next version of the configuration to the store.
 
         :param timeout_ms: timeout of all routes.
+        :param max_body_bytes: limit on the body of a request.
         :param is_varied: True to move the routes of the service ``desk`` to
             the engines, add a route and a key, and shorten the limit on idle
             connections.
@@ -402,7 +406,7 @@
                 ],
                 'limits': {
                     'max-header-bytes': 8_192,
-                    'max-body-bytes': 100_000,
+                    'max-body-bytes': max_body_bytes,
                     'header-timeout-ms': 700,
                     'idle-timeout-ms': 4_000 if is_varied else 5_000,
                 },
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer.py
@@ -2,6 +2,9 @@
 
 import collections
 
+SUCCESS_STATUS = 200
+SUCCESS_STATUS_END = 300
+
 
 class Answer:
     """Status, headers and the body chunks that have not been read yet.
@@ -23,6 +26,11 @@
         self.ends_at_close = False
         self.keeps_connection = False
 
+    @property
+    def is_success(self) -> bool:
+        """True for a 2xx answer."""
+        return SUCCESS_STATUS <= self.status < SUCCESS_STATUS_END
+
     @property
     def is_interim(self) -> bool:
         """True for a 1xx answer, which precedes the final one."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
@@ -5,6 +5,7 @@
 import httptools
 
 from lagoonbend_entry._internal.gateway.answer import Answer
+from lagoonbend_entry._internal.utils import http_syntax
 
 MAX_HEAD_BYTES = 32_768
 """Limit on a head with the interim ones before it, and on framing and trailers
@@ -26,16 +27,22 @@
     """A head or trailer has more lines than any answer."""
 
 
+class UnusableHeadError(Exception):
+    """A head is none that HTTP allows."""
+
+
 class AnswerParser:
     """Parses the answers on one connection, and detects malformed bytes.
 
     A target may send a second answer to an earlier request, or bytes that
     are no HTTP answer, also without end. Answers before such bytes stay valid.
+    ``error`` says what is wrong with them, if that is known.
     """
 
     def __init__(self) -> None:
         self.answers: collections.deque[Answer] = collections.deque()
         self.is_malformed = False
+        self.error = ''
         self._parser = httptools.HttpResponseParser(self)
         self._current: Answer | None = None
         self._has_framing = False
@@ -112,11 +119,23 @@
             self._has_framing = True
 
     def on_headers_complete(self) -> None:
-        """Complete the head."""
+        """Complete the head.
+
+        :raises UnusableHeadError: to end the parsing of what is no answer.
+        """
         answer = self._current
         if answer is None:
             return
-        answer.status = self._parser.get_status_code()
+        status = self._parser.get_status_code()
+        self.error = http_syntax.find_head_error(
+            self._parser.get_http_version(),
+            status,
+            answer.reason,
+            answer.header_map.get('transfer-encoding'),
+        )
+        if self.error:
+            raise UnusableHeadError(self.error)
+        answer.status = status
         answer.is_head_complete = True
         if not answer.is_interim:
             self._line_count = 0
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/attempt.py
@@ -65,7 +65,6 @@
 """Limit on answers to earlier calls before the one to this call; the largest
 values and pages on the platform have 1 MB."""
 SERVER_ERROR_STATUS = 500
-SUCCESS_STATUS_END = 300
 
 
 class Attempt:
@@ -258,7 +257,7 @@
             )
         if answer_facts.is_not_run:
             return self._read_rejection(connection, answer, answer_facts)
-        if answer.status < SUCCESS_STATUS_END and not answer_facts.is_signed:
+        if answer.is_success and not answer_facts.is_signed:
             raise target_error.BadAnswerError(
                 'successful answer without a signature'
             )
@@ -460,8 +459,7 @@
         self, connection: target_connection.TargetConnection, answer: Answer
     ) -> AttemptReport:
         body = self._read_body(connection, answer)
-        is_success = answer.status < SUCCESS_STATUS_END
-        if is_success and answer.ends_at_close and not body:
+        if answer.is_success and answer.ends_at_close and not body:
             self._check_may_be_empty()
         if answer.status < SERVER_ERROR_STATUS:
             self._check_fits(answer)
@@ -526,8 +524,7 @@
 
     def _is_stream(self, answer: Answer) -> bool:
         content_type = answer.header_map.get('content-type', '').lower()
-        is_success = answer.status < SUCCESS_STATUS_END
-        return is_success and content_type.startswith(EVENT_STREAM)
+        return answer.is_success and content_type.startswith(EVENT_STREAM)
 
     def _relay_stream(
         self, connection: target_connection.TargetConnection, answer: Answer
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
@@ -170,8 +170,10 @@
 
     def _receive(self, timeout_s: float) -> None:
         if self._parser.is_malformed:
+            error = self._parser.error
             raise BadAnswerError(
-                'malformed HTTP answer', context=self._context
+                f'malformed HTTP answer{": " if error else ""}{error}',
+                context=self._context,
             )
         if self._is_connection_ended:
             raise self._make_lost_error('connection closed by the target')
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/targets/target_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/network/targets/target_client.py
@@ -11,6 +11,7 @@
 from lagoonbend.models import Verdict
 from lagoonbend_entry._internal.network.targets import single_response
 from lagoonbend_entry._internal.network.targets import target_response
+from lagoonbend_entry._internal.utils import http_syntax
 
 ATTEMPT_HEADER = 'Lagoonbend-Attempt'
 MILLISECONDS_PER_SECOND = 1000
@@ -92,6 +93,13 @@
         except LagoonbendError:
             self.abort()
             raise
+        if not http_syntax.is_status(response.status_code):
+            self.abort()
+            raise DispatchError(
+                f'no valid answer: status {response.status_code}',
+                verdict=Verdict.MAY_HAVE_RUN,
+                context=context,
+            )
         self._sock.settimeout(self._silence_timeout_s)
         return target_response.TargetResponse(response, self.abort, context)
 
