Take no body for whole whose target ended before it had the request

Callers got a part of a body as a complete 200 (MIXED): a target answered a long upload at once without a length, sent a part and ended its side of the connection while the upload was being written.

Cause: the end of a connection completed such a body, whatever had become of the request. A target whose process ends with nothing unread at that moment ends its connection in order, and a reset follows for what still arrives. Resets and closes with unread data were told before, as the system reports them; a reset behind the end of the data it doesn't report by itself.

Change: a success without a length isn't complete if the connection ends before the request was sent, or if the socket has an error behind the end of its data. It counts as a lost connection: the stream is broken off, or the call goes on elsewhere if it may run again, and otherwise ends with 502. Failures keep their status, and answers with a length or chunks are whole as before.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/answer_parser.py
@@ -71,11 +71,17 @@
         if self._idle_bytes > MAX_HEAD_BYTES:
             self.is_malformed = True
 
-    def on_connection_closed(self) -> None:
-        """Complete an answer whose end is the end of the connection."""
+    def on_connection_closed(self, *, was_request_sent: bool = True) -> None:
+        """Complete an answer whose end is the end of the connection.
+
+        :param was_request_sent: False if a part of the request wasn't. A
+            target that ends meanwhile leaves the same bytes, so that a success
+            counts as cut off.
+        """
         answer = self._current
-        if answer and answer.ends_at_close and not self.is_malformed:
-            answer.is_complete = True
+        if answer is None or not answer.ends_at_close or self.is_malformed:
+            return
+        answer.is_complete = was_request_sent or not answer.is_success
 
     def on_message_begin(self) -> None:
         """Begin a new answer."""
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/target_connection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Iterator
+import os
 import select
 import time
 
@@ -195,7 +196,26 @@
             self._parser.feed(data)
             return
         self._is_connection_ended = True
-        self._parser.on_connection_closed()
+        reset = self._find_reset()
+        if reset:
+            raise self._make_lost_error(reset)
+        self._parser.on_connection_closed(
+            was_request_sent=self._is_request_sent
+        )
+
+    def _find_reset(self) -> str:
+        """Return the error of a reset behind the end of the data, if any.
+
+        The system reports an end of data that was read before a reset as
+        such; a target that ends may cause both.
+        """
+        try:
+            number = self._sock.getsockopt(
+                gevent.socket.SOL_SOCKET, gevent.socket.SO_ERROR
+            )
+        except OSError as error:
+            return str(error)
+        return os.strerror(number) if number else ''
 
     def _send_watched(self, data: bytes, timeout_ms: int) -> None:
         """Send; stop if an answer arrives before the request is sent."""
