Hand calls over to peers to which few instances have links

Cause: in a fleet of more than 16, an instance knows where to hand calls over only of peers that answer its own pings. The deciders of pools are among those of all, so that the calls of 25 instances met at four deciders, over the links by which they grant slots. 0.35 s later deciders were silent for 72 instances, and then instances that weren't cut lost links and calls, and handed over too. Ruled out: the event loop (no LB0011), and evidence of ended targets (some 50 KB an instance).

Change: peers to which many instances have links, deciders and store readers, are asked last. While it reaches no target, an instance pings eight peers of other domains in place of four. Of the peers that it knows, those of the own domain come first no more often than their share.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -49,7 +49,7 @@
 that keeps failing does not collect calls."""
 GOSSIP_PEERS = 6
 """Instances that each instance of a larger fleet pings for gossip."""
-HANDOVER_LINKS = 4
+HANDOVER_LINKS = 8
 """Instances of other failure domains that an instance of a larger fleet pings
 while it reaches no target of a service."""
 STORE_READERS_PER_DOMAIN = 2
@@ -351,8 +351,13 @@
             for heartbeat in self.list_alive()
             if heartbeat.callers_endpoint and not heartbeat.is_leaving
         ]
+        reaching = [
+            peer for peer in accepting if service not in peer.unreached
+        ]
+        own_links = self._list_own_links()
         return handover_candidates.HandoverCandidates(
-            [peer for peer in accepting if service not in peer.unreached],
+            [peer for peer in reaching if peer.address in own_links],
+            [peer for peer in reaching if peer.address not in own_links],
             sum(
                 service in peer.unreached
                 and peer.failure_domain == self.failure_domain
@@ -360,6 +365,24 @@
             ),
         )
 
+    def _list_own_links(self) -> set[str]:
+        """Return the peers to which other instances have few links.
+
+        In a large fleet, each instance chooses these for itself. To store
+        readers, deciders and keepers of origins, all of a domain or of the
+        fleet have links.
+        """
+        if self.is_full_mesh:
+            return set(self._last_known_ms)
+        chosen = self._sort_by_score(self.address)[:GOSSIP_PEERS]
+        shared = {
+            heartbeat.address
+            for heartbeat in self.list_alive()
+            if heartbeat.decides
+        }
+        shared.update(self._list_domain_members()[:STORE_READERS_PER_DOMAIN])
+        return {*chosen, *self._list_handover_links()} - shared
+
     def reads_reports(self, address: str) -> bool:
         """Return True if a peer understands reports."""
         heartbeat = self._heartbeats.get(address)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/handover_candidates.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/handover_candidates.py
@@ -10,8 +10,11 @@
 
     :param reaching: peers that accept such calls and don't report the service
         as unreached.
+    :param shared: those of them to which many instances have links, such as
+        deciders; the calls of all would meet there.
     :param unreached_count: number of those of the own failure domain that do.
     """
 
     reaching: list[Heartbeat]
+    shared: list[Heartbeat]
     unreached_count: int
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover_peers.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover_peers.py
@@ -23,7 +23,9 @@
     Peers of the own failure domain come first, as bytes between domains are
     dear, but only as far as each of them gets no more calls of cut instances
     than it has itself. Right after a cut they come last, since a cut often
-    concerns a domain.
+    concerns a domain. Peers to which many instances have links come after all
+    others: they would get the calls of the whole fleet, in the links over
+    which they also grant slots or pass on changes.
 
     :param find_candidates: returns the peers that may run calls of a service.
     :param find_unreached_since_ms: returns since when no target of a service
@@ -66,24 +68,31 @@
         candidates = self._find_candidates(service)
         own: list[Heartbeat] = []
         others: list[Heartbeat] = []
+        shared: list[Heartbeat] = []
         avoided: list[Heartbeat] = []
         unreached_count = 1 + candidates.unreached_count
-        for peer in candidates.reaching:
+        for peer in candidates.reaching + candidates.shared:
             is_own = peer.failure_domain == self._failure_domain
             key = peer.address, service
             if self._avoided_until_ms.get(key, 0) > now_ms:
                 unreached_count += is_own
                 avoided.append(peer)
+            elif peer in candidates.shared:
+                shared.append(peer)
             else:
                 (own if is_own else others).append(peer)
         self._random_source.shuffle(own)
         self._random_source.shuffle(others)
+        self._random_source.shuffle(shared)
         since_ms = self._find_unreached_since_ms(service)
         is_settled = since_ms is not None and now_ms - since_ms >= SETTLE_MS
         own_share = len(own) / unreached_count if is_settled else 0.0
+        if candidates.shared and own:
+            # Of a large fleet, few peers are known, and few that are cut.
+            own_share = min(own_share, len(own) / (len(own) + len(others)))
         if self._random_source.random() < own_share:
             # One that hands the call back leaves doubts about its domain.
             peers = [*own[:1], *others, *own[1:]]
         else:
             peers = [*others, *own]
-        return [*peers, *avoided][:MAX_PEERS]
+        return [*peers, *shared, *avoided][:MAX_PEERS]
