Continue no stream of a target that had started again before it was listed

Cause: a stream is bound to the version with which its target was listed when it began. A server that starts again under its id serves before its entry is written; when the entry told of the other version, the binding stayed, and so did the origin that serves take-ups. Ruled out: what peers tell, as the mixed streams are within one answer.

Change: when a later life of a target at another version is listed, the streams that run there are of that life, as the connections of the former one have ended with it. One that broke unnoticed may not be, so that their version is unknown from then on: they aren't continued, and their origin is disputed here and at the peers that know it (LB0223).

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -62,6 +62,8 @@
 from lagoonbend_entry._internal.gateway.slot_requests import CALLER_PATIENCE_MS
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
+from lagoonbend_entry._internal.utils.event import Event
+from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 from lagoonbend_entry._internal.utils.interrupt import Interrupt
 
@@ -187,6 +189,7 @@
         self._retry_shares: dict[str, RetryShare] = {}
         self.latest_end_ms: int | None = None
         self._active_calls: dict[CallProgress, ReplyWriter] = {}
+        facts.target_directory.on_new_life.append(self._unbind_streams)
         closed_targets.on_closed.append(self._end_slot_waits)
         closed_targets.on_opened.append(self._renew_slot_requests)
 
@@ -462,7 +465,11 @@
         call = progress.call
         self._crash_guard.record_begun(call, target, sent_ms)
         if progress.position.last_id is None:
-            self._resumed_streams.record(call, target.software_version)
+            is_current = progress.life == target
+            self._resumed_streams.record(
+                call,
+                progress.version if is_current else target.software_version,
+            )
 
     def _run_attempt(
         self,
@@ -476,6 +483,7 @@
             progress.successor = None
         progress.target = opened.target.target
         progress.version = opened.target.software_version
+        progress.life = opened.target
         report: AttemptReport | None = None
         progress.attempt = opened.attempt
         try:
@@ -632,6 +640,37 @@
         successor.attempt.close()
         self._close_attempt(progress, successor, None)
 
+    def _unbind_streams(self, started: ListedTarget) -> None:
+        """Forget the version of streams at a target that has started again.
+
+        Its former life has ended with all of its connections. So they are of
+        the new one, which has got calls before it was listed.
+        """
+        for progress, reply in self._active_calls.items():
+            life = progress.life
+            if (
+                life is None
+                or progress.attempt is None
+                or not life.is_followed_by(started)
+                or life.target != started.target
+                or life.software_version == started.software_version
+            ):
+                continue
+            progress.version = None
+            log_event(
+                Event.STREAM_UNBOUND,
+                request=progress.call.headers.attempt,
+                service=started.service,
+                target=started.target,
+                listed_as=life.software_version,
+                software=started.software_version,
+                has_begun=reply.has_begun,
+            )
+            if progress.binding is not None:
+                progress.binding = VersionBinding(None)
+            if progress.attempt.has_answered:
+                self._resumed_streams.record(progress.call, None)
+
     def _bind_stream(self, progress: CallProgress, reply: ReplyWriter) -> None:
         """Bind a stream that has begun to the version of its target."""
         if reply.has_begun and progress.binding is None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -1,5 +1,6 @@
 """State of a call that is being served."""
 
+from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import VersionBinding
 from lagoonbend.outcomes import SendRecord
 from lagoonbend.scheduling import SlotRequest
@@ -52,6 +53,7 @@
         self.pool = ''
         self.target = ''
         self.version: str | None = None
+        self.life: ListedTarget | None = None
         self.binding: VersionBinding | None = None
         self.successor: OpenAttempt | None = None
         self.attempt: Attempt | None = None
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/utils/event.py
@@ -140,6 +140,12 @@
         'Many targets have ended at one moment under calls with a carrier; it '
         'is sent one call at a time.',
     )
+    STREAM_UNBOUND = (
+        'LB0223',
+        'warning',
+        'The version of a stream is not known any more: its target had '
+        'started again before it was listed as that.',
+    )
     CALL_UNANSWERED = (
         'LB0206',
         'warning',
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -33,7 +33,9 @@
     whose registration lapsed, and stays usable for ``LAPSE_GRACE_MS``. A later
     era of the store doesn't undo that a target leaves or is gone. Targets of
     evacuated failure domains stay listed, but get no calls. An unreadable
-    entry is no target; ``on_unreadable`` is called with the error.
+    entry is no target; ``on_unreadable`` is called with the error. Those in
+    ``on_new_life`` are called with a target that is listed for the first time
+    or has started again.
 
     :param decode: decodes an item; returns None if it describes no target, and
         raises DocumentError if it can't be read.
@@ -47,6 +49,7 @@
         cold_targets: ColdTargets | None = None,
     ) -> None:
         self.on_unreadable: Callable[[DocumentError], None] = _ignore
+        self.on_new_life: list[Callable[[ListedTarget], None]] = []
         self._decode = decode
         self._cold_targets = cold_targets
         self._targets: dict[str, ListedTarget] = {}
@@ -355,16 +358,19 @@
                 self._other_names.add(name)
                 self._forget_cold(known)
             else:
+                is_continued = known is not None and _is_continued(
+                    known, target
+                )
                 self._targets[name] = self._restrict(target, item, now_ms)
                 self._record_name(name)
                 self._record_version(target, now_ms)
                 if self._cold_targets is not None:
                     self._cold_targets.record(
-                        target,
-                        is_known=known is not None
-                        and _is_continued(known, target),
-                        is_first=is_first,
+                        target, is_known=is_continued, is_first=is_first
                     )
+                if not is_continued:
+                    for notify in self.on_new_life:
+                        notify(target)
             return
         self._returned_until_ms.pop(name, None)
         if known is None:
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -428,6 +428,40 @@
         for instance in range(3):
             self.assertEqual((503, []), self.take_up(instance))
 
+    # Guards against a stream that goes on at the version with which its target
+    # was listed, while the target had started again at another one.
+    def test_stream_of_a_target_that_is_listed_late_is_not_continued(
+        self,
+    ) -> None:
+        """Neither in the same answer nor when it is taken up."""
+        self.fleet.publish_configuration(timeout_ms=LONG_TIMEOUT_MS)
+        self.add_engines('v1')
+        self.fleet.targets['chat-0'].version = 'v2'
+        sock = open_stream(
+            self.fleet, 0, f'Prefix-Hash: {PROMPT}\r\n'.encode()
+        )
+        self.addCleanup(sock.close)
+        received = b''
+        while b'piece 1' not in received:
+            received += sock.recv(4_096)
+        self.assertIn(b'v2', received)
+        self.fleet.register_target(
+            'chat-0',
+            'chat',
+            version='v2',
+            born_ms=time.time_ns() // 1_000_000,
+        )
+        self.fleet.add_target('chat-1', 'chat', 'v1')
+        gevent.sleep(CHANGE_SPREAD_S / 2)
+        self.fleet.store.delete('servers/chat-0')
+        self.fleet.targets['chat-0'].stop()
+        while data := sock.recv(4_096):
+            received += data
+        self.assertNotIn(b'v1', received)
+        self.assertFalse(received.endswith(b'0\r\n\r\n'))
+        for instance in range(3):
+            self.assertEqual((503, []), self.take_up(instance))
+
     # Guards against an instance that stood still during a release and takes
     # the version that it finds for the one that began a stream.
     def test_instance_that_stood_still_does_not_guess(self) -> None:
