--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
@@ -31,9 +31,7 @@
     :returns: None if the answer can't be read.
     """
     try:
-        answer = bounded.decode_json(
-            body, _WireKeptBlocks, context='kept blocks'
-        )
+        answer = bounded.decode_json(body, _WireKeptBlocks, context='blocks')
     except DocumentError:
         return None
     kept: dict[str, int] = {}
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/store_client.py
@@ -14,7 +14,9 @@
 from lagoonbend_entry._internal.models.store_error import PageTooLargeError
 from lagoonbend_entry._internal.models.store_error import PageTooSlowError
 from lagoonbend_entry._internal.platform import names
-from lagoonbend_entry._internal.platform import store_codec
+from lagoonbend_entry._internal.platform.store_codec import decode_changes
+from lagoonbend_entry._internal.platform.store_codec import decode_era
+from lagoonbend_entry._internal.platform.store_codec import decode_listing
 
 HTTP_OK = 200
 HTTP_GONE = 410
@@ -66,9 +68,7 @@
         query = {'prefix': prefix}
         if after_key:
             query['after'] = after_key
-        return store_codec.decode_listing(
-            *self._call(names.RANGE_PATH, query, 0)
-        )
+        return decode_listing(*self._call(names.RANGE_PATH, query, 0))
 
     def watch(self, prefix: str, revision: int, wait_ms: int) -> ItemsPage:
         """Wait for changes after a revision and return them.
@@ -90,7 +90,7 @@
             raise HistoryLostError(
                 error.message, context=names.WATCH_PATH
             ) from error
-        return store_codec.decode_changes(body, era)
+        return decode_changes(body, era)
 
     def _call(
         self, path: str, query: dict[str, str], wait_ms: int
@@ -125,7 +125,7 @@
             encode_request('GET', full_path, headers, b''), self._timeout_ms
         )
         answer = connection.read_head(wait_ms + self._timeout_ms)
-        era = store_codec.decode_era(answer.header_map)
+        era = decode_era(answer.header_map)
         self.newest_era = max(self.newest_era, era)
         body = self._read_body(connection, answer, path)
         if not connection.is_reusable or not answer.keeps_connection:
