--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -456,7 +456,7 @@
     record.add(f'TROUBLE={int(has_trouble)}')
     instances = []
     code = 2
-    with tempfile.TemporaryDirectory() as temporary:
+    with tempfile.TemporaryDirectory(dir=os.environ.get("LOGS_IN")) as temporary:
         try:
             code = run(record, temporary, instances, has_trouble)
         except Exception as error:
