--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -133,6 +133,21 @@
         )
         self._changed.notify_all()
 
+    def delete(self, key):
+        """Remove an item."""
+        with self._changed:
+            self._written.pop(key, None)
+            if self._items.pop(key, None) is None:
+                return
+            self.revision += 1
+            self._changes.append(
+                {'key': key, 'revision': self.revision, 'tombstone': True}
+            )
+            self._copies.append(
+                (time.monotonic(), self.revision, dict(self._items))
+            )
+            self._changed.notify_all()
+
     def drill(self, copy_age_s, away_s, rewrite_s):
         """Go away, come back from a copy, and get the writes again.
 
