--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -95,7 +95,9 @@
 class Store(Listener):
     """The platform's store, as PROTOCOL and the news pages describe it."""
 
-    def __init__(self, record):
+    def __init__(self, record, history_s=20.0):
+        self._history_s = history_s
+        self._dropped_revision = 0
         self._changed = threading.Condition()
         self._record = record
         self.revision = 10
@@ -215,7 +217,8 @@
         prefix = fields.get('prefix', '')
         end_s = time.monotonic() + int(fields.get('wait-ms', 0)) / 1000
         era = self.era
-        if after > self.revision:
+        self._drop_history()
+        if after > self.revision or after < self._dropped_revision:
             return self._answer(request, 410, {})
         while True:
             if self.is_away or self.era != era:
@@ -234,6 +237,18 @@
                 )
             self._changed.wait(left_s)
 
+    def _drop_history(self):
+        """Drop the changes that are older than the history kept."""
+        oldest_s = time.monotonic() - self._history_s
+        dropped = [copy[1] for copy in self._copies if copy[0] < oldest_s]
+        if dropped:
+            self._dropped_revision = max(dropped)
+            self._changes = [
+                c
+                for c in self._changes
+                if c['revision'] > self._dropped_revision
+            ]
+
     def _answer(self, request, status, body):
         request.reply(
             status,
