Number the review's cases, the gravest first

14 (ORDER) becomes 11, 11 (CONFIG, a key) 12, 15 (LOST) 13, 13 (CONFIG, a machine that regresses) 14, and 12 (Fault) 15. Nothing else changes.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,34 +1,37 @@
-"""Settings change while machines start: SIGHUP ends each new process."""
+"""A key that was revoked serves again: a drill, and a fleet that restarts."""
 
 import pathlib
-import signal
 import sys
+import threading
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'lib-3'))
 import standins
 
-ZONES = ('zone-a', 'zone-a', 'zone-b', 'zone-b')
-RESTARTED = (0, 2)
-RESTART_DELAY_S = 0.5
-HUP_AFTER_START_S = 0.05
-CHANGES = 7
-STABLE_S = 1.0
-MOST_ENDS = 2
+REVOKE_S = 5.0
+COPY_AGE_S = 7.0
+AWAY_S = 0.5
+REWRITE_S = 2.0
+DOWN_S = 0.5
+ROUTES = [('look-up', 'desk', 'safe')]
+ZONES = ('zone-a', 'zone-b', 'zone-c')
 
 
 def run(record, folder, instances, has_trouble):
     store = standins.Store(record)
-    server = standins.Server('i-desk-1', 'desk', record)
+    servers = [
+        standins.Server(f'i-desk-{n}', 'desk', record) for n in range(2)
+    ]
     store.put(
         'op/config',
         standins.build_configuration(
-            5, [('look-up', 'desk', 'safe')], ['desk'], {'first': ['key-a']}
+            5, ROUTES, ['desk'], {'first': ['key-a', 'key-b']}
         ),
     )
-    server.register(store, ZONES[0])
+    for number, server in enumerate(servers):
+        server.register(store, ZONES[number])
     ports = standins.find_free_ports(4 * len(ZONES))
-    seeds = [f'127.0.0.1:{ports[4 * n + 2]}' for n in range(3)]
+    seeds = [f'127.0.0.1:{ports[4 * n + 2]}' for n in range(len(ZONES))]
     for number, zone in enumerate(ZONES):
         instances.append(
             standins.Instance(
@@ -46,42 +49,87 @@
     if not all(instance.wait_ready() for instance in instances):
         return 2
     time.sleep(1.0)
+    count = [0]
 
-    # A rolling restart, as an operator does it: SIGTERM, and a new start.
-    restarted = [instances[number] for number in RESTARTED]
-    for instance in restarted:
-        instance.send_signal(signal.SIGTERM)
-    for instance in restarted:
-        instance.process.wait()
-        record.add(f'{instance.name}: ended by SIGTERM')
-    last_start_s = time.monotonic()
-    for instance in restarted:
-        instance.start()
-    ends = {instance.name: 0 for instance in instances}
-    for _ in range(CHANGES):
-        time.sleep(HUP_AFTER_START_S)
-        if has_trouble:
-            # The settings of all machines change.
-            for instance in instances:
-                if instance.process.poll() is None:
-                    instance.send_signal(signal.SIGHUP)
-        time.sleep(RESTART_DELAY_S)
+    def call(instance, key):
+        count[0] += 1
+        attempt = f'{key}.{count[0]}'
+        sent_s = time.monotonic()
+        status, headers, body = standins.send(
+            instance.callers,
+            f'/look-up/{count[0]}',
+            {
+                'Host': standins.HOST,
+                'Attempt-Id': attempt,
+                'Deadline-Ms': '1500',
+                'Authorization': f'Bearer {key}',
+            },
+        )
+        record.add(
+            f'client: {attempt} to {instance.name} is answered {status}'
+            f' {body[:60]!r}'
+        )
+        return sent_s, attempt, status
+
+    before = [
+        call(instance, key)[2]
+        for instance in instances
+        for key in ('key-a', 'key-b')
+    ]
+    if before != [200] * len(before):
+        record.add(f'not all served before: {before}')
+        return 2
+    time.sleep(2.0)
+    revoked_s = store.put(
+        'op/config',
+        standins.build_configuration(
+            6, ROUTES, ['desk'], {'first': ['key-b']}
+        ),
+    )
+    record.add('store: acknowledges version 6, without key-a')
+    time.sleep(1.0)
+    refused = [call(instance, 'key-a')[2] for instance in instances]
+    if refused != [401] * len(refused):
+        record.add(f'key-a is not refused after version 6: {refused}')
+        return 2
+    time.sleep(max(0.0, revoked_s + REVOKE_S - time.monotonic()))
+    drill = None
+    if has_trouble:
+        # All processes are killed at one moment, in the drill of the store.
+        for instance in instances:
+            instance.kill()
+            record.add(f'{instance.name}: killed')
+        drill = threading.Thread(
+            target=store.drill, args=(COPY_AGE_S, AWAY_S, REWRITE_S)
+        )
+        drill.start()
+        time.sleep(DOWN_S)
         for instance in instances:
-            code = instance.process.poll()
-            if code is None:
-                continue
-            is_excused = time.monotonic() - last_start_s < STABLE_S
-            record.add(
-                f'{instance.name}: ended by itself, code {code}'
-                f'{", within a second of its planned start" * is_excused}'
-            )
-            ends[instance.name] += not is_excused
-            # The platform restarts a process that ends, after a short delay.
             instance.start()
-    is_back = all(instance.wait_ready(10) for instance in instances)
-    record.add(f'ends by themselves: {ends}; all ready at the end: {is_back}')
-    worst = [name for name, count in ends.items() if count > MOST_ENDS]
-    return 1 if len(worst) >= 2 else 0
+    sent = []
+    end_s = time.monotonic() + 8.0
+    while time.monotonic() < end_s:
+        for instance in instances:
+            if instance.is_ready():
+                sent.append(call(instance, 'key-a'))
+                call(instance, 'key-b')
+        time.sleep(0.1)
+    if drill is not None:
+        drill.join()
+    after = [call(instance, 'key-b')[2] for instance in instances]
+    if after != [200] * len(after):
+        record.add(f'not all served at the end: {after}')
+    ran = {attempt for server in servers for _, attempt, *_ in server.runs}
+    late = [
+        attempt
+        for sent_s, attempt, _ in sent
+        if sent_s > revoked_s + REVOKE_S and attempt in ran
+    ]
+    record.add(
+        f'{len(sent)} requests with key-a were sent more than {REVOKE_S} s'
+        f' after the acknowledgement; {len(late)} of them ran: {late[:10]}'
+    )
+    return 1 if late else 0
 
 
 standins.main(run)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A stream of one version goes on at another that lost its whole answer."""
+"""A machine that reaches no server serves by an older configuration again."""
 
 import pathlib
 import sys
@@ -6,44 +6,51 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'lib-3'))
+import cut_proxy
 import standins
-import streams
 
-ZONES = ('zone-a', 'zone-b', 'zone-c')
-STREAMS = 72
-KILL_S = 1.9
-DOWN_S = 0.5
-LEAVE_S = 2.2
-EXIT_AFTER_S = 2.3
-TAKE_UP_S = 5.2
-MOST_MIXED = 2
+ZONES = ('zone-a', 'zone-b')
+INSTANCES = 24
+CHANGES = 34
+CHANGE_INTERVAL_S = 2.31
+SWITCH_S = 1.3
+ROLLBACK_SLACK_S = 0.25
+CUT = 5
+PAUSE_S = 0.03
+
+
+def build_configuration(version):
+    """Return version 10 + N, which moves route N from ``old`` to ``new``."""
+    return standins.build_configuration(
+        10 + version,
+        [
+            (f'r{number}', 'new' if number <= version else 'old', 'safe')
+            for number in range(1, CHANGES + 1)
+        ],
+        ['old', 'new'],
+        {'first': ['key-a']},
+    )
 
 
 def run(record, folder, instances, has_trouble):
     store = standins.Store(record)
-    old = [streams.StreamServer(f'i-one-{n}', 'v1', record) for n in range(2)]
-    new = [streams.StreamServer(f'i-two-{n}', 'v2', record) for n in range(2)]
-    back = [streams.StreamServer(f'i-one-{n}', 'v1', record) for n in (2, 3)]
-    configuration = standins.build_configuration(
-        5, [('stream', 'model', 'streaming')], ['model'], {'first': ['key-a']}
-    )
-    configuration['routes'][0] |= {
-        'resumable': True,
-        'sticky': True,
-        'gap-target-ms': 400,
-        'timeout-ms': 15000,
-    }
-    configuration['services'][0]['engine'] = {'kv-capacity': 444000}
-    store.put('op/config', configuration)
-    for number, server in enumerate(old + new):
-        server.register(store, ZONES[number % len(ZONES)])
-    ports = standins.find_free_ports(4 * len(ZONES))
-    seeds = [f'127.0.0.1:{ports[4 * n + 2]}' for n in range(len(ZONES))]
-    for number, zone in enumerate(ZONES):
+    servers, proxies = [], []
+    for service in ('old', 'new'):
+        for number in range(3):
+            server = standins.Server(f'i-{service}-{number}', service, record)
+            proxy = cut_proxy.CutProxy(server.endpoint)
+            server.endpoint = proxy.endpoint
+            server.register(store, ZONES[number % len(ZONES)])
+            servers.append(server)
+            proxies.append(proxy)
+    store.put('op/config', build_configuration(0))
+    ports = standins.find_free_ports(4 * INSTANCES)
+    seeds = [f'127.0.0.1:{ports[4 * n + 2]}' for n in range(3)]
+    for number in range(INSTANCES):
         instances.append(
             standins.Instance(
                 number,
-                zone,
+                ZONES[number % len(ZONES)],
                 ports[4 * number : 4 * number + 4],
                 seeds,
                 store.endpoint,
@@ -53,82 +60,111 @@
         )
     for instance in instances:
         instance.start()
-    if not all(instance.wait_ready() for instance in instances):
+        time.sleep(0.13)
+    if not all(instance.wait_ready(30) for instance in instances):
         return 2
-    time.sleep(4.0)
-    for server in old:
-        server.loses = has_trouble
-    record.add('the servers of v1 lose answers' if has_trouble else 'calm')
-    received = {}
+    time.sleep(6.0)
+    # Five of the twelve machines of a zone.
+    machines = instances[-1 : -2 * CUT : -2]
+    if has_trouble:
+        for proxy in proxies:
+            proxy.cut([machine.process.pid for machine in machines])
+        names = ', '.join(machine.name for machine in machines)
+        record.add(f'{names}: are cut off from all servers')
 
-    def act_as_client(number):
-        session = f'bb{number:04x}'
-        first = f'first-{number}'
-        instance = instances[number % len(instances)]
-        status, events = streams.read_stream(instance.callers, first, session, {})
-        record.add(
-            f'client: {first} at {instance.name} is answered {status},'
-            f' events {events[:1]} to {events[-1:]}'
-        )
-        received[number] = events
-        if not events or events[-1][0] >= streams.EVENTS:
-            return
-        time.sleep(max(0.0, start_s + TAKE_UP_S - time.monotonic()))
-        second = f'second-{number}'
-        instance = instances[(number + 1) % len(instances)]
-        status, more = streams.read_stream(
-            instance.callers,
-            second,
-            session,
-            {'Resumes': first, 'Last-Event-Id': str(events[-1][0])},
-        )
-        record.add(
-            f'client: {second} takes {first} up at {instance.name},'
-            f' is answered {status}, events {more[:1]} to {more[-1:]}'
-        )
-        received[number] = events + more
+    sent = {}
+    route = [1]
+    is_over = threading.Event()
+
+    def act_as_client(machine, name):
+        count = 0
+        while not is_over.is_set():
+            count += 1
+            number = route[0]
+            attempt = f'{machine.name}.{name}.{count}'
+            sent[attempt] = (time.monotonic(), number, machine.name)
+            status, _, body = standins.send(
+                machine.callers,
+                f'/r{number}/{attempt}',
+                {
+                    'Host': standins.HOST,
+                    'Attempt-Id': attempt,
+                    'Deadline-Ms': '2000',
+                    'Authorization': 'Bearer key-a',
+                },
+            )
+            record.add(
+                f'client: {attempt} on r{number} to {machine.name} is'
+                f' answered {status} {body[:40]!r}'
+            )
+            time.sleep(PAUSE_S)
 
-    start_s = time.monotonic()
     clients = [
-        threading.Thread(target=act_as_client, args=(number,), daemon=True)
-        for number in range(STREAMS)
+        threading.Thread(
+            target=act_as_client, args=(machine, f'c{n}'), daemon=True
+        )
+        for machine in machines[1:]
+        for n in range(2)
     ]
+    # One machine finds out, and lets the others check their links.
+    end_s = time.monotonic() + 3.0
+    count = 0
+    while time.monotonic() < end_s:
+        count += 1
+        standins.send(
+            machines[0].callers,
+            f'/r1/first.{count}',
+            {
+                'Host': standins.HOST,
+                'Attempt-Id': f'first.{count}',
+                'Deadline-Ms': '2000',
+                'Authorization': 'Bearer key-a',
+            },
+        )
+        time.sleep(0.05)
     for client in clients:
         client.start()
-        time.sleep(0.005)
-    if has_trouble:
-        time.sleep(max(0.0, start_s + KILL_S - time.monotonic()))
-        for instance in instances:
-            instance.kill()
-            record.add(f'{instance.name}: killed')
-        for server in old:
-            server.loses = False
-    # A release to v1: two servers of it start, and those of v2 leave.
-    for number, server in enumerate(back):
-        server.register(store, ZONES[number])
-    time.sleep(max(0.0, start_s + LEAVE_S - time.monotonic()))
-    for server in new:
-        store.delete(f'servers/{server.name}')
-        record.add(f'store: the entry of {server.name} is removed')
-    if has_trouble:
-        time.sleep(max(0.0, start_s + KILL_S + DOWN_S - time.monotonic()))
-        for instance in instances:
-            instance.start()
-    time.sleep(max(0.0, start_s + LEAVE_S + EXIT_AFTER_S - time.monotonic()))
-    for server in new:
-        server.exit()
+    time.sleep(2.0)
+    for version in range(1, CHANGES + 1):
+        store.put('op/config', build_configuration(version))
+        record.add(f'store: acknowledges the move of r{version} to new')
+        time.sleep(SWITCH_S)
+        route[0] = min(version + 1, CHANGES)
+        time.sleep(CHANGE_INTERVAL_S - SWITCH_S)
+    is_over.set()
     for client in clients:
-        client.join(15)
-    mixed = [
-        number
-        for number, events in received.items()
-        if len({version for _, version in events}) > 1
-    ]
-    for number in mixed:
-        record.add(f'stream {number} is mixed: {received[number]}')
-    whole = sum(len(events) == streams.EVENTS for events in received.values())
-    record.add(f'{STREAMS} streams, {whole} whole, {len(mixed)} mixed')
-    return 1 if len(mixed) > MOST_MIXED else 0
+        client.join()
+    runs = sorted(
+        (at_s, server.service, attempt)
+        for server in servers
+        for at_s, attempt, *_ in server.runs
+        if attempt in sent
+    )
+    record.add(f'{len(sent)} requests were sent, {len(runs)} ran')
+    if len(runs) < len(sent) / 2:
+        record.add('too few requests were served')
+        return 2
+    first_s = {}
+    for at_s, service, attempt in runs:
+        if service == 'new':
+            _, number, machine = sent[attempt]
+            first_s.setdefault((machine, number), at_s)
+    broken = []
+    for at_s, service, attempt in runs:
+        sent_s, number, machine = sent[attempt]
+        seen_s = first_s.get((machine, number))
+        if service == 'new' or seen_s is None:
+            continue
+        late_s = sent_s - seen_s
+        if late_s > ROLLBACK_SLACK_S:
+            broken.append(attempt)
+            record.add(
+                f'{attempt} on r{number} was sent to {machine} {late_s:.3f} s'
+                ' after a server had seen the effect of the move on a request'
+                ' of that machine, and ran at old'
+            )
+    record.add(f'{len(broken)} requests were handled by an older version')
+    return 1 if broken else 0
 
 
 standins.main(run)
