--- a/review/13/case.py
+++ b/review/13/case.py
@@ -31,7 +31,7 @@
         for v in (1, 2)
         for n in range(2)
     ]
-    desks = [standins.Server(f'i-desk-{n}', 'desk', record) for n in range(3)]
+    desks = [standins.Server(f'i-desk-{n}', 'desk', record) for n in range(8)]
     configuration = standins.build_configuration(
         5,
         [('stream', 'model', 'streaming'), ('look-up', 'desk', 'safe')],
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -11,9 +11,13 @@
 
 ZONES = ('zone-a', 'zone-b')
 INSTANCES = 24
-CHANGES = 34
-CHANGE_INTERVAL_S = 2.31
-SWITCH_S = 1.3
+CUTS = 6
+CUT_CHANGES = 4
+CHANGES = CUTS * CUT_CHANGES
+FIND_OUT_S = 2.4
+CHANGE_INTERVAL_S = 2.11
+SWITCH_S = 1.2
+MENDED_S = 3.5
 ROLLBACK_SLACK_S = 0.25
 CUT = 5
 PAUSE_S = 0.03
@@ -66,19 +70,27 @@
     time.sleep(6.0)
     # Five of the twelve machines of a zone.
     machines = instances[-1 : -2 * CUT : -2]
-    if has_trouble:
+    names = ', '.join(machine.name for machine in machines)
+
+    def set_cut(is_cut):
+        if not has_trouble:
+            return
+        pids = [machine.process.pid for machine in machines]
         for proxy in proxies:
-            proxy.cut([machine.process.pid for machine in machines])
-        names = ', '.join(machine.name for machine in machines)
-        record.add(f'{names}: are cut off from all servers')
+            proxy.cut(pids if is_cut else ())
+        end = 'cut off from all servers' if is_cut else 'mended'
+        record.add(f'{names}: are {end}')
 
     sent = {}
     route = [1]
     is_over = threading.Event()
+    is_active = threading.Event()
 
     def act_as_client(machine, name):
         count = 0
         while not is_over.is_set():
+            if not is_active.wait(0.1):
+                continue
             count += 1
             number = route[0]
             attempt = f'{machine.name}.{name}.{count}'
@@ -106,31 +118,39 @@
         for machine in machines[1:]
         for n in range(2)
     ]
-    # One machine finds out, and lets the others check their links.
-    end_s = time.monotonic() + 3.0
-    count = 0
-    while time.monotonic() < end_s:
-        count += 1
-        standins.send(
-            machines[0].callers,
-            f'/r1/first.{count}',
-            {
-                'Host': standins.HOST,
-                'Attempt-Id': f'first.{count}',
-                'Deadline-Ms': '2000',
-                'Authorization': 'Bearer key-a',
-            },
-        )
-        time.sleep(0.05)
     for client in clients:
         client.start()
-    time.sleep(2.0)
-    for version in range(1, CHANGES + 1):
-        store.put('op/config', build_configuration(version))
-        record.add(f'store: acknowledges the move of r{version} to new')
-        time.sleep(SWITCH_S)
-        route[0] = min(version + 1, CHANGES)
-        time.sleep(CHANGE_INTERVAL_S - SWITCH_S)
+    count = 0
+    version = 0
+    for _ in range(CUTS):
+        set_cut(True)
+        # One machine finds out, and lets the others check their links.
+        end_s = time.monotonic() + FIND_OUT_S
+        while time.monotonic() < end_s:
+            count += 1
+            standins.send(
+                machines[0].callers,
+                f'/r{route[0]}/first.{count}',
+                {
+                    'Host': standins.HOST,
+                    'Attempt-Id': f'first.{count}',
+                    'Deadline-Ms': '2000',
+                    'Authorization': 'Bearer key-a',
+                },
+            )
+            time.sleep(0.05)
+        is_active.set()
+        time.sleep(0.6)
+        for _ in range(CUT_CHANGES):
+            version += 1
+            store.put('op/config', build_configuration(version))
+            record.add(f'store: acknowledges the move of r{version} to new')
+            time.sleep(SWITCH_S)
+            route[0] = min(version + 1, CHANGES)
+            time.sleep(CHANGE_INTERVAL_S - SWITCH_S)
+        is_active.clear()
+        set_cut(False)
+        time.sleep(MENDED_S)
     is_over.set()
     for client in clients:
         client.join()
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -10,6 +10,7 @@
 
 ZONES = ('zone-a', 'zone-a', 'zone-b', 'zone-b')
 RESTARTED = (0, 2)
+ROLL_GAP_S = 1.3
 RESTART_DELAY_S = 0.5
 HUP_AFTER_START_S = 0.08
 CHANGES = 7
@@ -49,7 +50,8 @@
 
     # A rolling restart, as an operator does it: SIGTERM, and a new start.
     restarted = [instances[number] for number in RESTARTED]
-    for instance in restarted:
+    for number, instance in enumerate(restarted):
+        time.sleep(ROLL_GAP_S * bool(number))
         instance.send_signal(signal.SIGTERM)
     for instance in restarted:
         instance.process.wait()
@@ -61,8 +63,8 @@
     for _ in range(CHANGES):
         time.sleep(HUP_AFTER_START_S)
         if has_trouble:
-            # The settings of all machines change.
-            for instance in instances:
+            # The settings of half of the machines change.
+            for instance in restarted:
                 if instance.process.poll() is None:
                     instance.send_signal(signal.SIGHUP)
         time.sleep(RESTART_DELAY_S)
--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -22,6 +22,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = 'calls.example'
+MAX_RUN_S = 114
 
 
 def find_free_ports(count):
@@ -478,6 +479,11 @@
         connection.close()
 
 
+def _stop(number, frame):
+    """End the case, with all processes that it has started."""
+    raise RuntimeError(f'ended by {signal.Signals(number).name}')
+
+
 def main(run):
     """Run a case; exit with 1 if the rule was broken, 2 if it couldn't run."""
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
@@ -486,6 +492,9 @@
     record.add(f'TROUBLE={int(has_trouble)}')
     instances = []
     code = 2
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, _stop)
+    signal.alarm(MAX_RUN_S)
     with tempfile.TemporaryDirectory(dir=os.environ.get("LOGS_IN")) as temporary:
         try:
             code = run(record, temporary, instances, has_trouble)
