Review cases: take ports that no outgoing connection gets

A port was looked up among those that the system gives to outgoing connections, so that one could be taken before an instance listened on it, or while it was down. Runs that began at the same moment had ended with exit code 2.

--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -26,11 +27,25 @@
 
 
 def find_free_ports(count):
-    """Return distinct free ports of the loopback address."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(('127.0.0.1', 0))
-    ports = [sock.getsockname()[1] for sock in socks]
+    """Return distinct free ports of the loopback address.
+
+    They are below the ports that the system gives to outgoing connections, so
+    that none is taken before an instance listens on it, or while it is down.
+    """
+    ports = []
+    socks = []
+    numbers = random.SystemRandom().sample(range(10_000, 32_000), 2_000)
+    for number in numbers:
+        sock = socket.socket()
+        try:
+            sock.bind(('127.0.0.1', number))
+        except OSError:
+            sock.close()
+            continue
+        socks.append(sock)
+        ports.append(number)
+        if len(ports) == count:
+            break
     for sock in socks:
         sock.close()
     return ports
