--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,5 +1,6 @@
 """A machine that reaches no server serves by an older configuration again."""
 
+import http.client
 import pathlib
 import sys
 import threading
@@ -20,7 +21,11 @@
 MENDED_S = 3.5
 ROLLBACK_SLACK_S = 0.25
 CUT = 5
-PAUSE_S = 0.03
+CLIENTS = 5
+BUSY_PAUSE_S = 0.01
+PAUSE_S = 0.3
+BUSY_BEFORE_S = 0.2
+BUSY_AFTER_S = 0.8
 
 
 def build_configuration(version):
@@ -85,38 +90,52 @@
     route = [1]
     is_over = threading.Event()
     is_active = threading.Event()
+    is_busy = threading.Event()
 
     def act_as_client(machine, name):
         count = 0
+        connection = http.client.HTTPConnection(
+            '127.0.0.1', machine.callers, timeout=5
+        )
         while not is_over.is_set():
             if not is_active.wait(0.1):
+                connection.close()
                 continue
             count += 1
             number = route[0]
             attempt = f'{machine.name}.{name}.{count}'
             sent[attempt] = (time.monotonic(), number, machine.name)
-            status, _, body = standins.send(
-                machine.callers,
-                f'/r{number}/{attempt}',
-                {
-                    'Host': standins.HOST,
-                    'Attempt-Id': attempt,
-                    'Deadline-Ms': '2000',
-                    'Authorization': 'Bearer key-a',
-                },
-            )
+            try:
+                connection.request(
+                    'GET',
+                    f'/r{number}/{attempt}',
+                    headers={
+                        'Host': standins.HOST,
+                        'Attempt-Id': attempt,
+                        'Deadline-Ms': '2000',
+                        'Authorization': 'Bearer key-a',
+                    },
+                )
+                answer = connection.getresponse()
+                status, body = answer.status, answer.read()
+            except (OSError, http.client.HTTPException) as error:
+                status, body = 0, repr(error).encode()
+                connection.close()
             record.add(
                 f'client: {attempt} on r{number} to {machine.name} is'
                 f' answered {status} {body[:40]!r}'
             )
-            time.sleep(PAUSE_S)
+            if is_busy.is_set():
+                time.sleep(BUSY_PAUSE_S)
+            else:
+                is_busy.wait(PAUSE_S)
 
     clients = [
         threading.Thread(
             target=act_as_client, args=(machine, f'c{n}'), daemon=True
         )
         for machine in machines[1:]
-        for n in range(2)
+        for n in range(CLIENTS)
     ]
     for client in clients:
         client.start()
@@ -140,14 +159,18 @@
             )
             time.sleep(0.05)
         is_active.set()
-        time.sleep(0.6)
+        time.sleep(0.6 - BUSY_BEFORE_S)
         for _ in range(CUT_CHANGES):
+            is_busy.set()
+            time.sleep(BUSY_BEFORE_S)
             version += 1
             store.put('op/config', build_configuration(version))
             record.add(f'store: acknowledges the move of r{version} to new')
-            time.sleep(SWITCH_S)
+            time.sleep(BUSY_AFTER_S)
+            is_busy.clear()
+            time.sleep(SWITCH_S - BUSY_AFTER_S)
             route[0] = min(version + 1, CHANGES)
-            time.sleep(CHANGE_INTERVAL_S - SWITCH_S)
+            time.sleep(CHANGE_INTERVAL_S - BUSY_BEFORE_S - SWITCH_S)
         is_active.clear()
         set_cut(False)
         time.sleep(MENDED_S)
