--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,11 +15,11 @@
 
 ZONES = ('zone-a', 'zone-b', 'zone-c')
 OLD_SERVERS = 6
-SESSIONS = 32
-BEGUN_AT_ONCE = 16
+SILENT_SERVERS = 4
+SILENT_S = 1.5
+STREAMS = 40
 EVENT_S = 0.2
-TURN_TOKENS = 10
-KILL_S = 1.1
+KILL_S = 2.1
 DOWN_S = 1.0
 CRASH_S = 2.0
 LAPSE_S = 3.3
@@ -30,7 +30,7 @@
 def run(record, folder, instances, has_trouble):
     store = standins.Store(record)
     old = [
-        streams.StreamServer(f'i-one-{n}', 'v1', record, EVENT_S, slots=4)
+        streams.StreamServer(f'i-one-{n}', 'v1', record, EVENT_S, slots=8)
         for n in range(OLD_SERVERS)
     ]
     configuration = standins.build_configuration(
@@ -70,29 +70,14 @@
     def choose(number):
         return instances[number % len(instances)]
 
-    def begin_session(number):
-        """The first request of a session, at a server of v1."""
-        attempt = f'turn-1-{number}'
-        status, events = streams.read_stream(
-            choose(number).callers, attempt, f'bb{number:04x}', {}
-        )
-        record.add(f'client: {attempt} is answered {status}, {len(events)} events')
-
-    def go_on(number):
-        """The next request of a session, which is taken up if it breaks off."""
+    def act_as_client(number):
         session = f'bb{number:04x}'
-        tokens = (
-            streams.PROMPT_TOKENS
-            + streams.EVENTS * streams.TOKENS_PER_EVENT
-            + TURN_TOKENS
-        )
-        prompt = {'Prefix-Hash': f'aa01:100,{session}:{tokens}'}
-        first = attempt = f'turn-2-{number}'
+        first = f'first-{number}'
         status, events = streams.read_stream(
-            choose(number).callers, attempt, session, prompt
+            choose(number).callers, first, session, {}
         )
         record.add(
-            f'client: {attempt} at {choose(number).name} is answered {status},'
+            f'client: {first} at {choose(number).name} is answered {status},'
             f' events {events[:1]} to {events[-1:]}'
         )
         received[number] = events
@@ -105,7 +90,7 @@
             instance.callers,
             attempt,
             session,
-            prompt | {'Resumes': first, 'Last-Event-Id': str(events[-1][0])},
+            {'Resumes': first, 'Last-Event-Id': str(events[-1][0])},
         )
         record.add(
             f'client: {attempt} takes {first} up at {instance.name}, is'
@@ -113,34 +98,29 @@
         )
         received[number] = events + more
 
-    def run_all(act, numbers):
-        clients = [
-            threading.Thread(target=act, args=(number,), daemon=True)
-            for number in numbers
-        ]
-        for client in clients:
-            client.start()
-            time.sleep(0.004)
-        return clients
-
-    for start in range(0, SESSIONS, BEGUN_AT_ONCE):
-        numbers = range(start, start + BEGUN_AT_ONCE)
-        for client in run_all(begin_session, numbers):
-            client.join(15)
-    # A release begins: the first server of v2 starts.
-    new = streams.StreamServer('i-two-0', 'v2', record, EVENT_S, slots=8)
+    # A release has begun: the first server of v2 has started.
+    new = streams.StreamServer('i-two-0', 'v2', record, EVENT_S, slots=16)
     new.register(store, ZONES[0])
     time.sleep(1.0)
     kill_s = [time.monotonic() + KILL_S]
-    clients = run_all(go_on, range(SESSIONS))
+    # Sound servers that are silent for a moment.
+    for server in old[:SILENT_SERVERS]:
+        server.silent_until_s = time.monotonic() + SILENT_S
+    clients = [
+        threading.Thread(target=act_as_client, args=(number,), daemon=True)
+        for number in range(STREAMS)
+    ]
+    for client in clients:
+        client.start()
+        time.sleep(0.004)
     time.sleep(max(0.0, kill_s[0] - time.monotonic()))
     if has_trouble:
         kill_s[0] = time.monotonic()
-        record.add(f'{new.name}: crashes')
-        new.exit()
         for instance in instances:
             instance.kill()
             record.add(f'{instance.name}: killed')
+        record.add(f'{new.name}: crashes')
+        new.exit()
         time.sleep(max(0.0, kill_s[0] + DOWN_S - time.monotonic()))
         for instance in instances:
             instance.start()
@@ -151,7 +131,7 @@
                 'v2',
                 record,
                 EVENT_S,
-                slots=8,
+                slots=16,
                 port=int(new.endpoint.rpartition(':')[2]),
             )
             back.register(store, ZONES[0])
@@ -169,7 +149,7 @@
     for number in mixed:
         record.add(f'stream {number} is mixed: {received[number]}')
     whole = sum(len(events) == streams.EVENTS for events in received.values())
-    record.add(f'{SESSIONS} streams, {whole} whole, {len(mixed)} mixed')
+    record.add(f'{STREAMS} streams, {whole} whole, {len(mixed)} mixed')
     return 1 if len(mixed) > MOST_MIXED else 0
 
 
--- a/review/lib-3/streams.py
+++ b/review/lib-3/streams.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+import select
 import socket
 import time
 
@@ -31,10 +32,11 @@
         self.kept = {}
         self.loses = False
         self.is_gone = False
+        self.silent_until_s = 0.0
         self.count = 0
         super().__init__(name, 'model', record, port=port)
 
-    def register(self, store, zone):
+    def register(self, store, zone, state='ready'):
         return store.put(
             f'servers/{self.name}',
             {
@@ -44,7 +46,7 @@
                 'version': self.version,
                 'born': self.born_ms,
                 'slots': self.slots,
-                'state': 'ready',
+                'state': state,
                 'cold-remaining-ms': 0,
                 'sequence': 1,
             },
@@ -86,6 +88,14 @@
             f'{", its answer is lost" * is_lost}'
         )
         time.sleep(0.03)
+        silent_s = self.silent_until_s - time.monotonic()
+        if silent_s > 0:
+            self._record.add(f'{self.name}: has read {attempt}, and is silent')
+            time.sleep(silent_s)
+            if is_closed(request.connection):
+                self._record.add(f'{self.name}: drops {attempt}')
+                request.close_connection = True
+                return None
         if not is_lost:
             request.wfile.write(
                 b'HTTP/1.1 200 X\r\nContent-Type: text/event-stream\r\n'
@@ -120,6 +130,16 @@
         return None
 
 
+def is_closed(sock):
+    """Return True if the caller has closed the connection."""
+    if not select.select([sock], [], [], 0)[0]:
+        return False
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
+
+
 def read_stream(port, attempt, session, headers):
     """Send a request of a stream; return status and events received."""
     lines = {
