Review case 12: clients wait for instances that are ready

The instances are down for 0.5 s, as in case 11, so that a slower machine has time until the entry of the crashed server is removed, 3.5 s after the crash.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -20,10 +20,11 @@
 STREAMS = 40
 EVENT_S = 0.2
 KILL_S = 2.1
-DOWN_S = 1.0
+DOWN_S = 0.5
 CRASH_S = 2.0
-LAPSE_S = 3.3
+LAPSE_S = 3.5
 TAKE_UP_S = 2.3
+READY_S = 3.2
 MOST_MIXED = 2
 
 
@@ -86,6 +87,12 @@
         time.sleep(max(0.0, kill_s[0] + TAKE_UP_S - time.monotonic()))
         attempt = f'{first}-again'
         instance = choose(number + 1)
+        # The platform sends clients to machines that are ready.
+        while (
+            not instance.is_ready()
+            and time.monotonic() < kill_s[0] + READY_S
+        ):
+            time.sleep(0.1)
         status, more = streams.read_stream(
             instance.callers,
             attempt,
