--- a/review/lib-3/cut_proxy.py
+++ b/review/lib-3/cut_proxy.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 import threading
+import time
 
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 NETLINK_SOCK_DIAG = 4
@@ -13,7 +14,6 @@
 def list_sockets(pid):
     """Return the inodes of the sockets of a process."""
     inodes = set()
-    inodes = set()
     folder = os.open(f'/proc/{pid}/fd', os.O_RDONLY)
     try:
         for name in os.listdir(folder):
@@ -75,6 +75,32 @@
     return ''
 
 
+class SocketOwners:
+    """Tells whether a process holds a socket.
+
+    One look at the processes answers all questions that came before it.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._pids = ()
+        self._looked_s = 0.0
+        self._inodes = set()
+
+    def hold(self, pids, inode):
+        """Return True if one of the processes holds the socket."""
+        asked_s = time.monotonic()
+        with self._lock:
+            if self._pids != pids or self._looked_s <= asked_s:
+                self._looked_s = time.monotonic()
+                self._inodes = set().union(*map(list_sockets, pids))
+                self._pids = pids
+            return inode in self._inodes
+
+
+OWNERS = SocketOwners()
+
+
 class CutProxy:
     """Passes bytes on, and resets the connections of processes that are cut.
 
@@ -109,7 +135,7 @@
             return False
         try:
             inode = find_inode(sock.getpeername(), sock.getsockname())
-            return any(inode in list_sockets(pid) for pid in pids)
+            return OWNERS.hold(pids, inode)
         except OSError:
             return False
 
