--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,6 +1,5 @@
-"""A machine that reaches no server serves by an older configuration again."""
+"""Streams are refused since lists of prompts don't pass a link in time."""
 
-import http.client
 import multiprocessing
 import os
 import pathlib
@@ -10,174 +9,117 @@
 import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'lib-3'))
-import cut_proxy
+import link_proxy
 import standins
-
-ZONES = ('zone-a', 'zone-b')
-INSTANCES = 24
-CUTS = 6
-CUT_CHANGES = 4
-CHANGES = CUTS * CUT_CHANGES
-FIND_OUT_S = 2.4
-CHANGE_INTERVAL_S = 2.11
-SWITCH_S = 1.2
-MENDED_S = 3.5
-ROLLBACK_SLACK_S = 0.25
-CUT = 5
-CLIENTS = 5
-BUSY_PAUSE_S = 0.01
-PAUSE_S = 0.3
-BUSY_BEFORE_S = 0.2
-BUSY_AFTER_S = 0.8
-MIN_SENT = 4_000
-
-
-def build_configuration(version):
-    """Return version 10 + N, which moves route N from ``old`` to ``new``."""
-    return standins.build_configuration(
-        10 + version,
-        [
-            (f'r{number}', 'new' if number <= version else 'old', 'safe')
-            for number in range(1, CHANGES + 1)
-        ],
-        ['old', 'new'],
-        {'first': ['key-a']},
-    )
-
-
-class Clients:
-    """Clients of some machines, in a process of their own.
-
-    :param machines: name and port of each machine.
+import streams
+
+ZONES = ('zone-a', 'zone-b', 'zone-c')
+STREAMS = 30
+EVENT_S = 0.4
+SERVERS = 45
+PROCESSES = 9
+SLOTS = 6
+KV_CAPACITY = 444_000
+KEPT_PROMPT_TOKENS = 1_900
+BEFORE_S = 4.0
+KILL_S = 1.5
+DOWN_S = 0.5
+TAKE_UP_S = 6.5
+MIN_TAKEN_UP = 12
+# LINK_MBIT_S=100: a control, at machines with the widest links of the site.
+LINK_MBIT_S = float(os.environ.get('LINK_MBIT_S', '5'))
+
+
+def run_servers(record, numbers, links, pipe, inherited):
+    """Run some servers in a process of their own, until the test ends."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_DFL)
+    for other in inherited:
+        other.close()
+    endpoints = {}
+    for number in numbers:
+        server = streams.StreamServer(
+            f'i-{number:02}', get_version(number), record, EVENT_S, SLOTS
+        )
+        # The prompts of earlier requests.
+        for item in range(KV_CAPACITY // KEPT_PROMPT_TOKENS - SLOTS):
+            server.kept[f'{number:04x}{item:08x}'] = KEPT_PROMPT_TOKENS
+        proxy = link_proxy.LinkProxy(server.endpoint, links)
+        endpoints[number] = proxy.endpoint
+    pipe.send(endpoints)
+    try:
+        pipe.recv()
+    except (EOFError, OSError):
+        pass
+    os._exit(0)
+
+
+def start_servers(record, links):
+    """Start the processes of the servers.
+
+    :returns: addresses by number, and the pipes whose end ends the processes.
     """
-
-    def __init__(self, record, machines):
-        self._record = record
-        self._machines = machines
-        self._sent = {}
-        self._route = 1
-        self._is_over = threading.Event()
-        self._is_active = threading.Event()
-        self._is_busy = threading.Event()
-        context = multiprocessing.get_context('fork')
-        self._commands, commands = context.Pipe()
-        context.Process(target=self._run, args=(commands,)).start()
-        commands.close()
-
-    def set_active(self, is_active):
-        self._commands.send(('active', is_active))
-
-    def set_busy(self, is_busy):
-        self._commands.send(('busy', is_busy))
-
-    def set_route(self, number):
-        self._commands.send(('route', number))
-
-    def finish(self):
-        """Return the time, route and machine of each request."""
-        self._commands.send(('over', True))
-        return self._commands.recv()
-
-    def _run(self, commands):
-        """Follow the commands until the test's process ends."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, signal.SIG_DFL)
-        self._commands.close()
-        threads = [
-            threading.Thread(
-                target=self._send, args=(name, port, f'c{n}'), daemon=True
-            )
-            for name, port in self._machines
-            for n in range(CLIENTS)
-        ]
-        for thread in threads:
-            thread.start()
-        flags = {
-            'active': self._is_active,
-            'busy': self._is_busy,
-            'over': self._is_over,
-        }
-        try:
-            while not self._is_over.is_set():
-                name, value = commands.recv()
-                if name == 'route':
-                    self._route = value
-                elif value:
-                    flags[name].set()
-                else:
-                    flags[name].clear()
-            for thread in threads:
-                thread.join()
-            commands.send(self._sent)
-        except (EOFError, OSError):
-            pass
-        os._exit(0)
-
-    def _send(self, machine, port, name):
-        count = 0
-        connection = http.client.HTTPConnection('127.0.0.1', port, timeout=5)
-        while not self._is_over.is_set():
-            if not self._is_active.wait(0.1):
-                connection.close()
-                continue
-            count += 1
-            number = self._route
-            attempt = f'{machine}.{name}.{count}'
-            self._sent[attempt] = (time.monotonic(), number, machine)
-            try:
-                connection.request(
-                    'GET',
-                    f'/r{number}/{attempt}',
-                    headers={
-                        'Host': standins.HOST,
-                        'Attempt-Id': attempt,
-                        'Deadline-Ms': '2000',
-                        'Authorization': 'Bearer key-a',
-                    },
-                )
-                answer = connection.getresponse()
-                status, body = answer.status, answer.read()
-            except (OSError, http.client.HTTPException) as error:
-                status, body = 0, repr(error).encode()
-                connection.close()
-            self._record.add(
-                f'client: {attempt} on r{number} to {machine} is'
-                f' answered {status} {body[:40]!r}'
-            )
-            if self._is_busy.is_set():
-                time.sleep(BUSY_PAUSE_S)
-            else:
-                self._is_busy.wait(PAUSE_S)
+    context = multiprocessing.get_context('fork')
+    endpoints, pipes = {}, []
+    for first in range(PROCESSES):
+        numbers = range(first, SERVERS, PROCESSES)
+        pipe, other = context.Pipe()
+        pipes.append(pipe)
+        context.Process(
+            target=run_servers,
+            args=(record, numbers, links, other, list(pipes)),
+        ).start()
+        other.close()
+        endpoints |= pipe.recv()
+    return endpoints, pipes
+
+
+def get_version(number):
+    """Return the software version of a server."""
+    return f'v{1 + number % 2}'
 
 
 def run(record, folder, instances, has_trouble):
-    ports = standins.find_free_ports(4 * INSTANCES)
-    # Five of the twelve machines of a zone; the first one gets no clients.
-    cut_numbers = list(range(INSTANCES - 1, INSTANCES - 1 - 2 * CUT, -2))
-    clients = Clients(
-        record,
-        [
-            (f'edge-{ZONES[n % len(ZONES)]}-{n}', ports[4 * n])
-            for n in cut_numbers[1:]
-        ],
-    )
+    links = link_proxy.Links(LINK_MBIT_S, len(ZONES))
+    endpoints, pipes = start_servers(record, links)
     store = standins.Store(record)
-    servers, proxies = [], []
-    for service in ('old', 'new'):
-        for number in range(3):
-            server = standins.Server(f'i-{service}-{number}', service, record)
-            proxy = cut_proxy.CutProxy(server.endpoint)
-            server.endpoint = proxy.endpoint
-            server.register(store, ZONES[number % len(ZONES)])
-            servers.append(server)
-            proxies.append(proxy)
-    store.put('op/config', build_configuration(0))
-    seeds = [f'127.0.0.1:{ports[4 * n + 2]}' for n in range(3)]
-    for number in range(INSTANCES):
+    configuration = standins.build_configuration(
+        5,
+        [('stream', 'model', 'streaming')],
+        ['model'],
+        {'first': ['key-a']},
+    )
+    configuration['routes'][0] |= {
+        'resumable': True,
+        'sticky': True,
+        'gap-target-ms': 400,
+        'timeout-ms': 15000,
+    }
+    configuration['services'][0]['engine'] = {'kv-capacity': KV_CAPACITY}
+    store.put('op/config', configuration)
+    born_ms = int(time.time() * 1000)
+    for number, endpoint in sorted(endpoints.items()):
+        store.put(
+            f'servers/i-{number:02}',
+            {
+                'service': 'model',
+                'address': endpoint,
+                'zone': ZONES[number % len(ZONES)],
+                'version': get_version(number),
+                'born': born_ms,
+                'slots': SLOTS,
+                'state': 'ready',
+                'cold-remaining-ms': 0,
+                'sequence': 1,
+            },
+        )
+    ports = standins.find_free_ports(4 * len(ZONES))
+    seeds = [f'127.0.0.1:{ports[4 * n + 2]}' for n in range(len(ZONES))]
+    for number, zone in enumerate(ZONES):
         instances.append(
             standins.Instance(
                 number,
-                ZONES[number % len(ZONES)],
+                zone,
                 ports[4 * number : 4 * number + 4],
                 seeds,
                 store.endpoint,
@@ -187,92 +129,87 @@
         )
     for instance in instances:
         instance.start()
-        time.sleep(0.13)
-    if not all(instance.wait_ready(30) for instance in instances):
+    if not all(instance.wait_ready() for instance in instances):
         return 2
-    time.sleep(6.0)
-    machines = [instances[number] for number in cut_numbers]
-    names = ', '.join(machine.name for machine in machines)
-
-    def set_cut(is_cut):
-        if not has_trouble:
+    links.set_pids([item.process.pid for item in instances])
+    time.sleep(BEFORE_S)
+    taken_up = []
+    begun = []
+
+    def act_as_client(number):
+        session = f'bb{number:04x}'
+        first = f'first-{number}'
+        instance = instances[number % len(instances)]
+        status, events = streams.read_stream(
+            instance.callers, first, session, {}
+        )
+        record.add(
+            f'client: {first} at {instance.name} is answered {status},'
+            f' events {events[:1]} to {events[-1:]}'
+        )
+        if not events or events[-1][0] >= streams.EVENTS:
             return
-        pids = [machine.process.pid for machine in machines]
-        for proxy in proxies:
-            proxy.cut(pids if is_cut else ())
-        end = 'cut off from all servers' if is_cut else 'mended'
-        record.add(f'{names}: are {end}')
-
-    count = 0
-    version = 0
-    for _ in range(CUTS):
-        set_cut(True)
-        # One machine finds out, and lets the others check their links.
-        end_s = time.monotonic() + FIND_OUT_S
-        while time.monotonic() < end_s:
-            count += 1
-            standins.send(
-                machines[0].callers,
-                f'/r{version + 1}/first.{count}',
-                {
-                    'Host': standins.HOST,
-                    'Attempt-Id': f'first.{count}',
-                    'Deadline-Ms': '2000',
-                    'Authorization': 'Bearer key-a',
-                },
-            )
-            time.sleep(0.05)
-        clients.set_active(True)
-        time.sleep(0.6 - BUSY_BEFORE_S)
-        for _ in range(CUT_CHANGES):
-            clients.set_busy(True)
-            time.sleep(BUSY_BEFORE_S)
-            version += 1
-            store.put('op/config', build_configuration(version))
-            record.add(f'store: acknowledges the move of r{version} to new')
-            time.sleep(BUSY_AFTER_S)
-            clients.set_busy(False)
-            time.sleep(SWITCH_S - BUSY_AFTER_S)
-            clients.set_route(min(version + 1, CHANGES))
-            time.sleep(CHANGE_INTERVAL_S - BUSY_BEFORE_S - SWITCH_S)
-        clients.set_active(False)
-        set_cut(False)
-        time.sleep(MENDED_S)
-    sent = clients.finish()
-    runs = sorted(
-        (at_s, server.service, attempt)
-        for server in servers
-        for at_s, attempt, *_ in server.runs
-        if attempt in sent
+        time.sleep(max(0.0, start_s + TAKE_UP_S - time.monotonic()))
+        second = f'second-{number}'
+        instance = instances[(number + 1) % len(instances)]
+        status, more = streams.read_stream(
+            instance.callers,
+            second,
+            session,
+            {'Resumes': first, 'Last-Event-Id': str(events[-1][0])},
+        )
+        record.add(
+            f'client: {second} takes {first} up at {instance.name},'
+            f' is answered {status}, events {more[:1]} to {more[-1:]}'
+        )
+        taken_up.append(bool(more))
+
+    def begin_new(number):
+        time.sleep(max(0.0, start_s + TAKE_UP_S - time.monotonic()))
+        attempt = f'new-{number}'
+        instance = instances[number % len(instances)]
+        status, events = streams.read_stream(
+            instance.callers, attempt, f'cc{number:04x}', {}
+        )
+        record.add(
+            f'client: {attempt} at {instance.name} is answered {status},'
+            f' events {events[:1]} to {events[-1:]}'
+        )
+        begun.append(bool(events))
+
+    start_s = time.monotonic()
+    clients = [
+        threading.Thread(target=act_as_client, args=(number,), daemon=True)
+        for number in range(STREAMS)
+    ] + [
+        threading.Thread(target=begin_new, args=(number,), daemon=True)
+        for number in range(STREAMS)
+    ]
+    for client in clients:
+        client.start()
+    if has_trouble:
+        time.sleep(max(0.0, start_s + KILL_S - time.monotonic()))
+        for instance in instances:
+            instance.kill()
+            record.add(f'{instance.name}: killed')
+        time.sleep(DOWN_S)
+        for instance in instances:
+            instance.start()
+        links.set_pids([item.process.pid for item in instances])
+    for client in clients:
+        client.join(20)
+    record.add(
+        f'{sum(taken_up)} of {len(taken_up)} streams that were taken up went'
+        f' on, {sum(begun)} of {len(begun)} new ones began'
     )
-    record.add(f'{len(sent)} requests were sent, {len(runs)} ran')
-    if len(runs) < len(sent) / 2:
-        record.add('too few requests were served')
-        return 2
-    first_s = {}
-    for at_s, service, attempt in runs:
-        if service == 'new':
-            _, number, machine = sent[attempt]
-            first_s.setdefault((machine, number), at_s)
-    broken = []
-    for at_s, service, attempt in runs:
-        sent_s, number, machine = sent[attempt]
-        seen_s = first_s.get((machine, number))
-        if service == 'new' or seen_s is None:
-            continue
-        late_s = sent_s - seen_s
-        if late_s > ROLLBACK_SLACK_S:
-            broken.append(attempt)
-            record.add(
-                f'{attempt} on r{number} was sent to {machine} {late_s:.3f} s'
-                ' after a server had seen the effect of the move on a request'
-                ' of that machine, and ran at old'
-            )
-    record.add(f'{len(broken)} requests were handled by an older version')
-    if not broken and len(sent) < MIN_SENT:
-        record.add('too few requests were sent to judge the rule')
+    if not begun:
         return 2
-    return 1 if broken else 0
+    share = sum(begun) / len(begun)
+    is_broken = (
+        len(taken_up) >= MIN_TAKEN_UP
+        and sum(taken_up) / len(taken_up) < share / 2
+    )
+    return 1 if is_broken else 0
 
 
 standins.main(run)
--- a/review/lib-3/cut_proxy.py
+++ b/review/lib-3/link_proxy.py
@@ -1,5 +1,6 @@
-"""A proxy before a server that cuts off the connections of some processes."""
+"""A proxy before a server, behind which each process has a link of its own."""
 
+import multiprocessing
 import os
 import pathlib
 import socket
@@ -9,6 +10,10 @@
 
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 NETLINK_SOCK_DIAG = 4
+PACKET = 1_400
+"""Bytes of a packet."""
+AHEAD_S = 0.002
+"""Time by which a sender may be ahead, as sleeps take longer than asked."""
 
 
 def list_sockets(pid):
@@ -37,7 +42,7 @@
 
 
 def ask_kernel(local, peer):
-    """Ask for one socket over the socket monitoring interface, sock_diag(7)."""
+    """Ask for one socket over the monitoring interface, sock_diag(7)."""
     identity = struct.pack(
         '>HH4s12x4s12xI8s',
         local[1],
@@ -75,70 +80,72 @@
     return ''
 
 
-class SocketOwners:
-    """Tells whether a process holds a socket.
+class Links:
+    """The links of some processes, for proxies in several processes.
 
-    One look at the processes answers all questions that came before it.
+    :param mbit_s: bandwidth of each link.
+    :param count: number of links.
     """
 
-    def __init__(self):
-        self._lock = threading.Lock()
-        self._pids = ()
+    def __init__(self, mbit_s, count):
+        self._bytes_per_s = mbit_s * 1_000_000 / 8
+        self._free_s = multiprocessing.Array('d', count)
+        self._pids = multiprocessing.Array('i', count)
+        self._owners = {}
         self._looked_s = 0.0
-        self._inodes = set()
+        self._owners_lock = threading.Lock()
 
-    def hold(self, pids, inode):
-        """Return True if one of the processes holds the socket."""
+    def set_pids(self, pids):
+        """Set the process at each link."""
+        self._pids[:] = pids
+
+    def find_owner(self, sock):
+        """Return the number of the link of a connection, or None."""
         asked_s = time.monotonic()
-        with self._lock:
-            if self._pids != pids or self._looked_s <= asked_s:
+        try:
+            inode = find_inode(sock.getpeername(), sock.getsockname())
+        except OSError:
+            return None
+        with self._owners_lock:
+            if self._looked_s <= asked_s:
                 self._looked_s = time.monotonic()
-                self._inodes = set().union(*map(list_sockets, pids))
-                self._pids = pids
-            return inode in self._inodes
-
-
-OWNERS = SocketOwners()
+                self._owners = {}
+                for number, pid in enumerate(self._pids[:]):
+                    try:
+                        inodes = list_sockets(pid)
+                    except OSError:
+                        continue
+                    self._owners |= dict.fromkeys(inodes, number)
+            return self._owners.get(inode)
+
+    def wait(self, number, size):
+        """Wait until a packet has passed a link."""
+        if number is None:
+            return
+        now_s = time.monotonic()
+        with self._free_s.get_lock():
+            free_s = max(now_s, self._free_s[number])
+            free_s += size / self._bytes_per_s
+            self._free_s[number] = free_s
+        if free_s - now_s > AHEAD_S:
+            time.sleep(free_s - now_s - AHEAD_S / 2)
 
 
-class CutProxy:
-    """Passes bytes on, and resets the connections of processes that are cut.
+class LinkProxy:
+    """Passes bytes on, those to a process at the pace of its link.
 
     :param endpoint: address of the server.
+    :param links: links of the processes that connect.
     """
 
-    def __init__(self, endpoint):
+    def __init__(self, endpoint, links):
         ip, _, port = endpoint.rpartition(':')
         self._target = ip, int(port)
-        self._cut_pids = ()
-        self._links = []
-        self._lock = threading.Lock()
+        self._links = links
         self._listener = socket.create_server(('127.0.0.1', 0), backlog=256)
         self.endpoint = f'127.0.0.1:{self._listener.getsockname()[1]}'
         threading.Thread(target=self._accept, daemon=True).start()
 
-    def cut(self, pids):
-        """Reset all connections of processes, and new ones from now on."""
-        with self._lock:
-            self._cut_pids = tuple(pids)
-            links, self._links = self._links, []
-        for sock, other in links:
-            if self._is_cut(sock):
-                reset(sock)
-                reset(other)
-            else:
-                self._links.append((sock, other))
-
-    def _is_cut(self, sock):
-        pids = self._cut_pids
-        if not pids:
-            return False
-        try:
-            inode = find_inode(sock.getpeername(), sock.getsockname())
-            return OWNERS.hold(pids, inode)
-        except OSError:
-            return False
-
     def _accept(self):
         while True:
             sock, _ = self._listener.accept()
@@ -147,9 +154,6 @@
             ).start()
 
     def _serve(self, sock):
-        if self._is_cut(sock):
-            reset(sock)
-            return
         try:
             other = socket.create_connection(self._target)
         except OSError:
@@ -157,12 +161,18 @@
             return
         for item in (sock, other):
             item.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        with self._lock:
-            self._links.append((sock, other))
         threading.Thread(
-            target=relay, args=(other, sock), daemon=True
+            target=relay, args=(sock, other), daemon=True
         ).start()
-        relay(sock, other)
+        number = self._links.find_owner(sock)
+        try:
+            while data := other.recv(PACKET):
+                self._links.wait(number, len(data))
+                sock.sendall(data)
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            reset(sock)
+            reset(other)
 
 
 def relay(source, sink):
