Review case 15: a look at the speed of the stand-ins

The case ends with exit code 2 if reading the lists of all servers one after the other, without links, takes more than 0.8 s.

--- a/review/15/case.py
+++ b/review/15/case.py
@@ -26,6 +26,7 @@
 DOWN_S = 0.5
 TAKE_UP_S = 6.5
 MIN_TAKEN_UP = 12
+MAX_LISTS_S = 0.8
 # LINK_MBIT_S=100: a control, at machines with the widest links of the site.
 LINK_MBIT_S = float(os.environ.get('LINK_MBIT_S', '5'))
 
@@ -74,6 +75,19 @@
     return endpoints, pipes
 
 
+def time_lists(endpoints):
+    """Return the time in which the servers tell their prompts, one by one.
+
+    Nothing is held up, as the test's process has no link.
+    """
+    started_s = time.monotonic()
+    for endpoint in endpoints:
+        port = int(endpoint.rpartition(':')[2])
+        if standins.send(port, '/lagoonbend/kv-list')[0] != 200:
+            return float('inf')
+    return time.monotonic() - started_s
+
+
 def get_version(number):
     """Return the software version of a server."""
     return f'v{1 + number % 2}'
@@ -133,6 +147,11 @@
         return 2
     links.set_pids([item.process.pid for item in instances])
     time.sleep(BEFORE_S)
+    lists_s = min(time_lists(endpoints.values()) for _ in range(3))
+    record.add(f'the lists of all servers take {lists_s:.3f} s without links')
+    if lists_s > MAX_LISTS_S:
+        record.add('the machine is too slow for the stand-ins')
+        return 2
     taken_up = []
     begun = []
 
