Review case 11: lose three of ten answers

The claim named x 0.4, which the site has for answers that end with a reset; without resets its largest dose is x 0.3, which the case keeps to now.

--- a/review/lib-3/streams.py
+++ b/review/lib-3/streams.py
@@ -11,15 +11,15 @@
 EVENTS = 10
 TOKENS_PER_EVENT = 4
 PROMPT_TOKENS = 400
-LOST = (0, 1)
-LOST_OF = 5
+LOST = (0, 3, 6)
+LOST_OF = 10
 EVENT = re.compile(rb'id: (\d+)\ndata: piece \d+ of (v\d)\n\n')
 
 
 class StreamServer(standins.Server):
     """A model server: writes streams, keeps prompts and what it has written.
 
-    While ``loses`` is True, it runs two of five requests to their end and
+    While ``loses`` is True, it runs three of ten requests to their end and
     none of their answers arrives.
     """
 
