Keep a stream at one version before its first event too

Cause: a call that a silent target had read was sent on to a target of any version.

Change: a resumable stream that targets of a version may have read is sent again only to targets of that version: by retries, by the search for a successor of a silent target, by peers it is handed over to (the version goes with the call), and under a new attempt of the caller with the same prompt, at any instance that has been told. Origins of prompts go the way of origins of streams, when an attempt fails, when a target is silent, and with the first event while a service has several versions. The binding ends with the targets that may have read the call, as their memory does: when they are listed no more, or their address refuses connections right after a connection broke. If a call can only go on that way, it waits for that check.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admitted_call.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/admitted_call.py
@@ -47,3 +47,10 @@
     def may_hand_back(self) -> bool:
         """True if that instance asks another one then."""
         return handover_mark.may_hand_back(self.request.header_map)
+
+    @property
+    def bound_version(self) -> str | None:
+        """Software version to which another instance has bound the call."""
+        if not self.is_handed_over:
+            return None
+        return handover_mark.find_bound_version(self.request.header_map)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_handler.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+import functools
 import random
 
 import gevent
@@ -10,7 +11,6 @@
 from lagoonbend.crashes import is_request
 from lagoonbend.exceptions import CallerGoneError
 from lagoonbend.facts import ListedTarget
-from lagoonbend.facts import VersionBinding
 from lagoonbend.outcomes import AttemptOutcome
 from lagoonbend.outcomes import decide_next_step
 from lagoonbend.outcomes import NextStep
@@ -61,9 +61,8 @@
 from lagoonbend_entry._internal.gateway.slot_outcomes import SLOT_OUTCOMES
 from lagoonbend_entry._internal.gateway.slot_requests import CALLER_PATIENCE_MS
 from lagoonbend_entry._internal.gateway.slot_requests import SlotRequests
+from lagoonbend_entry._internal.gateway.stream_bindings import StreamBindings
 from lagoonbend_entry._internal.gateway.successor_search import SuccessorSearch
-from lagoonbend_entry._internal.utils.event import Event
-from lagoonbend_entry._internal.utils.event_log import log_event
 from lagoonbend_entry._internal.utils.guarded_loop import log_failure
 from lagoonbend_entry._internal.utils.interrupt import Interrupt
 
@@ -143,6 +142,7 @@
         self._clock = clock
         self._make_retry_share = make_retry_share
         self._resumed_streams = ResumedStreams(facts, coordinator.origins)
+        self._bindings = StreamBindings(facts, self._resumed_streams)
         self._slot_requests = SlotRequests(
             facts,
             coordinator.pools,
@@ -163,6 +163,7 @@
             facts, closed_targets, self._crash_guard
         )
         self._ended_targets.on_ended.append(self._crash_guard.record_ended)
+        self._ended_targets.on_ended.append(self._bindings.record_ended)
         coordinator.crashes.on_blocked.append(self._end_blocked_calls)
         self.reachability = Reachability(
             clock,
@@ -181,7 +182,8 @@
             clock,
             self._body_memory,
             facts.target_directory.find,
-            self._resumed_streams.record,
+            self._bindings.record_begun,
+            self._bindings.bind_lost,
         )
         self._limit_recorder = LimitRecorder(
             coordinator.named_limits, clock, coordinator.report_limit
@@ -189,7 +191,11 @@
         self._retry_shares: dict[str, RetryShare] = {}
         self.latest_end_ms: int | None = None
         self._active_calls: dict[CallProgress, ReplyWriter] = {}
-        facts.target_directory.on_new_life.append(self._unbind_streams)
+        facts.target_directory.on_new_life.append(
+            functools.partial(
+                self._bindings.unbind, active_calls=self._active_calls
+            )
+        )
         closed_targets.on_closed.append(self._end_slot_waits)
         closed_targets.on_opened.append(self._renew_slot_requests)
 
@@ -288,6 +294,7 @@
         call = progress.call
         retry_share = self._get_retry_share(call.service)
         if self._must_hand_over(call):
+            self._bindings.bind(progress, has_begun=reply.has_begun)
             result = self._handover.serve(progress, reply, retry_share)
             if result.is_final:
                 return result.refusal
@@ -336,6 +343,7 @@
             opened: OpenAttempt | AttemptReport | None = search.take()
             if opened is None:
                 if report is not None and self._must_hand_over(call, report):
+                    self._bindings.bind(progress, has_begun=reply.has_begun)
                     result = self._handover.serve(progress, reply, retry_share)
                     if result.is_final:
                         return result.refusal
@@ -466,7 +474,7 @@
         self._crash_guard.record_begun(call, target, sent_ms)
         if progress.position.last_id is None:
             is_current = progress.life == target
-            self._resumed_streams.record(
+            self._bindings.record_begun(
                 call,
                 progress.version if is_current else target.software_version,
             )
@@ -500,7 +508,8 @@
             progress.attempt = None
             if not search.has_found:
                 search.cancel()
-            self._bind_stream(progress, reply)
+            if reply.has_begun:
+                self._bindings.bind(progress, has_begun=True)
             self._close_attempt(progress, opened, report)
 
     def _record_link(self, opened: OpenAttempt, report: AttemptReport) -> None:
@@ -538,7 +547,9 @@
                     opened.target, has_ended=done.value
                 )
             )
-        if self._crash_guard.is_suspect(progress.call):
+        if self._crash_guard.is_suspect(
+            progress.call
+        ) or self._bindings.needs_end(progress, opened.target):
             check.join()
 
     def _close_attempt(
@@ -571,6 +582,10 @@
             )
             if not slot_outcome.is_not_run:
                 progress.run_count += 1
+            if slot_outcome.is_not_run:
+                progress.rule_out_reader(target)
+            elif slot_outcome is not SlotOutcome.ANSWERED:
+                self._bindings.record_read(progress, target)
         progress.first_byte_ms = progress.first_byte_ms or first_byte_ms
         is_own_concern = slot_outcome in NOT_REACHED and (
             self.reachability.is_doubtful(target.service)
@@ -602,7 +617,9 @@
             or not retry_share.can_spend()
         ):
             return None
-        self._bind_stream(progress, reply)
+        if not reply.has_begun:
+            self._bindings.record_read(progress, progress.life)
+        self._bindings.bind(progress, has_begun=reply.has_begun)
         request = self._slot_requests.build(
             progress, reply, excluded=(progress.target,)
         )
@@ -640,42 +657,6 @@
         successor.attempt.close()
         self._close_attempt(progress, successor, None)
 
-    def _unbind_streams(self, started: ListedTarget) -> None:
-        """Forget the version of streams at a target that has started again.
-
-        Its former life has ended with all of its connections. So they are of
-        the new one, which has got calls before it was listed.
-        """
-        for progress, reply in self._active_calls.items():
-            life = progress.life
-            if (
-                life is None
-                or progress.attempt is None
-                or not life.is_followed_by(started)
-                or life.target != started.target
-                or life.software_version == started.software_version
-            ):
-                continue
-            progress.version = None
-            log_event(
-                Event.STREAM_UNBOUND,
-                request=progress.call.headers.attempt,
-                service=started.service,
-                target=started.target,
-                listed_as=life.software_version,
-                software=started.software_version,
-                has_begun=reply.has_begun,
-            )
-            if progress.binding is not None:
-                progress.binding = VersionBinding(None)
-            if progress.attempt.has_answered:
-                self._resumed_streams.record(progress.call, None)
-
-    def _bind_stream(self, progress: CallProgress, reply: ReplyWriter) -> None:
-        """Bind a stream that has begun to the version of its target."""
-        if reply.has_begun and progress.binding is None:
-            progress.binding = VersionBinding(progress.version)
-
     def _acquire(
         self, progress: CallProgress, reply: ReplyWriter
     ) -> tuple[SlotRequest, SlotDecision]:
@@ -690,6 +671,7 @@
             call.expires_at_ms - MIN_ATTEMPT_MS,
         )
         while True:
+            self._bindings.bind(progress, has_begun=reply.has_begun)
             request = self._slot_requests.build(progress, reply)
             blocked = self._crash_guard.check(call)
             if blocked is not None:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/call_progress.py
@@ -22,10 +22,11 @@
     ``attempt_count`` is the number of slots that were asked for.
     ``excluded`` lists the targets not to be tried again. ``target`` and
     ``version`` are those of the current attempt; ``binding`` is the version
-    to which a stream that has begun is bound. ``successor`` is an attempt that
-    was opened while the target was silent, ``attempt`` the one that runs.
-    ``is_charged`` is set once a slot
-    has been granted, which takes the call's units from its customer's limit.
+    to which a stream is bound that has begun, or that targets may have read;
+    ``readers`` has those that may have read it without an answer.
+    ``successor`` is an attempt that was opened while the target was silent,
+    ``attempt`` the one that runs. ``is_charged`` is set once a slot has been
+    granted, which takes the call's units from its customer's limit.
     ``has_paid_retry`` is True while a retry has been taken from the budget and
     not been sent.
     ``status`` is that of a whole answer that was relayed; None if there is
@@ -49,6 +50,7 @@
         self.versions: list[str] = []
         self.peers: list[str] = []
         self.excluded: list[str] = []
+        self.readers: list[ListedTarget] = []
         self._closed_once: set[str] = set()
         self.pool = ''
         self.target = ''
@@ -72,6 +74,11 @@
         """True unless it is certain that the call has not run."""
         return self.sends.may_have_run
 
+    def rule_out_reader(self, target: ListedTarget) -> None:
+        """Record that a target hasn't read the call, and never will."""
+        if target in self.readers:
+            self.readers.remove(target)
+
     def exclude(self, report: AttemptReport) -> None:
         """Exclude the target of an attempt from further ones.
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/handover.py
@@ -54,6 +54,8 @@
     :param body_memory: memory of the instance for buffered bodies.
     :param find_target: returns a target as listed now.
     :param record_origin: records the software version that begins a stream.
+    :param bind_lost: binds a call that a peer may have sent to the version of
+        the target.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         record_origin: Callable[[AdmittedCall, str], None] = (
             lambda call, version: None
         ),
+        bind_lost: Callable[[CallProgress], None] = lambda progress: None,
     ) -> None:
         self._peers = peers
         self._connection_pool = connection_pool
@@ -75,6 +78,7 @@
         self._body_memory = body_memory
         self._find_target = find_target
         self._record_origin = record_origin
+        self._bind_lost = bind_lost
 
     def serve(
         self,
@@ -103,6 +107,8 @@
                 or not retry_share.spend()
             ):
                 return MAY_HAVE_RUN
+            if not reply.has_begun:
+                self._bind_lost(progress)
 
     @staticmethod
     def _relay(
@@ -206,6 +212,8 @@
         self, peer: Heartbeat, progress: CallProgress, reply: ReplyWriter
     ) -> AttemptReport:
         ip, _, port = peer.callers_endpoint.rpartition(':')
+        had_begun = reply.has_begun
+        binding = progress.binding
         search: SuccessorSearch[OpenAttempt] = SuccessorSearch(
             lambda: None, lambda unused: None
         )
@@ -233,6 +241,7 @@
             on_leaving=functools.partial(
                 self._record_leaving, progress.call.service
             ),
+            bound_version=binding.version if binding else None,
         )
         try:
             report = attempt.run()
@@ -244,7 +253,7 @@
             search.cancel()
             if attempt.is_sent:
                 progress.send_count += 1
-            if reply.has_begun and progress.binding is None:
+            if reply.has_begun and not had_begun:
                 progress.binding = VersionBinding(attempt.software_version)
 
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/peer_attempt.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/peer_attempt.py
@@ -25,16 +25,20 @@
     :param arguments: those of an attempt.
     :param on_leaving: called with the headers of an answer whose target says
         that it leaves.
+    :param bound_version: version of the only targets that may get the call;
+        None for any.
     """
 
     def __init__(
         self,
         *arguments: Any,
         on_leaving: Callable[[Mapping[str, str]], None],
+        bound_version: str | None = None,
     ) -> None:
         super().__init__(*arguments)
         self.software_version: str | None = None
         self._on_leaving = on_leaving
+        self._bound_version = bound_version
 
     def _encode_request(self) -> bytes:
         call = self._call
@@ -49,6 +53,9 @@
             last_event=self._position.last_id,
         )
         headers = handover_mark.mark_rules_version(headers, call.version)
+        headers = handover_mark.mark_bound_version(
+            headers, self._bound_version
+        )
         return encode_request(
             request.method, request.path, headers, request.body
         )
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/resumed_streams.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from lagoonbend.facts import compute_origin_key
+from lagoonbend.facts import compute_prompt_key
 from lagoonbend.facts import OriginSource
 from lagoonbend.facts import StreamOrigin
 from lagoonbend.facts import VersionBinding
@@ -105,21 +106,53 @@
         """
         key = self._compute_origin_key(call)
         is_resumable = call.route.is_streaming and call.route.is_resumable
-        if key is None or not is_resumable:
-            return
+        if key is not None and is_resumable:
+            self._record(call, key, version, _get_source(call))
+
+    def record_prompt(self, call: AdmittedCall, version: str | None) -> None:
+        """Record that targets of a version may have read a call's prompt.
+
+        It may be sent again under another attempt, at any instance.
+        """
+        if version is not None:
+            key = self._compute_prompt_key(call)
+            self._record(call, key, version, OriginSource.BEGUN)
+
+    def find_prompt(self, call: AdmittedCall) -> str | None:
+        """Return the version that may have read a call's prompt.
+
+        :returns: None if it isn't known here, or if there are several.
+        """
+        origin = self._origins.find(self._compute_prompt_key(call))
+        return None if origin is None else origin.version
+
+    def ask_for_prompt(self, call: AdmittedCall) -> None:
+        """Ask the peers which version may have read a call's prompt."""
+        key = self._compute_prompt_key(call)
+        if self._origins.find(key) is None:
+            self._origins.ask(key, call.service)
+
+    def _record(
+        self,
+        call: AdmittedCall,
+        key: int,
+        version: str | None,
+        source: OriginSource,
+    ) -> None:
         wait_ms = min(
             call.headers.deadline_ms or call.route.timeout_ms, MAX_ORIGIN_MS
         )
+        expires_ms = call.request.received_ms + wait_ms + ORIGIN_GRACE_MS
         self._origins.record(
-            call.service,
-            StreamOrigin(
-                key,
-                version or '',
-                call.request.received_ms + wait_ms + ORIGIN_GRACE_MS,
-                _get_source(call),
-            ),
+            call.service, StreamOrigin(key, version or '', expires_ms, source)
         )
 
+    @staticmethod
+    def _compute_prompt_key(call: AdmittedCall) -> int:
+        customer = call.customer.name if call.customer else ''
+        block_id = call.headers.prompt[-1].block_id
+        return compute_prompt_key(customer, call.service, block_id)
+
     @staticmethod
     def _compute_origin_key(call: AdmittedCall) -> int | None:
         """Return the key of the stream that a call begins or continues.
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/models/handover_mark.py
@@ -27,6 +27,9 @@
 HEADER_RULES_VERSION = 'lagoonbend-rules-version'
 """Names, in such a call, the version of the configuration that has admitted
 it. Earlier versions of an instance don't send it."""
+HEADER_BOUND_VERSION = 'lagoonbend-bound-version'
+"""Names, in such a call, the only software version whose targets may get it,
+percent-encoded. Earlier versions of an instance don't send it."""
 ANSWER_MARKS = (HEADER_SOFTWARE, HEADER_TARGET)
 
 
@@ -53,6 +56,23 @@
     yield HEADER_RULES_VERSION, str(version)
 
 
+def mark_bound_version(
+    headers: Iterable[tuple[str, str]], version: str | None
+) -> Iterator[tuple[str, str]]:
+    """Yield the headers of a call, with the version that it is bound to."""
+    for name, value in headers:
+        if name.lower() != HEADER_BOUND_VERSION:
+            yield name, value
+    if version is not None:
+        yield HEADER_BOUND_VERSION, urllib.parse.quote(version)
+
+
+def find_bound_version(header_map: Mapping[str, str]) -> str | None:
+    """Return the version that a call is bound to; None if it names none."""
+    value = header_map.get(HEADER_BOUND_VERSION)
+    return None if value is None else urllib.parse.unquote(value)
+
+
 def find_rules_version(header_map: Mapping[str, str]) -> int:
     """Return the version that has admitted a call; 0 if it isn't named."""
     return bounded.read_digits(header_map.get(HEADER_RULES_VERSION, '')) or 0
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/stream_origins.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/stream_origins.py
@@ -77,3 +77,10 @@
     return xxhash.xxh3_64_intdigest(
         f'{customer}\x00{service}\x00{attempt}'.encode()
     )
+
+
+def compute_prompt_key(customer: str, service: str, block_id: str) -> int:
+    """Return the key of the prompts that end with a block of a customer."""
+    return xxhash.xxh3_64_intdigest(
+        f'{customer}\x00{service}\x00\x00{block_id}'.encode()
+    )
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/target_directory.py
@@ -228,6 +228,10 @@
         }
         return self._versions.get(service, set()) | recent
 
+    def list_listed_versions(self, service: str) -> AbstractSet[str | None]:
+        """Return the software versions of the listed targets of a service."""
+        return self._versions.get(service, frozenset())
+
     def knows_since(self, now_ms: int, window_ms: int) -> bool:
         """Return True if the targets of a whole window are known.
 
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -20,6 +20,7 @@
 from lagoonbend._internal.facts.service_profile import ServiceProfile
 from lagoonbend._internal.facts.stream_origin import StreamOrigin
 from lagoonbend._internal.facts.stream_origins import compute_origin_key
+from lagoonbend._internal.facts.stream_origins import compute_prompt_key
 from lagoonbend._internal.facts.stream_origins import StreamOrigins
 from lagoonbend._internal.facts.target_directory import TargetDirectory
 from lagoonbend._internal.facts.version_binding import VersionBinding
@@ -49,5 +50,6 @@
     'VersionBinding',
     'WeightedService',
     'compute_origin_key',
+    'compute_prompt_key',
     'weigh_kept_prompts',
 ]
