Count what an address keeps only for the life that is listed there

Cause: a fleet that has just started asks listed targets by address which prompts they keep, and doesn't compare who answers. The entry of a life that has ended stays listed for some seconds, so that a later life, or another target at its address, answers for it: that it keeps nothing, or that its own prompts were read at the version of the former.

Change: if the answer states a later start than the entry does, the listed life has ended. An answer or an entry without a start tells nothing.

Related paths: calls name their target by identity and get 421 elsewhere; the lists are the only answers that were read by address alone.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -327,6 +327,8 @@
         born_ms: int = FIRST_BORN_MS,
     ) -> None:
         """Write the registration of a server at ``ip:port`` to the store."""
+        if name in self.targets:
+            self.targets[name].born_ms = born_ms
         cold_s = self.cold_until_s.get(name, 0.0) - time.monotonic()
         self.store.put(
             f'servers/{name}',
--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -117,7 +117,8 @@
     ``kept_blocks`` holds the blocks of the prompts that it has read, with the
     tokens that it keeps of each. The last block grows once an answer is
     complete. It lists them on request, unless
-    ``lists_blocks`` is False; such a request is then not answered.
+    ``lists_blocks`` is False; such a request is then not answered. ``born_ms``
+    is the start of its life that it states there.
 
     ``named_limit`` is the value of ``Server-Limit`` in its answers; empty for
     none.
@@ -147,6 +148,7 @@
         self.named_limit = ''
         self.kept_blocks: dict[str, int] = {}
         self.lists_blocks = True
+        self.born_ms = 0
         self.crashing_block = ''
         self.crashing_path = ''
         self.on_crash: Callable[[StandinTarget, str], None] = _ignore_crash
@@ -235,7 +237,9 @@
         if not self.lists_blocks:
             return self._never_answer(request, sock)
         held = [['', *block, 'm'] for block in self.kept_blocks.items()]
-        body = json.dumps({'epoch': 1, 'next': 1, 'held': held})
+        body = json.dumps(
+            {'epoch': 1, 'next': 1, 'held': held, 'born': self.born_ms}
+        )
         self._send_answer(request, sock, 200, body.encode())
         return True
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
@@ -168,7 +168,8 @@
 def _ask(target: ListedTarget) -> KeptPrompts:
     """Return the tokens that a target keeps of each block.
 
-    A leaving target that doesn't listen any more has ended.
+    A leaving target that doesn't listen any more has ended. So has one if
+    a later life of it, or a later target, answers at its address.
     """
     address = (target.ip, target.port)
     host = '{}:{}'.format(*address)
@@ -198,7 +199,11 @@
         return KeptPrompts(target, None)
     except NetworkError:
         return KeptPrompts(target, None)
-    is_told = answer.status == HTTP_OK
-    return KeptPrompts(
-        target, decode_kept_blocks(bytes(body)) if is_told else None
+    kept = (
+        decode_kept_blocks(bytes(body)) if answer.status == HTTP_OK else None
     )
+    if kept is None or kept.born_ms is None or target.born_ms is None:
+        return KeptPrompts(target, None)
+    if kept.born_ms > target.born_ms:
+        return KeptPrompts(target, {}, has_ended=True)
+    return KeptPrompts(target, kept.tokens_by_block)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
@@ -21,10 +21,23 @@
     """The field of the answer that is used; others are ignored."""
 
     held: list[_WireBlock]
+    born: object = None
 
 
-def decode_kept_blocks(body: bytes) -> dict[str, int] | None:
-    """Return the tokens that an engine keeps of each block.
+class KeptBlocks(NamedTuple):
+    """What a life of an engine keeps.
+
+    :param tokens_by_block: tokens that it keeps of each block.
+    :param born_ms: start of this life, in Unix milliseconds of its own clock;
+        None if it isn't stated.
+    """
+
+    tokens_by_block: dict[str, int]
+    born_ms: int | None = None
+
+
+def decode_kept_blocks(body: bytes) -> KeptBlocks | None:
+    """Return what an engine keeps.
 
     Of a block that it keeps for several models, the larger number counts.
 
@@ -38,4 +51,5 @@
     for block in answer.held:
         tokens = min(block.tokens, bounded.MAX_INTEGER)
         kept[block.block_id] = max(tokens, kept.get(block.block_id, 0))
-    return kept
+    born_ms = bounded.read_optional(answer.born, 0, bounded.MAX_INTEGER)
+    return KeptBlocks(kept, born_ms)
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -371,6 +371,30 @@
         for instance in range(3):
             self.assertEqual((503, []), self.take_up(instance))
 
+    # Guards against a new life of an engine, or another engine at its address,
+    # that answers for the former one which prompts that has read.
+    def test_engine_at_the_address_of_another_does_not_answer_for_it(
+        self,
+    ) -> None:
+        """An engine of v2 keeps a prompt at the address of one of v1."""
+        self.add_engines('v2', 'v2')
+        self.begin_stream()
+        for name in ('chat-0', 'chat-1'):
+            self.fleet.targets[name].kept_blocks.clear()
+        self.fleet.targets['chat-1'].kept_blocks['bb02'] = 1_024
+        self.fleet.register_endpoint(
+            'chat-4',
+            'chat',
+            self.fleet.targets['chat-1'].endpoint,
+            version='v1',
+            born_ms=gateway_fleet.FIRST_BORN_MS - 1,
+        )
+        self.restart_all()
+        for instance in range(3):
+            status, runs = self.take_up(instance)
+            self.assertEqual(200, status)
+            self.assertIn(runs, (['chat-0'], ['chat-1']))
+
     def serve_two_services(self) -> None:
         """Start an engine of v1, and one of v2 in another service."""
         self.fleet.add_target('desk-9', 'desk', 'v2')
--- a/tests/unit/test_fuzzed_documents.py
+++ b/tests/unit/test_fuzzed_documents.py
@@ -269,8 +269,13 @@
     @example(NESTED_FIELD)
     @example(b'{"held":[["","b",1e999,""]]}')
     @example(b'{"held":[["","b",' + b'9' * 400 + b',""]]}')
+    @example(b'{"held":[],"born":1e999}')
+    @example(b'{"held":[],"born":-1}')
+    @example(b'{"held":[],"born":' + b'9' * 400 + b'}')
     def test_any_list_of_kept_prompts(self, body: bytes) -> None:
         """Tokens by block, or None."""
         kept = decode_kept_blocks(body)
-        for tokens in (kept or {}).values():
+        for tokens in kept.tokens_by_block.values() if kept else ():
             self.assertIn(tokens, range(2**53))
+        if kept is not None and kept.born_ms is not None:
+            self.assertIn(kept.born_ms, range(2**53))
--- a/tests/unit/test_prompt_survey.py
+++ b/tests/unit/test_prompt_survey.py
@@ -18,7 +18,9 @@
 from lagoonbend.facts import weigh_kept_prompts
 from lagoonbend.scheduling import PromptBlock
 from lagoonbend_entry._internal.gateway import prompt_survey
+from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.platform.prompt_codec import decode_kept_blocks
+from lagoonbend_entry._internal.platform.prompt_codec import KeptBlocks
 from tests.unit.test_keepers_of_origins import FleetWorld
 
 Told = tuple[str | None, dict[str, int] | None]
@@ -123,7 +125,11 @@
             b'{"epoch":1,"next":9,"held":[["","aa01",48,"m"],'
             b'["","bb02",16,"m"],["","bb02",1024,"n"]]}'
         )
-        self.assertEqual(READ, decode_kept_blocks(body))
+        self.assertEqual(KeptBlocks(READ), decode_kept_blocks(body))
+        stated = body.replace(b'{"epoch"', b'{"born":17,"epoch"')
+        self.assertEqual(KeptBlocks(READ, 17), decode_kept_blocks(stated))
+        odd = body.replace(b'{"epoch"', b'{"born":"17","epoch"')
+        self.assertEqual(KeptBlocks(READ), decode_kept_blocks(odd))
 
     def test_unreadable_answers_tell_nothing(self) -> None:
         """They must not count for an engine that has read no prompt."""
@@ -140,6 +146,46 @@
                 self.assertIsNone(decode_kept_blocks(body))
 
 
+class AnswererTest(unittest.TestCase):
+    """A target that is asked which prompts it keeps."""
+
+    def ask(self, target: ListedTarget, body: bytes) -> KeptPrompts:
+        """Ask a target at whose address a list is given.
+
+        :param body: the list.
+        """
+        connection = mock.Mock()
+        connection.read_head.return_value.status = 200
+        connection.read_body.return_value = [body]
+        with mock.patch.object(
+            target_connection.TargetConnection,
+            'connect',
+            return_value=connection,
+        ):
+            return prompt_survey._ask(target)
+
+    # Guards against a target that counts as one that has read nothing, since
+    # its address belongs to another life of it, or to another target.
+    def test_later_life_does_not_answer_for_a_target(self) -> None:
+        """The listed one has ended, with what it has read."""
+        target = build_kept('t', 'v2', None).target._replace(born_ms=17)
+        body = b'{"held":[["","bb02",1024,"m"]],"born":%d}'
+        for born_ms in (16, 17):
+            kept = self.ask(target, body % born_ms)
+            self.assertEqual(KeptPrompts(target, {'bb02': 1_024}), kept)
+        kept = self.ask(target, body % 18)
+        self.assertEqual(KeptPrompts(target, {}, has_ended=True), kept)
+
+    def test_unknown_life_tells_nothing(self) -> None:
+        """The entry or the answer doesn't state its start."""
+        target = build_kept('t', 'v2', None).target
+        body = b'{"held":[["","bb02",1024,"m"]],"born":17}'
+        self.assertIsNone(self.ask(target, body).tokens_by_block)
+        target = target._replace(born_ms=17)
+        body = b'{"held":[["","bb02",1024,"m"]]}'
+        self.assertIsNone(self.ask(target, body).tokens_by_block)
+
+
 class PromptSurveyTest(unittest.TestCase):
     """One instance and two targets, which the test plays."""
 
