Let one reader of a prompt show its version, whoever has ended or is silent

Cause: a reader of a prompt counted only if no other target, listed or gone, of whatever service, could have begun the stream, since a call could go on from a silent target to any version. The removal of an entry that is older than the store's history names neither service nor version, so that it refused the streams of all services for 18 s.

Change: since a stream is sent to one version only, before its first event too, the version that alone has read its prompt began it. Ends of targets, known or not, and targets that don't answer don't matter beside it. Two readers stay uncertain. An instance knows from the heartbeats of its peers whether all keep to that (`binds_streams`); beside one of an earlier build readers count as before, and a complete answer counts no more than any reader, as it may have reached nobody. Such an instance isn't asked to search, either.

Related paths looked through: may_have_lost and the store's history are now read only beside earlier builds; the two other questions to all targets (slots, reports) are of one pool each and don't count what has left.

test_silent_engine_may_have_begun_the_stream set two readers by hand, of which the one that began the stream was silent. A stream has one reader's version now; that state can't arise from one attempt.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/fleet.py
@@ -136,22 +136,7 @@
         self._domains[pong.address] = pong.failure_domain
         previous = self._heartbeats.get(pong.address)
         known_unreached = previous.unreached if previous else frozenset()
-        self._record_heartbeat(
-            Heartbeat(
-                pong.address,
-                pong.failure_domain,
-                min(pong.sent_ms, now_ms),
-                pong.uptime_ms,
-                pong.is_leaving,
-                frozenset(pong.decides),
-                True,
-                pong.keeps_origins,
-                pong.reads_reports,
-                pong.callers_endpoint,
-                frozenset(pong.unreached),
-                pong.weighs_prompts,
-            )
-        )
+        self._record_heartbeat(Heartbeat.from_pong(pong, now_ms))
         self._record_relayed(pong.rumours)
         for service in set(pong.unreached) - known_unreached:
             self.on_unreached(service)
@@ -325,7 +310,7 @@
         searcher = choose_by_rendezvous(own_domain, service) or ''
         if searcher == self.address or not self.is_alive(searcher):
             return ''
-        return searcher if self._heartbeats[searcher].weighs_prompts else ''
+        return searcher if self._heartbeats[searcher].binds_streams else ''
 
     def list_crash_receivers(self) -> set[str]:
         """Return the pinged peers to which evidence against prompts is sent.
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/messages.py
@@ -78,7 +78,9 @@
     ``LimitReport``. ``callers_endpoint`` is where the instance accepts calls
     that a peer hands over, empty in earlier versions, which accept none;
     ``unreached`` lists the services of which it reaches no target itself.
-    ``weighs_prompts`` is the same as in ``OriginFound``.
+    ``weighs_prompts`` is the same as in ``OriginFound``. ``binds_streams`` is
+    True if a resumable stream is sent again to one software version only,
+    before its first event too, and missing in earlier versions.
     """
 
     sent_ms: Integer
@@ -99,6 +101,7 @@
     callers_endpoint: str = ''
     unreached: list[str] = []
     weighs_prompts: bool = False
+    binds_streams: bool = False
 
 
 class ItemsWanted(Message):
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/peer_service.py
@@ -232,6 +232,7 @@
             callers_endpoint=self._fleet.callers_endpoint,
             unreached=self._fleet.list_unreached(),
             weighs_prompts=True,
+            binds_streams=True,
         )
 
     def _sum_used_units(self) -> dict[str, float]:
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/gateway.py
@@ -26,6 +26,7 @@
 from lagoonbend_entry._internal.coordination import peer_links
 from lagoonbend_entry._internal.coordination.coordinator import Coordinator
 from lagoonbend_entry._internal.coordination.fleet import Fleet
+from lagoonbend_entry._internal.coordination.heartbeat import all_bind_streams
 from lagoonbend_entry._internal.gateway import caller_connection
 from lagoonbend_entry._internal.gateway import facts_confirmer
 from lagoonbend_entry._internal.gateway import target_connection
@@ -181,7 +182,9 @@
             METRICS_PATH, lambda: (HTTP_OK, self._render_metrics())
         )
         self._coordinator.origins.search_prompt = PromptSurvey(
-            self._facts, self._clock
+            self._facts,
+            self._clock,
+            lambda: all_bind_streams(self._fleet.list_alive()),
         ).find_version
         closed_targets = ClosedTargets(
             TargetPauses(self._clock, random.Random())
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
@@ -1,14 +1,15 @@
 """Asks targets which prompts they have read, and what they have written."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import gevent
 
 from lagoonbend.clock import Clock
 from lagoonbend.exceptions import NetworkError
+from lagoonbend.facts import find_read_version
 from lagoonbend.facts import KeptPrompts
 from lagoonbend.facts import ListedTarget
-from lagoonbend.facts import PromptEvidence
 from lagoonbend.facts import weigh_kept_prompts
 from lagoonbend.scheduling import PromptBlock
 from lagoonbend_entry._internal.gateway import target_connection
@@ -52,11 +53,20 @@
 
     :param facts: target list as last read.
     :param clock: clock of the instance.
+    :param binds_streams: returns True if all instances keep each stream at one
+        version before its first event too, so that any reader of its prompt
+        shows the version.
     """
 
-    def __init__(self, facts: FactsCache, clock: Clock) -> None:
+    def __init__(
+        self,
+        facts: FactsCache,
+        clock: Clock,
+        binds_streams: Callable[[], bool],
+    ) -> None:
         self._facts = facts
         self._clock = clock
+        self._binds_streams = binds_streams
         self._surveys: dict[str, _Survey] = {}
 
     def find_version(self, service: str, block: PromptBlock) -> str | None:
@@ -67,47 +77,41 @@
         """
         asked_ms = self._clock.now_ms()
         all_kept = self._ask_targets(service, asked_ms - REUSE_MS + 1)
-        evidence = self._weigh(service, block, all_kept)
-        if evidence.version is not None and not evidence.has_written:
+        version = find_read_version(all_kept, *block)
+        is_bound = self._binds_streams()
+        if version is not None and not is_bound:
             # The stream may have begun at another target since the answers.
             self._wait_for_turn(service, asked_ms)
             all_kept = self._ask_targets(service, asked_ms)
-            evidence = self._weigh(service, block, all_kept)
-        silent = [
-            kept.target for kept in all_kept if kept.tokens_by_block is None
-        ]
+            version = weigh_kept_prompts(
+                all_kept,
+                *block,
+                lambda readers: self._may_have_lost(
+                    service, readers, all_kept
+                ),
+            )
         log_event(
             Event.PROMPT_SEARCHED,
             service=service,
             block=block.block_id,
             tokens=block.tokens,
-            software=evidence.version,
-            has_written=evidence.has_written,
+            software=version,
+            is_bound=is_bound,
+            took_ms=self._clock.now_ms() - asked_ms,
             asked=len(all_kept),
             kept=[
-                f'{kept.target.target} {kept.target.software_version} '
-                f'{kept.count_tokens(block.block_id)}'
+                f'{_name(kept)} {kept.count_tokens(block.block_id)}'
                 for kept in all_kept
                 if kept.count_tokens(block.block_id)
             ],
-            silent=[f'{t.target} {t.software_version}' for t in silent],
-            ended=[
-                f'{kept.target.target} {kept.target.software_version}'
+            silent=[
+                _name(kept)
                 for kept in all_kept
-                if kept.has_ended
+                if kept.tokens_by_block is None
             ],
+            ended=[_name(kept) for kept in all_kept if kept.has_ended],
         )
-        return evidence.version
-
-    def _weigh(
-        self, service: str, block: PromptBlock, all_kept: list[KeptPrompts]
-    ) -> PromptEvidence:
-        return weigh_kept_prompts(
-            all_kept,
-            block.block_id,
-            block.tokens,
-            lambda readers: self._may_have_lost(service, readers, all_kept),
-        )
+        return version
 
     def _may_have_lost(
         self,
@@ -165,6 +169,11 @@
         return all_kept
 
 
+def _name(kept: KeptPrompts) -> str:
+    """Return the target and its version, for the log."""
+    return f'{kept.target.target} {kept.target.software_version}'
+
+
 def _ask(target: ListedTarget) -> KeptPrompts:
     """Return the tokens that a target keeps of each block.
 
--- a/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
+++ b/packages/lagoonbend/src/lagoonbend/_internal/facts/kept_prompts.py
@@ -34,23 +34,27 @@
         kept_tokens = self.count_tokens(block_id)
         return kept_tokens > max(0, tokens - MAX_UNKEPT_TOKENS)
 
-    def has_written(self, block_id: str, tokens: int) -> bool:
-        """Return True if the target has completed an answer to the block."""
-        return self.count_tokens(block_id) > tokens
 
+def find_read_version(
+    kept_prompts: Iterable[KeptPrompts], block_id: str, tokens: int
+) -> str | None:
+    """Return the software version that alone has read a prompt.
 
-class PromptEvidence(NamedTuple):
-    """What the targets of a service show of a stream.
+    The last block of a prompt belongs to one request, or to its session with
+    a length that grows from request to request. If all instances keep each
+    stream at one version before its first event too, that version began it.
 
-    :param version: version that began it; None if that isn't certain.
-    :param has_written: True if a target of it keeps more than the prompt.
+    :param kept_prompts: what targets of a service have told.
+    :param block_id: last block of the prompt.
+    :param tokens: length of the block.
+    :returns: None if none has, or several.
     """
-
-    version: str | None
-    has_written: bool = False
-
-
-UNCERTAIN = PromptEvidence(None)
+    versions = {
+        kept.target.software_version
+        for kept in kept_prompts
+        if kept.has_read(block_id, tokens)
+    }
+    return versions.pop() if len(versions) == 1 else None
 
 
 def weigh_kept_prompts(
@@ -58,15 +62,13 @@
     block_id: str,
     tokens: int,
     may_have_left: Callable[[list[ListedTarget]], bool],
-) -> PromptEvidence:
-    """Return the software version that began a stream, by its prompt.
+) -> str | None:
+    """Return the version that began a stream of which others may have read.
 
-    The last block of a prompt belongs to one request, or to its session with
-    a length that grows from request to request. A target that keeps more than
-    that has completed an answer. One that keeps the prompt alone need not have
-    written anything: it may have been silent until the call went to another
-    version, so that it counts only if no target of one can have ended. Neither
-    counts beside a reader of another version, whose stream may have been cut.
+    Instances of earlier builds send a call that a silent target has read to
+    any other version. So a reader counts only if no target of another version
+    can have begun the stream, whether it is listed or has ended. An answer
+    that was written completely may have reached nobody.
 
     :param kept_prompts: all targets of a service.
     :param block_id: last block of the prompt.
@@ -74,28 +76,23 @@
     :param may_have_left: returns True if a target of another version than the
         given ones, or such a life of it, may have ended since a stream that
         can be taken up began.
-    :returns: no version if several fit, or if a target of another one has not
-        told.
+    :returns: None if several fit, or if a target of another one has not told.
     """
     all_kept = tuple(kept_prompts)
-    readers = [
-        kept.target for kept in all_kept if kept.has_read(block_id, tokens)
-    ]
-    versions = {reader.software_version for reader in readers}
-    version = next(iter(versions)) if len(versions) == 1 else None
+    version = find_read_version(all_kept, block_id, tokens)
     if version is None or not all(
         kept.tokens_by_block is not None
         or kept.target.software_version == version
         for kept in all_kept
     ):
-        return UNCERTAIN
+        return None
+    readers = [
+        kept.target for kept in all_kept if kept.has_read(block_id, tokens)
+    ]
     has_lost = any(
         kept.has_ended
         and kept.target.software_version != version
         and not kept.target.started_before(readers)
         for kept in all_kept
     )
-    has_written = any(kept.has_written(block_id, tokens) for kept in all_kept)
-    if not has_written and (has_lost or may_have_left(readers)):
-        return UNCERTAIN
-    return PromptEvidence(version, has_written=has_written)
+    return None if has_lost or may_have_left(readers) else version
--- a/packages/lagoonbend/src/lagoonbend/facts.py
+++ b/packages/lagoonbend/src/lagoonbend/facts.py
@@ -6,8 +6,8 @@
 from lagoonbend._internal.facts.customer_rule import CustomerRule
 from lagoonbend._internal.facts.evacuations import Evacuations
 from lagoonbend._internal.facts.item_cache import ItemCache
+from lagoonbend._internal.facts.kept_prompts import find_read_version
 from lagoonbend._internal.facts.kept_prompts import KeptPrompts
-from lagoonbend._internal.facts.kept_prompts import PromptEvidence
 from lagoonbend._internal.facts.kept_prompts import weigh_kept_prompts
 from lagoonbend._internal.facts.listed_target import ListedTarget
 from lagoonbend._internal.facts.named_limit import NamedLimit
@@ -39,7 +39,6 @@
     'NamedLimit',
     'NamedLimits',
     'OriginSource',
-    'PromptEvidence',
     'PublishedItem',
     'Route',
     'RuleSet',
@@ -52,4 +51,5 @@
     'compute_origin_key',
     'compute_prompt_key',
     'weigh_kept_prompts',
+    'find_read_version',
 ]
