Wait for lists of prompts while they go on arriving

Cause: all targets of a service are asked at once, and those whose lists had not come whole after 200 ms counted as silent. 45 lists of 7.5 kB take 0.54 s at 5 Mbit/s, and each new question began anew.

Change: lists are waited for as long as a part of any has arrived within the last 200 ms, for 1.2 s at most, since they share one link; a target that is silent costs 200 ms after the last part, as before. The peer that asks the targets for others in a large fleet gets as long.

Related: no other question goes to all targets of a service at once.

Not measured: the share of a narrow link that repeated questions take beside traffic; by calculation 0.39 MB a second while streams are taken up, at 39 engines with lists of 10 KB, which is 0.6 of a link of 5 Mbit/s.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/coordination/origin_exchange.py
@@ -28,8 +28,9 @@
 ANSWER_TIMEOUT_MS = 150
 """Time for peers to answer a question; a round trip between failure domains
 takes about 3 ms."""
-SEARCH_TIMEOUT_MS = 300
-"""Time for a peer to ask the targets who has read a prompt, and to answer."""
+SEARCH_TIMEOUT_MS = 1_300
+"""Time for a peer to ask the targets who has read a prompt, which may take
+some time on a narrow link, and to answer."""
 SEARCHED_ORIGIN_MS = 15_000
 """Time for which an origin that targets have shown is kept; callers wait for
 15 s at most in the users' deployments."""
--- /dev/null
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_lists.py
@@ -0,0 +1,106 @@
+"""Reads the lists of the prompts that targets keep."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import gevent
+import gevent.event
+
+from lagoonbend.exceptions import NetworkError
+from lagoonbend.facts import KeptPrompts
+from lagoonbend.facts import ListedTarget
+from lagoonbend_entry._internal.gateway import target_connection
+from lagoonbend_entry._internal.gateway import target_error
+from lagoonbend_entry._internal.platform import names
+from lagoonbend_entry._internal.platform.prompt_codec import decode_kept_blocks
+
+IDLE_TIMEOUT_MS = 200
+"""Time without a part of any list after which the missing ones aren't waited
+for; a round trip between failure domains takes about 3 ms."""
+MAX_SURVEY_MS = 1_200
+"""Time for all lists to arrive. They share the link of this instance, at
+5 Mbit/s and more; callers give a stream up after two seconds."""
+MAX_LIST_BYTES = 4 * 1024 * 1024
+"""Limit on one answer; 550,000 tokens in blocks of 16 make about 1 MB."""
+HTTP_OK = 200
+MILLISECONDS_PER_SECOND = 1000
+
+
+def read_kept_prompts(targets: Iterable[ListedTarget]) -> list[KeptPrompts]:
+    """Ask targets at the same time which prompts they keep.
+
+    Lists are waited for as long as any of them goes on arriving.
+
+    :returns: the answers in the order of the targets, those of silent ones
+        included.
+    """
+    progress = gevent.event.Event()
+    readers = [
+        (target, gevent.spawn(_read_list, target, progress.set))
+        for target in targets
+    ]
+    missing = {reader for _, reader in readers}
+
+    def finish(reader: gevent.Greenlet) -> None:
+        missing.discard(reader)
+        progress.set()
+
+    for _, reader in readers:
+        reader.link(finish)
+    with gevent.Timeout(MAX_SURVEY_MS / MILLISECONDS_PER_SECOND, False):
+        while missing and progress.wait(
+            IDLE_TIMEOUT_MS / MILLISECONDS_PER_SECOND
+        ):
+            progress.clear()
+    gevent.killall(missing, block=False)
+    return [
+        reader.value if reader.successful() else KeptPrompts(target, None)
+        for target, reader in readers
+    ]
+
+
+def _read_list(
+    target: ListedTarget, on_progress: Callable[[], None]
+) -> KeptPrompts:
+    """Return the tokens that a target keeps of each block.
+
+    A leaving target that doesn't listen any more has ended. So has one if
+    a later life of it, or a later target, answers at its address.
+    """
+    address = (target.ip, target.port)
+    host = '{}:{}'.format(*address)
+    request = target_connection.encode_request(
+        'GET', names.KEPT_BLOCKS_PATH, [('Host', host)], b''
+    )
+    body = bytearray()
+    try:
+        # A kept connection may still bring answers to earlier calls.
+        connection = target_connection.TargetConnection.connect(
+            address, MAX_SURVEY_MS
+        )
+        try:
+            connection.send(request, MAX_SURVEY_MS)
+            answer = connection.read_head(MAX_SURVEY_MS)
+            for chunk in connection.read_body(answer, MAX_SURVEY_MS):
+                body += chunk
+                on_progress()
+                if len(body) > MAX_LIST_BYTES:
+                    raise target_error.BadAnswerError(
+                        'list of blocks too large'
+                    )
+        finally:
+            connection.close()
+    except target_error.TargetAbsentError:
+        if target.is_leaving:
+            return KeptPrompts(target, {}, has_ended=True)
+        return KeptPrompts(target, None)
+    except NetworkError:
+        return KeptPrompts(target, None)
+    kept = (
+        decode_kept_blocks(bytes(body)) if answer.status == HTTP_OK else None
+    )
+    if kept is None or kept.born_ms is None or target.born_ms is None:
+        return KeptPrompts(target, None)
+    if kept.born_ms > target.born_ms:
+        return KeptPrompts(target, {}, has_ended=True)
+    return KeptPrompts(target, kept.tokens_by_block)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_survey.py
@@ -6,31 +6,21 @@
 import gevent
 
 from lagoonbend.clock import Clock
-from lagoonbend.exceptions import NetworkError
 from lagoonbend.facts import find_read_version
 from lagoonbend.facts import KeptPrompts
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import weigh_kept_prompts
 from lagoonbend.scheduling import PromptBlock
-from lagoonbend_entry._internal.gateway import target_connection
-from lagoonbend_entry._internal.gateway import target_error
 from lagoonbend_entry._internal.gateway.facts_cache import FactsCache
-from lagoonbend_entry._internal.platform import names
-from lagoonbend_entry._internal.platform.prompt_codec import decode_kept_blocks
+from lagoonbend_entry._internal.gateway.prompt_lists import read_kept_prompts
 from lagoonbend_entry._internal.utils.event import Event
 from lagoonbend_entry._internal.utils.event_log import log_event
 
-ANSWER_TIMEOUT_MS = 200
-"""Time for targets to answer; a round trip between failure domains takes about
-3 ms, and callers wait for a refusal meanwhile."""
 REUSE_MS = 1_000
 """Time for which the answers count for further calls. Callers take streams up
 within seconds of a failure, and each list costs a target some work."""
 MIN_INTERVAL_MS = 100
 """Time between two questions for calls that need answers of their own time."""
-MAX_LIST_BYTES = 4 * 1024 * 1024
-"""Limit on one answer; 550,000 tokens in blocks of 16 make about 1 MB."""
-HTTP_OK = 200
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -156,63 +146,11 @@
         return all_kept
 
     def _ask_all(self, service: str) -> list[KeptPrompts]:
-        targets = self._facts.target_directory.list_registered(service)
-        greenlets = [gevent.spawn(_ask, target) for target in targets]
-        gevent.joinall(greenlets, ANSWER_TIMEOUT_MS / MILLISECONDS_PER_SECOND)
-        all_kept = [
-            greenlet.value
-            if greenlet.successful()
-            else KeptPrompts(target, None)
-            for target, greenlet in zip(targets, greenlets, strict=True)
-        ]
-        gevent.killall(greenlets, block=False)
-        return all_kept
+        return read_kept_prompts(
+            self._facts.target_directory.list_registered(service)
+        )
 
 
 def _name(kept: KeptPrompts) -> str:
     """Return the target and its version, for the log."""
     return f'{kept.target.target} {kept.target.software_version}'
-
-
-def _ask(target: ListedTarget) -> KeptPrompts:
-    """Return the tokens that a target keeps of each block.
-
-    A leaving target that doesn't listen any more has ended. So has one if
-    a later life of it, or a later target, answers at its address.
-    """
-    address = (target.ip, target.port)
-    host = '{}:{}'.format(*address)
-    request = target_connection.encode_request(
-        'GET', names.KEPT_BLOCKS_PATH, [('Host', host)], b''
-    )
-    body = bytearray()
-    try:
-        # A kept connection may still bring answers to earlier calls.
-        connection = target_connection.TargetConnection.connect(
-            address, ANSWER_TIMEOUT_MS
-        )
-        try:
-            connection.send(request, ANSWER_TIMEOUT_MS)
-            answer = connection.read_head(ANSWER_TIMEOUT_MS)
-            for chunk in connection.read_body(answer, ANSWER_TIMEOUT_MS):
-                body += chunk
-                if len(body) > MAX_LIST_BYTES:
-                    raise target_error.BadAnswerError(
-                        'list of blocks too large'
-                    )
-        finally:
-            connection.close()
-    except target_error.TargetAbsentError:
-        if target.is_leaving:
-            return KeptPrompts(target, {}, has_ended=True)
-        return KeptPrompts(target, None)
-    except NetworkError:
-        return KeptPrompts(target, None)
-    kept = (
-        decode_kept_blocks(bytes(body)) if answer.status == HTTP_OK else None
-    )
-    if kept is None or kept.born_ms is None or target.born_ms is None:
-        return KeptPrompts(target, None)
-    if kept.born_ms > target.born_ms:
-        return KeptPrompts(target, {}, has_ended=True)
-    return KeptPrompts(target, kept.tokens_by_block)
--- a/tests/unit/test_prompt_survey.py
+++ b/tests/unit/test_prompt_survey.py
@@ -5,6 +5,7 @@
 after all instances have been killed at once.
 """
 
+from collections.abc import Callable
 import types
 from typing import Any
 import unittest
@@ -18,6 +19,7 @@
 from lagoonbend.facts import ListedTarget
 from lagoonbend.facts import weigh_kept_prompts
 from lagoonbend.scheduling import PromptBlock
+from lagoonbend_entry._internal.gateway import prompt_lists
 from lagoonbend_entry._internal.gateway import prompt_survey
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.platform.prompt_codec import decode_kept_blocks
@@ -199,7 +201,7 @@
             'connect',
             return_value=connection,
         ):
-            return prompt_survey._ask(target)
+            return prompt_lists._read_list(target, lambda: None)
 
     # Guards against a target that counts as one that has read nothing, since
     # its address belongs to another life of it, or to another target.
@@ -248,11 +250,13 @@
             facts, self.clock, lambda: self.is_bound
         )
         self.delay_s = 0.01
-        patched = mock.patch.object(prompt_survey, '_ask', self.ask)
+        patched = mock.patch.object(prompt_lists, '_read_list', self.ask)
         patched.start()
         self.addCleanup(patched.stop)
 
-    def ask(self, target: ListedTarget) -> KeptPrompts:
+    def ask(
+        self, target: ListedTarget, on_progress: Callable[[], None]
+    ) -> KeptPrompts:
         """Answer a question to a target; only v1 has read the prompt."""
         self.asked.append(target.target)
         gevent.sleep(self.delay_s)
@@ -349,6 +353,58 @@
             self.assertIsNone(self.find())
 
 
+class ListsOnANarrowLinkTest(unittest.TestCase):
+    """Many targets, whose lists arrive one after another.
+
+    Guards against streams that are refused after a loss of all since the lists
+    of a large service take longer than the answer of one target.
+    """
+
+    def setUp(self) -> None:
+        """Let a target send its list in parts, once its turn has come."""
+        self.delays_s: dict[str, float] = {}
+        self.pause_s = 0.0
+        patched = mock.patch.object(prompt_lists, '_read_list', self.read)
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def read(
+        self, target: ListedTarget, on_progress: Callable[[], None]
+    ) -> KeptPrompts:
+        """Return the list of a target after its delay."""
+        gevent.sleep(self.delays_s[target.target])
+        on_progress()
+        gevent.sleep(self.pause_s)
+        return KeptPrompts(target, READ)
+
+    def count_told(self, *delays_s: float) -> int:
+        """Return the number of targets whose lists are read."""
+        self.delays_s = {f't{n}': s for n, s in enumerate(delays_s)}
+        targets = [
+            build_kept(name, 'v1', None).target for name in self.delays_s
+        ]
+        all_kept = prompt_lists.read_kept_prompts(targets)
+        self.assertEqual(targets, [kept.target for kept in all_kept])
+        return sum(kept.tokens_by_block is not None for kept in all_kept)
+
+    def test_lists_that_go_on_arriving_are_waited_for(self) -> None:
+        """45 of them take 0.6 s in all; a last one has a part on its way."""
+        self.assertEqual(45, self.count_told(*(n / 75 for n in range(45))))
+        self.pause_s = 0.15
+        self.assertEqual(2, self.count_told(0.0, 0.15))
+
+    def test_silent_target_is_not_waited_for(self) -> None:
+        """The others have told, or none has."""
+        for delays_s, count in (((0.0, 5.0), 1), ((5.0, 5.0), 0)):
+            with self.subTest(delays_s=delays_s), gevent.Timeout(0.4):
+                self.assertEqual(count, self.count_told(*delays_s))
+
+    def test_lists_without_end_are_given_up(self) -> None:
+        """A caller gives its stream up after two seconds."""
+        with gevent.Timeout(1.5):
+            self.assertLess(self.count_told(*(n / 8 for n in range(32))), 11)
+
+
 class SearchersTest(unittest.TestCase):
     """The instances that ask the targets, in a fleet that has just started."""
 
