Read lists of prompts that state no start

Change: a list without a start counts. The request names the listed target, so that another one rejects it with 421; a later start, where it is stated, still ends the listed life. A life that has started again under the same identity holds nothing of before.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/standin_target.py
@@ -118,7 +118,7 @@
     tokens that it keeps of each. The last block grows once an answer is
     complete. It lists them on request, unless
     ``lists_blocks`` is False; such a request is then not answered. ``born_ms``
-    is the start of its life that it states there.
+    is the start of its life that it states there, if ``states_born`` is True.
 
     ``named_limit`` is the value of ``Server-Limit`` in its answers; empty for
     none.
@@ -149,6 +149,7 @@
         self.kept_blocks: dict[str, int] = {}
         self.lists_blocks = True
         self.born_ms = 0
+        self.states_born = True
         self.crashing_block = ''
         self.crashing_path = ''
         self.on_crash: Callable[[StandinTarget, str], None] = _ignore_crash
@@ -237,9 +238,10 @@
         if not self.lists_blocks:
             return self._never_answer(request, sock)
         held = [['', *block, 'm'] for block in self.kept_blocks.items()]
-        body = json.dumps(
-            {'epoch': 1, 'next': 1, 'held': held, 'born': self.born_ms}
-        )
+        answer = {'epoch': 1, 'next': 1, 'held': held}
+        if self.states_born:
+            answer['born'] = self.born_ms
+        body = json.dumps(answer)
         self._send_answer(request, sock, 200, body.encode())
         return True
 
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_lists.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_lists.py
@@ -12,7 +12,7 @@
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway import target_error
 from lagoonbend_entry._internal.platform import names
-from lagoonbend_entry._internal.platform.prompt_codec import decode_kept_blocks
+from lagoonbend_entry._internal.platform import prompt_codec
 
 IDLE_TIMEOUT_MS = 200
 """Time without a part of any list after which the missing ones aren't waited
@@ -23,6 +23,7 @@
 MAX_LIST_BYTES = 4 * 1024 * 1024
 """Limit on one answer; 550,000 tokens in blocks of 16 make about 1 MB."""
 HTTP_OK = 200
+HTTP_MISDIRECTED = 421
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -65,12 +66,16 @@
     """Return the tokens that a target keeps of each block.
 
     A leaving target that doesn't listen any more has ended. So has one if
-    a later life of it, or a later target, answers at its address.
+    another target, or a later life of it, answers at its address. Not all
+    state the start of their life.
     """
     address = (target.ip, target.port)
     host = '{}:{}'.format(*address)
     request = target_connection.encode_request(
-        'GET', names.KEPT_BLOCKS_PATH, [('Host', host)], b''
+        'GET',
+        names.KEPT_BLOCKS_PATH,
+        prompt_codec.encode_kept_blocks_headers(host, target.target),
+        b'',
     )
     body = bytearray()
     try:
@@ -96,11 +101,19 @@
         return KeptPrompts(target, None)
     except NetworkError:
         return KeptPrompts(target, None)
+    if answer.status == HTTP_MISDIRECTED:
+        return KeptPrompts(target, {}, has_ended=True)
     kept = (
-        decode_kept_blocks(bytes(body)) if answer.status == HTTP_OK else None
+        prompt_codec.decode_kept_blocks(bytes(body))
+        if answer.status == HTTP_OK
+        else None
     )
-    if kept is None or kept.born_ms is None or target.born_ms is None:
+    if kept is None:
         return KeptPrompts(target, None)
-    if kept.born_ms > target.born_ms:
+    if (
+        kept.born_ms is not None
+        and target.born_ms is not None
+        and kept.born_ms > target.born_ms
+    ):
         return KeptPrompts(target, {}, has_ended=True)
     return KeptPrompts(target, kept.tokens_by_block)
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
@@ -36,6 +36,17 @@
     born_ms: int | None = None
 
 
+def encode_kept_blocks_headers(
+    host: str, target: str
+) -> list[tuple[str, str]]:
+    """Return the headers of a request for what one engine keeps.
+
+    :param host: IP address and port of the engine.
+    :param target: identity of the engine; any other rejects the request.
+    """
+    return [('Host', host), ('Expect-Instance', target)]
+
+
 def decode_kept_blocks(body: bytes) -> KeptBlocks | None:
     """Return what an engine keeps.
 
--- a/tests/functional/test_versions_of_streams.py
+++ b/tests/functional/test_versions_of_streams.py
@@ -268,6 +268,19 @@
             self.assertEqual(200, status)
             self.assertEqual([ENGINES[name]], [ENGINES[run] for run in runs])
 
+    # Guards against the same where engines don't state when they started.
+    def test_lists_without_a_start_show_the_version(self) -> None:
+        """Each instance finds it, as before."""
+        self.add_engines(*ENGINES.values())
+        for target in self.fleet.targets.values():
+            target.states_born = False
+        name = self.begin_stream()
+        self.restart_all()
+        for instance in range(3):
+            status, runs = self.take_up(instance)
+            self.assertEqual(200, status)
+            self.assertEqual([ENGINES[name]], [ENGINES[run] for run in runs])
+
     # Guards against a stream that is taken up at the wrong version since an
     # attempt before its first event ran at another one.
     def test_prompt_that_two_versions_have_read_tells_nothing(self) -> None:
