Soak: take streams up with the prompt that they had

One reason: the own block of a prompt is named by the attempt, and a take-up has a new attempt, so that it named another prompt than its stream. What targets keep never decided anything there. It now names that of the stream.

--- a/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
+++ b/packages/lagoonbend-devkit/src/lagoonbend_devkit/_internal/gateway/gateway_fleet.py
@@ -476,7 +476,8 @@
         headers |= {'Resumes': resumes, 'Last-Event-Id': str(last_event)}
     if blocks:
         headers['Prefix-Hash'] = ','.join(
-            f'{block}:{BLOCK_TOKENS}' for block in (*blocks, attempt)
+            f'{block}:{BLOCK_TOKENS}'
+            for block in (*blocks, resumes or attempt)
         )
     return headers
 
