Bind no call to the unknown version of a target

Found by reading the diff: a call that no peer has bound names no version, and a listed target whose version isn't known has none either. The two were taken for the same, so that in a service with such a target no fresh resumable stream would have run. No caller has seen it.

Measured: test_target_of_an_unknown_version_binds_nothing fails without the change and passes with it.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/stream_bindings.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/stream_bindings.py
@@ -143,10 +143,9 @@
         if versions:
             is_single = len(versions) == 1
             return VersionBinding(versions.pop()) if is_single else None
+        directory = self._facts.target_directory
         version = call.bound_version
-        if version in self._facts.target_directory.list_listed_versions(
-            service
-        ):
+        if version and version in directory.list_listed_versions(service):
             return VersionBinding(version)
         version = self._resumed_streams.find_prompt(call)
         if version and self._has_usable(service, version, progress.excluded):
--- a/tests/unit/test_stream_bindings.py
+++ b/tests/unit/test_stream_bindings.py
@@ -109,6 +109,18 @@
         self.targets.pop(1)
         self.assertEqual(V1, self.bind(progress))
 
+    # Guards against calls that no target may run, since the version of one
+    # that is listed isn't known.
+    def test_target_of_an_unknown_version_binds_nothing(self) -> None:
+        """No stream can go on there, and none counts as begun there."""
+        unknown = self.targets[0]._replace(software_version=None)
+        self.targets.append(unknown)
+        progress = self.build_progress()
+        self.assertIsNone(self.bind(progress))
+        self.bindings.record_read(progress, unknown)
+        self.targets[0] = unknown
+        self.assertIsNone(self.bind(progress))
+
     def test_call_that_was_rejected_may_run_anywhere(self) -> None:
         """The target has promised not to run it."""
         progress = self.build_progress()
