--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/platform/prompt_codec.py
@@ -28,8 +28,8 @@
     """What a life of an engine keeps.
 
     :param tokens_by_block: tokens that it keeps of each block.
-    :param born_ms: start of this life, in Unix milliseconds of its own clock;
-        None if it isn't stated.
+    :param born_ms: start of this life, in Unix milliseconds as the engine
+        counts them; None if it isn't stated.
     """
 
     tokens_by_block: dict[str, int]
