Wait 2 s in place of 5 for what a restored store lacks

Cause: instances that are restarted in series in several eras of the store have no peer whose proof counts, so that each waited 5 s; the calls fell on the few that served, and a look-up whose target had cut it was denied a slot.

Change: an instance that starts waits as long as one that has seen the era begin, for the time that the users' pages give.

--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/facts_cache.py
@@ -38,10 +38,6 @@
 are the newest."""
 FIRST_ERA = 1
 """Era of a store that has never come back from a copy."""
-START_REWRITE_MS = 5_000
-"""The same for an instance that knows nothing of before: neither a newer
-configuration, for which operators have no set time, nor targets that have left
-and are listed until the store has missed three of their heartbeats."""
 
 
 class FactsCache:
@@ -363,11 +359,9 @@
     def _begin_era(self, era: int, source: str) -> None:
         before = self.item_cache.era
         now_ms = self._clock.now_ms()
-        if before == NO_ERA and era > FIRST_ERA:
-            # Whether the era began just now isn't known.
-            self._settled_ms = now_ms + START_REWRITE_MS
-        elif before != NO_ERA or source == 'peer':
-            # The peer may have learned of the era just now.
+        if before != NO_ERA or source == 'peer' or era > FIRST_ERA:
+            # The era may have begun just now, as far as a peer or an instance
+            # that has just started knows.
             self._settled_ms = now_ms + REWRITE_MS
         if before == NO_ERA:
             return
--- a/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_lists.py
+++ b/packages/lagoonbend-entry/src/lagoonbend_entry/_internal/gateway/prompt_lists.py
@@ -12,6 +12,7 @@
 from lagoonbend.facts import ListedTarget
 from lagoonbend_entry._internal.gateway import target_connection
 from lagoonbend_entry._internal.gateway import target_error
+from lagoonbend_entry._internal.platform import call_headers
 from lagoonbend_entry._internal.platform import names
 from lagoonbend_entry._internal.platform import prompt_codec
 
@@ -85,7 +86,14 @@
     request = target_connection.encode_request(
         'GET',
         names.KEPT_BLOCKS_PATH,
-        prompt_codec.encode_kept_blocks_headers(host, target.target),
+        call_headers.encode_target_headers(
+            [('Host', host)],
+            (),
+            target=target.target,
+            customer='',
+            deadline_ms=MAX_SURVEY_MS,
+            last_event=None,
+        ),
         b'',
     )
     body = bytearray()
--- a/tests/unit/test_prompt_survey.py
+++ b/tests/unit/test_prompt_survey.py
@@ -22,8 +22,8 @@
 from lagoonbend_entry._internal.gateway import prompt_lists
 from lagoonbend_entry._internal.gateway import prompt_survey
 from lagoonbend_entry._internal.gateway import target_connection
+from lagoonbend_entry._internal.models.kept_blocks import KeptBlocks
 from lagoonbend_entry._internal.platform.prompt_codec import decode_kept_blocks
-from lagoonbend_entry._internal.platform.prompt_codec import KeptBlocks
 from tests.unit.test_keepers_of_origins import FleetWorld
 
 Told = tuple[str | None, dict[str, int] | None]
